--- /dev/null
+++ b/drivers/http/http_server.cpp
@@ -0,0 +1,157 @@
+#include "drivers/http/http_server.h"
+#include "core/error.h"
+
+#include "fmt/format.h"
+#include "restinio/all.hpp"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+
+namespace fulmarwinch {
+
+namespace {
+
+using ServerTraits = restinio::default_traits_t;
+using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+HttpRequest toHttpRequest(const restinio::request_t &Request) {
+  HttpRequest Result;
+  Result.m_Method = Request.header().method().c_str();
+  Result.m_Path = std::string(Request.header().path());
+  Result.m_Query = std::string(Request.header().query());
+  Request.header().for_each_field(
+      [&Result](const restinio::http_header_field_t &Field) {
+        Result.m_Headers.push_back({Field.name(), Field.value()});
+      });
+  Result.m_Body = Request.body();
+  Result.m_RemoteAddress = Request.remote_endpoint().address().to_string();
+  return Result;
+}
+
+restinio::http_status_line_t statusLine(int Status) {
+  return {restinio::http_status_code_t{static_cast<std::uint16_t>(Status)},
+          Status < 400 ? "OK" : "Error"};
+}
+
+/// Exchange over one RESTinio request. The mutex serialises builders because
+/// chunks may come from another thread than the one that ends the response.
+class RestinioExchange : public HttpExchange {
+public:
+  explicit RestinioExchange(restinio::request_handle_t Handle)
+      : m_Handle(std::move(Handle)), m_Request(toHttpRequest(*m_Handle)) {}
+
+  ~RestinioExchange() override {
+    if (!m_Answered)
+      respond(jsonResponse(500, R"({"error":{"type":"internal"}})"));
+    else
+      finish();
+  }
+
+  const HttpRequest &request() const override { return m_Request; }
+
+  void respond(HttpResponse Response) override {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    if (m_Answered)
+      return;
+    m_Answered = true;
+    auto Builder = m_Handle->create_response(statusLine(Response.m_Status));
+    for (const HttpHeader &Header : Response.m_Headers)
+      Builder.append_header(Header.m_Name, Header.m_Value);
+    Builder.set_body(std::move(Response.m_Body));
+    Builder.done();
+  }
+
+  void startStream(int Status, const HttpHeaders &Headers) override {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    if (m_Answered)
+      return;
+    m_Answered = true;
+    m_Builder.emplace(m_Handle->create_response<restinio::chunked_output_t>(
+        statusLine(Status)));
+    for (const HttpHeader &Header : Headers)
+      m_Builder->append_header(Header.m_Name, Header.m_Value);
+    m_Builder->flush();
+  }
+
+  bool write(std::string Chunk) override {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    if (!m_Builder || *m_ClientGone)
+      return false;
+    m_Builder->append_chunk(std::move(Chunk));
+    m_Builder->flush([Gone = m_ClientGone](const asio::error_code &Error) {
+      if (Error)
+        *Gone = true;
+    });
+    return true;
+  }
+
+  void finish() override {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    if (!m_Builder)
+      return;
+    m_Builder->done();
+    m_Builder.reset();
+  }
+
+  bool isClientGone() const override { return *m_ClientGone; }
+
+private:
+  restinio::request_handle_t m_Handle;
+  HttpRequest m_Request;
+  std::mutex m_Mutex;
+  std::optional<ChunkedBuilder> m_Builder;
+  std::atomic<bool> m_Answered{false};
+  std::shared_ptr<std::atomic<bool>> m_ClientGone =
+      std::make_shared<std::atomic<bool>>(false);
+};
+
+} // namespace
+
+struct HttpServer::Impl {
+  restinio::running_server_handle_t<ServerTraits> m_Server;
+};
+
+HttpServer::HttpServer() : m_Impl(std::make_unique<Impl>()) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+absl::Status HttpServer::start(const HttpServerOptions &Options,
+                               HttpHandler Handler) {
+  restinio::server_settings_t<ServerTraits> Settings;
+  Settings.address(Options.m_Address)
+      .port(Options.m_Port)
+      .read_next_http_message_timelimit(Options.m_ReadTimeout)
+      .handle_request_timeout(Options.m_HandlerTimeout)
+      .write_http_response_timelimit(Options.m_HandlerTimeout)
+      .max_pipelined_requests(4)
+      .incoming_http_msg_limits(
+          restinio::incoming_http_msg_limits_t{}.max_body_size(
+              Options.m_MaxBodyBytes))
+      .request_handler(
+          [Handler = std::move(Handler)](restinio::request_handle_t Request) {
+            Handler(std::make_shared<RestinioExchange>(std::move(Request)));
+            return restinio::request_accepted();
+          });
+  try {
+    m_Impl->m_Server = restinio::run_async<ServerTraits>(
+        restinio::own_io_context(), std::move(Settings), Options.m_Threads);
+  } catch (const std::exception &Error) {
+    return makeError(ErrorKind::Internal,
+                     fmt::format("cannot listen on {}:{}: {}",
+                                 Options.m_Address, Options.m_Port,
+                                 Error.what()),
+                     "free the port or set another one");
+  }
+  return absl::OkStatus();
+}
+
+void HttpServer::stop() {
+  if (!m_Impl->m_Server)
+    return;
+  m_Impl->m_Server->stop();
+  m_Impl->m_Server->wait();
+  m_Impl->m_Server.reset();
+}
+
+} // namespace fulmarwinch
