--- /dev/null
+++ b/servers/retry/retry_budget.cpp
@@ -0,0 +1,40 @@
+#include "servers/retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+RetryBudget::RetryBudget(const RetryBudgetSettings &Settings)
+    : m_Settings(Settings),
+      m_Tokens(std::min(Settings.m_Initial, Settings.m_Burst)) {}
+
+void RetryBudget::onSuccess() {
+  m_Tokens =
+      std::min(m_Settings.m_Burst, m_Tokens + m_Settings.m_ShareOfSuccesses);
+}
+
+bool RetryBudget::tryRetry(MonotonicTime Now) {
+  refill(Now);
+  if (m_Tokens < 1.0)
+    return false;
+  m_Tokens -= 1.0;
+  return true;
+}
+
+double RetryBudget::available(MonotonicTime Now) {
+  refill(Now);
+  return m_Tokens;
+}
+
+void RetryBudget::refill(MonotonicTime Now) {
+  if (m_Started && Now > m_LastRefill) {
+    const std::chrono::duration<double> Elapsed = Now - m_LastRefill;
+    m_Tokens =
+        std::min(m_Settings.m_Burst,
+                 m_Tokens + Elapsed.count() * m_Settings.m_FloorPerSecond);
+  }
+  m_LastRefill = m_Started ? std::max(m_LastRefill, Now) : Now;
+  m_Started = true;
+}
+
+} // namespace fulmarwinch
