--- /dev/null
+++ b/servers/configuration/configuration_change.cpp
@@ -0,0 +1,57 @@
+#include "servers/configuration/configuration_change.h"
+
+#include "core/error.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+absl::Status damaged(std::string_view Problem) {
+  return makeError(ErrorKind::Internal, Problem,
+                   "restore the object from the audit trail or report a fault");
+}
+
+} // namespace
+
+Json toJson(const EntryChange &Entry) {
+  // The text is kept as a string, not as nested JSON, so that a node of an
+  // older version passes on byte for byte what it does not understand.
+  return {{"id", toText(Entry.m_Id)}, {"text", Entry.m_Text}};
+}
+
+absl::StatusOr<EntryChange> parseEntryChange(const Json &Object) {
+  const auto Id = parseEntryIdText(memberOr<std::string>(Object, "id", ""));
+  if (!Id.ok() || !Object.contains("text"))
+    return damaged("configuration change has an entry without ID or text");
+  return EntryChange{*Id, memberOr<std::string>(Object, "text", "")};
+}
+
+Json toJson(const ConfigurationChange &Change) {
+  Json Entries = Json::array();
+  for (const EntryChange &Entry : Change.m_Entries)
+    Entries.push_back(toJson(Entry));
+  return {{"revision", Change.m_Revision},
+          {"plan", Change.m_Plan},
+          {"operator", Change.m_Operator},
+          {"time", Change.m_Time},
+          {"entries", Entries}};
+}
+
+absl::StatusOr<ConfigurationChange> parseChange(const Json &Object) {
+  ConfigurationChange Change;
+  Change.m_Revision = memberOr<ConfigurationRevision>(Object, "revision", 0);
+  Change.m_Plan = memberOr<std::string>(Object, "plan", "");
+  Change.m_Operator = memberOr<std::string>(Object, "operator", "");
+  Change.m_Time = memberOr<UnixSeconds>(Object, "time", 0);
+  if (Change.m_Revision == 0 || !Object.contains("entries"))
+    return damaged("configuration change has no revision or no entries");
+  for (const Json &Element : Object["entries"]) {
+    absl::StatusOr<EntryChange> Entry = parseEntryChange(Element);
+    if (!Entry.ok())
+      return Entry.status();
+    Change.m_Entries.push_back(*std::move(Entry));
+  }
+  return Change;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/configuration/configuration_head.cpp
@@ -0,0 +1,54 @@
+#include "servers/configuration/configuration_head.h"
+
+#include "core/error.h"
+
+#include "fmt/format.h"
+
+namespace fulmarwinch {
+
+std::string snapshotKey(ConfigurationRevision Revision) {
+  return fmt::format("configuration/snapshot.{}", Revision);
+}
+
+std::string encodeHead(const ConfigurationHead &Head) {
+  Json Changes = Json::array();
+  for (const ConfigurationChange &Change : Head.m_Changes)
+    Changes.push_back(toJson(Change));
+  const Json Object = {{"revision", Head.m_Revision},
+                       {"snapshotRevision", Head.m_SnapshotRevision},
+                       {"writer", Head.m_Writer},
+                       {"sequence", Head.m_Sequence},
+                       {"changes", Changes}};
+  return Object.dump();
+}
+
+absl::StatusOr<ConfigurationHead> decodeHead(const std::string &Text) {
+  const absl::StatusOr<Json> Object = parseJson(Text, ConfigurationHeadKey);
+  if (!Object.ok())
+    return Object.status();
+  ConfigurationHead Head;
+  Head.m_Revision = memberOr<ConfigurationRevision>(*Object, "revision", 0);
+  Head.m_SnapshotRevision =
+      memberOr<ConfigurationRevision>(*Object, "snapshotRevision", 0);
+  Head.m_Writer = memberOr<std::string>(*Object, "writer", "");
+  Head.m_Sequence = memberOr<std::uint64_t>(*Object, "sequence", 0);
+  ConfigurationRevision Expected = Head.m_SnapshotRevision;
+  for (const Json &Element : memberOr<Json>(*Object, "changes", Json())) {
+    absl::StatusOr<ConfigurationChange> Change = parseChange(Element);
+    if (!Change.ok())
+      return Change.status();
+    if (Change->m_Revision != ++Expected)
+      break;
+    Head.m_Changes.push_back(*std::move(Change));
+  }
+  if (Expected != Head.m_Revision ||
+      Head.m_Changes.size() != Head.m_Revision - Head.m_SnapshotRevision)
+    return makeError(
+        ErrorKind::Internal,
+        fmt::format("{} names revision {} but its changes lead to {}",
+                    ConfigurationHeadKey, Head.m_Revision, Expected),
+        "restore the object from the audit trail or report a fault");
+  return Head;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/configuration/entry_fields.cpp
@@ -0,0 +1,194 @@
+#include "servers/configuration/entry_fields.h"
+
+#include "core/error.h"
+
+#include "absl/strings/str_join.h"
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarwinch {
+
+namespace {
+
+bool isNameByte(char Byte) {
+  return (Byte >= 'a' && Byte <= 'z') || (Byte >= 'A' && Byte <= 'Z') ||
+         (Byte >= '0' && Byte <= '9') || Byte == '.' || Byte == '_' ||
+         Byte == '-';
+}
+
+} // namespace
+
+std::string shownInError(const Json &Value) {
+  constexpr std::size_t MaxShown = 80;
+  std::string Shown =
+      Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (Shown.size() > MaxShown)
+    Shown = Shown.substr(0, MaxShown) + "...";
+  return Shown;
+}
+
+EntryFields::EntryFields(const Json &Object, std::string Path)
+    : m_Object(Object), m_Path(std::move(Path)) {
+  if (!m_Object.is_object())
+    m_Fault = makeError(ErrorKind::InvalidArgument,
+                        fmt::format("{}: found {}, allowed an object", m_Path,
+                                    shownInError(Object)),
+                        "write the entry as a JSON object");
+}
+
+std::string EntryFields::pathOf(std::string_view Key) const {
+  return fmt::format("{}.{}", m_Path, Key);
+}
+
+void EntryFields::fail(std::string_view Key, std::string_view Found,
+                       std::string_view Allowed, std::string_view Remedy) {
+  if (m_Fault.ok())
+    m_Fault = makeError(
+        ErrorKind::InvalidArgument,
+        fmt::format("{}: found {}, allowed {}", pathOf(Key), Found, Allowed),
+        Remedy);
+}
+
+void EntryFields::keep(const absl::Status &Status) {
+  if (m_Fault.ok())
+    m_Fault = Status;
+}
+
+const Json *EntryFields::find(const char *Key, bool Required,
+                              std::string_view Allowed) {
+  m_Read.insert(Key);
+  if (!m_Object.is_object())
+    return nullptr;
+  const auto Member = m_Object.find(Key);
+  if (Member != m_Object.end())
+    return &*Member;
+  if (Required)
+    fail(Key, "nothing", Allowed, "add the key");
+  return nullptr;
+}
+
+std::string EntryFields::text(const char *Key, std::size_t MaxLength) {
+  const std::string Allowed = fmt::format("a text of 1 to {} bytes", MaxLength);
+  const Json *Value = find(Key, true, Allowed);
+  if (!Value)
+    return {};
+  if (!Value->is_string() || Value->get_ref<const std::string &>().empty() ||
+      Value->get_ref<const std::string &>().size() > MaxLength) {
+    fail(Key, shownInError(*Value), Allowed, "correct the value");
+    return {};
+  }
+  return Value->get<std::string>();
+}
+
+std::string EntryFields::name(const char *Key) {
+  constexpr std::size_t MaxNameLength = 128;
+  std::string Name = text(Key, MaxNameLength);
+  if (!std::all_of(Name.begin(), Name.end(), isNameByte)) {
+    fail(Key, shownInError(Name), "letters, digits, '.', '_' and '-'",
+         "choose another name");
+    return {};
+  }
+  return Name;
+}
+
+std::int64_t EntryFields::integer(const char *Key, std::int64_t Min,
+                                  std::int64_t Max) {
+  const std::string Allowed = fmt::format("an integer from {} to {}", Min, Max);
+  const Json *Value = find(Key, true, Allowed);
+  if (!Value)
+    return Min;
+  const bool Fits =
+      Value->is_number_integer() &&
+      (!Value->is_number_unsigned() ||
+       Value->get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX)) &&
+      Value->get<std::int64_t>() >= Min && Value->get<std::int64_t>() <= Max;
+  if (!Fits) {
+    fail(Key, shownInError(*Value), Allowed, "correct the value");
+    return Min;
+  }
+  return Value->get<std::int64_t>();
+}
+
+std::int64_t EntryFields::integerOr(const char *Key, std::int64_t Min,
+                                    std::int64_t Max, std::int64_t Default) {
+  return find(Key, false, "") ? integer(Key, Min, Max) : Default;
+}
+
+double EntryFields::numberOr(const char *Key, double Min, double Max,
+                             double Default) {
+  const Json *Value = find(Key, false, "");
+  if (!Value)
+    return Default;
+  const bool Fits = Value->is_number() && Value->get<double>() >= Min &&
+                    Value->get<double>() <= Max;
+  if (!Fits) {
+    fail(Key, shownInError(*Value),
+         fmt::format("a number from {} to {}", Min, Max), "correct the value");
+    return Default;
+  }
+  return Value->get<double>();
+}
+
+bool EntryFields::flag(const char *Key) {
+  const Json *Value = find(Key, true, "true or false");
+  if (!Value)
+    return false;
+  if (!Value->is_boolean()) {
+    fail(Key, shownInError(*Value), "true or false", "correct the value");
+    return false;
+  }
+  return Value->get<bool>();
+}
+
+bool EntryFields::flagOr(const char *Key, bool Default) {
+  return find(Key, false, "") ? flag(Key) : Default;
+}
+
+const Json *EntryFields::listOr(const char *Key, std::size_t MaxCount) {
+  const Json *Value = find(Key, false, "");
+  if (!Value)
+    return nullptr;
+  if (!Value->is_array() || Value->size() > MaxCount) {
+    fail(Key, shownInError(*Value),
+         fmt::format("a list of at most {} elements", MaxCount),
+         "correct the value");
+    return nullptr;
+  }
+  return Value;
+}
+
+std::vector<std::string> EntryFields::textsOr(const char *Key,
+                                              std::size_t MaxCount) {
+  std::vector<std::string> Texts;
+  const Json *List = listOr(Key, MaxCount);
+  if (!List)
+    return Texts;
+  for (std::size_t Index = 0; Index < List->size(); ++Index) {
+    const Json &Element = (*List)[Index];
+    if (!Element.is_string() ||
+        Element.get_ref<const std::string &>().empty()) {
+      fail(fmt::format("{}[{}]", Key, Index), shownInError(Element),
+           "a text that is not empty", "correct the element");
+      return {};
+    }
+    Texts.push_back(Element.get<std::string>());
+  }
+  return Texts;
+}
+
+absl::Status EntryFields::finish() {
+  if (!m_Fault.ok())
+    return m_Fault;
+  for (const auto &Member : m_Object.items())
+    if (m_Read.count(Member.key()) == 0) {
+      fail(Member.key(), "an unknown key",
+           fmt::format("the keys {}", absl::StrJoin(m_Read, ", ")),
+           "remove the key or correct its spelling");
+      break;
+    }
+  return m_Fault;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/configuration/operator_account.cpp
@@ -0,0 +1,37 @@
+#include "servers/configuration/operator_account.h"
+
+#include "servers/configuration/entry_fields.h"
+#include "servers/configuration/organisation.h"
+
+namespace fulmarwinch {
+
+absl::StatusOr<Operator> parseOperator(const Json &Object,
+                                       const std::string &Path) {
+  EntryFields Fields(Object, Path);
+  Operator Value;
+  Fields.text("kind");
+  Value.m_Name = Fields.name("name");
+  Value.m_KeySha256 = Fields.text("keySha256");
+  // The found value is not shown, since it may be a key in plain text.
+  if (!isSha256Text(Value.m_KeySha256))
+    Fields.fail("keySha256", "another text", "64 lower-case hexadecimal digits",
+                "store the SHA-256 of the key, not the key");
+  const std::string Role = Fields.text("role");
+  const auto Known = valueOf(OperatorRoleNames, Role);
+  if (!Known)
+    Fields.fail("role", shownInError(Role), "viewer, operator or admin",
+                "choose one of these roles");
+  Value.m_Role = Known.value_or(OperatorRole::Viewer);
+  if (absl::Status Fault = Fields.finish(); !Fault.ok())
+    return Fault;
+  return Value;
+}
+
+Json toJson(const Operator &Value) {
+  return {{"kind", "operator"},
+          {"name", Value.m_Name},
+          {"keySha256", Value.m_KeySha256},
+          {"role", std::string(nameOf(OperatorRoleNames, Value.m_Role))}};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/configuration/organisation.h
@@ -0,0 +1,35 @@
+#ifndef FULMARWINCH_SERVERS_CONFIGURATION_ORGANISATION_H
+#define FULMARWINCH_SERVERS_CONFIGURATION_ORGANISATION_H
+
+#include "core/json.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// A tenant with its API keys and limits.
+struct Organisation {
+  std::string m_Name;
+  /// SHA-256 of each API key, 64 lower-case hexadecimal digits.
+  std::vector<std::string> m_ApiKeySha256;
+  double m_Weight = 1.0;
+  /// Limits; 0 means no limit.
+  double m_RequestsPerSecond = 0;
+  double m_TokensPerSecond = 0;
+  std::int64_t m_Priority = 0;
+};
+
+absl::StatusOr<Organisation> parseOrganisation(const Json &Object,
+                                               const std::string &Path);
+Json toJson(const Organisation &Value);
+
+/// Returns whether \p Text is a SHA-256 value in lower-case hexadecimal.
+bool isSha256Text(const std::string &Text);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_SERVERS_CONFIGURATION_ORGANISATION_H
--- /dev/null
+++ b/servers/configuration/vm_drain.cpp
@@ -0,0 +1,22 @@
+#include "servers/configuration/vm_drain.h"
+
+#include "servers/configuration/entry_fields.h"
+
+namespace fulmarwinch {
+
+absl::StatusOr<VmDrain> parseVmDrain(const Json &Object,
+                                     const std::string &Path) {
+  EntryFields Fields(Object, Path);
+  VmDrain Value;
+  Fields.text("kind");
+  Value.m_Vm = Fields.name("name");
+  if (absl::Status Fault = Fields.finish(); !Fault.ok())
+    return Fault;
+  return Value;
+}
+
+Json toJson(const VmDrain &Value) {
+  return {{"kind", "vm_drain"}, {"name", Value.m_Vm}};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/configuration/vm_drain.h
@@ -0,0 +1,23 @@
+#ifndef FULMARWINCH_SERVERS_CONFIGURATION_VM_DRAIN_H
+#define FULMARWINCH_SERVERS_CONFIGURATION_VM_DRAIN_H
+
+#include "core/json.h"
+
+#include "absl/status/statusor.h"
+
+#include <string>
+
+namespace fulmarwinch {
+
+/// A VM that gets no new work until the entry is removed.
+struct VmDrain {
+  std::string m_Vm;
+};
+
+absl::StatusOr<VmDrain> parseVmDrain(const Json &Object,
+                                     const std::string &Path);
+Json toJson(const VmDrain &Value);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_SERVERS_CONFIGURATION_VM_DRAIN_H
--- /dev/null
+++ b/servers/configuration/zone.h
@@ -0,0 +1,23 @@
+#ifndef FULMARWINCH_SERVERS_CONFIGURATION_ZONE_H
+#define FULMARWINCH_SERVERS_CONFIGURATION_ZONE_H
+
+#include "core/json.h"
+
+#include "absl/status/statusor.h"
+
+#include <string>
+
+namespace fulmarwinch {
+
+/// An availability zone. A zone without an entry is in service.
+struct Zone {
+  std::string m_Name;
+  bool m_InService = true;
+};
+
+absl::StatusOr<Zone> parseZone(const Json &Object, const std::string &Path);
+Json toJson(const Zone &Value);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_SERVERS_CONFIGURATION_ZONE_H
