Add routing: table, filters, outlier state, strategies and router

Cause: a request needs a group that can serve it, is in service, does not fail its class, answers in time and has room. Change: servers/routing holds the sharded table, the pipeline of filters with typed reasons, outlier state by (group, class), the strategies affinity, round-robin and least-request, weights for stragglers and the choice of a subset. A test for requests under way when slots expire is added, because the mutation without the transit bound was not caught.

--- /dev/null
+++ b/servers/routing/candidate_filter.cpp
@@ -0,0 +1,86 @@
+#include "servers/routing/candidate_filter.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+using Removal = std::optional<RemovalReason>;
+
+/// Observed times older than this are not used. Otherwise a group that was
+/// slow once would be refused for ever, because nothing is sent to it that
+/// could show that it recovered.
+constexpr Duration OldestObservation = std::chrono::seconds(10);
+
+Removal checkCapability(Candidate &Group, const RouteRequest &Request,
+                        const RouteContext &) {
+  const Capability &Can = Group.m_View->m_Capability;
+  if (Request.m_PromptTokens + Request.m_OutputTokens > Can.m_ContextLength)
+    return RemovalReason::ContextTooShort;
+  if (!Request.m_Adapter.empty() &&
+      Can.m_Adapters.count(Request.m_Adapter) == 0)
+    return RemovalReason::AdapterMissing;
+  if (!Request.m_Version.empty() && Can.m_Version != Request.m_Version)
+    return RemovalReason::VersionDiffers;
+  return std::nullopt;
+}
+
+Removal checkService(Candidate &Group, const RouteRequest &Request,
+                     const RouteContext &Context) {
+  const GroupView &View = *Group.m_View;
+  if (Context.m_Now >= View.m_ViewExpiry)
+    return RemovalReason::ViewExpired;
+  if (Context.m_ZonesOut.count(View.m_Zone) != 0)
+    return RemovalReason::ZoneOutOfService;
+  if (View.m_Leaving)
+    return RemovalReason::Leaving;
+  if (Request.m_Excluded.count(View.m_Group) != 0)
+    return RemovalReason::AlreadyTried;
+  return std::nullopt;
+}
+
+Removal checkOutlier(Candidate &Group, const RouteRequest &Request,
+                     const RouteContext &Context) {
+  const OutlierState State = Context.m_Outliers.state(
+      Group.m_View->m_Group, Request.m_Class, Context.m_Now);
+  Group.m_ClassFailures = State.m_FailureLoad;
+  if (State.m_Removed)
+    return RemovalReason::FailsThisClass;
+  return std::nullopt;
+}
+
+Removal checkDeadline(Candidate &Group, const RouteRequest &Request,
+                      const RouteContext &Context) {
+  if (Group.m_Times && Context.m_Now - Group.m_Times->m_At > OldestObservation)
+    Group.m_Times.reset();
+  if (!Request.m_Deadline)
+    return std::nullopt;
+  if (*Request.m_Deadline <= Context.m_Now)
+    return RemovalReason::TooSlowForDeadline;
+  if (!Group.m_Times)
+    return std::nullopt;
+  const std::chrono::duration<double> Left =
+      *Request.m_Deadline - Context.m_Now;
+  const double Needed = Group.m_Times->m_FirstTokenSeconds +
+                        Group.m_Times->m_PerTokenSeconds *
+                            static_cast<double>(Request.m_OutputTokens);
+  if (Needed > Left.count())
+    return RemovalReason::TooSlowForDeadline;
+  return std::nullopt;
+}
+
+Removal checkAdmission(Candidate &Group, const RouteRequest &,
+                       const RouteContext &Context) {
+  if (Context.m_Gate.mayAdmit(Group, Context.m_Now))
+    return std::nullopt;
+  return Group.m_View->m_Warm ? RemovalReason::AtCapacity
+                              : RemovalReason::NoSlot;
+}
+
+} // namespace
+
+std::vector<CandidateFilter> standardFilters() {
+  return {checkCapability, checkService, checkOutlier, checkDeadline,
+          checkAdmission};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/routing/node_admission_gate.cpp
@@ -0,0 +1,43 @@
+#include "servers/routing/node_admission_gate.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fulmarwinch {
+
+NodeAdmissionGate::NodeAdmissionGate(RoutingTable &Table, SlotHolder &Slots)
+    : m_Table(Table), m_Slots(Slots) {}
+
+bool NodeAdmissionGate::mayAdmit(const Candidate &Group,
+                                 MonotonicTime Now) const {
+  if (!Group.m_View->m_Warm)
+    return m_Slots.hasSlot(Group.m_View->m_Group, Now);
+  return Group.m_OwnInFlight < ownLimit(Group);
+}
+
+bool NodeAdmissionGate::tryAdmit(const Candidate &Group, MonotonicTime Now) {
+  const std::string &Name = Group.m_View->m_Group;
+  if (Group.m_View->m_Warm)
+    return m_Table.tryDispatch(Name, ownLimit(Group));
+  if (!m_Slots.tryAcquire(Name, Now))
+    return false;
+  if (m_Table.tryDispatch(Name, std::numeric_limits<std::size_t>::max()))
+    return true;
+  m_Slots.release(Name);
+  return false;
+}
+
+void NodeAdmissionGate::end(const std::string &Group, bool UsedSlot,
+                            const std::optional<ObservedTimes> &Times) {
+  if (UsedSlot)
+    m_Slots.release(Group);
+  m_Table.onEnded(Group, Times);
+}
+
+std::size_t NodeAdmissionGate::ownLimit(const Candidate &Group) {
+  const std::size_t Others = reportedByOthers(Group);
+  const std::size_t Capacity = Group.m_Report.m_Capacity;
+  return std::max<std::size_t>(1, Capacity - std::min(Capacity, Others));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/routing/router.cpp
@@ -0,0 +1,139 @@
+#include "servers/routing/router.h"
+
+#include "core/error.h"
+
+#include "fmt/format.h"
+#include "xxhash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarwinch {
+
+namespace {
+/// A time per token up to this multiple of the median is usual variation.
+constexpr double StragglerFactor = 1.5;
+/// A straggler keeps some work, so that its recovery is noticed.
+constexpr double SmallestWeight = 0.05;
+/// With fewer peers the median says nothing.
+constexpr std::size_t FewestPeers = 3;
+} // namespace
+
+Router::Router(RoutingTable &Table, OutlierTracker &Outliers,
+               AdmissionGate &Gate, std::unique_ptr<SelectionStrategy> Strategy)
+    : m_Table(Table), m_Outliers(Outliers), m_Gate(Gate),
+      m_Strategy(std::move(Strategy)), m_Filters(standardFilters()) {}
+
+absl::StatusOr<RouteDecision>
+Router::route(const RouteRequest &Request,
+              const std::set<std::string> &ZonesOut, MonotonicTime Now,
+              std::mt19937_64 &Random) {
+  ReasonCounts Removed{};
+  const RouteContext Context{Now, ZonesOut, m_Outliers, m_Gate};
+  std::vector<Candidate> Groups = filter(Request, Context, Removed);
+  weighStragglers(Groups);
+  while (!Groups.empty()) {
+    const std::size_t Index = m_Strategy->select(Groups, Request, Random);
+    const Candidate &Chosen = Groups[Index];
+    // Another thread may have taken the last place since the filter ran.
+    if (m_Gate.tryAdmit(Chosen, Now)) {
+      m_Outliers.onDispatch(Chosen.m_View->m_Group, Request.m_Class, Now);
+      return RouteDecision{Chosen.m_View, !Chosen.m_View->m_Warm};
+    }
+    const RemovalReason Reason = Chosen.m_View->m_Warm
+                                     ? RemovalReason::AtCapacity
+                                     : RemovalReason::NoSlot;
+    ++Removed[static_cast<std::size_t>(Reason)];
+    Groups.erase(Groups.begin() + static_cast<long>(Index));
+  }
+  return refuse(Request, Removed);
+}
+
+std::vector<Candidate> Router::filter(const RouteRequest &Request,
+                                      const RouteContext &Context,
+                                      ReasonCounts &Removed) const {
+  std::vector<Candidate> Groups = m_Table.candidates(Request.m_Deployment);
+  const auto IsRemoved = [&](Candidate &Group) {
+    for (const CandidateFilter &Check : m_Filters) {
+      if (const auto Reason = Check(Group, Request, Context)) {
+        ++Removed[static_cast<std::size_t>(*Reason)];
+        return true;
+      }
+    }
+    return false;
+  };
+  Groups.erase(std::remove_if(Groups.begin(), Groups.end(), IsRemoved),
+               Groups.end());
+  return Groups;
+}
+
+absl::Status Router::refuse(const RouteRequest &Request,
+                            const ReasonCounts &Removed) {
+  std::string Reasons;
+  for (const EnumName<RemovalReason> &Row : RemovalReasonNames) {
+    const std::size_t Count = Removed[static_cast<std::size_t>(Row.m_Value)];
+    if (Count > 0)
+      Reasons += fmt::format("{}{} {}", Reasons.empty() ? "" : ", ", Count,
+                             Row.m_Name);
+  }
+  const auto CountOf = [&](RemovalReason Reason) {
+    return Removed[static_cast<std::size_t>(Reason)];
+  };
+  if (Reasons.empty())
+    return makeError(
+        ErrorKind::NoCapacity,
+        fmt::format("deployment {} has no group", Request.m_Deployment),
+        "check that its groups are formed with 'fulmarwinch status'");
+  const std::string Problem =
+      fmt::format("no group of deployment {} can take the request ({})",
+                  Request.m_Deployment, Reasons);
+  // A group that is full would have been in time, so the load is the cause.
+  if (CountOf(RemovalReason::AtCapacity) + CountOf(RemovalReason::NoSlot) > 0)
+    return makeError(ErrorKind::Overloaded, Problem,
+                     "the request was not run, send it again later");
+  if (CountOf(RemovalReason::TooSlowForDeadline) > 0)
+    return makeError(ErrorKind::DeadlineTooShort, Problem,
+                     "the request was not run, allow more time");
+  return makeError(ErrorKind::NoCapacity, Problem,
+                   "the request was not run, check the deployment's groups "
+                   "and what the request demands");
+}
+
+void weighStragglers(std::vector<Candidate> &Groups) {
+  std::vector<double> Times;
+  for (const Candidate &Group : Groups)
+    if (Group.m_Times && Group.m_Times->m_PerTokenSeconds > 0)
+      Times.push_back(Group.m_Times->m_PerTokenSeconds);
+  if (Times.size() < FewestPeers)
+    return;
+  const auto Middle = Times.begin() + static_cast<long>(Times.size() / 2);
+  std::nth_element(Times.begin(), Middle, Times.end());
+  const double Median = *Middle;
+  for (Candidate &Group : Groups) {
+    if (!Group.m_Times)
+      continue;
+    const double PerToken = Group.m_Times->m_PerTokenSeconds;
+    if (PerToken > StragglerFactor * Median)
+      Group.m_Weight = std::max(SmallestWeight, Median / PerToken);
+  }
+}
+
+std::vector<std::string> chooseSubset(const std::string &Node,
+                                      const std::vector<std::string> &Groups,
+                                      std::size_t Count) {
+  std::vector<std::pair<std::uint64_t, std::string>> Order;
+  Order.reserve(Groups.size());
+  const std::uint64_t Seed = XXH3_64bits(Node.data(), Node.size());
+  for (const std::string &Group : Groups)
+    Order.emplace_back(XXH3_64bits_withSeed(Group.data(), Group.size(), Seed),
+                       Group);
+  const std::size_t Length = std::min(Count, Order.size());
+  std::partial_sort(Order.begin(), Order.begin() + static_cast<long>(Length),
+                    Order.end(), std::greater<>());
+  std::vector<std::string> Subset;
+  for (std::size_t I = 0; I < Length; ++I)
+    Subset.push_back(Order[I].second);
+  return Subset;
+}
+
+} // namespace fulmarwinch
--- a/tests/servers/admission/test_slots.cpp
+++ b/tests/servers/admission/test_slots.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(takeoverCountsInFlightWorkFirst);
   CPPUNIT_TEST(grantEndsWithTheLease);
   CPPUNIT_TEST(expiredSlotsStayCountedUntilReported);
+  CPPUNIT_TEST(requestUnderWayStaysCounted);
   CPPUNIT_TEST(rampDoublesAndResets);
   CPPUNIT_TEST(nodesShareSlots);
   CPPUNIT_TEST(staleStartIdDoesNotBlockForEver);
@@ -109,6 +110,22 @@
                                                  Start + milliseconds(6501))));
   }
 
+  /// Guards against forgetting a request that was sent just before its slot
+  /// expired and that the backend server has not counted yet.
+  void requestUnderWayStaysCounted() {
+    SlotGranter Granter = countedGranter(0);
+    Granter.onRequest(request("a", 1, 9), Start + milliseconds(2100));
+    // The slots expired at 3101 ms; requests may arrive until 5101 ms.
+    report(Granter, 0, milliseconds(5000), true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         slots(Granter.onRequest(request("b", 1, 9),
+                                                 Start + milliseconds(5001))));
+    report(Granter, 0, milliseconds(5200), true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                         slots(Granter.onRequest(request("b", 2, 9),
+                                                 Start + milliseconds(5201))));
+  }
+
   /// Guards against a ramp that survives a restart, a silent restart or the
   /// cold flag, and against doubling without a full interval.
   void rampDoublesAndResets() {
