--- /dev/null
+++ b/tests/servers/configuration/test_randomised.cpp
@@ -0,0 +1,170 @@
+#include "core/error.h"
+#include "tests/support/configuration_cluster.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// One run with faults of all kinds; violations throw inside the cluster.
+class RandomRun {
+public:
+  explicit RandomRun(std::uint64_t Seed) : m_Cluster(options(Seed)) {
+    m_Cluster.store().m_LagProbability = 0.2;
+    m_Cluster.store().m_LostAnswerProbability = 0.15;
+    m_Cluster.store().m_LateWriteProbability = 0.1;
+  }
+
+  void run(int Rounds) {
+    m_Cluster.runFor(std::chrono::seconds(2));
+    for (int Round = 0; Round < Rounds; ++Round) {
+      disturb();
+      operate();
+      m_Cluster.runFor(std::chrono::milliseconds(pick(1500)));
+    }
+    m_Cluster.heal();
+    m_Cluster.store().m_Outage = false;
+    for (std::size_t Node = 0; Node < m_Cluster.nodeCount(); ++Node)
+      if (!m_Cluster.isUp(Node))
+        m_Cluster.start(Node);
+    m_Cluster.runFor(std::chrono::seconds(15));
+    m_Cluster.requireConverged();
+    requireConsistentResults();
+  }
+  const ConfigurationCluster &cluster() const { return m_Cluster; }
+
+private:
+  static ClusterOptions options(std::uint64_t Seed) {
+    ClusterOptions Options;
+    Options.m_Seed = Seed;
+    Options.m_Loss = 0.03;
+    Options.m_MaxDelay = std::chrono::milliseconds(1 + Seed % 60);
+    return Options;
+  }
+  std::uint64_t pick(std::uint64_t Bound) {
+    return m_Cluster.random()() % Bound;
+  }
+
+  void disturb() {
+    const std::size_t Node = pick(m_Cluster.nodeCount());
+    switch (pick(14)) {
+    case 0:
+      m_Cluster.store().m_Outage = true;
+      break;
+    case 1:
+    case 2:
+      m_Cluster.store().m_Outage = false;
+      break;
+    case 3: // A single zone loses all contact.
+      m_Cluster.heal();
+      for (std::size_t Peer = 0; Peer < m_Cluster.nodeCount(); ++Peer)
+        if (m_Cluster.zoneOf(Peer) == m_Cluster.zoneOf(Node))
+          m_Cluster.setIsland(Peer, 1);
+      break;
+    case 4: // A minority across zones loses contact.
+      m_Cluster.heal();
+      for (std::size_t Peer = 0; Peer < m_Cluster.nodeCount() / 2; ++Peer)
+        m_Cluster.setIsland(pick(m_Cluster.nodeCount()), 1);
+      break;
+    case 5:
+    case 6:
+      m_Cluster.heal();
+      break;
+    case 7:
+      m_Cluster.stop(Node);
+      break;
+    case 8:
+    case 9:
+      m_Cluster.start(Node);
+      break;
+    default:
+      break;
+    }
+  }
+
+  /// Racing operators: some plans are based on an old view, some are
+  /// confirmed twice or at two nodes.
+  void operate() {
+    for (std::uint64_t Count = pick(3); Count > 0; --Count) {
+      const std::size_t Node = pick(m_Cluster.nodeCount());
+      if (!m_Cluster.isUp(Node))
+        continue;
+      if (pick(4) == 0 && !m_Plans.empty()) {
+        m_Cluster.confirm(Node, m_Plans[pick(m_Plans.size())]);
+        continue;
+      }
+      const auto &View = *m_Cluster.replica(Node).view();
+      AcceptRequest Request{
+          fmt::format("p{}", m_Plans.size()), "ana", 0, View.revision(), {}};
+      const EntryId Id{EntryKind::Zone, fmt::format("z{}", pick(5))};
+      const Zone Value{Id.m_Name, pick(2) == 0};
+      Request.m_Entries.push_back(
+          {Id, View.revisionOf(Id),
+           pick(8) == 0 ? "" : toJson(Value).dump() + padding()});
+      m_Plans.push_back(Request);
+      m_Cluster.confirm(Node, Request);
+    }
+  }
+
+  /// Blanks make the changes reach the size at which a snapshot is written.
+  std::string padding() { return std::string(pick(4000), ' '); }
+
+  /// A plan with several confirms has one revision and, once accepted, no
+  /// certain refusal; the answer to the operator agrees with the store.
+  void requireConsistentResults() const {
+    std::map<std::string, ConfigurationRevision> Revisions;
+    for (const auto &Accepted : m_Cluster.store().history())
+      Revisions[Accepted.m_Change.m_Plan] = Accepted.m_Change.m_Revision;
+    for (const auto &[Plan, Result] : m_Cluster.results()) {
+      const auto Accepted = Revisions.find(Plan);
+      const bool WasAccepted = Accepted != Revisions.end();
+      if (Result.ok())
+        CPPUNIT_ASSERT_MESSAGE(Plan + " was reported as accepted",
+                               WasAccepted && Accepted->second == *Result);
+      else if (errorKind(Result.status()) == ErrorKind::Conflict)
+        CPPUNIT_ASSERT_MESSAGE(Plan + " was reported as a conflict",
+                               !WasAccepted);
+    }
+  }
+
+  ConfigurationCluster m_Cluster;
+  std::vector<AcceptRequest> m_Plans;
+};
+
+} // namespace
+
+class RandomisedConfigurationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RandomisedConfigurationTest);
+  CPPUNIT_TEST(holdsUnderRandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards the invariants of the task against combinations of faults. Replay
+  /// one seed with FULMARWINCH_SEED=N, run more with FULMARWINCH_SEEDS=N.
+  void holdsUnderRandomFaults() {
+    const char *Replay = std::getenv("FULMARWINCH_SEED");
+    const char *Count = std::getenv("FULMARWINCH_SEEDS");
+    const std::uint64_t First = Replay ? std::stoull(Replay) : 1;
+    const std::uint64_t Last =
+        Replay ? First : (Count ? std::stoull(Count) : 12);
+    std::uint64_t Steps = 0;
+    std::uint64_t Changes = 0;
+    for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+      std::cerr << "configuration seed " << Seed << std::endl;
+      RandomRun Run(Seed);
+      Run.run(60);
+      Steps += Run.cluster().m_Usage.m_Steps;
+      Changes += Run.cluster().store().history().size();
+    }
+    std::cerr << "steps " << Steps << ", accepted changes " << Changes
+              << std::endl;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RandomisedConfigurationTest);
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/support/fake_configuration_store.cpp
@@ -0,0 +1,140 @@
+#include "tests/support/fake_configuration_store.h"
+
+#include "xxhash.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace fulmarwinch {
+
+namespace {
+
+bool happens(double Probability, std::mt19937_64 &Random) {
+  return Probability > 0 && std::bernoulli_distribution(Probability)(Random);
+}
+
+} // namespace
+
+GetCompleted FakeConfigurationStore::get(const GetObject &Call,
+                                         std::mt19937_64 &Random) {
+  ++m_Reads;
+  if (m_Outage)
+    return {Call.m_Id, StoreOutcome::Unavailable, 0, ""};
+  const auto Object = m_Objects.find(Call.m_Key);
+  if (Object == m_Objects.end())
+    return {Call.m_Id, StoreOutcome::NotFound, 0, ""};
+  const std::vector<StoredVersion> &Versions = Object->second;
+  std::size_t Index = Versions.size() - 1;
+  if (happens(m_LagProbability, Random))
+    Index -= std::min<std::size_t>(Index, 1 + Random() % 3);
+  return {Call.m_Id, StoreOutcome::Applied, Versions[Index].m_Version,
+          Versions[Index].m_Value};
+}
+
+ObjectVersion FakeConfigurationStore::versionOf(const std::string &Key) const {
+  const auto Object = m_Objects.find(Key);
+  return Object == m_Objects.end() ? 0 : Object->second.back().m_Version;
+}
+
+std::string FakeConfigurationStore::valueOf(const std::string &Key) const {
+  const auto Object = m_Objects.find(Key);
+  return Object == m_Objects.end() ? "" : Object->second.back().m_Value;
+}
+
+ObjectVersion
+FakeConfigurationStore::headChangedSince(std::uint64_t Since) const {
+  const auto Object = m_Objects.find(ConfigurationHeadKey);
+  if (Object == m_Objects.end() ||
+      Object->second.back().m_StoreRevision <= Since)
+    return 0;
+  return Object->second.back().m_Version;
+}
+
+bool FakeConfigurationStore::apply(const PutObject &Call, MonotonicTime Now) {
+  if (versionOf(Call.m_Key) != Call.m_ExpectedVersion)
+    return false;
+  m_Objects[Call.m_Key].push_back(
+      {Call.m_ExpectedVersion + 1, ++m_Revision, Call.m_Value});
+  if (Call.m_Key == ConfigurationHeadKey)
+    recordHead(Call.m_Value, Now);
+  return true;
+}
+
+/// The snapshot and the changes of the head must give the same content as all
+/// accepted changes in order: none was lost and none was replaced.
+void FakeConfigurationStore::requireWhole(const ConfigurationHead &Head) const {
+  ConfigurationView::Pointer View = ConfigurationView::empty();
+  if (Head.m_SnapshotRevision > 0) {
+    const auto Snapshot = ConfigurationView::decode(
+        valueOf(snapshotKey(Head.m_SnapshotRevision)));
+    if (!Snapshot.ok())
+      throw std::logic_error("the head names a snapshot that is not stored");
+    View = *Snapshot;
+  }
+  for (const ConfigurationChange &Change : Head.m_Changes) {
+    const auto Next = View->applied(Change);
+    if (!Next.ok())
+      throw std::logic_error("the head does not follow its snapshot");
+    View = *Next;
+  }
+  if (View->encode() != m_Truth->encode())
+    throw std::logic_error("the head lost or replaced an accepted change");
+}
+
+void FakeConfigurationStore::requireUnchangedBase(
+    const ConfigurationChange &Change) const {
+  if (m_Truth->revisionOfPlan(Change.m_Plan))
+    throw std::logic_error("plan " + Change.m_Plan + " was applied twice");
+  const auto Request = m_Requests.find(Change.m_Plan);
+  if (Request == m_Requests.end())
+    return;
+  for (const TouchedEntry &Entry : Request->second.m_Entries)
+    if (m_Truth->revisionOf(Entry.m_Id) != Entry.m_BaseRevision)
+      throw std::logic_error("plan " + Change.m_Plan +
+                             " replaced a change that it had not seen");
+}
+
+void FakeConfigurationStore::recordHead(const std::string &Value,
+                                        MonotonicTime Now) {
+  const auto Head = decodeHead(Value);
+  if (!Head.ok())
+    throw std::logic_error("a writer stored a damaged head");
+  if (Head->m_Revision < m_Truth->revision())
+    throw std::logic_error("the accepted revision decreased");
+  if (Head->m_Revision == m_Truth->revision())
+    return;
+  const auto Next = m_Truth->applied(Head->m_Changes.back());
+  if (!Next.ok())
+    throw std::logic_error("an accepted change was replaced");
+  requireUnchangedBase(Head->m_Changes.back());
+  m_Truth = *Next;
+  requireWhole(*Head);
+  const std::string Content = m_Truth->encode();
+  m_History.push_back({Now, Head->m_Changes.back(),
+                       XXH3_64bits(Content.data(), Content.size())});
+}
+
+PutCompleted FakeConfigurationStore::put(const PutObject &Call,
+                                         MonotonicTime Now,
+                                         std::mt19937_64 &Random) {
+  ++m_Writes;
+  // A late write meets the store at the time of some later write.
+  std::vector<PutObject> Late;
+  if (Random() % 2 == 0)
+    Late.swap(m_LateWrites);
+  for (const PutObject &Write : Late)
+    apply(Write, Now);
+  if (m_Outage)
+    return {Call.m_Id, StoreOutcome::Unavailable, 0};
+  if (happens(m_LateWriteProbability, Random)) {
+    m_LateWrites.push_back(Call);
+    return {Call.m_Id, StoreOutcome::Unknown, 0};
+  }
+  const bool Applied = apply(Call, Now);
+  if (happens(m_LostAnswerProbability, Random))
+    return {Call.m_Id, StoreOutcome::Unknown, 0};
+  return {Call.m_Id, Applied ? StoreOutcome::Applied : StoreOutcome::Conflict,
+          versionOf(Call.m_Key)};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/support/fake_configuration_store.h
@@ -0,0 +1,74 @@
+#ifndef FULMARWINCH_TESTS_SUPPORT_FAKE_CONFIGURATION_STORE_H
+#define FULMARWINCH_TESTS_SUPPORT_FAKE_CONFIGURATION_STORE_H
+
+#include "core/store_messages.h"
+#include "core/time.h"
+#include "servers/configuration/configuration_head.h"
+#include "servers/configuration/configuration_view.h"
+#include "servers/configuration/configuration_writer.h"
+#include "servers/configuration/replica_messages.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// Object store in memory with conditional updates, lagging reads, lost
+/// answers and outages. It also keeps the true history of accepted changes,
+/// against which the nodes are checked.
+class FakeConfigurationStore {
+public:
+  bool m_Outage = false;
+  /// Probability that a read returns an older version of the object.
+  double m_LagProbability = 0;
+  /// Probability that the answer to a write is lost after it took effect.
+  double m_LostAnswerProbability = 0;
+  /// Probability that a write is carried out only some time after its caller
+  /// was told that the outcome is unknown.
+  double m_LateWriteProbability = 0;
+
+  GetCompleted get(const GetObject &Call, std::mt19937_64 &Random);
+  PutCompleted put(const PutObject &Call, MonotonicTime Now,
+                   std::mt19937_64 &Random);
+  std::uint64_t revision() const { return m_Revision; }
+  /// Returns the version of the head if it changed after \p Since, else 0.
+  ObjectVersion headChangedSince(std::uint64_t Since) const;
+  ObjectVersion versionOf(const std::string &Key) const;
+  std::string valueOf(const std::string &Key) const;
+
+  struct Accepted {
+    MonotonicTime m_At;
+    ConfigurationChange m_Change;
+    std::uint64_t m_ContentHash = 0;
+  };
+  /// Accepted changes by revision, starting with revision 1.
+  const std::vector<Accepted> &history() const { return m_History; }
+  /// Requests by plan; an accepted change is checked against its request.
+  std::map<std::string, AcceptRequest> m_Requests;
+  std::uint64_t m_Reads = 0;
+  std::uint64_t m_Writes = 0;
+
+private:
+  struct StoredVersion {
+    ObjectVersion m_Version = 0;
+    std::uint64_t m_StoreRevision = 0;
+    std::string m_Value;
+  };
+  bool apply(const PutObject &Call, MonotonicTime Now);
+  void requireWhole(const ConfigurationHead &Head) const;
+  void requireUnchangedBase(const ConfigurationChange &Change) const;
+  void recordHead(const std::string &Value, MonotonicTime Now);
+
+  std::map<std::string, std::vector<StoredVersion>> m_Objects;
+  std::uint64_t m_Revision = 0;
+  std::vector<Accepted> m_History;
+  ConfigurationView::Pointer m_Truth = ConfigurationView::empty();
+  /// Writes whose caller was told Unknown and that are still under way.
+  std::vector<PutObject> m_LateWrites;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_TESTS_SUPPORT_FAKE_CONFIGURATION_STORE_H
