--- /dev/null
+++ b/servers/idempotency/claim_bucket.cpp
@@ -0,0 +1,141 @@
+#include "servers/idempotency/claim_bucket.h"
+#include "core/error.h"
+#include "core/json.h"
+
+#include "absl/strings/escaping.h"
+
+#include <utility>
+#include <vector>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr std::size_t RecordFields = 9;
+constexpr std::size_t FrameBytes = 200;
+
+/// Assigns numbers to names in the order of their first use.
+class NameTable {
+public:
+  std::size_t indexOf(const std::string &Name) {
+    const auto [Entry, IsNew] = m_Indexes.emplace(Name, m_Names.size());
+    if (IsNew)
+      m_Names.push_back(Name);
+    return Entry->second;
+  }
+  const std::vector<std::string> &names() const { return m_Names; }
+
+private:
+  std::map<std::string, std::size_t> m_Indexes;
+  std::vector<std::string> m_Names;
+};
+
+absl::Status damaged(std::string_view Problem) {
+  return makeError(ErrorKind::Internal, Problem,
+                   "inspect the object and delete it once its slice expired");
+}
+
+ClaimRecord decodeRecord(const Json &Row,
+                         const std::vector<std::string> &Organisations,
+                         const std::vector<std::string> &Writers) {
+  ClaimRecord Record;
+  const std::optional<ClaimHash> Body =
+      decodeHash(Row.at(1).get<std::string>());
+  const std::optional<ClaimState> State =
+      valueOf(ClaimStateNames, Row.at(5).get<std::string>());
+  if (!Body || !State)
+    throw std::out_of_range("claim record");
+  Record.m_Body = *Body;
+  Record.m_Organisation = Organisations.at(Row.at(2).get<std::size_t>());
+  Record.m_Writer = Writers.at(Row.at(3).get<std::size_t>());
+  Record.m_Sequence = Row.at(4).get<std::uint64_t>();
+  Record.m_State = *State;
+  Record.m_Outcome.m_StatusCode = Row.at(6).get<int>();
+  if (!absl::Base64Unescape(Row.at(7).get<std::string>(),
+                            &Record.m_Outcome.m_Body))
+    throw std::out_of_range("claim record body");
+  Record.m_Outcome.m_IsBodyComplete = Row.at(8).get<int>() != 0;
+  return Record;
+}
+
+} // namespace
+
+absl::StatusOr<ClaimBucket> ClaimBucket::decode(std::string_view Text) {
+  try {
+    const Json Object = Json::parse(Text);
+    ClaimBucket Bucket;
+    Bucket.stamp(Object.at("writer").get<std::string>(),
+                 Object.at("sequence").get<std::uint64_t>());
+    const auto Organisations =
+        Object.at("organisations").get<std::vector<std::string>>();
+    const auto Writers = Object.at("writers").get<std::vector<std::string>>();
+    for (const Json &Row : Object.at("records")) {
+      if (!Row.is_array() || Row.size() != RecordFields)
+        return damaged("claim bucket has a record of another form");
+      const std::optional<ClaimHash> Key =
+          decodeHash(Row.at(0).get<std::string>());
+      if (!Key)
+        return damaged("claim bucket has a record without a key hash");
+      Bucket.set(*Key, decodeRecord(Row, Organisations, Writers));
+    }
+    return Bucket;
+  } catch (const Json::exception &) {
+    return damaged("claim bucket is not readable");
+  } catch (const std::out_of_range &) {
+    return damaged("claim bucket has a record that is not readable");
+  }
+}
+
+std::string ClaimBucket::encode() const {
+  NameTable Organisations;
+  NameTable Writers;
+  Json Rows = Json::array();
+  for (const auto &[Key, Record] : m_Records)
+    Rows.push_back(
+        Json::array({encodeHash(Key), encodeHash(Record.m_Body),
+                     Organisations.indexOf(Record.m_Organisation),
+                     Writers.indexOf(Record.m_Writer), Record.m_Sequence,
+                     std::string(nameOf(ClaimStateNames, Record.m_State)),
+                     Record.m_Outcome.m_StatusCode,
+                     // A body may hold any bytes; JSON text can not.
+                     absl::Base64Escape(Record.m_Outcome.m_Body),
+                     Record.m_Outcome.m_IsBodyComplete ? 1 : 0}));
+  const Json Object = {{"writer", m_Writer},
+                       {"sequence", m_WriteSequence},
+                       {"organisations", Organisations.names()},
+                       {"writers", Writers.names()},
+                       {"records", std::move(Rows)}};
+  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+const ClaimRecord *ClaimBucket::find(const ClaimHash &Key) const {
+  const auto Entry = m_Records.find(Key);
+  return Entry == m_Records.end() ? nullptr : &Entry->second;
+}
+
+void ClaimBucket::set(const ClaimHash &Key, ClaimRecord Record) {
+  const auto Entry = m_Records.find(Key);
+  if (Entry != m_Records.end()) {
+    m_Bytes -=
+        RecordBytes + encodedBodyBytes(Entry->second.m_Outcome.m_Body.size());
+    m_OpenClaims -= Entry->second.m_State == ClaimState::Claimed ? 1 : 0;
+  }
+  m_Bytes += RecordBytes + encodedBodyBytes(Record.m_Outcome.m_Body.size());
+  m_OpenClaims += Record.m_State == ClaimState::Claimed ? 1 : 0;
+  m_Records.insert_or_assign(Key, std::move(Record));
+}
+
+void ClaimBucket::stamp(std::string Writer, std::uint64_t Sequence) {
+  m_Writer = std::move(Writer);
+  m_WriteSequence = Sequence;
+}
+
+std::size_t ClaimBucket::reservedBytes(std::size_t OutcomeBytes) const {
+  return FrameBytes + m_Bytes + m_OpenClaims * encodedBodyBytes(OutcomeBytes);
+}
+
+std::size_t ClaimBucket::encodedBodyBytes(std::size_t BodyBytes) {
+  return (BodyBytes + 2) / 3 * 4;
+}
+
+} // namespace fulmarwinch
