--- /dev/null
+++ b/node/error_response.cpp
@@ -0,0 +1,51 @@
+#include "node/error_response.h"
+
+#include "core/error.h"
+#include "core/json.h"
+
+#include "fmt/format.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+std::int64_t toMilliseconds(Duration Length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+}
+
+/// makeError() joins the problem and the remedy by "; ".
+std::pair<std::string, std::string> splitRemedy(const std::string &Message) {
+  const std::size_t Separator = Message.rfind("; ");
+  if (Separator == std::string::npos)
+    return {Message, ""};
+  return {Message.substr(0, Separator), Message.substr(Separator + 2)};
+}
+
+} // namespace
+
+std::string errorJson(const ErrorResponse &Error) {
+  const auto [Problem, Remedy] =
+      splitRemedy(std::string(Error.m_Status.message()));
+  const Json Body = {
+      {"error",
+       {{"type", nameOf(ErrorKindNames, errorKind(Error.m_Status))},
+        {"message", Problem},
+        {"outcome", nameOf(OutcomeNames, Error.m_Outcome)},
+        {"retry_after_ms", toMilliseconds(Error.m_RetryAfter)},
+        {"remedy", Remedy},
+        {"request_id", Error.m_RequestId}}}};
+  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+HttpResponse errorHttpResponse(const ErrorResponse &Error) {
+  HttpResponse Response =
+      jsonResponse(httpStatus(errorKind(Error.m_Status)), errorJson(Error));
+  Response.m_Headers.push_back({"X-Request-Id", Error.m_RequestId});
+  if (Error.m_RetryAfter.count() > 0) {
+    const std::int64_t Seconds = (toMilliseconds(Error.m_RetryAfter) + 999) / 1000;
+    Response.m_Headers.push_back({"Retry-After", fmt::format("{}", Seconds)});
+  }
+  return Response;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/node/node_settings.cpp
@@ -0,0 +1,132 @@
+#include "node/node_settings.h"
+
+#include "core/error.h"
+#include "servers/configuration/entry_fields.h"
+
+#include "absl/strings/numbers.h"
+#include "asio/ip/address.hpp"
+#include "fmt/format.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace fulmarwinch {
+
+namespace {
+
+std::optional<Endpoint> parseEndpointText(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  std::uint32_t Port = 0;
+  if (!absl::SimpleAtoi(Text.substr(Colon + 1), &Port) || Port == 0 ||
+      Port > UINT16_MAX)
+    return std::nullopt;
+  Endpoint Value;
+  Value.m_Address = Text.substr(0, Colon);
+  Value.m_Port = static_cast<std::uint16_t>(Port);
+  asio::error_code Error;
+  asio::ip::make_address(Value.m_Address, Error);
+  if (Error)
+    return std::nullopt;
+  return Value;
+}
+
+Endpoint readEndpoint(EntryFields &Fields, const char *Key) {
+  const std::string Text = Fields.text(Key);
+  if (!Fields.fault().ok())
+    return {};
+  const std::optional<Endpoint> Value = parseEndpointText(Text);
+  if (!Value) {
+    Fields.fail(Key, Text, "an IP address and a port such as 10.0.0.1:8080",
+                "write the address as a number and add the port");
+    return {};
+  }
+  return *Value;
+}
+
+std::vector<Endpoint> readSeeds(EntryFields &Fields) {
+  std::vector<Endpoint> Seeds;
+  for (const std::string &Text : Fields.textsOr("seeds")) {
+    const std::optional<Endpoint> Value = parseEndpointText(Text);
+    if (Value)
+      Seeds.push_back(*Value);
+    else
+      Fields.fail("seeds", Text, "IP addresses with ports",
+                  "correct the address");
+  }
+  return Seeds;
+}
+
+LogLevel readLogLevel(EntryFields &Fields, const Json &Object) {
+  if (!Object.contains("logLevel"))
+    return LogLevel::Info;
+  const std::string Text = Fields.text("logLevel");
+  const std::optional<LogLevel> Level = valueOf(LogLevelNames, Text);
+  if (!Level)
+    Fields.fail("logLevel", Text, "debug, info, warning or error",
+                "correct the value");
+  return Level.value_or(LogLevel::Info);
+}
+
+std::string readBootstrapKey(EntryFields &Fields, const Json &Object) {
+  if (!Object.contains("bootstrapKeySha256"))
+    return {};
+  std::string Text = Fields.text("bootstrapKeySha256");
+  if (Fields.fault().ok() && !isSha256Text(Text))
+    Fields.fail("bootstrapKeySha256", Text, "64 lower-case hexadecimal digits",
+                "store the SHA-256 of the key, not the key");
+  return Text;
+}
+
+} // namespace
+
+std::string toText(const Endpoint &Value) {
+  return fmt::format("{}:{}", Value.m_Address, Value.m_Port);
+}
+
+absl::StatusOr<NodeSettings> parseNodeSettings(const Json &Object) {
+  EntryFields Fields(Object, "settings");
+  NodeSettings Value;
+  Value.m_Node = Fields.name("node");
+  Value.m_Region = Fields.name("region");
+  Value.m_Zone = Fields.name("zone");
+  Value.m_ClientEndpoint = readEndpoint(Fields, "clientEndpoint");
+  Value.m_OperatorEndpoint = readEndpoint(Fields, "operatorEndpoint");
+  Value.m_PeerEndpoint = readEndpoint(Fields, "peerEndpoint");
+  Value.m_PlatformUrl = Fields.text("platformUrl");
+  Value.m_Seeds = readSeeds(Fields);
+  Value.m_BootstrapKeySha256 = readBootstrapKey(Fields, Object);
+  Value.m_LogLevel = readLogLevel(Fields, Object);
+  Value.m_HttpThreads = Fields.integerOr("httpThreads", 1, 64, 4);
+  Value.m_MaxBodyBytes =
+      Fields.integerOr("maxBodyBytes", 1024, 64 << 20, Value.m_MaxBodyBytes);
+  Value.m_HeaderTimeoutMs =
+      Fields.integerOr("headerTimeoutMs", 100, 60000, Value.m_HeaderTimeoutMs);
+  Value.m_QueueCapacity =
+      Fields.integerOr("queueCapacity", 1, 1000000, Value.m_QueueCapacity);
+  Value.m_DrainGraceMs =
+      Fields.integerOr("drainGraceMs", 0, 600000, Value.m_DrainGraceMs);
+  Value.m_DrainTimeoutMs =
+      Fields.integerOr("drainTimeoutMs", 0, 86400000, Value.m_DrainTimeoutMs);
+  if (absl::Status Fault = Fields.finish(); !Fault.ok())
+    return Fault;
+  return Value;
+}
+
+absl::StatusOr<NodeSettings> readNodeSettings(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return makeError(ErrorKind::NotFound,
+                     fmt::format("cannot read the settings file {}", Path),
+                     "check the path and its permissions");
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  absl::StatusOr<Json> Object = parseJson(Text.str(), Path);
+  if (!Object.ok())
+    return Object.status();
+  return parseNodeSettings(*Object);
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/node/node_settings.h
@@ -0,0 +1,61 @@
+#ifndef FULMARWINCH_NODE_NODE_SETTINGS_H
+#define FULMARWINCH_NODE_NODE_SETTINGS_H
+
+#include "core/json.h"
+#include "core/log.h"
+#include "core/time.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// An IP address with a TCP port.
+struct Endpoint {
+  std::string m_Address;
+  std::uint16_t m_Port = 0;
+};
+
+std::string toText(const Endpoint &Value);
+
+/// Settings of one fulmarwinchd process, read from its JSON file.
+struct NodeSettings {
+  std::string m_Node;
+  std::string m_Region;
+  std::string m_Zone;
+  Endpoint m_ClientEndpoint;
+  Endpoint m_OperatorEndpoint;
+  Endpoint m_PeerEndpoint;
+  /// Base URL of the platform's object API, for example
+  /// "http://10.0.0.5:7000".
+  std::string m_PlatformUrl;
+  /// Peer endpoints of nodes to contact first.
+  std::vector<Endpoint> m_Seeds;
+  /// SHA-256 of the key that may act as an administrator while the
+  /// configuration contains no operator.
+  std::string m_BootstrapKeySha256;
+  LogLevel m_LogLevel = LogLevel::Info;
+  std::int64_t m_HttpThreads = 4;
+  std::int64_t m_MaxBodyBytes = 8 << 20;
+  std::int64_t m_HeaderTimeoutMs = 10000;
+  std::int64_t m_QueueCapacity = 1024;
+  /// Time after SIGTERM in which new work is still accepted, because the load
+  /// balancer needs it to notice that /readyz fails.
+  std::int64_t m_DrainGraceMs = 2000;
+  /// Longest time that a graceful shutdown waits for work in progress.
+  std::int64_t m_DrainTimeoutMs = 600000;
+};
+
+/// Reads the settings; the error names the key's path, what was found, what is
+/// allowed and the remedy.
+absl::StatusOr<NodeSettings> parseNodeSettings(const Json &Object);
+
+/// Reads the settings from the file \p Path.
+absl::StatusOr<NodeSettings> readNodeSettings(const std::string &Path);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_NODE_NODE_SETTINGS_H
--- /dev/null
+++ b/node/sse_parser.cpp
@@ -0,0 +1,44 @@
+#include "node/sse_parser.h"
+
+namespace fulmarwinch {
+
+std::vector<std::string> SseParser::accept(std::string_view Bytes) {
+  std::vector<std::string> Events;
+  while (!Bytes.empty() && !m_Overflowed) {
+    const std::size_t End = Bytes.find('\n');
+    m_Line += Bytes.substr(0, End);
+    if (m_Line.size() + m_Data.size() > m_MaxEventBytes)
+      m_Overflowed = true;
+    if (End == std::string_view::npos)
+      break;
+    acceptLine(m_Line, Events);
+    m_Line.clear();
+    Bytes.remove_prefix(End + 1);
+  }
+  return Events;
+}
+
+void SseParser::acceptLine(std::string_view Line,
+                           std::vector<std::string> &Events) {
+  constexpr std::string_view DataField = "data:";
+  if (!Line.empty() && Line.back() == '\r')
+    Line.remove_suffix(1);
+  if (Line.empty()) {
+    if (m_HasData)
+      Events.push_back(std::move(m_Data));
+    m_Data.clear();
+    m_HasData = false;
+    return;
+  }
+  if (Line.substr(0, DataField.size()) != DataField)
+    return;
+  Line.remove_prefix(DataField.size());
+  if (!Line.empty() && Line.front() == ' ')
+    Line.remove_prefix(1);
+  if (m_HasData)
+    m_Data += '\n';
+  m_Data += Line;
+  m_HasData = true;
+}
+
+} // namespace fulmarwinch
