Add stand-ins for the platform, model engines and a service

Change: drivers/standin holds the stand-in classes and fulmarwinch-standin runs them. HttpServer::stop() takes a function that drops kept exchanges, so that a stand-in can cut its connections like a process that crashed.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -146,11 +146,13 @@
   return absl::OkStatus();
 }
 
-void HttpServer::stop() {
+void HttpServer::stop(const std::function<void()> &Release) {
   if (!m_Impl->m_Server)
     return;
   m_Impl->m_Server->stop();
   m_Impl->m_Server->wait();
+  if (Release)
+    Release();
   m_Impl->m_Server.reset();
 }
 
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -69,8 +69,10 @@
   /// address if it cannot be bound.
   absl::Status start(const HttpServerOptions &Options, HttpHandler Handler);
 
-  /// Closes all connections and joins the threads.
-  void stop();
+  /// Closes all connections and joins the threads. Exchanges must not outlive
+  /// the server, so \p Release is called between the end of the threads and
+  /// the end of the connections; it drops the exchanges that were kept.
+  void stop(const std::function<void()> &Release = nullptr);
 
 private:
   struct Impl;
--- /dev/null
+++ b/drivers/standin/engine_host.cpp
@@ -0,0 +1,94 @@
+#include "drivers/standin/engine_host.h"
+#include "core/error.h"
+
+#include <vector>
+
+namespace fulmarwinch {
+
+EngineHost::~EngineHost() { stop(); }
+
+absl::Status EngineHost::start(const Json &Config) {
+  EngineOptions Defaults;
+  Defaults.update(Config);
+  Defaults.update(memberOr(Config, "defaults", Json::object()));
+  for (const Json &Settings : memberOr(Config, "engines", Json::array())) {
+    EngineOptions Options = Defaults;
+    Options.update(Settings);
+    if (Options.m_Vm.empty() || Options.m_Port == 0)
+      return makeError(ErrorKind::InvalidArgument,
+                       "an engine has no vm or no port", "set both");
+    auto Engine = std::make_unique<EngineStandin>(Options, m_Timer, *m_Client);
+    const absl::Status Started = Engine->start();
+    if (!Started.ok())
+      return Started;
+    m_Engines[Options.m_Vm] = std::move(Engine);
+  }
+  HttpServerOptions Options;
+  Options.m_Port = memberOr(Config, "control_port", std::uint16_t{0});
+  Options.m_Threads = 1;
+  if (Options.m_Port == 0)
+    return absl::OkStatus();
+  return m_Control.start(
+      Options, [this](const HttpExchangePtr &Exchange) { handle(Exchange); });
+}
+
+void EngineHost::stop() {
+  m_Control.stop();
+  for (const auto &[Vm, Engine] : m_Engines)
+    Engine->stop();
+  m_Timer.stop();
+  // The timer may have restarted an engine in between.
+  for (const auto &[Vm, Engine] : m_Engines)
+    Engine->stop();
+  m_Client.reset();
+}
+
+absl::Status EngineHost::control(const Json &Settings) {
+  auto Vms = memberOr(Settings, "vms", std::vector<std::string>());
+  const std::string Single = memberOr(Settings, "vm", std::string());
+  if (!Single.empty())
+    Vms.push_back(Single);
+  if (Vms.empty())
+    for (const auto &[Vm, Engine] : m_Engines)
+      Vms.push_back(Vm);
+  Json Changes = Settings;
+  Changes.erase("vm");
+  Changes.erase("vms");
+  Changes.erase("port");
+  for (const std::string &Vm : Vms) {
+    const auto Found = m_Engines.find(Vm);
+    if (Found == m_Engines.end())
+      return makeError(ErrorKind::NotFound, "there is no engine " + Vm,
+                       "use a VM of the configuration");
+    const absl::Status Done = Found->second->control(Changes);
+    if (!Done.ok())
+      return Done;
+  }
+  return absl::OkStatus();
+}
+
+Json EngineHost::status(const std::string &Vm) {
+  Json Engines = Json::object();
+  for (const auto &[Name, Engine] : m_Engines)
+    if (Vm.empty() || Vm == Name)
+      Engines[Name] = Engine->status();
+  return {{"engines", Engines}};
+}
+
+void EngineHost::handle(const HttpExchangePtr &Exchange) {
+  const HttpRequest &Request = Exchange->request();
+  if (Request.m_Method == "POST") {
+    const absl::StatusOr<Json> Body =
+        parseJson(Request.m_Body, "the control request");
+    const absl::Status Done = Body.ok() ? control(*Body) : Body.status();
+    if (!Done.ok()) {
+      const Json Error = {{"error", std::string(Done.message())}};
+      return Exchange->respond(
+          jsonResponse(httpStatus(errorKind(Done)), Error.dump()));
+    }
+  }
+  Exchange->respond(jsonResponse(
+      200, status(queryParameter(Request, "vm").value_or("")).dump()));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/drivers/standin/object_table.cpp
@@ -0,0 +1,86 @@
+#include "drivers/standin/object_table.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+bool startsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+} // namespace
+
+ObjectTable::ObjectTable(std::size_t HistoryLimit)
+    : m_HistoryLimit(HistoryLimit) {}
+
+const ObjectTable::Object *ObjectTable::find(const std::string &Key) const {
+  const auto Found = m_Objects.find(Key);
+  return Found == m_Objects.end() ? nullptr : &Found->second;
+}
+
+ObjectVersion ObjectTable::versionOf(const std::string &Key) const {
+  const Object *Current = find(Key);
+  return Current ? Current->m_Version : 0;
+}
+
+ObjectTable::WriteResult ObjectTable::put(const std::string &Key,
+                                          ObjectVersion Expected, Json Value) {
+  const ObjectVersion Current = versionOf(Key);
+  if (Current != Expected)
+    return {StoreOutcome::Conflict, Current};
+  ++m_Revision;
+  m_Objects[Key] = {m_Revision, std::move(Value)};
+  record(Key, m_Revision);
+  return {StoreOutcome::Applied, m_Revision};
+}
+
+ObjectTable::WriteResult ObjectTable::remove(const std::string &Key,
+                                             ObjectVersion Expected) {
+  const ObjectVersion Current = versionOf(Key);
+  if (Current == 0)
+    return {StoreOutcome::NotFound, 0};
+  if (Current != Expected)
+    return {StoreOutcome::Conflict, Current};
+  ++m_Revision;
+  m_Objects.erase(Key);
+  record(Key, 0);
+  return {StoreOutcome::Applied, m_Revision};
+}
+
+void ObjectTable::record(const std::string &Key, ObjectVersion Version) {
+  m_History.push_back({m_Revision, Key, Version});
+  if (m_History.size() > m_HistoryLimit)
+    m_History.pop_front();
+}
+
+Json ObjectTable::list(const std::string &Prefix, const std::string &After,
+                       std::size_t Limit) const {
+  Json Objects = Json::array();
+  auto Next = After < Prefix ? m_Objects.lower_bound(Prefix)
+                             : m_Objects.upper_bound(After);
+  while (Next != m_Objects.end() && startsWith(Next->first, Prefix) &&
+         Objects.size() < Limit) {
+    Objects.push_back(
+        {{"key", Next->first}, {"version", Next->second.m_Version}});
+    ++Next;
+  }
+  const bool More = Next != m_Objects.end() && startsWith(Next->first, Prefix);
+  return {{"revision", m_Revision}, {"objects", Objects}, {"more", More}};
+}
+
+std::optional<Json> ObjectTable::changesSince(const std::string &Prefix,
+                                              std::uint64_t Since) const {
+  const std::uint64_t FirstRetained = m_Revision - m_History.size() + 1;
+  // A revision that lies ahead was given out by an earlier store.
+  if (Since + 1 < FirstRetained || Since > m_Revision)
+    return std::nullopt;
+  Json Events = Json::array();
+  for (std::size_t Index = Since + 1 - FirstRetained; Index < m_History.size();
+       ++Index)
+    if (startsWith(m_History[Index].m_Key, Prefix))
+      Events.push_back({{"key", m_History[Index].m_Key},
+                        {"version", m_History[Index].m_Version}});
+  return Events;
+}
+
+} // namespace fulmarwinch
