Add replica groups: assignment, transitions, repair and engine orders

Cause: groups need one stored owner per VM and a controller that survives lost answers, paused holders and engines that ignore fencing. Change: the assignment object with codec and validation, placement, repair by cost, group transitions, engine reconciliation, GroupController, and the serving view of a monitor. A VM is assigned only after its engine accepted an unload order in its current start and reported empty after that.

--- /dev/null
+++ b/servers/groups/vm_transitions.cpp
@@ -0,0 +1,93 @@
+#include "servers/groups/vm_transitions.h"
+
+#include <set>
+
+namespace fulmarwinch {
+
+namespace {
+
+void applyNewIncarnation(Assignment &Next, const std::string &Name,
+                         std::uint64_t Incarnation, const DomainView &View) {
+  VmEntry &Vm = Next.m_Vms[Name];
+  Vm.m_Incarnation = Incarnation;
+  if (Vm.m_State != VmState::Assigned) {
+    Vm.m_State = VmState::Releasing;
+    return;
+  }
+  GroupEntry &Group = Next.m_Groups[Vm.m_Group];
+  Group.m_Generation = View.m_NextGeneration;
+  for (GroupMember &Member : Group.m_Members)
+    if (Member.m_Vm == Name)
+      Member.m_Incarnation = Incarnation;
+}
+
+} // namespace
+
+void applyVmList(Assignment &Next, const DomainView &View) {
+  for (const auto &[Name, Listed] : View.m_Listed) {
+    const auto Found = Next.m_Vms.find(Name);
+    if (Found == Next.m_Vms.end()) {
+      if (!Listed.m_Leaving)
+        Next.m_Vms[Name] = {Listed.m_Incarnation, VmState::Releasing, ""};
+      continue;
+    }
+    // The list lags, so an older incarnation tells nothing.
+    if (Listed.m_Incarnation > Found->second.m_Incarnation)
+      applyNewIncarnation(Next, Name, Listed.m_Incarnation, View);
+  }
+  for (auto Current = Next.m_Vms.begin(); Current != Next.m_Vms.end();) {
+    const bool Gone = Current->second.m_State != VmState::Assigned &&
+                      View.m_Listed.count(Current->first) == 0;
+    Current = Gone ? Next.m_Vms.erase(Current) : std::next(Current);
+  }
+}
+
+void freeReleasedVms(Assignment &Next, const DomainView &View) {
+  std::set<std::string> Named;
+  for (auto &[Name, Vm] : Next.m_Vms) {
+    if (Vm.m_State == VmState::Releasing && View.m_FencedEmpty.count(Name) != 0)
+      Vm = {Vm.m_Incarnation, VmState::Free, ""};
+    if (Vm.m_State == VmState::Releasing)
+      Named.insert(Vm.m_Group);
+  }
+  for (auto Group = Next.m_Groups.begin(); Group != Next.m_Groups.end();) {
+    const bool Ended = Group->second.m_State == GroupState::Disbanded &&
+                       Named.count(Group->first) == 0;
+    Group = Ended ? Next.m_Groups.erase(Group) : std::next(Group);
+  }
+}
+
+void releaseVm(Assignment &Next, const std::string &Vm) {
+  Next.m_Vms[Vm].m_State = VmState::Releasing;
+}
+
+void disbandGroup(Assignment &Next, const std::string &Id,
+                  const DomainView &View) {
+  GroupEntry &Group = Next.m_Groups[Id];
+  for (const GroupMember &Member : Group.m_Members)
+    releaseVm(Next, Member.m_Vm);
+  Group.m_Members.clear();
+  Group.m_State = GroupState::Disbanded;
+  Group.m_Generation = View.m_NextGeneration;
+}
+
+bool isEligible(const Assignment &Next, const std::string &Vm,
+                const DomainView &View) {
+  const auto Entry = Next.m_Vms.find(Vm);
+  const auto Listed = View.m_Listed.find(Vm);
+  return Entry != Next.m_Vms.end() && Listed != View.m_Listed.end() &&
+         Entry->second.m_State == VmState::Free &&
+         Entry->second.m_Incarnation == Listed->second.m_Incarnation &&
+         !Listed->second.m_Leaving && !Listed->second.m_Drained &&
+         View.m_FencedEmpty.count(Vm) != 0 &&
+         View.m_Health.isUsable(Vm, View.m_Now);
+}
+
+bool isMemberUsable(const GroupMember &Member, const DomainView &View) {
+  const auto Listed = View.m_Listed.find(Member.m_Vm);
+  return Listed != View.m_Listed.end() &&
+         Listed->second.m_Incarnation == Member.m_Incarnation &&
+         View.m_Health.isUsable(Member.m_Vm, View.m_Now);
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/support/group_world.cpp
@@ -0,0 +1,494 @@
+#include "tests/support/group_world.h"
+
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr std::int64_t StepMs = 50;
+/// The driver gives up a store call after this time.
+constexpr std::int64_t StoreTimeoutMs = 1000;
+constexpr std::int64_t ViewExpiryMs = 1500;
+
+StoreAnswer unanswered(const StoreAction &Action) {
+  if (const auto *Get = std::get_if<GetObject>(&Action))
+    return GetCompleted{Get->m_Id, StoreOutcome::Unavailable, 0, ""};
+  return PutCompleted{std::get<PutObject>(Action).m_Id, StoreOutcome::Unknown,
+                      0};
+}
+
+} // namespace
+
+GroupWorld::GroupWorld(const WorldSettings &Settings)
+    : m_Settings(Settings), m_Random(Settings.m_Seed) {
+  for (std::size_t Domain = 0; Domain < Settings.m_DomainVms.size(); ++Domain)
+    for (std::size_t Vm = 0; Vm < Settings.m_DomainVms[Domain]; ++Vm) {
+      const std::string Name = fmt::format("d{}-vm{:02}", Domain, Vm);
+      m_Listed[Name] = {Name,
+                        fmt::format("z{}", Domain),
+                        fmt::format("d{}", Domain),
+                        1,
+                        false,
+                        false};
+      m_Engines[Name].m_ChecksFencing = !chance(Settings.m_UnfencedShare);
+    }
+  m_Nodes.resize(Settings.m_Nodes);
+  for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index) {
+    Node &Current = m_Nodes[Index];
+    Current.m_Offset = static_cast<std::int64_t>(1000000 * (Index + 1));
+    if (Settings.m_Skew)
+      Current.m_Rate = 0.9991 + 0.0018 * static_cast<double>(Index % 2);
+    startNode(Index);
+  }
+}
+
+bool GroupWorld::chance(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_Random) < Share;
+}
+
+MonotonicTime GroupWorld::timeOf(const Node &Of) const {
+  const double Micros = static_cast<double>(m_Now) * 1000 * Of.m_Rate;
+  return MonotonicTime(std::chrono::milliseconds(Of.m_Offset)) +
+         Duration(static_cast<std::int64_t>(Micros));
+}
+
+void GroupWorld::startNode(std::size_t Index) {
+  Node &Current = m_Nodes[Index];
+  ++Current.m_Starts;
+  LeaseSettings Leases;
+  Leases.m_Shards = m_Settings.m_Shards;
+  const std::string Name = fmt::format("n{}", Index);
+  const std::string Writer = fmt::format("{}#{}", Name, Current.m_Starts);
+  std::vector<std::string> Names;
+  for (std::size_t Other = 0; Other < m_Nodes.size(); ++Other)
+    Names.push_back(fmt::format("n{}", Other));
+  Current.m_Leases = std::make_unique<LeaseManager>(Leases, "r", Name, Writer);
+  Current.m_Leases->setLiveNodes(Names);
+  Current.m_Controller = std::make_unique<GroupController>(
+      m_Settings.m_Groups, Writer, m_Settings.m_Policy);
+  Current.m_Controller->setDeployments(m_Specs);
+}
+
+void GroupWorld::setSpecs(const DeploymentSpecs &Specs) {
+  m_Specs = Specs;
+  for (Node &Current : m_Nodes)
+    Current.m_Controller->setDeployments(Specs);
+}
+
+void GroupWorld::after(std::int64_t Milliseconds,
+                       std::function<void()> Action) {
+  m_Queue.emplace(m_Now + Milliseconds, std::move(Action));
+}
+
+void GroupWorld::run(double Seconds) {
+  const auto End = m_Now + static_cast<std::int64_t>(Seconds * 1000);
+  while (m_Now < End && m_Violation.empty())
+    step();
+}
+
+void GroupWorld::step() {
+  m_Now += StepMs;
+  while (!m_Queue.empty() && m_Queue.begin()->first <= m_Now) {
+    const std::function<void()> Action = std::move(m_Queue.begin()->second);
+    m_Queue.erase(m_Queue.begin());
+    Action();
+  }
+  advanceEngines();
+  if (m_Now % 250 == 0)
+    poll();
+  for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index)
+    if (m_Nodes[Index].m_PausedUntil <= m_Now)
+      tickNode(Index);
+  readStore();
+  checkEngines();
+  checkViews();
+  checkHolders();
+  measure();
+}
+
+void GroupWorld::tickNode(std::size_t Index) {
+  Node &Current = m_Nodes[Index];
+  const MonotonicTime Now = timeOf(Current);
+  for (const StoreAction &Action : Current.m_Leases->tick(Now))
+    callStore(Index, Action, true);
+  std::map<std::string, std::uint64_t> Held;
+  for (const auto &[Name, Vm] : m_Listed) {
+    const std::string Shard = Current.m_Leases->shardOfDomain(Vm.m_Domain);
+    if (Current.m_Leases->isHeld(Shard, Now))
+      Held[Vm.m_Domain] = Current.m_Leases->epoch(Shard);
+  }
+  const GroupActions Actions = Current.m_Controller->tick(Now, Held);
+  for (const StoreAction &Action : Actions.m_StoreActions)
+    callStore(Index, Action, false);
+  for (const EngineOrder &Order : Actions.m_Orders)
+    sendOrder(Index, Order);
+}
+
+void GroupWorld::whenAwake(std::size_t Index, int Starts,
+                           std::function<void()> Action) {
+  const Node &Current = m_Nodes[Index];
+  if (Current.m_Starts != Starts)
+    return;
+  if (Current.m_PausedUntil <= m_Now) {
+    Action();
+    return;
+  }
+  m_Queue.emplace(Current.m_PausedUntil, [this, Index, Starts, Action] {
+    whenAwake(Index, Starts, Action);
+  });
+}
+
+void GroupWorld::callStore(std::size_t Index, const StoreAction &Action,
+                           bool ForLeases) {
+  const int Starts = m_Nodes[Index].m_Starts;
+  std::uniform_int_distribution<int> Delay(0, m_Settings.m_StoreDelayMs);
+  const int ThereMs = Delay(m_Random);
+  const int BackMs = Delay(m_Random);
+  const bool RequestLost = chance(m_Settings.m_StoreLoss / 2);
+  const bool AnswerLost = chance(m_Settings.m_StoreLoss / 2);
+  const auto Deliver = [this, Index, Starts,
+                        ForLeases](const StoreAnswer &Answer) {
+    whenAwake(Index, Starts, [=] { answer(Index, Answer, ForLeases); });
+  };
+  const bool InTime =
+      !RequestLost && !AnswerLost && ThereMs + BackMs < StoreTimeoutMs;
+  if (!RequestLost)
+    after(ThereMs, [=] {
+      const StoreAnswer Answer = m_Store.execute(Action);
+      if (InTime)
+        after(BackMs, [=] { Deliver(Answer); });
+    });
+  if (!InTime)
+    after(StoreTimeoutMs, [=] { Deliver(unanswered(Action)); });
+}
+
+void GroupWorld::answer(std::size_t Index, const StoreAnswer &Answer,
+                        bool ForLeases) {
+  Node &Current = m_Nodes[Index];
+  const MonotonicTime Now = timeOf(Current);
+  const auto *Get = std::get_if<GetCompleted>(&Answer);
+  const auto *Put = std::get_if<PutCompleted>(&Answer);
+  if (ForLeases) {
+    for (const StoreAction &Next :
+         Get != nullptr ? Current.m_Leases->onGetCompleted(*Get, Now)
+                        : Current.m_Leases->onPutCompleted(*Put, Now))
+      callStore(Index, Next, true);
+    return;
+  }
+  if (Get != nullptr)
+    Current.m_Controller->onGetCompleted(*Get, Now);
+  else
+    Current.m_Controller->onPutCompleted(*Put, Now);
+}
+
+void GroupWorld::sendOrder(std::size_t Index, const EngineOrder &Order) {
+  const int Starts = m_Nodes[Index].m_Starts;
+  std::uniform_int_distribution<int> Delay(0, m_Settings.m_OrderDelayMs);
+  const int DelayMs = Delay(m_Random);
+  const bool Lost = chance(m_Settings.m_OrderLoss);
+  after(DelayMs, [=] {
+    OrderCompleted Result{Order.m_Vm, Order.m_Order, Order.m_Fence,
+                          OrderOutcome::Unknown, 0};
+    if (!Lost)
+      Result = takeOrder(Order);
+    whenAwake(Index, Starts, [=] {
+      m_Nodes[Index].m_Controller->onOrderCompleted(Result,
+                                                    timeOf(m_Nodes[Index]));
+    });
+  });
+}
+
+OrderCompleted GroupWorld::takeOrder(const EngineOrder &Order) {
+  FakeEngine &Engine = m_Engines.at(Order.m_Vm);
+  OrderCompleted Result{Order.m_Vm, Order.m_Order, Order.m_Fence,
+                        OrderOutcome::Unknown, 0};
+  if (!Engine.m_Up || Engine.m_Partitioned)
+    return Result;
+  if (Engine.m_ChecksFencing && Order.m_Fence < Engine.m_HighestFence) {
+    ++m_OrdersRefused;
+    Result.m_Outcome = OrderOutcome::Refused;
+    Result.m_HighestFence = Engine.m_HighestFence;
+    return Result;
+  }
+  Engine.m_HighestFence = std::max(Engine.m_HighestFence, Order.m_Fence);
+  Result.m_Outcome = OrderOutcome::Accepted;
+  if (Order.m_Order == OrderKind::Unload) {
+    Engine.m_State = EngineState::Empty;
+    Engine.m_Group.clear();
+    Engine.m_Generation = 0;
+  }
+  const bool Same = Engine.m_Group == Order.m_Group &&
+                    Engine.m_Generation == Order.m_Generation &&
+                    Engine.m_State != EngineState::Failed;
+  if (Order.m_Order == OrderKind::Load && !Same) {
+    Engine.m_State = EngineState::Loading;
+    Engine.m_Group = Order.m_Group;
+    Engine.m_Generation = Order.m_Generation;
+    Engine.m_BytesLeft = m_Settings.m_Groups.m_WeightStore.m_BytesPerVm;
+  }
+  return Result;
+}
+
+void GroupWorld::crash(const std::string &Vm, double Seconds, bool Replaced) {
+  FakeEngine &Engine = m_Engines.at(Vm);
+  if (!Engine.m_Up)
+    return;
+  Engine.m_Up = false;
+  Engine.m_State = EngineState::Empty;
+  Engine.m_Group.clear();
+  Engine.m_Generation = 0;
+  Engine.m_HighestFence = 0;
+  after(static_cast<std::int64_t>(Seconds * 1000), [this, Vm, Replaced] {
+    FakeEngine &Back = m_Engines.at(Vm);
+    Back.m_Up = true;
+    ++Back.m_Starts;
+    Back.m_StartedAt = m_Now;
+    if (Replaced)
+      ++m_Listed.at(Vm).m_Incarnation;
+  });
+}
+
+void GroupWorld::partition(const std::string &Vm, double Seconds) {
+  m_Engines.at(Vm).m_Partitioned = true;
+  after(static_cast<std::int64_t>(Seconds * 1000),
+        [this, Vm] { m_Engines.at(Vm).m_Partitioned = false; });
+}
+
+void GroupWorld::pause(std::size_t Node, double Seconds) {
+  m_Nodes[Node].m_PausedUntil =
+      m_Now + static_cast<std::int64_t>(Seconds * 1000);
+}
+
+void GroupWorld::restartNode(std::size_t Node) {
+  m_Nodes[Node].m_PausedUntil = 0;
+  startNode(Node);
+}
+
+std::vector<std::string> GroupWorld::vmNames() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Vm] : m_Listed)
+    Names.push_back(Name);
+  return Names;
+}
+
+void GroupWorld::advanceEngines() {
+  const WeightStoreSettings &Weights = m_Settings.m_Groups.m_WeightStore;
+  double Loading = 0;
+  for (const auto &[Name, Engine] : m_Engines)
+    if (Engine.m_Up && Engine.m_State == EngineState::Loading)
+      Loading += 1;
+  const double Share =
+      std::min(Weights.m_VmBytesPerSecond,
+               Weights.m_BytesPerSecond / std::max(Loading, 1.0));
+  for (auto &[Name, Engine] : m_Engines) {
+    if (Engine.m_Up && Engine.m_State == EngineState::Loading) {
+      Engine.m_BytesLeft -= Share * static_cast<double>(StepMs) / 1000;
+      if (Engine.m_BytesLeft <= 0)
+        Engine.m_State = EngineState::Ready;
+    }
+    if (Engine.m_Up && !Engine.m_Partitioned &&
+        Engine.m_State == EngineState::Ready) {
+      Engine.m_ReadyGroup = Engine.m_Group;
+      Engine.m_ReadyGeneration = Engine.m_Generation;
+      Engine.m_ReadyAt = m_Now;
+    }
+  }
+}
+
+void GroupWorld::poll() {
+  std::map<std::string, AgedReport> Reports;
+  std::vector<ListedVm> Vms;
+  for (const auto &[Name, Vm] : m_Listed)
+    Vms.push_back(Vm);
+  for (const auto &[Name, Engine] : m_Engines) {
+    EngineReport Report;
+    Report.m_Reachable = Engine.m_Up && !Engine.m_Partitioned;
+    Report.m_StartId = fmt::format("{}-{}", Name, Engine.m_Starts);
+    Report.m_Group = Engine.m_Group;
+    Report.m_Generation = Engine.m_Generation;
+    Report.m_State = Engine.m_State;
+    Report.m_Running = Engine.m_Running;
+    Reports[Name] = {Report, Duration::zero()};
+  }
+  for (Node &Current : m_Nodes) {
+    if (Current.m_PausedUntil > m_Now)
+      continue;
+    Current.m_Controller->setVms(Vms);
+    for (auto &[Name, Report] : Reports) {
+      Report.m_Report.m_At = timeOf(Current);
+      Current.m_Controller->onEngineReport(Name, Report.m_Report);
+    }
+    for (const auto &[Domain, Value] : m_Stored)
+      Current.m_Controller->onObservedAssignment(Value);
+  }
+  publishViews(Reports);
+}
+
+void GroupWorld::publishViews(
+    const std::map<std::string, AgedReport> &Reports) {
+  for (const auto &[Domain, Value] : m_Stored) {
+    for (const auto &[Id, Group] : Value.m_Groups) {
+      View &Current = m_Views[Id];
+      Current.m_View = computeServingView(Id, Group, Reports);
+      Current.m_PublishedAt = m_Now;
+      Current.m_Members.clear();
+      for (const GroupMember &Member : Group.m_Members)
+        Current.m_Members.push_back(Member.m_Vm);
+    }
+  }
+}
+
+void GroupWorld::readStore() {
+  for (const auto &[Key, Object] : m_Store.objects()) {
+    ObjectVersion &Seen = m_SeenVersions[Key];
+    if (Seen == Object.m_Version)
+      continue;
+    Seen = Object.m_Version;
+    if (Key.rfind("lease/", 0) == 0) {
+      const auto Record = parseLeaseRecord(Object.m_Value);
+      if (!Record.ok() || Record->m_Epoch < m_Epochs[Key])
+        fail("the epoch of " + Key + " went back");
+      else
+        m_Epochs[Key] = Record->m_Epoch;
+      continue;
+    }
+    const auto Value = parseAssignment(Object.m_Value);
+    if (!Value.ok()) {
+      fail(std::string(Value.status().message()));
+      continue;
+    }
+    checkAssignment(m_Stored[Value->m_Domain], *Value);
+    m_Stored[Value->m_Domain] = *Value;
+  }
+}
+
+void GroupWorld::checkAssignment(const Assignment &Before,
+                                 const Assignment &After) {
+  if (After.m_Generation <= Before.m_Generation)
+    fail("the generation of " + After.m_Domain + " did not grow");
+  if (After.m_LeaseEpoch < Before.m_LeaseEpoch)
+    fail("the epoch of " + After.m_Domain + " went back");
+  for (const auto &[Name, Vm] : After.m_Vms) {
+    const auto Old = Before.m_Vms.find(Name);
+    const bool Same = Old != Before.m_Vms.end() &&
+                      Old->second.m_Group == Vm.m_Group &&
+                      Old->second.m_State == Vm.m_State;
+    if (!Same)
+      m_EntryChangedAt[Name] = m_Now;
+    if (!Same && Vm.m_State == VmState::Assigned &&
+        (Old == Before.m_Vms.end() || Old->second.m_State != VmState::Free))
+      fail("VM " + Name + " was assigned although it was not free");
+  }
+}
+
+void GroupWorld::checkEngines() {
+  for (const auto &[Domain, Value] : m_Stored) {
+    for (const auto &[Name, Vm] : Value.m_Vms) {
+      const FakeEngine &Engine = m_Engines.at(Name);
+      // A restarted engine has forgotten its token and may take a late order.
+      if (!Engine.m_ChecksFencing || Vm.m_State == VmState::Releasing ||
+          Engine.m_State == EngineState::Empty ||
+          Engine.m_StartedAt >= m_EntryChangedAt[Name] - StepMs)
+        continue;
+      if (Engine.m_Group != Vm.m_Group)
+        fail(fmt::format("VM {} is stored for '{}' but its engine runs '{}'",
+                         Name, Vm.m_Group, Engine.m_Group));
+    }
+  }
+}
+
+void GroupWorld::checkViews() {
+  std::map<std::string, std::string> Owners;
+  for (const auto &[Id, Current] : m_Views) {
+    const std::int64_t Age = m_Now - Current.m_PublishedAt;
+    if (!Current.m_View.m_Serving || Age > ViewExpiryMs)
+      continue;
+    for (const std::string &Member : Current.m_Members) {
+      const FakeEngine &Engine = m_Engines.at(Member);
+      const bool Recent =
+          Engine.m_ReadyGroup == Id &&
+          Engine.m_ReadyGeneration == Current.m_View.m_Generation &&
+          m_Now - Engine.m_ReadyAt <= 250 + StepMs + Age;
+      // The engine may have moved on since the view was published.
+      if (!Recent && Age <= 250)
+        if (Engine.m_ReadyGroup != Id || m_Now - Engine.m_ReadyAt > 1000)
+          fail(fmt::format("the view of {} lists the missing member {}", Id,
+                           Member));
+      if (Age <= 250 && !Owners.emplace(Member, Id).second)
+        fail(fmt::format("VM {} serves in {} and {}", Member, Owners[Member],
+                         Id));
+    }
+  }
+}
+
+void GroupWorld::checkHolders() {
+  for (std::size_t Shard = 0; Shard < m_Settings.m_Shards; ++Shard) {
+    const std::string Name = fmt::format("r.{}", Shard);
+    const auto Holders =
+        std::count_if(m_Nodes.begin(), m_Nodes.end(), [&](const Node &Current) {
+          return Current.m_Leases->isHeld(Name, timeOf(Current));
+        });
+    if (Holders > 1)
+      fail(fmt::format("{} nodes hold shard {}", Holders, Name));
+  }
+}
+
+std::size_t GroupWorld::servingGroups(const std::string &Deployment) const {
+  std::size_t Count = 0;
+  for (const auto &[Domain, Value] : m_Stored)
+    for (const auto &[Id, Group] : Value.m_Groups) {
+      const bool Ready = std::all_of(
+          Group.m_Members.begin(), Group.m_Members.end(),
+          [&, &Key = Id, &Entry = Group](const GroupMember &Member) {
+            const FakeEngine &Engine = m_Engines.at(Member.m_Vm);
+            return Engine.m_Up && !Engine.m_Partitioned &&
+                   Engine.m_State == EngineState::Ready &&
+                   Engine.m_Group == Key &&
+                   Engine.m_Generation == Entry.m_Generation;
+          });
+      if (Group.m_Deployment == Deployment && !Group.m_Members.empty() &&
+          Group.m_State != GroupState::Draining && Ready)
+        ++Count;
+    }
+  return Count;
+}
+
+std::size_t GroupWorld::wantedGroups() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Spec] : m_Specs)
+    Count += Spec.m_Replicas;
+  return Count;
+}
+
+void GroupWorld::measure() {
+  constexpr double StepSeconds = static_cast<double>(StepMs) / 1000;
+  for (const auto &[Name, Spec] : m_Specs) {
+    const std::size_t Serving = servingGroups(Name);
+    if (Serving < Spec.m_Replicas)
+      m_Downtime +=
+          StepSeconds * static_cast<double>(Spec.m_Replicas - Serving);
+  }
+  // Stranded: a VM that is up while another member of its group is down.
+  for (const auto &[Domain, Value] : m_Stored)
+    for (const auto &[Id, Group] : Value.m_Groups) {
+      const auto Up =
+          std::count_if(Group.m_Members.begin(), Group.m_Members.end(),
+                        [this](const GroupMember &Member) {
+                          const FakeEngine &Engine = m_Engines.at(Member.m_Vm);
+                          return Engine.m_Up && !Engine.m_Partitioned;
+                        });
+      if (static_cast<std::size_t>(Up) < Group.m_Members.size())
+        m_Stranded += StepSeconds * static_cast<double>(Up);
+    }
+}
+
+void GroupWorld::fail(const std::string &Problem) {
+  if (m_Violation.empty())
+    m_Violation = fmt::format("at {} ms: {}", m_Now, Problem);
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/support/group_world.h
@@ -0,0 +1,147 @@
+#ifndef FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
+#define FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
+
+#include "servers/groups/assignment_codec.h"
+#include "servers/groups/group_controller.h"
+#include "servers/groups/serving_view.h"
+#include "servers/lease/lease_manager.h"
+#include "tests/support/fake_store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// Engine of one VM, with or without fencing checks.
+struct FakeEngine {
+  bool m_Up = true;
+  bool m_Partitioned = false;
+  bool m_ChecksFencing = true;
+  int m_Starts = 1;
+  std::int64_t m_StartedAt = 0;
+  std::uint64_t m_HighestFence = 0;
+  EngineState m_State = EngineState::Empty;
+  std::string m_Group;
+  std::uint64_t m_Generation = 0;
+  double m_BytesLeft = 0;
+  std::uint64_t m_Running = 0;
+  /// Last group that it was ready for and when.
+  std::string m_ReadyGroup;
+  std::uint64_t m_ReadyGeneration = 0;
+  std::int64_t m_ReadyAt = -1000000;
+};
+
+struct WorldSettings {
+  std::uint64_t m_Seed = 1;
+  std::size_t m_Nodes = 1;
+  std::size_t m_Shards = 2;
+  std::vector<std::size_t> m_DomainVms{8};
+  double m_StoreLoss = 0;
+  int m_StoreDelayMs = 5;
+  double m_OrderLoss = 0;
+  int m_OrderDelayMs = 5;
+  double m_UnfencedShare = 0;
+  bool m_Skew = false;
+  GroupSettings m_Groups;
+  std::shared_ptr<const RepairPolicy> m_Policy =
+      std::make_shared<CostRepairPolicy>();
+};
+
+/// Several nodes over one store and engines, in steps of 50 ms. After each
+/// step the invariants are checked; the first violation is kept.
+class GroupWorld {
+public:
+  explicit GroupWorld(const WorldSettings &Settings);
+
+  void setSpecs(const DeploymentSpecs &Specs);
+  void step();
+  void run(double Seconds);
+  /// Stops the engine of \p Vm for \p Seconds; the VM list shows a new
+  /// incarnation afterwards if \p Replaced.
+  void crash(const std::string &Vm, double Seconds, bool Replaced);
+  void partition(const std::string &Vm, double Seconds);
+  void pause(std::size_t Node, double Seconds);
+  /// Replaces a node by a new process.
+  void restartNode(std::size_t Node);
+  void after(std::int64_t Milliseconds, std::function<void()> Action);
+
+  const std::string &violation() const { return m_Violation; }
+  std::int64_t now() const { return m_Now; }
+  std::mt19937_64 &random() { return m_Random; }
+  bool chance(double Share);
+  std::vector<std::string> vmNames() const;
+  FakeEngine &engine(const std::string &Vm) { return m_Engines.at(Vm); }
+  ListedVm &listed(const std::string &Vm) { return m_Listed.at(Vm); }
+  /// Stored assignments by domain.
+  const std::map<std::string, Assignment> &stored() const { return m_Stored; }
+  std::size_t servingGroups(const std::string &Deployment) const;
+  std::size_t wantedGroups() const;
+  /// Sum over time of missing groups, and of present VMs of groups that do
+  /// not serve, in seconds.
+  double groupDowntime() const { return m_Downtime; }
+  double strandedSeconds() const { return m_Stranded; }
+  void resetFigures() { m_Downtime = m_Stranded = 0; }
+  std::size_t ordersRefused() const { return m_OrdersRefused; }
+  WorldSettings m_Settings;
+
+private:
+  struct Node {
+    std::unique_ptr<LeaseManager> m_Leases;
+    std::unique_ptr<GroupController> m_Controller;
+    int m_Starts = 0;
+    std::int64_t m_PausedUntil = 0;
+    double m_Rate = 1.0;
+    std::int64_t m_Offset = 0;
+  };
+  struct View {
+    ServingView m_View;
+    std::vector<std::string> m_Members;
+    std::int64_t m_PublishedAt = -1000000;
+  };
+
+  MonotonicTime timeOf(const Node &Of) const;
+  void startNode(std::size_t Index);
+  void tickNode(std::size_t Index);
+  void whenAwake(std::size_t Index, int Starts, std::function<void()> Action);
+  void callStore(std::size_t Index, const StoreAction &Action, bool ForLeases);
+  void answer(std::size_t Index, const StoreAnswer &Answer, bool ForLeases);
+  void sendOrder(std::size_t Index, const EngineOrder &Order);
+  OrderCompleted takeOrder(const EngineOrder &Order);
+  void advanceEngines();
+  void poll();
+  void publishViews(const std::map<std::string, AgedReport> &Reports);
+  void readStore();
+  void checkAssignment(const Assignment &Before, const Assignment &After);
+  void checkEngines();
+  void checkViews();
+  void checkHolders();
+  void measure();
+  void fail(const std::string &Problem);
+
+  std::mt19937_64 m_Random;
+  std::int64_t m_Now = 0;
+  FakeStore m_Store;
+  std::vector<Node> m_Nodes;
+  std::map<std::string, FakeEngine> m_Engines;
+  std::map<std::string, ListedVm> m_Listed;
+  DeploymentSpecs m_Specs;
+  std::multimap<std::int64_t, std::function<void()>> m_Queue;
+  std::map<std::string, ObjectVersion> m_SeenVersions;
+  std::map<std::string, Assignment> m_Stored;
+  std::map<std::string, std::uint64_t> m_Epochs;
+  /// When the stored entry of a VM last changed.
+  std::map<std::string, std::int64_t> m_EntryChangedAt;
+  std::map<std::string, View> m_Views;
+  std::string m_Violation;
+  double m_Downtime = 0;
+  double m_Stranded = 0;
+  std::size_t m_OrdersRefused = 0;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
