--- a/servers/idempotency/claim_batcher.cpp
+++ b/servers/idempotency/claim_batcher.cpp
@@ -191,7 +191,8 @@
     return;
   }
   noteWork(Now);
-  if (m_IsFlushing || Now >= *m_BatchDue)
+  // An update that fences an earlier one is not delayed.
+  if (m_IsFlushing || m_DoubtfulVersion || Now >= *m_BatchDue)
     startWrite(Effects);
 }
 
