--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -97,8 +97,7 @@
                           "the request is suspected of crashing backend "
                           "servers and another suspect runs in isolation",
                           "send it again later"),
-                m_Attempts == 0 ? Outcome::NotRun : Outcome::Unknown,
-                RetryAfterFailure);
+                Outcome::NotRun, RetryAfterFailure);
   return false;
 }
 
@@ -250,6 +249,7 @@
                             m_Splicer.isComplete());
   const Outcome Ended = classifyAttempt(Facts);
   const bool Success = Ended == Outcome::Ran && Result.m_Status == 200;
+  m_MayHaveRun = m_MayHaveRun || Ended != Outcome::NotRun;
   recordAttempt(Result, Success, Now);
   if (m_Request.m_Exchange->isClientGone()) {
     finish();
@@ -343,12 +343,11 @@
     const Duration Limit = m_Attempt.m_Tokens == 0
                                ? m_Limits.m_FirstTokenTimeout
                                : m_Limits.m_TokenTimeout;
-    const bool IsSilent =
-        m_Request.m_IsStream && Now - m_Attempt.m_LastTokenAt > Limit;
-    if (!IsSilent && m_Path.isServing(*m_Attempt.m_Decision.m_View, Now))
-      return;
-    // Without another group, a group whose view expired may still be working.
-    if (!IsSilent && m_Attempts >= m_Limits.m_MaxAttempts)
+    const auto Silence = Now - m_Attempt.m_LastTokenAt;
+    const bool IsSilent = m_Request.m_IsStream && Silence > Limit;
+    const bool IsWithdrawn = Silence > m_Limits.m_WithdrawnTimeout &&
+                             !m_Path.isServing(*m_Attempt.m_Decision.m_View, Now);
+    if (!IsSilent && !IsWithdrawn)
       return;
     moveElsewhere(Now);
     if (m_Done)
@@ -360,6 +359,7 @@
 void ChatRelay::moveElsewhere(MonotonicTime Now) {
   const std::string Group = m_Attempt.m_Decision.m_View->m_Group;
   m_Client.cancel(m_Attempt.m_Call);
+  m_MayHaveRun = true;
   m_Path.withPoison([&](PoisonDetector &Poison) {
     Poison.onEnded(m_Request.m_ContentHash, Group);
   });
@@ -396,7 +396,9 @@
 
 void ChatRelay::answerError(const absl::Status &Reason, Outcome Result,
                             Duration RetryAfter) {
-  const ErrorResponse Error{Reason, Result, RetryAfter, m_Request.m_RequestId};
+  const bool IsContradicted = m_MayHaveRun && Result == Outcome::NotRun;
+  const ErrorResponse Error{Reason, IsContradicted ? Outcome::Unknown : Result,
+                            RetryAfter, m_Request.m_RequestId};
   m_Path.metrics().count(
       fmt::format("refusals_total{{kind=\"{}\"}}",
                   nameOf(ErrorKindNames, errorKind(Reason))));
@@ -416,8 +418,7 @@
   const std::lock_guard<std::mutex> Guard(m_Mutex);
   if (m_Done)
     return;
-  answerError(Reason, m_Attempts == 0 ? Outcome::NotRun : Outcome::Unknown,
-              RetryAfter);
+  answerError(Reason, Outcome::NotRun, RetryAfter);
 }
 
 void ChatRelay::finish() {
--- a/node/chat_relay.h
+++ b/node/chat_relay.h
@@ -39,6 +39,10 @@
   std::uint32_t m_MaxAttempts = 6;
   /// Longest silence of a stream before it is moved to another group.
   Duration m_TokenTimeout = std::chrono::seconds(2);
+  /// Silence after which a stream leaves a group that no longer serves. A
+  /// group that still sends tokens keeps its streams, because its view may
+  /// have expired for another reason.
+  Duration m_WithdrawnTimeout = std::chrono::milliseconds(250);
   /// Longest time to the first token before the request is moved.
   Duration m_FirstTokenTimeout = std::chrono::seconds(20);
   /// Longest time that a broken stream waits for another group.
@@ -125,6 +129,8 @@
   Attempt m_Attempt;
   std::uint32_t m_Attempts = 0;
   bool m_ResponseStarted = false;
+  /// An attempt may have run, so the request is never reported as not run.
+  bool m_MayHaveRun = false;
   std::atomic<std::int64_t> m_WaitUntilTicks;
   std::atomic<bool> m_Done{false};
 };
--- /dev/null
+++ b/node/engine_client.cpp
@@ -0,0 +1,132 @@
+#include "node/engine_client.h"
+
+#include "core/json.h"
+
+#include "fmt/format.h"
+
+#include <memory>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// An engine without an answer for this long counts as missing (design 4.3).
+constexpr Duration PollTimeout = std::chrono::milliseconds(500);
+constexpr Duration OrderTimeout = std::chrono::seconds(2);
+constexpr int Accepted = 200;
+constexpr int RefusedByFence = 409;
+
+EngineStatus parseStatus(const std::string &Body) {
+  EngineStatus Status;
+  const Json Object = Json::parse(Body, nullptr, false);
+  if (!Object.is_object())
+    return Status;
+  EngineReport &Report = Status.m_Report;
+  Report.m_Reachable = true;
+  Report.m_StartId = memberOr<std::string>(Object, "start_id", "");
+  Report.m_Group = memberOr<std::string>(Object, "group", "");
+  Report.m_Generation = memberOr<std::uint64_t>(Object, "generation", 0);
+  Report.m_State = valueOf(EngineStateNames,
+                           memberOr<std::string>(Object, "state", ""))
+                       .value_or(EngineState::Failed);
+  Report.m_Running = memberOr<std::uint64_t>(Object, "running", 0);
+  Report.m_Waiting = memberOr<std::uint64_t>(Object, "waiting", 0);
+  Status.m_Capacity = memberOr<std::uint64_t>(Object, "capacity", 1);
+  Status.m_ColdCapacity = memberOr<std::uint64_t>(Object, "cold_capacity", 1);
+  Status.m_Completed = memberOr<std::uint64_t>(Object, "completed", 0);
+  Status.m_Cold = memberOr<bool>(Object, "cold", true);
+  return Status;
+}
+
+Json orderBody(const EngineOrder &Order,
+               const std::map<std::string, std::string> &Addresses) {
+  Json Members = Json::array();
+  for (const std::string &Vm : Order.m_Members) {
+    const auto Found = Addresses.find(Vm);
+    Members.push_back(Found == Addresses.end() ? "" : Found->second);
+  }
+  return {{"fence", Order.m_Fence},
+          {"order", nameOf(OrderKindNames, Order.m_Order)},
+          {"group", Order.m_Group},
+          {"generation", Order.m_Generation},
+          {"model", Order.m_Model},
+          {"version", Order.m_Version},
+          {"members", Members},
+          {"rank", Order.m_Rank}};
+}
+
+OrderCompleted orderResult(const EngineOrder &Order,
+                           const HttpCallResult &Result,
+                           const std::string &Body) {
+  OrderCompleted Done;
+  Done.m_Vm = Order.m_Vm;
+  Done.m_Order = Order.m_Order;
+  Done.m_Fence = Order.m_Fence;
+  if (Result.m_Complete && Result.m_Status == Accepted)
+    Done.m_Outcome = OrderOutcome::Accepted;
+  else if (Result.m_Complete && Result.m_Status == RefusedByFence)
+    Done.m_Outcome = OrderOutcome::Refused;
+  const Json Object = Json::parse(Body, nullptr, false);
+  Done.m_HighestFence = memberOr<std::uint64_t>(Object, "fence", 0);
+  return Done;
+}
+
+} // namespace
+
+void EngineClient::poll(const std::string &Address,
+                        std::function<void(const EngineStatus &)> Done) {
+  const auto Body = std::make_shared<std::string>();
+  const MonotonicTime SentAt = monotonicNow();
+  HttpCall Call;
+  Call.m_Url = fmt::format("http://{}/v1/state", Address);
+  Call.m_ConnectTimeout = PollTimeout;
+  Call.m_TotalTimeout = PollTimeout;
+  Call.m_OnData = [Body](std::string_view Data) { *Body += Data; };
+  Call.m_OnDone = [this, Body, SentAt,
+                   Done = std::move(Done)](const HttpCallResult &Result) {
+    EngineStatus Status;
+    if (Result.m_Complete && Result.m_Status == Accepted)
+      Status = parseStatus(*Body);
+    Status.m_Report.m_At = SentAt;
+    m_Control.post([Done, Status] { Done(Status); });
+  };
+  m_Client.start(std::move(Call));
+}
+
+void EngineClient::order(const EngineOrder &Order, const std::string &Address,
+                         const std::map<std::string, std::string> &Addresses,
+                         std::function<void(const OrderCompleted &)> Done) {
+  const auto Body = std::make_shared<std::string>();
+  HttpCall Call;
+  Call.m_Method = "POST";
+  Call.m_Url = fmt::format("http://{}/v1/orders", Address);
+  Call.m_Headers = {{"Content-Type", "application/json"}};
+  Call.m_Body = orderBody(Order, Addresses).dump();
+  Call.m_TotalTimeout = OrderTimeout;
+  // An order that libcurl repeats by itself would arrive later than the check
+  // of the lease that was made for it.
+  Call.m_FreshConnection = true;
+  Call.m_OnData = [Body](std::string_view Data) { *Body += Data; };
+  Call.m_OnDone = [this, Order, Body,
+                   Done = std::move(Done)](const HttpCallResult &Result) {
+    const OrderCompleted Completed = orderResult(Order, Result, *Body);
+    m_Control.post([Done, Completed] { Done(Completed); });
+  };
+  m_Client.start(std::move(Call));
+}
+
+ServerReport toServerReport(const std::string &Server,
+                            const EngineStatus &Status) {
+  ServerReport Report;
+  Report.m_Server = Server;
+  Report.m_StartId = Status.m_Report.m_StartId;
+  Report.m_Running = Status.m_Report.m_Running;
+  Report.m_Waiting = Status.m_Report.m_Waiting;
+  Report.m_Completed = Status.m_Completed;
+  Report.m_Cold = Status.m_Cold;
+  Report.m_ColdCapacity = Status.m_ColdCapacity;
+  Report.m_WarmCapacity = Status.m_Capacity;
+  return Report;
+}
+
+} // namespace fulmarwinch
