--- a/drivers/standin/engine_standin.cpp
+++ b/drivers/standin/engine_standin.cpp
@@ -294,6 +294,7 @@
   Result["last_accepted_unix_ms"] = m_LastAcceptedUnixMs;
   Result["up"] = m_IsUp;
   Result["stalled"] = m_IsStalled;
+  Result["held"] = m_Held.size();
   Result["state"] = state();
   return Result;
 }
