--- a/servers/configuration/freshness_tracker.cpp
+++ b/servers/configuration/freshness_tracker.cpp
@@ -104,8 +104,8 @@
 
 void FreshnessTracker::onAnswer(const FreshnessAnswer &Answer,
                                 MonotonicTime PingedAt) {
-  const bool ToldIsOld = isFresh(PingedAt) &&
-                         PingedAt - m_ToldAt > m_Options.m_LostPeerRetention;
+  const bool ToldIsOld =
+      isFresh(PingedAt) && PingedAt - m_ToldAt > m_Options.m_LostPeerRetention;
   if (Answer.m_KnownNodes >= m_ToldNodes || ToldIsOld) {
     m_ToldNodes = Answer.m_KnownNodes;
     m_ToldAt = PingedAt;
--- /dev/null
+++ b/tests/servers/audit/test_audit_trail.cpp
@@ -0,0 +1,122 @@
+#include "servers/audit/audit_trail.h"
+#include "tests/support/fake_configuration_store.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+class AuditTrailTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AuditTrailTest);
+  CPPUNIT_TEST(everyRecordIsStoredOnceUnderFaults);
+  CPPUNIT_TEST(outageDropsAreCountedInTheNextPage);
+  CPPUNIT_TEST(pagesAreBoundedAndByDay);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr UnixSeconds Noon = 1796385600;
+
+  void run(AuditTrail &Trail, MonotonicTime &Now, int Ticks) {
+    for (; Ticks > 0; --Ticks) {
+      Now += std::chrono::milliseconds(200);
+      auto Actions = Trail.onTick(Now);
+      while (!Actions.empty())
+        if (const auto *Get = std::get_if<GetObject>(&Actions[0]))
+          Actions = Trail.onGet(m_Store.get(*Get, m_Random), Now);
+        else
+          Actions = Trail.onPut(
+              m_Store.put(std::get<PutObject>(Actions[0]), Now, m_Random), Now);
+    }
+  }
+  AuditPage page(const std::string &Day, std::uint64_t Number) const {
+    const std::string Text = m_Store.valueOf(auditPageKey(Day, "w", Number));
+    return Text.empty() ? AuditPage() : *decodePage(Text);
+  }
+  static AuditRecord recordOf(int Number, UnixSeconds When = Noon) {
+    return {"ana", When, "confirm " + std::to_string(Number), "", "", "p1"};
+  }
+
+  std::mt19937_64 m_Random{7};
+  FakeConfigurationStore m_Store;
+
+public:
+  void setUp() override { m_Store = FakeConfigurationStore(); }
+
+private:
+  /// Guards against records lost or stored twice by lost answers, late writes
+  /// and lagging reads.
+  void everyRecordIsStoredOnceUnderFaults() {
+    m_Store.m_LostAnswerProbability = 0.3;
+    m_Store.m_LateWriteProbability = 0.2;
+    m_Store.m_LagProbability = 0.3;
+    AuditOptions Options;
+    Options.m_Writer = "w";
+    Options.m_MaxPageBytes = 2000;
+    AuditTrail Trail(Options);
+    MonotonicTime Now;
+    for (int Number = 0; Number < 200; ++Number) {
+      Trail.record(recordOf(Number), Now);
+      run(Trail, Now, 1);
+    }
+    run(Trail, Now, 2000);
+    CPPUNIT_ASSERT(Trail.isIdle());
+    std::vector<std::string> Found;
+    for (std::uint64_t Number = 0; Number < 100; ++Number)
+      for (const AuditRecord &Record : page(auditDay(Noon), Number).m_Records)
+        Found.push_back(Record.m_What);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(200), Found.size());
+    for (std::size_t Number = 0; Number < Found.size(); ++Number)
+      CPPUNIT_ASSERT_EQUAL("confirm " + std::to_string(Number), Found[Number]);
+  }
+
+  /// Guards against memory that grows during an outage and against a gap in
+  /// the trail that nobody can see.
+  void outageDropsAreCountedInTheNextPage() {
+    AuditOptions Options;
+    Options.m_Writer = "w";
+    Options.m_MaxBufferBytes = 1000;
+    AuditTrail Trail(Options);
+    MonotonicTime Now;
+    m_Store.m_Outage = true;
+    for (int Number = 0; Number < 100; ++Number) {
+      Trail.record(recordOf(Number), Now);
+      run(Trail, Now, 1);
+    }
+    const std::uint64_t Dropped = Trail.dropped();
+    CPPUNIT_ASSERT(Dropped > 0);
+    m_Store.m_Outage = false;
+    run(Trail, Now, 50);
+    CPPUNIT_ASSERT(Trail.isIdle());
+    const AuditPage First = page(auditDay(Noon), 0);
+    const AuditPage Second = page(auditDay(Noon), 1);
+    CPPUNIT_ASSERT_EQUAL(Dropped, First.m_Dropped + Second.m_Dropped);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(100), First.m_Records.size() +
+                                                 Second.m_Records.size() +
+                                                 Dropped);
+  }
+
+  /// Guards against pages over the platform's bound and against records under
+  /// the wrong day.
+  void pagesAreBoundedAndByDay() {
+    AuditOptions Options;
+    Options.m_Writer = "w";
+    Options.m_MaxPageBytes = 1000;
+    AuditTrail Trail(Options);
+    MonotonicTime Now;
+    for (int Number = 0; Number < 30; ++Number)
+      Trail.record(recordOf(Number, Noon + (Number < 20 ? 0 : 86400)), Now);
+    run(Trail, Now, 50);
+    CPPUNIT_ASSERT(Trail.isIdle());
+    CPPUNIT_ASSERT_EQUAL(std::string("2026-12-04"), auditDay(Noon));
+    CPPUNIT_ASSERT(encodePage(page("2026-12-04", 0)).size() < 1300);
+    CPPUNIT_ASSERT(!page("2026-12-04", 1).m_Records.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("confirm 20"),
+                         page("2026-12-05", 0).m_Records.at(0).m_What);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AuditTrailTest);
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/servers/configuration/test_figures.cpp
@@ -0,0 +1,196 @@
+#include "tests/support/configuration_cluster.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <vector>
+
+namespace fulmarwinch {
+
+namespace {
+
+double secondsOf(Duration Length) {
+  return static_cast<double>(Length.count()) / 1e6;
+}
+
+struct Figures {
+  double m_MedianSpread = 0;
+  double m_LastSpread = 0;
+  double m_BytesPerSecond = 0;
+  double m_StoreReadsPerSecond = 0;
+  double m_RefusingShare = 0;
+};
+
+AcceptRequest changeOf(int Number, ConfigurationRevision Base) {
+  const std::string Name = fmt::format("o{}", Number);
+  const Organisation Value{Name, {std::string(64, 'a')}, 1, 10, 1000, 0};
+  return {fmt::format("plan-n1-1796385600-{}", Number),
+          "ana",
+          1796385600,
+          Base,
+          {{{EntryKind::Organisation, Name}, 0, toJson(Value).dump()}}};
+}
+
+/// Runs \p Nodes nodes for 60 s with one change every 4.32 s, which is 20,000
+/// a day, after a start-up of 5 s.
+Figures measure(std::size_t Nodes, Duration WatchTimeout) {
+  ClusterOptions Options;
+  Options.m_Nodes = Nodes;
+  Options.m_Zones = Nodes < 100 ? 3 : 9;
+  Options.m_WatchTimeout = WatchTimeout;
+  Options.m_CountBytes = true;
+  ConfigurationCluster Cluster(Options);
+  Cluster.runFor(std::chrono::seconds(5));
+  Cluster.m_Usage = {};
+  const std::uint64_t ReadsBefore = Cluster.store().m_Reads;
+  constexpr int Changes = 14;
+  const Duration Interval = std::chrono::milliseconds(4320);
+  for (int Number = 0; Number < Changes; ++Number) {
+    Cluster.confirm(Cluster.random()() % Nodes,
+                    changeOf(Number, Cluster.store().history().size()));
+    Cluster.runFor(Interval);
+  }
+  Figures Result;
+  std::vector<double> Spreads;
+  for (int Number = 1; Number <= Changes; ++Number) {
+    const auto Spread =
+        Cluster.spreadOf(static_cast<ConfigurationRevision>(Number));
+    CPPUNIT_ASSERT_MESSAGE("a change did not reach every node", Spread);
+    Spreads.push_back(secondsOf(*Spread));
+  }
+  std::sort(Spreads.begin(), Spreads.end());
+  Result.m_MedianSpread = Spreads[Spreads.size() / 2];
+  Result.m_LastSpread = Spreads.back();
+  const double Length = Changes * secondsOf(Interval);
+  Result.m_BytesPerSecond = static_cast<double>(Cluster.m_Usage.m_PeerBytes) /
+                            Length / static_cast<double>(Nodes);
+  Result.m_StoreReadsPerSecond =
+      static_cast<double>(Cluster.store().m_Reads - ReadsBefore) / Length;
+  Result.m_RefusingShare =
+      static_cast<double>(Cluster.m_Usage.m_RefusingSamples) /
+      static_cast<double>(Cluster.m_Usage.m_Samples);
+  std::cerr << fmt::format(
+                   "\nfigures: nodes {} watch {:.2f} s: in force on the last "
+                   "node after {:.3f} s (median), {:.3f} s (most); {:.0f} "
+                   "B/s per node; {:.0f} store reads/s; refusing {:.4f}%",
+                   Nodes, secondsOf(WatchTimeout), Result.m_MedianSpread,
+                   Result.m_LastSpread, Result.m_BytesPerSecond,
+                   Result.m_StoreReadsPerSecond, 100 * Result.m_RefusingShare)
+            << std::endl;
+  return Result;
+}
+
+/// Prints the share of node time in which new work is refused while \p Fault
+/// lasts for 60 s, and in the 10 s after it.
+template <typename Begin, typename End>
+void measureFault(const char *Name, Begin Fault, End Repair) {
+  for (const std::size_t Nodes : {std::size_t(9), std::size_t(90)}) {
+    ClusterOptions Options;
+    Options.m_Nodes = Nodes;
+    ConfigurationCluster Cluster(Options);
+    Cluster.runFor(std::chrono::seconds(5));
+    Cluster.confirm(0, changeOf(0, 0));
+    Cluster.runFor(std::chrono::seconds(5));
+    const auto ShareOver = [&Cluster](Duration Length) {
+      Cluster.m_Usage = {};
+      Cluster.runFor(Length);
+      return 100.0 * static_cast<double>(Cluster.m_Usage.m_RefusingSamples) /
+             static_cast<double>(Cluster.m_Usage.m_Samples);
+    };
+    Fault(Cluster);
+    const double First = ShareOver(std::chrono::seconds(10));
+    const double Rest = ShareOver(std::chrono::seconds(50));
+    Repair(Cluster);
+    const double After = ShareOver(std::chrono::seconds(10));
+    Cluster.requireConverged();
+    std::cerr << fmt::format("cost: {} with {} nodes: refusing {:.2f}% in the "
+                             "first 10 s, {:.2f}% in the next 50 s, {:.2f}% "
+                             "in the 10 s after",
+                             Name, Nodes, First, Rest, After)
+              << std::endl;
+  }
+}
+
+} // namespace
+
+/// Prints the figures of docs/decisions/configuration.md. The sizes 90 and 900
+/// run with FULMARWINCH_FIGURES=1 only.
+class FiguresTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FiguresTest);
+  CPPUNIT_TEST(changesReachEveryNodeInTime);
+  CPPUNIT_TEST(costInRefusedRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+  static bool isFullRun() { return std::getenv("FULMARWINCH_FIGURES"); }
+
+  /// Guards the bounds in simulated time: 5 s at today's size and 19 s at the
+  /// target size until a change is in force everywhere, 4 KB/s per node, and
+  /// no refusal without a fault.
+  void changesReachEveryNodeInTime() {
+    constexpr Duration WatchTimeout = std::chrono::milliseconds(250);
+    std::vector<std::size_t> Sizes{9};
+    if (isFullRun())
+      Sizes = {9, 90, 900};
+    for (const std::size_t Nodes : Sizes) {
+      const Figures Result = measure(Nodes, WatchTimeout);
+      CPPUNIT_ASSERT(Result.m_LastSpread < (Nodes < 10 ? 5.0 : 19.0));
+      CPPUNIT_ASSERT(Result.m_BytesPerSecond < 4096);
+      CPPUNIT_ASSERT_EQUAL(0.0, Result.m_RefusingShare);
+    }
+    if (isFullRun())
+      for (const std::size_t Nodes : Sizes)
+        measure(Nodes, std::chrono::seconds(1));
+  }
+
+  void costInRefusedRequests() {
+    if (!isFullRun())
+      return;
+    measureFault(
+        "store outage",
+        [](ConfigurationCluster &Cluster) { Cluster.store().m_Outage = true; },
+        [](ConfigurationCluster &Cluster) {
+          Cluster.store().m_Outage = false;
+        });
+    measureFault(
+        "one of three zones partitioned",
+        [](ConfigurationCluster &Cluster) {
+          for (std::size_t Node = 2; Node < Cluster.nodeCount(); Node += 3)
+            Cluster.setIsland(Node, 1);
+        },
+        [](ConfigurationCluster &Cluster) { Cluster.heal(); });
+    measureFault(
+        "one node replaced",
+        [](ConfigurationCluster &Cluster) {
+          Cluster.stop(4);
+          Cluster.start(4);
+        },
+        [](ConfigurationCluster &) {});
+    measureFault(
+        "all nodes replaced",
+        [](ConfigurationCluster &Cluster) {
+          for (std::size_t Node = 0; Node < Cluster.nodeCount(); ++Node)
+            Cluster.stop(Node);
+          for (std::size_t Node = 0; Node < Cluster.nodeCount(); ++Node)
+            Cluster.start(Node);
+        },
+        [](ConfigurationCluster &) {});
+    measureFault(
+        "one node replaced in a store outage",
+        [](ConfigurationCluster &Cluster) {
+          Cluster.store().m_Outage = true;
+          Cluster.runFor(std::chrono::seconds(20));
+          Cluster.stop(4);
+          Cluster.start(4);
+        },
+        [](ConfigurationCluster &Cluster) {
+          Cluster.store().m_Outage = false;
+        });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FiguresTest);
+
+} // namespace fulmarwinch
