--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -21,9 +21,9 @@
 constexpr std::array<double, 4> Quantiles{0.5, 0.9, 0.95, 0.99};
 
 using Summary = accumulators::accumulator_set<
-    double, accumulators::stats<accumulators::tag::count,
-                                accumulators::tag::sum,
-                                accumulators::tag::extended_p_square>>;
+    double,
+    accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
+                        accumulators::tag::extended_p_square>>;
 
 /// Splits `name{labels}` so that a suffix or another label can be added.
 struct MetricName {
@@ -44,10 +44,10 @@
   const std::string Separator = Parts.m_Labels.empty() ? "" : ",";
   std::string Text;
   for (std::size_t Index = 0; Index < Quantiles.size(); ++Index)
-    Text += fmt::format("fulmarwinch_{}{{{}{}quantile=\"{}\"}} {}\n",
-                        Parts.m_Base, Parts.m_Labels, Separator,
-                        Quantiles[Index],
-                        accumulators::extended_p_square(Values)[Index]);
+    Text +=
+        fmt::format("fulmarwinch_{}{{{}{}quantile=\"{}\"}} {}\n", Parts.m_Base,
+                    Parts.m_Labels, Separator, Quantiles[Index],
+                    accumulators::extended_p_square(Values)[Index]);
   const std::string Labels =
       Parts.m_Labels.empty() ? "" : fmt::format("{{{}}}", Parts.m_Labels);
   Text += fmt::format("fulmarwinch_{}_count{} {}\n", Parts.m_Base, Labels,
--- a/core/object_store.h
+++ b/core/object_store.h
@@ -31,7 +31,7 @@
 };
 
 /// Answer to ListKeys. A watch that starts from m_Revision misses no change.
-struct ListCompleted {
+struct KeysListed {
   /// Applied or Unavailable.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
   std::uint64_t m_Revision = 0;
@@ -49,7 +49,7 @@
 };
 
 /// Answer to WatchKeys. It has no events if the time passed without a change.
-struct WatchCompleted {
+struct KeysWatched {
   /// Applied, Unavailable, or NotFound if the platform no longer retains the
   /// changes since m_Since, so that the caller has to list again.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
@@ -57,11 +57,11 @@
   std::vector<StoreKey> m_Events;
 };
 
-enum class VmState { Live, Leaving };
+enum class ListedVmState { Live, Leaving };
 
-inline constexpr std::array<EnumName<VmState>, 2> VmStateNames{{
-    {VmState::Live, "live"},
-    {VmState::Leaving, "leaving"},
+inline constexpr std::array<EnumName<ListedVmState>, 2> ListedVmStateNames{{
+    {ListedVmState::Live, "live"},
+    {ListedVmState::Leaving, "leaving"},
 }};
 
 /// One row of the platform's VM list.
@@ -70,12 +70,12 @@
   std::string m_Address;
   std::string m_Zone;
   std::string m_Domain;
-  VmState m_State = VmState::Live;
+  ListedVmState m_State = ListedVmState::Live;
   std::uint64_t m_Incarnation = 0;
 };
 
 /// Answer to listVms().
-struct VmsCompleted {
+struct VmsListed {
   /// Applied or Unavailable.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
   std::vector<PlatformVm> m_Vms;
@@ -94,12 +94,12 @@
                      std::function<void(StoreCompletion)> Done) = 0;
 
   virtual void list(const ListKeys &Request,
-                    std::function<void(ListCompleted)> Done) = 0;
+                    std::function<void(KeysListed)> Done) = 0;
 
   virtual void watch(const WatchKeys &Request,
-                     std::function<void(WatchCompleted)> Done) = 0;
+                     std::function<void(KeysWatched)> Done) = 0;
 
-  virtual void listVms(std::function<void(VmsCompleted)> Done) = 0;
+  virtual void listVms(std::function<void(VmsListed)> Done) = 0;
 };
 
 } // namespace fulmarwinch
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -79,8 +79,8 @@
   Vm.m_Zone = memberOr(Row, "zone", std::string());
   Vm.m_Domain = memberOr(Row, "domain", std::string());
   // A state that is not known must not attract new work.
-  Vm.m_State = valueOf(VmStateNames, memberOr(Row, "state", std::string()))
-                   .value_or(VmState::Leaving);
+  Vm.m_State = valueOf(ListedVmStateNames, memberOr(Row, "state", std::string()))
+                   .value_or(ListedVmState::Leaving);
   Vm.m_Incarnation = memberOr(Row, "incarnation", std::uint64_t{0});
   return Vm;
 }
@@ -178,7 +178,7 @@
 }
 
 void HttpObjectStore::list(const ListKeys &Request,
-                           std::function<void(ListCompleted)> Done) {
+                           std::function<void(KeysListed)> Done) {
   const std::string Url =
       fmt::format("http://{}/v1/objects?prefix={}&after={}&limit={}",
                   m_Options.m_Address, percentEncode(Request.m_Prefix),
@@ -186,7 +186,7 @@
   send(
       StoreCallKind::List, newCall("GET", Url),
       [Done = std::move(Done)](const HttpCallResult &Result, const Json &Body) {
-        ListCompleted Answer;
+        KeysListed Answer;
         if (!isSuccess(Result) || !Body.is_object())
           return Done(std::move(Answer));
         Answer.m_Outcome = StoreOutcome::Applied;
@@ -198,7 +198,7 @@
 }
 
 void HttpObjectStore::watch(const WatchKeys &Request,
-                            std::function<void(WatchCompleted)> Done) {
+                            std::function<void(KeysWatched)> Done) {
   const auto TimeoutMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Request.m_Timeout);
   HttpCall Call = newCall(
@@ -209,7 +209,7 @@
   send(
       StoreCallKind::Watch, std::move(Call),
       [Done = std::move(Done)](const HttpCallResult &Result, const Json &Body) {
-        WatchCompleted Answer;
+        KeysWatched Answer;
         if (Result.m_Complete && Result.m_Status == StatusGone)
           Answer.m_Outcome = StoreOutcome::NotFound;
         if (!isSuccess(Result) || !Body.is_object())
@@ -221,12 +221,12 @@
       });
 }
 
-void HttpObjectStore::listVms(std::function<void(VmsCompleted)> Done) {
+void HttpObjectStore::listVms(std::function<void(VmsListed)> Done) {
   send(
       StoreCallKind::Vms,
       newCall("GET", fmt::format("http://{}/v1/vms", m_Options.m_Address)),
       [Done = std::move(Done)](const HttpCallResult &Result, const Json &Body) {
-        VmsCompleted Answer;
+        VmsListed Answer;
         if (!isSuccess(Result) || !Body.is_array())
           return Done(std::move(Answer));
         Answer.m_Outcome = StoreOutcome::Applied;
--- a/drivers/platform/http_object_store.h
+++ b/drivers/platform/http_object_store.h
@@ -41,10 +41,10 @@
   void start(StoreAction Action,
              std::function<void(StoreCompletion)> Done) override;
   void list(const ListKeys &Request,
-            std::function<void(ListCompleted)> Done) override;
+            std::function<void(KeysListed)> Done) override;
   void watch(const WatchKeys &Request,
-             std::function<void(WatchCompleted)> Done) override;
-  void listVms(std::function<void(VmsCompleted)> Done) override;
+             std::function<void(KeysWatched)> Done) override;
+  void listVms(std::function<void(VmsListed)> Done) override;
 
   /// Returns how many calls of \p Kind were started.
   std::uint64_t callCount(StoreCallKind Kind) const;
--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -50,8 +50,7 @@
     finish();
     return true;
   }
-  absl::StatusOr<RouteDecision> Decision =
-      m_Path.route(m_Request.m_Route, Now);
+  absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
   if (!Decision.ok() && m_ResponseStarted &&
       !m_Request.m_Route.m_Excluded.empty()) {
     // A group that failed once is still better than an incomplete response.
@@ -189,8 +188,7 @@
   Chunk.m_Attempt = m_Attempt.m_Number;
   // An engine that does not number its tokens sends them in order.
   Chunk.m_Index = memberOr<std::uint64_t>(
-      Event, "fulmarwinch_index",
-      m_Attempt.m_FirstIndex + m_Attempt.m_Tokens);
+      Event, "fulmarwinch_index", m_Attempt.m_FirstIndex + m_Attempt.m_Tokens);
   Chunk.m_Payload = Data;
   if (Event.contains("choices") && Event["choices"].is_array() &&
       !Event["choices"].empty())
@@ -208,10 +206,9 @@
 void ChatRelay::deliver(const std::string &Payload) {
   if (!m_ResponseStarted) {
     m_ResponseStarted = true;
-    m_Path.metrics().observe(
-        "first_token_seconds",
-        toSeconds(std::chrono::duration_cast<Duration>(
-            monotonicNow() - m_Request.m_ArrivedAt)));
+    m_Path.metrics().observe("first_token_seconds",
+                             toSeconds(std::chrono::duration_cast<Duration>(
+                                 monotonicNow() - m_Request.m_ArrivedAt)));
     m_Request.m_Exchange->startStream(
         200, {{"Content-Type", "text/event-stream"},
               {"Cache-Control", "no-cache"},
@@ -278,7 +275,7 @@
       Poison.onEnded(Hash, Group);
   });
   if (Success)
-    m_Path.outliers().onSuccess(Group, m_Request.m_Route.m_Class);
+    m_Path.outliers().onSuccess(Group, m_Request.m_Route.m_Class, Now);
   else if (!Result.m_Cancelled)
     m_Path.outliers().onFailure(Group, m_Request.m_Route.m_Class, Now);
   if (LostConnection)
@@ -310,8 +307,7 @@
   State.m_Resumable = m_Request.m_IsStream;
   // Completions change nothing outside the engine, so they may be repeated
   // even after a refusal that counts as run.
-  const Outcome Counted =
-      Result == Outcome::Ran ? Outcome::Unknown : Result;
+  const Outcome Counted = Result == Outcome::Ran ? Outcome::Unknown : Result;
   const RetryAction Action = chooseRetry(Counted, State);
   const bool IsResume = Action == RetryAction::ResumeElsewhere;
   // A resumed stream needs no budget: such streams are bounded by the
@@ -323,10 +319,10 @@
     if (!m_ResponseStarted && m_Attempt.m_Status >= 400)
       answerWhole();
     else
-      answerError(upstreamError(fmt::format(
-                      "group {} did not complete the response",
-                      m_Attempt.m_Decision.m_View->m_Group)),
-                  Result, RetryAfterFailure);
+      answerError(
+          upstreamError(fmt::format("group {} did not complete the response",
+                                    m_Attempt.m_Decision.m_View->m_Group)),
+          Result, RetryAfterFailure);
     return NextStep::None;
   }
   m_Request.m_Route.m_Excluded.insert(m_Attempt.m_Decision.m_View->m_Group);
@@ -345,8 +341,9 @@
                                : m_Limits.m_TokenTimeout;
     const auto Silence = Now - m_Attempt.m_LastTokenAt;
     const bool IsSilent = m_Request.m_IsStream && Silence > Limit;
-    const bool IsWithdrawn = Silence > m_Limits.m_WithdrawnTimeout &&
-                             !m_Path.isServing(*m_Attempt.m_Decision.m_View, Now);
+    const bool IsWithdrawn =
+        Silence > m_Limits.m_WithdrawnTimeout &&
+        !m_Path.isServing(*m_Attempt.m_Decision.m_View, Now);
     if (!IsSilent && !IsWithdrawn)
       return;
     moveElsewhere(Now);
@@ -366,8 +363,9 @@
   closeAttempt();
   m_Path.metrics().count("moved_requests_total");
   if (m_Attempts >= m_Limits.m_MaxAttempts) {
-    answerError(upstreamError(fmt::format("group {} stopped responding", Group)),
-                Outcome::Unknown, RetryAfterFailure);
+    answerError(
+        upstreamError(fmt::format("group {} stopped responding", Group)),
+        Outcome::Unknown, RetryAfterFailure);
     return;
   }
   m_Request.m_Route.m_Excluded.insert(Group);
@@ -387,9 +385,9 @@
   Response.m_Headers = {{"Content-Type", "application/json"},
                         {"X-Request-Id", m_Request.m_RequestId}};
   Response.m_Body = std::move(m_Attempt.m_Body);
-  m_Path.metrics().count(fmt::format("requests_total{{result=\"{}\"}}",
-                                     Response.m_Status == 200 ? "complete"
-                                                              : "refused"));
+  m_Path.metrics().count(
+      fmt::format("requests_total{{result=\"{}\"}}",
+                  Response.m_Status == 200 ? "complete" : "refused"));
   m_Request.m_Exchange->respond(std::move(Response));
   finish();
 }
--- a/node/control_thread.cpp
+++ b/node/control_thread.cpp
@@ -60,8 +60,8 @@
 }
 
 void ControlThread::every(Duration Period, std::function<void()> Task) {
-  const auto Periodic = std::make_shared<PeriodicTask>(
-      m_Impl->m_Context, Period, std::move(Task));
+  const auto Periodic = std::make_shared<PeriodicTask>(m_Impl->m_Context,
+                                                       Period, std::move(Task));
   post([Periodic] { Periodic->schedule(); });
 }
 
--- a/node/data_path.cpp
+++ b/node/data_path.cpp
@@ -21,9 +21,9 @@
       m_Configuration(std::make_shared<const ConfigurationInForce>()) {}
 
 void DataPath::setConfiguration(ConfigurationInForce Configuration) {
-  std::atomic_store(&m_Configuration,
-                    std::make_shared<const ConfigurationInForce>(
-                        std::move(Configuration)));
+  std::atomic_store(
+      &m_Configuration,
+      std::make_shared<const ConfigurationInForce>(std::move(Configuration)));
 }
 
 std::shared_ptr<const ConfigurationInForce> DataPath::configuration() const {
--- a/node/engine_client.cpp
+++ b/node/engine_client.cpp
@@ -26,9 +26,9 @@
   Report.m_StartId = memberOr<std::string>(Object, "start_id", "");
   Report.m_Group = memberOr<std::string>(Object, "group", "");
   Report.m_Generation = memberOr<std::uint64_t>(Object, "generation", 0);
-  Report.m_State = valueOf(EngineStateNames,
-                           memberOr<std::string>(Object, "state", ""))
-                       .value_or(EngineState::Failed);
+  Report.m_State =
+      valueOf(EngineStateNames, memberOr<std::string>(Object, "state", ""))
+          .value_or(EngineState::Failed);
   Report.m_Running = memberOr<std::uint64_t>(Object, "running", 0);
   Report.m_Waiting = memberOr<std::uint64_t>(Object, "waiting", 0);
   Status.m_Capacity = memberOr<std::uint64_t>(Object, "capacity", 1);
--- a/node/error_response.cpp
+++ b/node/error_response.cpp
@@ -42,7 +42,8 @@
       jsonResponse(httpStatus(errorKind(Error.m_Status)), errorJson(Error));
   Response.m_Headers.push_back({"X-Request-Id", Error.m_RequestId});
   if (Error.m_RetryAfter.count() > 0) {
-    const std::int64_t Seconds = (toMilliseconds(Error.m_RetryAfter) + 999) / 1000;
+    const std::int64_t Seconds =
+        (toMilliseconds(Error.m_RetryAfter) + 999) / 1000;
     Response.m_Headers.push_back({"Retry-After", fmt::format("{}", Seconds)});
   }
   return Response;
--- a/node/gateway.cpp
+++ b/node/gateway.cpp
@@ -55,8 +55,8 @@
                  HttpClient &Client, ClaimService &Claims)
     : m_Settings(Settings), m_Path(Path), m_Client(Client), m_Claims(Claims),
       m_Queue(queueSettings(Settings)),
-      m_RequestPrefix(fmt::format("{}-{:08x}", Settings.m_Node,
-                                  std::random_device{}())) {}
+      m_RequestPrefix(
+          fmt::format("{}-{:08x}", Settings.m_Node, std::random_device{}())) {}
 
 absl::Status Gateway::start() {
   HttpServerOptions Options;
@@ -86,9 +86,9 @@
   const absl::Status Result = process(Request);
   if (Result.ok())
     return;
-  m_Path.metrics().count(fmt::format(
-      "refusals_total{{kind=\"{}\"}}",
-      nameOf(ErrorKindNames, errorKind(Result))));
+  m_Path.metrics().count(
+      fmt::format("refusals_total{{kind=\"{}\"}}",
+                  nameOf(ErrorKindNames, errorKind(Result))));
   Request.m_Exchange->respond(errorHttpResponse(
       {Result, Outcome::NotRun, Request.m_RetryAfter, Request.m_RequestId}));
 }
@@ -134,8 +134,9 @@
 }
 
 absl::Status Gateway::authenticate(Context &Request) {
-  absl::StatusOr<Organisation> Found = authenticateOrganisation(
-      Request.m_Exchange->request().m_Headers, *Request.m_Configuration->m_View);
+  absl::StatusOr<Organisation> Found =
+      authenticateOrganisation(Request.m_Exchange->request().m_Headers,
+                               *Request.m_Configuration->m_View);
   if (!Found.ok())
     return Found.status();
   Request.m_Organisation = *std::move(Found);
@@ -207,15 +208,14 @@
                         {"created", 0},
                         {"owned_by", "fulmarwinch"}});
   }
-  Request.m_Exchange->respond(jsonResponse(
-      200, Json{{"object", "list"}, {"data", Models}}.dump()));
+  Request.m_Exchange->respond(
+      jsonResponse(200, Json{{"object", "list"}, {"data", Models}}.dump()));
   return absl::OkStatus();
 }
 
 absl::Status Gateway::handleCompletion(Context &Request) {
-  absl::StatusOr<CompletionRequest> Parsed =
-      parseCompletion(Request.m_Exchange->request().m_Body,
-                      *Request.m_Configuration->m_View);
+  absl::StatusOr<CompletionRequest> Parsed = parseCompletion(
+      Request.m_Exchange->request().m_Body, *Request.m_Configuration->m_View);
   if (!Parsed.ok())
     return Parsed.status();
   if (absl::Status Limit = takeRate(Request, Parsed->m_CostTokens); !Limit.ok())
@@ -246,9 +246,9 @@
   Queued.m_EnqueuedAt = Request.m_ArrivedAt;
   const std::string Deployment = Chat.m_Route.m_Deployment;
   ++m_InProgress;
-  const auto Relay = std::make_shared<ChatRelay>(
-      std::move(Chat), m_Path, m_Client, m_Queue, m_Limits,
-      [this] { --m_InProgress; });
+  const auto Relay =
+      std::make_shared<ChatRelay>(std::move(Chat), m_Path, m_Client, m_Queue,
+                                  m_Limits, [this] { --m_InProgress; });
   {
     const std::lock_guard<std::mutex> Guard(m_RelaysMutex);
     m_Relays.push_back(Relay);
--- a/node/monitor_task.cpp
+++ b/node/monitor_task.cpp
@@ -46,14 +46,14 @@
 }
 
 Json toJson(const PublishedView &View) {
-  return {{"g", View.m_Group},        {"p", View.m_Deployment},
-          {"v", View.m_Version},      {"z", View.m_Zone},
-          {"n", View.m_Generation},   {"s", View.m_Serving},
-          {"l", View.m_Leaving},      {"y", View.m_Reason},
-          {"a", View.m_HeadAddress},  {"i", View.m_StartId},
-          {"c", View.m_Cold},         {"w", View.m_WarmStartId},
-          {"h", View.m_Holder},       {"r", View.m_Running},
-          {"q", View.m_Waiting},      {"k", View.m_Capacity},
+  return {{"g", View.m_Group},       {"p", View.m_Deployment},
+          {"v", View.m_Version},     {"z", View.m_Zone},
+          {"n", View.m_Generation},  {"s", View.m_Serving},
+          {"l", View.m_Leaving},     {"y", View.m_Reason},
+          {"a", View.m_HeadAddress}, {"i", View.m_StartId},
+          {"c", View.m_Cold},        {"w", View.m_WarmStartId},
+          {"h", View.m_Holder},      {"r", View.m_Running},
+          {"q", View.m_Waiting},     {"k", View.m_Capacity},
           {"m", View.m_Members}};
 }
 
--- a/node/service_relay.cpp
+++ b/node/service_relay.cpp
@@ -48,8 +48,7 @@
                            HttpClient &Client, ClaimService &Claims,
                            std::function<void()> OnDone)
     : m_Request(std::move(Request)), m_Path(Path), m_Client(Client),
-      m_Claims(Claims), m_OnDone(std::move(OnDone)),
-      m_Backend(NextBackend++) {}
+      m_Claims(Claims), m_OnDone(std::move(OnDone)), m_Backend(NextBackend++) {}
 
 void ServiceRelay::start() {
   if (!m_Request.m_Key) {
@@ -58,8 +57,8 @@
   }
   const HttpRequest &Request = m_Request.m_Exchange->request();
   // The target is part of what must not differ under one key.
-  const std::string Content = fmt::format(
-      "{} {}\n{}", Request.m_Method, m_Request.m_Target, Request.m_Body);
+  const std::string Content = fmt::format("{} {}\n{}", Request.m_Method,
+                                          m_Request.m_Target, Request.m_Body);
   m_Claims.claim(*m_Request.m_Key, m_Request.m_Organisation, Content,
                  [Self = shared_from_this()](ClaimResult Result) {
                    Self->onClaim(std::move(Result));
@@ -88,8 +87,8 @@
     return;
   }
   const ErrorResponse Error{claimStatus(Result.m_Kind),
-                            outcomeOf(Result.m_Kind),
-                            retryAfter(Result.m_Kind), m_Request.m_RequestId};
+                            outcomeOf(Result.m_Kind), retryAfter(Result.m_Kind),
+                            m_Request.m_RequestId};
   m_Path.metrics().count(
       fmt::format("claims_total{{result=\"{}\"}}",
                   nameOf(ClaimResultKindNames, Result.m_Kind)));
@@ -165,15 +164,16 @@
     return;
   }
   answerError(
-      makeError(ErrorKind::UpstreamFailed,
-                fmt::format("service {} did not complete the response: {}",
-                            m_Request.m_Service.m_Name,
-                            Result.m_Error.empty()
-                                ? fmt::format("status {}", Result.m_Status)
-                                : Result.m_Error),
-                Ended == Outcome::NotRun
-                    ? "the request was not run, send it again"
-                    : "the request may have run; check before sending it again"),
+      makeError(
+          ErrorKind::UpstreamFailed,
+          fmt::format("service {} did not complete the response: {}",
+                      m_Request.m_Service.m_Name,
+                      Result.m_Error.empty()
+                          ? fmt::format("status {}", Result.m_Status)
+                          : Result.m_Error),
+          Ended == Outcome::NotRun
+              ? "the request was not run, send it again"
+              : "the request may have run; check before sending it again"),
       Ended);
 }
 
--- a/node/sse_parser.h
+++ b/node/sse_parser.h
@@ -13,7 +13,10 @@
 class SseParser {
 public:
   /// \p MaxEventBytes bounds the memory of one unfinished event.
-  explicit SseParser(std::size_t MaxEventBytes = 1U << 20U)
+  static constexpr std::size_t DefaultMaxEventBytes = 1U << 20U;
+
+  SseParser() = default;
+  explicit SseParser(std::size_t MaxEventBytes)
       : m_MaxEventBytes(MaxEventBytes) {}
 
   /// Takes the next bytes and returns the data of the events that ended.
@@ -26,7 +29,7 @@
 private:
   void acceptLine(std::string_view Line, std::vector<std::string> &Events);
 
-  std::size_t m_MaxEventBytes;
+  std::size_t m_MaxEventBytes = DefaultMaxEventBytes;
   std::string m_Line;
   std::string m_Data;
   bool m_HasData = false;
--- a/servers/lease/lease_manager.cpp
+++ b/servers/lease/lease_manager.cpp
@@ -124,6 +124,11 @@
   return Found != nullptr ? Found->m_Lease.epoch() : 0;
 }
 
+MonotonicTime LeaseManager::heldUntil(std::string_view Shard) const {
+  const Entry *Found = find(Shard);
+  return Found ? Found->m_Lease.heldUntil() : MonotonicTime{};
+}
+
 std::vector<std::string> LeaseManager::heldShards(MonotonicTime Now) const {
   std::vector<std::string> Shards;
   for (const Entry &Current : m_Entries)
--- a/servers/lease/lease_manager.h
+++ b/servers/lease/lease_manager.h
@@ -36,6 +36,9 @@
   bool isHeld(std::string_view Shard, MonotonicTime Now) const;
   /// Epoch of the shard's last lease of this process; 0 if it had none.
   std::uint64_t epoch(std::string_view Shard) const;
+  /// End of the shard's lease by this process's clock; meaningful while
+  /// isHeld().
+  MonotonicTime heldUntil(std::string_view Shard) const;
   std::vector<std::string> heldShards(MonotonicTime Now) const;
   /// Shard that is responsible for the fabric domain \p Domain.
   std::string shardOfDomain(std::string_view Domain) const;
--- a/servers/lease/shard_lease.h
+++ b/servers/lease/shard_lease.h
@@ -46,6 +46,8 @@
   /// True if the next call keeps a lease rather than challenging for one.
   bool isOwner() const { return m_Mine; }
   std::uint64_t epoch() const { return m_HeldEpoch; }
+  /// End of the lease by this process's clock; meaningful while isHeld().
+  MonotonicTime heldUntil() const { return m_HeldUntil; }
   const std::string &shard() const { return m_Shard; }
 
 private:
--- a/tests/drivers/platform/test_http_object_store.cpp
+++ b/tests/drivers/platform/test_http_object_store.cpp
@@ -116,13 +116,13 @@
 
   /// Guards against a waiting watch that is not woken, or woken by others.
   void watchNamesTheChangedKey() {
-    std::promise<WatchCompleted> Done;
+    std::promise<KeysWatched> Done;
     m_Store.watch(
         {"lease/", 0, std::chrono::seconds(30)},
-        [&Done](const WatchCompleted &Answer) { Done.set_value(Answer); });
+        [&Done](const KeysWatched &Answer) { Done.set_value(Answer); });
     put("plan/1", 0, "x");
     const ObjectVersion Version = put("lease/1", 0, "x").m_Version;
-    const WatchCompleted Answer = Done.get_future().get();
+    const KeysWatched Answer = Done.get_future().get();
     CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Applied);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Answer.m_Events.size());
     CPPUNIT_ASSERT_EQUAL(std::string("lease/1"), Answer.m_Events[0].m_Key);
@@ -132,7 +132,7 @@
 
   /// Guards against a quiet watch that is taken for an outage.
   void watchEndsWithoutChange() {
-    const WatchCompleted Answer = watch("a", 0, std::chrono::milliseconds(20));
+    const KeysWatched Answer = watch("a", 0, std::chrono::milliseconds(20));
     CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Applied);
     CPPUNIT_ASSERT(Answer.m_Events.empty());
   }
@@ -151,10 +151,10 @@
   void listsInPages() {
     for (const char *Key : {"a/1", "a/2", "a/3", "b/1"})
       put(Key, 0, "x");
-    const ListCompleted First = list("a/", "", 2);
+    const KeysListed First = list("a/", "", 2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, First.m_Keys.size());
     CPPUNIT_ASSERT(First.m_HasMore);
-    const ListCompleted Rest = list("a/", First.m_Keys.back().m_Key, 2);
+    const KeysListed Rest = list("a/", First.m_Keys.back().m_Key, 2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Rest.m_Keys.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a/3"), Rest.m_Keys[0].m_Key);
     CPPUNIT_ASSERT(!Rest.m_HasMore);
@@ -170,7 +170,7 @@
                         {"vms", {{{"vm", "a1"}, {"state", "leaving"}}}}});
     CPPUNIT_ASSERT(vms().m_Vms.empty());
     m_Platform.control({{"vm_lag_ms", 0}});
-    CPPUNIT_ASSERT(vms().m_Vms[0].m_State == VmState::Leaving);
+    CPPUNIT_ASSERT(vms().m_Vms[0].m_State == ListedVmState::Leaving);
   }
 
 private:
@@ -209,28 +209,28 @@
     return run<GetCompleted>(m_Store, GetObject{7, Key});
   }
 
-  ListCompleted list(const std::string &Prefix, const std::string &After,
+  KeysListed list(const std::string &Prefix, const std::string &After,
                      std::size_t Limit) {
-    std::promise<ListCompleted> Done;
-    m_Store.list({Prefix, After, Limit}, [&Done](const ListCompleted &Answer) {
+    std::promise<KeysListed> Done;
+    m_Store.list({Prefix, After, Limit}, [&Done](const KeysListed &Answer) {
       Done.set_value(Answer);
     });
     return Done.get_future().get();
   }
 
-  WatchCompleted watch(const std::string &Prefix, std::uint64_t Since,
+  KeysWatched watch(const std::string &Prefix, std::uint64_t Since,
                        Duration Timeout) {
-    std::promise<WatchCompleted> Done;
+    std::promise<KeysWatched> Done;
     m_Store.watch(
         {Prefix, Since, Timeout},
-        [&Done](const WatchCompleted &Answer) { Done.set_value(Answer); });
+        [&Done](const KeysWatched &Answer) { Done.set_value(Answer); });
     return Done.get_future().get();
   }
 
-  VmsCompleted vms() {
-    std::promise<VmsCompleted> Done;
+  VmsListed vms() {
+    std::promise<VmsListed> Done;
     m_Store.listVms(
-        [&Done](const VmsCompleted &Answer) { Done.set_value(Answer); });
+        [&Done](const VmsListed &Answer) { Done.set_value(Answer); });
     return Done.get_future().get();
   }
 
