--- a/node/group_monitor.cpp
+++ b/node/group_monitor.cpp
@@ -36,8 +36,7 @@
   if (Domain.empty() || !Message.contains("t") || !Message["t"].is_array())
     return;
   DomainVersion &Known = m_Domains[Domain];
-  if (std::tie(Generation, Epoch) <
-      std::tie(Known.m_Generation, Known.m_Epoch))
+  if (std::tie(Generation, Epoch) < std::tie(Known.m_Generation, Known.m_Epoch))
     return;
   Known = {Epoch, Generation};
   std::set<std::string> Listed;
@@ -92,19 +91,20 @@
     if (IsPolled || Member.m_Address.empty())
       continue;
     IsPolled = true;
-    m_Engines.poll(Member.m_Address, [this, Id, Vm = Member.m_Vm](
-                                         const EngineStatus &Status) {
-      const auto Found = m_Groups.find(Id);
-      if (Found == m_Groups.end())
-        return;
-      const bool WasReachable =
-          Found->second.m_Statuses[Vm].m_Report.m_Reachable;
-      Found->second.m_Statuses[Vm] = Status;
-      Found->second.m_IsPolled[Vm] = false;
-      // A member that went missing is told at once, not at the next tick.
-      if (WasReachable && !Status.m_Report.m_Reachable)
-        publish(Found->second, monotonicNow());
-    });
+    m_Engines.poll(Member.m_Address,
+                   [this, Id, Vm = Member.m_Vm](const EngineStatus &Status) {
+                     const auto Found = m_Groups.find(Id);
+                     if (Found == m_Groups.end())
+                       return;
+                     const bool WasReachable =
+                         Found->second.m_Statuses[Vm].m_Report.m_Reachable;
+                     Found->second.m_Statuses[Vm] = Status;
+                     Found->second.m_IsPolled[Vm] = false;
+                     // A member that went missing is told at once, not at the
+                     // next tick.
+                     if (WasReachable && !Status.m_Report.m_Reachable)
+                       publish(Found->second, monotonicNow());
+                   });
   }
 }
 
--- /dev/null
+++ b/node/node.cpp
@@ -0,0 +1,232 @@
+#include "node/node.h"
+
+#include "core/log.h"
+#include "drivers/platform/http_object_store.h"
+#include "node/claim_service.h"
+#include "node/configuration_service.h"
+#include "node/data_path.h"
+#include "node/engine_client.h"
+#include "node/gateway.h"
+#include "node/group_control.h"
+#include "node/group_monitor.h"
+#include "node/operator_api.h"
+#include "node/peer_service.h"
+#include "node/slot_client.h"
+#include "node/slot_codec.h"
+#include "node/view_receiver.h"
+
+#include "fmt/format.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr Duration GatewayPeriod = std::chrono::milliseconds(5);
+constexpr Duration ClaimPeriod = std::chrono::milliseconds(2);
+constexpr Duration ConfigurationPeriod = std::chrono::milliseconds(50);
+constexpr Duration LeasePeriod = std::chrono::milliseconds(100);
+constexpr Duration GroupPeriod = std::chrono::milliseconds(250);
+constexpr Duration VmListPeriod = std::chrono::seconds(2);
+constexpr Duration ShutdownPoll = std::chrono::milliseconds(20);
+/// Longest wait for leases, claims and audit records at a shutdown.
+constexpr Duration ReleaseTimeout = std::chrono::seconds(5);
+
+/// Differs for every start of the process, so that a restarted node never
+/// takes a write of its former self for its own.
+std::string writerId(const NodeSettings &Settings) {
+  std::random_device Device;
+  return fmt::format("{}.{:08x}{:08x}", Settings.m_Node, Device(), Device());
+}
+
+std::unique_ptr<SelectionStrategy> defaultStrategy() {
+  return std::move(makeStrategy("affinity", SelectionSettings{}).value());
+}
+
+} // namespace
+
+struct Node::Impl {
+  explicit Impl(const NodeSettings &Settings);
+
+  void connectChannels();
+  void startTimers();
+  void onSlots(const std::string &From, const Json &Message);
+  void waitForWork();
+  bool waitUntil(Duration Limit, const std::function<bool()> &IsReached) const;
+  bool isReleased();
+
+  const NodeSettings m_Settings;
+  const std::string m_Writer;
+  std::atomic<bool> m_IsStopping{false};
+  Metrics m_Metrics;
+  HttpClient m_DataClient{2};
+  HttpClient m_ControlClient{1};
+  ControlThread m_Control;
+  ControlThread m_DataTimer;
+  HttpObjectStore m_Store;
+  DataPath m_Path;
+  PeerService m_Peers;
+  EngineClient m_Engines;
+  ClaimService m_Claims;
+  Gateway m_Gateway;
+  ViewReceiver m_Views;
+  GroupMonitor m_Monitor;
+  GroupControl m_Groups;
+  ConfigurationService m_Configuration;
+  SlotClient m_Slots;
+  OperatorApi m_Operators;
+};
+
+Node::Impl::Impl(const NodeSettings &Settings)
+    : m_Settings(Settings), m_Writer(writerId(Settings)),
+      m_Store({toText(Settings.m_PlatformEndpoint)}, m_ControlClient),
+      m_Path(m_Writer, defaultStrategy(), m_Metrics),
+      m_Peers(m_Settings, m_Control), m_Engines(m_ControlClient, m_Control),
+      m_Claims(m_Writer, m_Store,
+               // A writer that is not known to be dead may still run its claim.
+               [](const std::string &) { return true; }),
+      m_Gateway(m_Settings, m_Path, m_DataClient, m_Claims),
+      m_Views(m_Path, Settings.m_Zone), m_Monitor(m_Peers, m_Engines),
+      m_Groups(m_Settings, m_Writer, m_Store, m_Control, m_Peers, m_Engines,
+               m_Metrics),
+      m_Configuration(m_Settings, m_Store, m_Control, m_Peers, m_Path,
+                      [this](ConfigurationView::Pointer View) {
+                        m_Groups.setConfiguration(std::move(View));
+                      }),
+      m_Slots(m_Path, m_Peers, m_Views, [this] { return m_Gateway.waiting(); }),
+      m_Operators({m_Settings, m_Store, m_Control, m_Peers, m_Configuration,
+                   m_Groups, m_Views, m_Metrics,
+                   [this] {
+                     return !m_IsStopping &&
+                            m_Path.configuration()->m_MayAcceptNewWork;
+                   }},
+                  m_Writer) {}
+
+void Node::Impl::connectChannels() {
+  m_Peers.onChannel(PeerChannel::Views,
+                    [this](const std::string &, const Json &Message) {
+                      if (const auto View = parsePublishedView(Message))
+                        m_Views.onView(*View, monotonicNow());
+                    });
+  m_Peers.onChannel(PeerChannel::Tasks,
+                    [this](const std::string &, const Json &Message) {
+                      m_Monitor.onTasks(Message);
+                    });
+  m_Peers.onChannel(PeerChannel::Slots,
+                    [this](const std::string &From, const Json &Message) {
+                      onSlots(From, Message);
+                    });
+}
+
+void Node::Impl::onSlots(const std::string &From, const Json &Message) {
+  const MonotonicTime Now = monotonicNow();
+  if (const auto Request = parseSlotRequest(Message))
+    m_Groups.onSlotRequest(From, *Request, Now);
+  else if (const auto Grant = parseSlotGrant(Message))
+    m_Slots.onGrant(*Grant, Now);
+}
+
+void Node::Impl::startTimers() {
+  m_DataTimer.every(GatewayPeriod, [this] { m_Gateway.tick(monotonicNow()); });
+  m_DataTimer.every(ClaimPeriod, [this] { m_Claims.tick(monotonicNow()); });
+  m_Control.every(ConfigurationPeriod, [this] {
+    const MonotonicTime Now = monotonicNow();
+    m_Peers.tick(Now);
+    m_Configuration.tick(Now);
+    m_Operators.tick(Now);
+  });
+  m_Control.every(LeasePeriod, [this] { m_Groups.tickLeases(monotonicNow()); });
+  m_Control.every(GroupPeriod, [this] {
+    const MonotonicTime Now = monotonicNow();
+    m_Groups.tickGroups(Now);
+    m_Monitor.tick(Now);
+    m_Views.tick(Now);
+    m_Slots.tick(Now);
+    m_Metrics.setGauge("requests_in_progress",
+                       static_cast<double>(m_Gateway.inProgress()));
+    m_Metrics.setGauge("requests_waiting",
+                       static_cast<double>(m_Gateway.waiting()));
+  });
+  m_Control.every(VmListPeriod, [this] { m_Groups.tickVms(); });
+  m_Control.post([this] { m_Groups.tickVms(); });
+}
+
+bool Node::Impl::waitUntil(Duration Limit,
+                           const std::function<bool()> &IsReached) const {
+  const MonotonicTime Deadline = monotonicNow() + Limit;
+  while (!IsReached()) {
+    if (monotonicNow() >= Deadline)
+      return false;
+    std::this_thread::sleep_for(ShutdownPoll);
+  }
+  return true;
+}
+
+bool Node::Impl::isReleased() {
+  const auto Shared = std::make_shared<std::atomic<int>>(-1);
+  m_Control.post([this, Shared] {
+    *Shared = m_Groups.isStopped(monotonicNow()) && m_Operators.isAuditIdle();
+  });
+  waitUntil(std::chrono::seconds(1), [Shared] { return *Shared >= 0; });
+  return *Shared == 1 && m_Claims.isDrained();
+}
+
+Node::Node(const NodeSettings &Settings)
+    : m_Impl(std::make_unique<Impl>(Settings)) {}
+
+Node::~Node() {
+  // Threads end before the objects that their tasks use.
+  m_Impl->m_Gateway.stop();
+  m_Impl->m_Operators.stop();
+  m_Impl->m_Peers.stop();
+  m_Impl->m_DataTimer.stop();
+  m_Impl->m_Control.stop();
+}
+
+absl::Status Node::start() {
+  m_Impl->connectChannels();
+  m_Impl->m_Control.start();
+  m_Impl->m_DataTimer.start();
+  if (absl::Status Result = m_Impl->m_Peers.start(); !Result.ok())
+    return Result;
+  if (absl::Status Result = m_Impl->m_Operators.start(); !Result.ok())
+    return Result;
+  if (absl::Status Result = m_Impl->m_Gateway.start(); !Result.ok())
+    return Result;
+  m_Impl->startTimers();
+  logLine(LogLevel::Info, "node",
+          fmt::format("{} serves clients on {} and operators on {}",
+                      m_Impl->m_Settings.m_Node,
+                      toText(m_Impl->m_Settings.m_ClientEndpoint),
+                      toText(m_Impl->m_Settings.m_OperatorEndpoint)));
+  return absl::OkStatus();
+}
+
+void Node::shutDown() {
+  Impl &Parts = *m_Impl;
+  logLine(LogLevel::Info, "node", "shutting down");
+  Parts.m_IsStopping = true;
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(Parts.m_Settings.m_DrainGraceMs));
+  Parts.m_Gateway.beginShutdown();
+  const bool IsFinished = Parts.waitUntil(
+      std::chrono::milliseconds(Parts.m_Settings.m_DrainTimeoutMs),
+      [&Parts] { return Parts.m_Gateway.inProgress() == 0; });
+  if (!IsFinished)
+    logLine(LogLevel::Warning, "node",
+            fmt::format("{} requests are still in progress",
+                        Parts.m_Gateway.inProgress()));
+  Parts.m_Claims.beginShutdown();
+  Parts.m_Control.post([&Parts] { Parts.m_Groups.stop(); });
+  if (!Parts.waitUntil(ReleaseTimeout, [&Parts] { return Parts.isReleased(); }))
+    logLine(LogLevel::Warning, "node",
+            "leases, claims or audit records could not be written in time");
+  Parts.m_Control.post([&Parts] { Parts.m_Peers.leave(monotonicNow()); });
+  std::this_thread::sleep_for(ShutdownPoll * 5);
+  logLine(LogLevel::Info, "node", "stopped");
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/node/node.h
@@ -0,0 +1,34 @@
+#ifndef FULMARWINCH_NODE_NODE_H
+#define FULMARWINCH_NODE_NODE_H
+
+#include "node/node_settings.h"
+
+#include "absl/status/status.h"
+
+#include <memory>
+
+namespace fulmarwinch {
+
+/// One node: the request path, the control plane and the operator endpoints.
+class Node {
+public:
+  explicit Node(const NodeSettings &Settings);
+  ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  absl::Status start();
+
+  /// Graceful shutdown: /readyz fails first, new work is accepted for the
+  /// grace period, work in progress finishes, leases are released. Blocks
+  /// until the node has stopped.
+  void shutDown();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_NODE_NODE_H
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "servers/configuration/entry_fields.h"
+#include "servers/configuration/organisation.h"
 
 #include "absl/strings/numbers.h"
 #include "asio/ip/address.hpp"
@@ -95,9 +96,10 @@
   Value.m_ClientEndpoint = readEndpoint(Fields, "clientEndpoint");
   Value.m_OperatorEndpoint = readEndpoint(Fields, "operatorEndpoint");
   Value.m_PeerEndpoint = readEndpoint(Fields, "peerEndpoint");
-  Value.m_PlatformUrl = Fields.text("platformUrl");
+  Value.m_PlatformEndpoint = readEndpoint(Fields, "platformEndpoint");
   Value.m_Seeds = readSeeds(Fields);
   Value.m_BootstrapKeySha256 = readBootstrapKey(Fields, Object);
+  Value.m_ExpectedZones = Fields.integerOr("expectedZones", 0, 64, 0);
   Value.m_LogLevel = readLogLevel(Fields, Object);
   Value.m_HttpThreads = Fields.integerOr("httpThreads", 1, 64, 4);
   Value.m_MaxBodyBytes =
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -29,14 +29,17 @@
   Endpoint m_ClientEndpoint;
   Endpoint m_OperatorEndpoint;
   Endpoint m_PeerEndpoint;
-  /// Base URL of the platform's object API, for example
-  /// "http://10.0.0.5:7000".
-  std::string m_PlatformUrl;
+  /// The platform's object API.
+  Endpoint m_PlatformEndpoint;
   /// Peer endpoints of nodes to contact first.
   std::vector<Endpoint> m_Seeds;
   /// SHA-256 of the key that may act as an administrator while the
   /// configuration contains no operator.
   std::string m_BootstrapKeySha256;
+  /// Number of availability zones of the region, 0 if not known. It keeps
+  /// nodes that were all replaced inside a partition from taking their own
+  /// availability zone for the whole region.
+  std::int64_t m_ExpectedZones = 0;
   LogLevel m_LogLevel = LogLevel::Info;
   std::int64_t m_HttpThreads = 4;
   std::int64_t m_MaxBodyBytes = 8 << 20;
--- a/node/view_receiver.cpp
+++ b/node/view_receiver.cpp
@@ -39,11 +39,10 @@
   Group.m_Warm = IsWarm;
   if (WasServing != View.m_Serving)
     logLine(LogLevel::Info, "routing",
-            View.m_Serving
-                ? fmt::format("group {} generation {} serves", View.m_Group,
-                              View.m_Generation)
-                : fmt::format("group {} stopped: {}", View.m_Group,
-                              View.m_Reason));
+            View.m_Serving ? fmt::format("group {} generation {} serves",
+                                         View.m_Group, View.m_Generation)
+                           : fmt::format("group {} stopped: {}", View.m_Group,
+                                         View.m_Reason));
   if (!View.m_Serving) {
     m_Path.table().remove(View.m_Group);
     return;
