Fix the first end-to-end run: order role, engine priorities, error events

Cause: the first run on loopback showed order bodies without the role field and priorities as names, and error events of a failing stream were taken for tokens.

--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -178,7 +178,9 @@
   if (Data == StreamEnd)
     return;
   const Json Event = Json::parse(Data, nullptr, false);
-  if (Event.is_discarded())
+  // An engine that fails in the middle says so in an event of its own; the
+  // stream then ends without a final chunk.
+  if (!Event.is_object() || Event.contains("error"))
     return;
   if (m_Attempt.m_Tokens == 0)
     m_Attempt.m_FirstTokenTime =
--- a/node/engine_client.cpp
+++ b/node/engine_client.cpp
@@ -47,6 +47,7 @@
   }
   return {{"fence", Order.m_Fence},
           {"order", nameOf(OrderKindNames, Order.m_Order)},
+          {"role", "draining"},
           {"group", Order.m_Group},
           {"generation", Order.m_Generation},
           {"model", Order.m_Model},
--- a/node/gateway.cpp
+++ b/node/gateway.cpp
@@ -224,7 +224,8 @@
   Chat.m_Exchange = Request.m_Exchange;
   Chat.m_RequestId = Request.m_RequestId;
   Chat.m_Organisation = Request.m_Organisation.m_Name;
-  Chat.m_Priority = nameOf(PriorityNames, Request.m_Priority);
+  // Engines admit larger numbers first.
+  Chat.m_Priority = fmt::format("{}", static_cast<int>(Request.m_Priority));
   Chat.m_IsStream = Parsed->m_IsStream;
   Chat.m_ContentHash = Parsed->m_ContentHash;
   Chat.m_Route = std::move(Parsed->m_Route);
