--- a/servers/routing/group_view.cpp
+++ b/servers/routing/group_view.cpp
@@ -14,17 +14,15 @@
   const double Reported =
       static_cast<double>(Group.m_Report.m_Running + Group.m_Report.m_Waiting);
   const double Own = static_cast<double>(Group.m_OwnSinceReport);
-  // Other nodes see the same report and react like this one. How many of them
-  // send work shows in the ratio of the reported load; the number of nodes
-  // bounds it.
-  const double Ratio =
-      std::min(static_cast<double>(reportedByOthers(Group)) /
-                   (static_cast<double>(Group.m_OwnAtReport) + 1.0),
-               static_cast<double>(Sharers > 0 ? Sharers - 1 : 0));
+  // Other nodes see the same report, get equal shares of the traffic and
+  // prefer the same groups, so they are expected to send as much as this one.
+  // A ratio taken from the reported load is near zero for an idle group, which
+  // all nodes then filled at once until the next report.
+  const double Others = static_cast<double>(Sharers > 0 ? Sharers - 1 : 0);
   const double Capacity =
       std::max(1.0, static_cast<double>(Group.m_Report.m_Capacity)) *
       std::max(0.01, Group.m_Weight);
-  return (Reported + Own * (1.0 + Ratio) + Group.m_ClassFailures) / Capacity +
+  return (Reported + Own * (1.0 + Others) + Group.m_ClassFailures) / Capacity +
          Group.m_View->m_Distance;
 }
 
