--- a/tests/servers/routing/test_router.cpp
+++ b/tests/servers/routing/test_router.cpp
@@ -183,6 +183,9 @@
     A.onFailure("g", 7, Start);
     B.merge(A.records(Start), Start);
     CPPUNIT_ASSERT(B.state("g", 7, Start + seconds(9)).m_Removed);
+    // A tries the group before B does.
+    CPPUNIT_ASSERT(!A.state("g", 7, Start + seconds(11)).m_Removed);
+    CPPUNIT_ASSERT(B.state("g", 7, Start + seconds(11)).m_Removed);
     A.merge(B.records(Start), Start + seconds(5));
     CPPUNIT_ASSERT(!A.state("g", 7, Start + seconds(11)).m_Removed);
     Proven.onSuccess("g", 7, Start);
@@ -288,8 +291,11 @@
     Group.m_OwnAtReport = 9;
     Group.m_OwnSinceReport = 4;
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.64, correctedLoad(Group, 1), 1e-9);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.60 + 0.04 * (1 + 5.1),
-                                 correctedLoad(Group, 100), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.84, correctedLoad(Group, 6), 1e-9);
+    // Also for a group that was idle at its report.
+    Group.m_Report.m_Running = 0;
+    Group.m_OwnAtReport = 0;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.24, correctedLoad(Group, 6), 1e-9);
   }
 
   /// Guards against a delayed view or report that brings old state back.
