--- a/servers/configuration/configuration_replica.h
+++ b/servers/configuration/configuration_replica.h
@@ -32,7 +32,7 @@
   Duration m_PeersFirst = std::chrono::milliseconds(500);
   Duration m_AskTimeout = std::chrono::seconds(1);
   /// Changes kept for peers that lag; older ones are replaced by a snapshot.
-  std::size_t m_MaxLogBytes = 64 * 1024;
+  std::size_t m_MaxLogBytes = 65536;
   FreshnessOptions m_Freshness;
 };
 
--- a/servers/configuration/configuration_writer.h
+++ b/servers/configuration/configuration_writer.h
@@ -40,7 +40,7 @@
   Duration m_MinRetryDelay = std::chrono::milliseconds(20);
   Duration m_MaxRetryDelay = std::chrono::seconds(1);
   /// The changes in the head are moved to a snapshot above this size.
-  std::size_t m_MaxChangeBytes = 16 * 1024;
+  std::size_t m_MaxChangeBytes = 16384;
   /// Largest encoded configuration; the platform refuses more than 1 MB.
   std::size_t m_MaxObjectBytes = 1000000;
 };
