--- a/node/node.cpp
+++ b/node/node.cpp
@@ -84,7 +84,8 @@
     : m_Settings(Settings), m_Writer(writerId(Settings)),
       m_Store({toText(Settings.m_PlatformEndpoint)}, m_ControlClient),
       m_Path(m_Writer, defaultStrategy(), m_Metrics),
-      m_Peers(m_Settings, m_Control), m_Engines(m_ControlClient, m_Control),
+      m_Peers(m_Settings, m_Control, m_Metrics),
+      m_Engines(m_ControlClient, m_Control),
       m_Claims(m_Writer, m_Store,
                // A writer that is not known to be dead may still run its claim.
                [](const std::string &) { return true; }),
--- a/node/peer_service.cpp
+++ b/node/peer_service.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-PeerService::PeerService(const NodeSettings &Settings, ControlThread &Control)
-    : m_Settings(Settings), m_Control(Control),
+PeerService::PeerService(const NodeSettings &Settings, ControlThread &Control,
+                         Metrics &Figures)
+    : m_Settings(Settings), m_Control(Control), m_Metrics(Figures),
       m_Membership(selfRecord(Settings), seedAddresses(Settings),
                    std::random_device{}()),
       m_Links(linkOptions(Settings), [this](const std::string &Bytes) {
@@ -145,6 +146,10 @@
                             std::string_view Payload) {
   std::string Bytes(nameOf(PeerChannelNames, Channel));
   Bytes += Payload;
+  const std::string Labels =
+      fmt::format("{{channel=\"{}\"}}", nameOf(PeerChannelNames, Channel));
+  m_Metrics.count("peer_bytes_sent_total" + Labels, Bytes.size());
+  m_Metrics.count("peer_messages_sent_total" + Labels);
   m_Links.send(Address, std::move(Bytes));
 }
 
--- a/node/peer_service.h
+++ b/node/peer_service.h
@@ -3,6 +3,7 @@
 
 #include "core/enum_names.h"
 #include "core/json.h"
+#include "core/metrics.h"
 #include "drivers/peers/peer_links.h"
 #include "node/control_thread.h"
 #include "node/node_settings.h"
@@ -35,7 +36,8 @@
       std::function<void(const std::string &From, const Json &Message)>;
   using TopicHandler = std::function<void(const TopicReceived &Topic)>;
 
-  PeerService(const NodeSettings &Settings, ControlThread &Control);
+  PeerService(const NodeSettings &Settings, ControlThread &Control,
+              Metrics &Figures);
 
   absl::Status start();
   void stop();
@@ -66,6 +68,7 @@
 
   const NodeSettings &m_Settings;
   ControlThread &m_Control;
+  Metrics &m_Metrics;
   Membership m_Membership;
   PeerLinks m_Links;
   std::map<PeerChannel, Handler> m_Handlers;
