Test that a node's age counts from the ping

Cause: the mutation that counts from the receipt was not caught by any test, because the delays of the randomised run are short. Change: a focused test of the replica.

--- a/tests/servers/configuration/test_distribution.cpp
+++ b/tests/servers/configuration/test_distribution.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(nodesReplacedInsideAPartitionRefuse);
   CPPUNIT_TEST(watchGapAndLaggingReadAreClosed);
   CPPUNIT_TEST(delayedAnswerDoesNotLookFresh);
+  CPPUNIT_TEST(ageCountsFromThePing);
   CPPUNIT_TEST(reachableReportRefutesAnOutage);
   CPPUNIT_TEST_SUITE_END();
 
@@ -170,6 +171,17 @@
     CPPUNIT_ASSERT(Tracker.mayAcceptNewWork(At(1600)));
   }
 
+  /// Guards against an age that counts from the receipt of an answer.
+  void ageCountsFromThePing() {
+    const MonotonicTime Now{std::chrono::seconds(100)};
+    ReplicaOptions Options;
+    Options.m_Node = "n";
+    ConfigurationReplica Replica(Options, Now);
+    Replica.onAnswer("p", {0, Duration(0), {}, 2},
+                     Now - std::chrono::seconds(3), Now);
+    CPPUNIT_ASSERT(!Replica.freshness().mayAcceptNewWork(Now));
+  }
+
   /// Guards against an outage declared although one watcher reaches the
   /// store, or by fewer than half of the places.
   void reachableReportRefutesAnOutage() {
