--- a/drivers/peers/peer_links.h
+++ b/drivers/peers/peer_links.h
@@ -17,10 +17,10 @@
   std::string m_Address = "127.0.0.1";
   std::uint16_t m_Port = 0;
   /// Larger messages close the link.
-  std::size_t m_MaxMessageBytes = 256 * 1024;
+  std::size_t m_MaxMessageBytes = std::size_t(256) * 1024;
   /// A message that does not fit into the waiting bytes of its link is
   /// dropped: membership and its topics repeat what matters.
-  std::size_t m_MaxQueuedBytes = 1024 * 1024;
+  std::size_t m_MaxQueuedBytes = std::size_t(1024) * 1024;
   /// Links without traffic are closed after this time, and a connection has
   /// to be open within it. Also the link timeout of design.md, 4.3.
   Duration m_LinkTimeout = std::chrono::seconds(2);
--- a/servers/idempotency/claim_batcher.cpp
+++ b/servers/idempotency/claim_batcher.cpp
@@ -143,18 +143,18 @@
 
 std::optional<MonotonicTime> ClaimBatcher::nextDeadline() const {
   std::optional<MonotonicTime> Next;
-  const auto consider = [&Next](MonotonicTime Time) {
+  const auto Consider = [&Next](MonotonicTime Time) {
     Next = Next ? std::min(*Next, Time) : Time;
   };
   // Deadlines grow with the ID, so the first claim is the next to expire.
   if (!m_Pending.empty())
-    consider(m_Pending.begin()->second.m_Deadline);
+    Consider(m_Pending.begin()->second.m_Deadline);
   if (m_Call != Call::None || !hasWork())
     return Next;
   if (m_RetryAt)
-    consider(*m_RetryAt);
+    Consider(*m_RetryAt);
   else if (m_BatchDue)
-    consider(*m_BatchDue);
+    Consider(*m_BatchDue);
   return Next;
 }
 
--- a/servers/idempotency/claim_layout.h
+++ b/servers/idempotency/claim_layout.h
@@ -21,7 +21,7 @@
 
   /// A bucket is deleted this long after the end of its slice: one hour after
   /// the last key in it could be accepted. The hour exceeds the clock skew.
-  static constexpr UnixSeconds Retention = 25 * 3600;
+  static constexpr UnixSeconds Retention = UnixSeconds(25) * 3600;
 
   /// Returns "claims/<slice>/<bucket>".
   std::string bucketKey(UnixSeconds KeyTime, const ClaimHash &Key) const;
--- a/servers/idempotency/claim_messages.h
+++ b/servers/idempotency/claim_messages.h
@@ -90,7 +90,7 @@
   std::size_t m_MaxPending = 2000;
   /// New keys are refused when the bucket object could exceed this size; the
   /// platform refuses values over 1 MB.
-  std::size_t m_MaxObjectBytes = 900 * 1000;
+  std::size_t m_MaxObjectBytes = std::size_t(900) * 1000;
   /// Longer response bodies are cut for the record.
   std::size_t m_MaxOutcomeBytes = 512;
 };
--- a/servers/idempotency/idempotency_key.h
+++ b/servers/idempotency/idempotency_key.h
@@ -14,9 +14,9 @@
 class IdempotencyKey {
 public:
   /// A key that is older is refused, because its claim may be deleted.
-  static constexpr UnixSeconds MaxAge = 24 * 3600;
+  static constexpr UnixSeconds MaxAge = UnixSeconds(24) * 3600;
   /// Largest assumed difference between a caller's clock and a node's clock.
-  static constexpr UnixSeconds MaxAhead = 5 * 60;
+  static constexpr UnixSeconds MaxAhead = UnixSeconds(5) * 60;
   static constexpr std::size_t MaxUniqueLength = 128;
 
   static absl::StatusOr<IdempotencyKey> parse(std::string_view Text);
--- a/servers/membership/gossip_queue.cpp
+++ b/servers/membership/gossip_queue.cpp
@@ -28,8 +28,11 @@
       if (Each.m_Transmissions != Count)
         continue;
       const std::size_t Bytes = bytesOf(Each.m_Record);
-      if (Bytes > Budget)
+      if (Bytes > Budget) {
+        // Later records wait, so that the longest ones are not left behind.
+        Budget = 0;
         break;
+      }
       Budget -= Bytes;
       Taken.push_back(Each.m_Record);
       Done.push_back(Id);
