--- /dev/null
+++ b/tests/drivers/platform/test_http_object_store.cpp
@@ -0,0 +1,254 @@
+#include "drivers/platform/http_object_store.h"
+#include "drivers/standin/platform_standin.h"
+#include "tests/support/free_port.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+#include <future>
+#include <thread>
+
+namespace fulmarwinch {
+
+/// The client of the platform's API against the platform stand-in.
+class HttpObjectStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpObjectStoreTest);
+  CPPUNIT_TEST(updatesOnlyTheExpectedVersion);
+  CPPUNIT_TEST(versionGrowsOverDeletion);
+  CPPUNIT_TEST(lostAnswerIsUnknownThoughApplied);
+  CPPUNIT_TEST(lateWriteIsUnknownAndTakesEffect);
+  CPPUNIT_TEST(refusedCallsAreUnavailable);
+  CPPUNIT_TEST(refusedConnectionIsUnavailable);
+  CPPUNIT_TEST(invalidTextIsNotSent);
+  CPPUNIT_TEST(watchNamesTheChangedKey);
+  CPPUNIT_TEST(watchEndsWithoutChange);
+  CPPUNIT_TEST(watchOfLostHistoryIsNotFound);
+  CPPUNIT_TEST(listsInPages);
+  CPPUNIT_TEST(listsVmsWithLag);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { CPPUNIT_ASSERT(m_Platform.start(m_Port).ok()); }
+
+  void tearDown() override { m_Platform.stop(); }
+
+  /// Guards against two writers that both believe their update was applied.
+  void updatesOnlyTheExpectedVersion() {
+    const PutCompleted First = put("configuration/head", 0, "one");
+    CPPUNIT_ASSERT(First.m_Outcome == StoreOutcome::Applied);
+    const PutCompleted Second = put("configuration/head", 0, "two");
+    CPPUNIT_ASSERT(Second.m_Outcome == StoreOutcome::Conflict);
+    CPPUNIT_ASSERT_EQUAL(First.m_Version, Second.m_Version);
+    const GetCompleted Read = get("configuration/head");
+    CPPUNIT_ASSERT(Read.m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), Read.m_Value);
+    CPPUNIT_ASSERT_EQUAL(First.m_Version, Read.m_Version);
+    CPPUNIT_ASSERT_EQUAL(StoreCallId{7}, Read.m_Id);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         m_Store.callCount(StoreCallKind::Put));
+    CPPUNIT_ASSERT(get("configuration%2Fhead").m_Outcome ==
+                   StoreOutcome::NotFound);
+  }
+
+  /// Guards against an old conditional update that is applied to an object
+  /// which was deleted and created again.
+  void versionGrowsOverDeletion() {
+    const ObjectVersion First = put("a", 0, "1").m_Version;
+    CPPUNIT_ASSERT(remove("a", First + 1).m_Outcome == StoreOutcome::Conflict);
+    CPPUNIT_ASSERT(remove("a", First).m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT(remove("a", First).m_Outcome == StoreOutcome::NotFound);
+    CPPUNIT_ASSERT(put("a", 0, "2").m_Version > First);
+    CPPUNIT_ASSERT(put("a", First, "3").m_Outcome == StoreOutcome::Conflict);
+  }
+
+  /// Guards against a write that is reported as not carried out, or repeated,
+  /// because its answer was lost.
+  void lostAnswerIsUnknownThoughApplied() {
+    m_Platform.control({{"lose_answers", 1.0}});
+    CPPUNIT_ASSERT(put("a", 0, "1").m_Outcome == StoreOutcome::Unknown);
+    CPPUNIT_ASSERT(get("a").m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{1},
+        m_Platform.status()["counts"]["put"].get<std::uint64_t>());
+  }
+
+  /// Guards against a write that timed out and is taken for not carried out,
+  /// although the platform still carries it out later.
+  void lateWriteIsUnknownAndTakesEffect() {
+    HttpObjectStoreOptions Options = options();
+    Options.m_WriteTimeout = std::chrono::seconds(1);
+    HttpObjectStore Impatient(Options, m_Client);
+    m_Platform.control({{"slow_ms", 1500}});
+    CPPUNIT_ASSERT(put(Impatient, "a", 0, "1").m_Outcome ==
+                   StoreOutcome::Unknown);
+    m_Platform.control({{"slow_ms", 0}});
+    CPPUNIT_ASSERT(watch("a", 0, std::chrono::seconds(10)).m_Events.size() ==
+                   1);
+  }
+
+  /// Guards against a read or write that the platform refused and that is
+  /// reported as unknown, which would cost a reread and a fence.
+  void refusedCallsAreUnavailable() {
+    CPPUNIT_ASSERT(put("large", 0, std::string(1000001, 'x')).m_Outcome ==
+                   StoreOutcome::Unavailable);
+    m_Platform.control({{"outage", true}});
+    CPPUNIT_ASSERT(put("a", 0, "1").m_Outcome == StoreOutcome::Unavailable);
+    CPPUNIT_ASSERT(get("a").m_Outcome == StoreOutcome::Unavailable);
+    CPPUNIT_ASSERT(list("", "", 10).m_Outcome == StoreOutcome::Unavailable);
+    m_Platform.control({{"outage", false}, {"writes_per_s", 0.001}});
+    CPPUNIT_ASSERT(put("a", 0, "1").m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT(put("b", 0, "1").m_Outcome == StoreOutcome::Unavailable);
+    CPPUNIT_ASSERT(get("b").m_Outcome == StoreOutcome::NotFound);
+  }
+
+  /// Guards against doubt about a write of which no byte was sent.
+  void refusedConnectionIsUnavailable() {
+    m_Platform.stop();
+    CPPUNIT_ASSERT(put("a", 0, "1").m_Outcome == StoreOutcome::Unavailable);
+    CPPUNIT_ASSERT(get("a").m_Outcome == StoreOutcome::Unavailable);
+  }
+
+  /// Guards against an exception on the caller's thread for a value that JSON
+  /// cannot carry.
+  void invalidTextIsNotSent() {
+    CPPUNIT_ASSERT(put("a", 0, "\xff").m_Outcome == StoreOutcome::Unavailable);
+    CPPUNIT_ASSERT(get("a").m_Outcome == StoreOutcome::NotFound);
+  }
+
+  /// Guards against a waiting watch that is not woken, or woken by others.
+  void watchNamesTheChangedKey() {
+    const auto Done = std::make_shared<std::promise<WatchCompleted>>();
+    m_Store.watch(
+        {"lease/", 0, std::chrono::seconds(30)},
+        [Done](const WatchCompleted &Answer) { Done->set_value(Answer); });
+    while (watchesWaiting() == 0)
+      std::this_thread::yield();
+    put("plan/1", 0, "x");
+    CPPUNIT_ASSERT_EQUAL(1, watchesWaiting());
+    const ObjectVersion Version = put("lease/1", 0, "x").m_Version;
+    CPPUNIT_ASSERT_EQUAL(0, watchesWaiting());
+    const WatchCompleted Answer = Done->get_future().get();
+    CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Answer.m_Events.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("lease/1"), Answer.m_Events[0].m_Key);
+    CPPUNIT_ASSERT_EQUAL(Version, Answer.m_Events[0].m_Version);
+    CPPUNIT_ASSERT_EQUAL(Version, Answer.m_Revision);
+  }
+
+  /// Guards against a quiet watch that is taken for an outage.
+  void watchEndsWithoutChange() {
+    const WatchCompleted Answer = watch("a", 0, std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Applied);
+    CPPUNIT_ASSERT(Answer.m_Events.empty());
+  }
+
+  /// Guards against changes that are missed because the history ended.
+  void watchOfLostHistoryIsNotFound() {
+    for (int Index = 0; Index < 4; ++Index)
+      put(fmt::format("key{}", Index), 0, "x");
+    CPPUNIT_ASSERT(watch("key", 0, Duration::zero()).m_Outcome ==
+                   StoreOutcome::NotFound);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         watch("key", 1, Duration::zero()).m_Events.size());
+  }
+
+  /// Guards against keys that are missing or repeated between two pages.
+  void listsInPages() {
+    for (const char *Key : {"a/1", "a/2", "a/3", "b/1"})
+      put(Key, 0, "x");
+    const ListCompleted First = list("a/", "", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, First.m_Keys.size());
+    CPPUNIT_ASSERT(First.m_HasMore);
+    const ListCompleted Rest = list("a/", First.m_Keys.back().m_Key, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Rest.m_Keys.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a/3"), Rest.m_Keys[0].m_Key);
+    CPPUNIT_ASSERT(!Rest.m_HasMore);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Rest.m_Revision);
+  }
+
+  /// Guards against a VM list that shows changes at once in spite of its lag.
+  void listsVmsWithLag() {
+    m_Platform.control({{"vms", {{{"vm", "a1"}, {"domain", "d1"}}}}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, vms().m_Vms.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("d1"), vms().m_Vms[0].m_Domain);
+    m_Platform.control({{"vm_lag_ms", 3600000},
+                        {"vms", {{{"vm", "a1"}, {"state", "leaving"}}}}});
+    CPPUNIT_ASSERT(vms().m_Vms.empty());
+    m_Platform.control({{"vm_lag_ms", 0}});
+    CPPUNIT_ASSERT(vms().m_Vms[0].m_State == VmState::Leaving);
+  }
+
+private:
+  HttpObjectStoreOptions options() const {
+    HttpObjectStoreOptions Options;
+    Options.m_Address = fmt::format("127.0.0.1:{}", m_Port);
+    Options.m_ReadTimeout = std::chrono::seconds(30);
+    Options.m_WriteTimeout = std::chrono::seconds(30);
+    return Options;
+  }
+
+  template <typename AnswerType>
+  static AnswerType run(ObjectStore &Store, StoreAction Action) {
+    std::promise<StoreCompletion> Done;
+    Store.start(std::move(Action), [&Done](const StoreCompletion &Answer) {
+      Done.set_value(Answer);
+    });
+    return std::get<AnswerType>(Done.get_future().get());
+  }
+
+  static PutCompleted put(ObjectStore &Store, const std::string &Key,
+                          ObjectVersion Expected, const std::string &Value) {
+    return run<PutCompleted>(Store, PutObject{7, Key, Expected, Value});
+  }
+
+  PutCompleted put(const std::string &Key, ObjectVersion Expected,
+                   const std::string &Value) {
+    return put(m_Store, Key, Expected, Value);
+  }
+
+  PutCompleted remove(const std::string &Key, ObjectVersion Expected) {
+    return run<PutCompleted>(m_Store, DeleteObject{7, Key, Expected});
+  }
+
+  GetCompleted get(const std::string &Key) {
+    return run<GetCompleted>(m_Store, GetObject{7, Key});
+  }
+
+  ListCompleted list(const std::string &Prefix, const std::string &After,
+                     std::size_t Limit) {
+    std::promise<ListCompleted> Done;
+    m_Store.list({Prefix, After, Limit}, [&Done](const ListCompleted &Answer) {
+      Done.set_value(Answer);
+    });
+    return Done.get_future().get();
+  }
+
+  WatchCompleted watch(const std::string &Prefix, std::uint64_t Since,
+                       Duration Timeout) {
+    std::promise<WatchCompleted> Done;
+    m_Store.watch(
+        {Prefix, Since, Timeout},
+        [&Done](const WatchCompleted &Answer) { Done.set_value(Answer); });
+    return Done.get_future().get();
+  }
+
+  int watchesWaiting() {
+    return m_Platform.status()["watches_waiting"].get<int>();
+  }
+
+  VmsCompleted vms() {
+    std::promise<VmsCompleted> Done;
+    m_Store.listVms(
+        [&Done](const VmsCompleted &Answer) { Done.set_value(Answer); });
+    return Done.get_future().get();
+  }
+
+  const std::uint16_t m_Port = freePort();
+  PlatformStandin m_Platform{Json{{"history", 3}}};
+  HttpClient m_Client;
+  HttpObjectStore m_Store{options(), m_Client};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpObjectStoreTest);
+
+} // namespace fulmarwinch
