--- a/drivers/standin/engine_standin.cpp
+++ b/drivers/standin/engine_standin.cpp
@@ -71,10 +71,9 @@
       m_Server.start(ServerOptions, [this](const HttpExchangePtr &Exchange) {
         handle(Exchange);
       });
-  if (!Started.ok()) {
-    const std::lock_guard<std::mutex> Guard(m_Mutex);
-    m_IsUp = false;
-  }
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  m_IsUp = Started.ok();
+  m_IsListening = Started.ok();
   return Started;
 }
 
@@ -86,6 +85,7 @@
     if (!m_IsUp)
       return;
     m_IsUp = false;
+    m_IsListening = false;
     m_Counters["cut"] += m_Running.size() + m_Waiting.size();
   }
   m_Server.stop([this] {
@@ -292,8 +292,9 @@
   Json Result = m_Counters;
   Result["executions"] = m_Executions;
   Result["last_accepted_unix_ms"] = m_LastAcceptedUnixMs;
-  Result["up"] = m_IsUp;
+  Result["up"] = m_IsListening;
   Result["stalled"] = m_IsStalled;
+  Result["held"] = m_Held.size();
   Result["state"] = state();
   return Result;
 }
--- a/drivers/standin/engine_standin.h
+++ b/drivers/standin/engine_standin.h
@@ -105,6 +105,9 @@
   std::mutex m_Mutex;
   EngineOptions m_Options;
   bool m_IsUp = false;
+  /// Set after the port accepts connections, while m_IsUp is set before, so
+  /// that the first request finds a running engine.
+  bool m_IsListening = false;
   std::string m_StartId;
   /// Changes whenever pending loads and member checks become void.
   std::uint64_t m_Epoch = 0;
