--- a/main/fulmarwinch-standin/main.cpp
+++ b/main/fulmarwinch-standin/main.cpp
@@ -116,8 +116,7 @@
   configureLogging(LogLevel::Info);
   CommandLine Arguments;
   try {
-    Arguments =
-        docopt::docopt_parse(Usage, {Values + 1, Values + Count}, false);
+    Arguments = docopt::docopt_parse(Usage, {Values + 1, Values + Count}, true);
   } catch (const docopt::DocoptExitHelp &) {
     std::cout << Usage;
     return 0;
