--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -79,8 +79,9 @@
   Vm.m_Zone = memberOr(Row, "zone", std::string());
   Vm.m_Domain = memberOr(Row, "domain", std::string());
   // A state that is not known must not attract new work.
-  Vm.m_State = valueOf(ListedVmStateNames, memberOr(Row, "state", std::string()))
-                   .value_or(ListedVmState::Leaving);
+  Vm.m_State =
+      valueOf(ListedVmStateNames, memberOr(Row, "state", std::string()))
+          .value_or(ListedVmState::Leaving);
   Vm.m_Incarnation = memberOr(Row, "incarnation", std::uint64_t{0});
   return Vm;
 }
--- a/tests/drivers/platform/test_http_object_store.cpp
+++ b/tests/drivers/platform/test_http_object_store.cpp
@@ -6,6 +6,7 @@
 #include "fmt/format.h"
 
 #include <future>
+#include <thread>
 
 namespace fulmarwinch {
 
@@ -116,13 +117,17 @@
 
   /// Guards against a waiting watch that is not woken, or woken by others.
   void watchNamesTheChangedKey() {
-    std::promise<KeysWatched> Done;
+    const auto Done = std::make_shared<std::promise<KeysWatched>>();
     m_Store.watch(
         {"lease/", 0, std::chrono::seconds(30)},
-        [&Done](const KeysWatched &Answer) { Done.set_value(Answer); });
+        [Done](const KeysWatched &Answer) { Done->set_value(Answer); });
+    while (watchesWaiting() == 0)
+      std::this_thread::yield();
     put("plan/1", 0, "x");
+    CPPUNIT_ASSERT_EQUAL(1, watchesWaiting());
     const ObjectVersion Version = put("lease/1", 0, "x").m_Version;
-    const KeysWatched Answer = Done.get_future().get();
+    CPPUNIT_ASSERT_EQUAL(0, watchesWaiting());
+    const KeysWatched Answer = Done->get_future().get();
     CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Applied);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Answer.m_Events.size());
     CPPUNIT_ASSERT_EQUAL(std::string("lease/1"), Answer.m_Events[0].m_Key);
@@ -210,23 +215,26 @@
   }
 
   KeysListed list(const std::string &Prefix, const std::string &After,
-                     std::size_t Limit) {
+                  std::size_t Limit) {
     std::promise<KeysListed> Done;
-    m_Store.list({Prefix, After, Limit}, [&Done](const KeysListed &Answer) {
-      Done.set_value(Answer);
-    });
+    m_Store.list({Prefix, After, Limit},
+                 [&Done](const KeysListed &Answer) { Done.set_value(Answer); });
     return Done.get_future().get();
   }
 
   KeysWatched watch(const std::string &Prefix, std::uint64_t Since,
-                       Duration Timeout) {
+                    Duration Timeout) {
     std::promise<KeysWatched> Done;
-    m_Store.watch(
-        {Prefix, Since, Timeout},
-        [&Done](const KeysWatched &Answer) { Done.set_value(Answer); });
+    m_Store.watch({Prefix, Since, Timeout}, [&Done](const KeysWatched &Answer) {
+      Done.set_value(Answer);
+    });
     return Done.get_future().get();
   }
 
+  int watchesWaiting() {
+    return m_Platform.status()["watches_waiting"].get<int>();
+  }
+
   VmsListed vms() {
     std::promise<VmsListed> Done;
     m_Store.listVms(
