--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -127,11 +127,11 @@
                            m_Request.m_Exchange->request().m_Path);
   Call.m_Body = m_Request.m_Exchange->request().m_Body;
   Call.m_ConnectTimeout = ConnectTimeout;
-  Call.m_Headers = {
-      {"Content-Type", "application/json"},
-      {"X-Request-Id", m_Request.m_RequestId},
-      {"X-Group-Generation", fmt::format("{}", View.m_Generation)},
-      {"X-Priority", m_Request.m_Priority}};
+  Call.m_Headers = {{"Content-Type", "application/json"},
+                    {"X-Request-Id", m_Request.m_RequestId},
+                    {"X-Group-Generation",
+                     fmt::format("{}:{}", View.m_Group, View.m_Generation)},
+                    {"X-Priority", m_Request.m_Priority}};
   if (m_Splicer.nextIndex() > 0)
     Call.m_Headers.push_back(
         {"X-Resume-Offset", fmt::format("{}", m_Splicer.nextIndex())});
