--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -43,11 +43,11 @@
   const MetricName Parts = splitName(Name);
   const std::string Separator = Parts.m_Labels.empty() ? "" : ",";
   std::string Text;
-  for (std::size_t Index = 0; Index < Quantiles.size(); ++Index)
-    Text +=
-        fmt::format("fulmarwinch_{}{{{}{}quantile=\"{}\"}} {}\n", Parts.m_Base,
-                    Parts.m_Labels, Separator, Quantiles[Index],
-                    accumulators::extended_p_square(Values)[Index]);
+  for (int Index = 0; Index < static_cast<int>(Quantiles.size()); ++Index)
+    Text += fmt::format("fulmarwinch_{}{{{}{}quantile=\"{}\"}} {}\n",
+                        Parts.m_Base, Parts.m_Labels, Separator,
+                        Quantiles[static_cast<std::size_t>(Index)],
+                        accumulators::extended_p_square(Values)[Index]);
   const std::string Labels =
       Parts.m_Labels.empty() ? "" : fmt::format("{{{}}}", Parts.m_Labels);
   Text += fmt::format("fulmarwinch_{}_count{} {}\n", Parts.m_Base, Labels,
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -20,7 +20,7 @@
     const std::lock_guard<std::mutex> Guard(m_Mutex);
     const auto Found = m_Early.find(Id);
     if (Found == m_Early.end()) {
-      m_Waiting.emplace(Id, std::move(OnResult));
+      m_Waiting.emplace(Id, OnResult);
     } else {
       Early = std::move(Found->second);
       m_Early.erase(Found);
