Add the operators' command-line program

Cause: intents, plans and the status could only be reached by hand-written HTTP calls. Decisions (difference, wait, status changes, tables) are separate from the HTTP client. Not built as a whole yet; every file passes a syntax check.

--- /dev/null
+++ b/cli/cli_error.cpp
@@ -0,0 +1,47 @@
+#include "cli/cli_error.h"
+
+#include "cli/printable.h"
+#include "core/error.h"
+
+#include "fmt/format.h"
+
+namespace fulmarwinch {
+
+CliError makeCliError(ExitCode Code, std::string Message, std::string Remedy) {
+  return {Code, std::string(nameOf(ExitCodeNames, Code)), std::move(Message),
+          std::move(Remedy)};
+}
+
+CliError parseErrorBody(int HttpStatus, const std::string &Body) {
+  const absl::StatusOr<Json> Object = parseJson(Body, "the response");
+  const Json Inner = Object.ok() ? memberOr(*Object, "error", Json()) : Json();
+  CliError Error;
+  Error.m_Type = memberOr<std::string>(Inner, "type", "");
+  Error.m_Message = memberOr<std::string>(Inner, "message", "");
+  Error.m_Remedy = memberOr<std::string>(Inner, "remedy", "");
+  if (Error.m_Type.empty())
+    return makeCliError(
+        ExitCode::Failed,
+        fmt::format("the server answered with HTTP status {}", HttpStatus),
+        "check that --server names the operator endpoint of a node");
+  if (valueOf(ErrorKindNames, Error.m_Type) == ErrorKind::Conflict)
+    Error.m_Code = ExitCode::Conflict;
+  return Error;
+}
+
+std::string toText(const CliError &Error) {
+  std::string Text = fmt::format("error: {}: {}\n", printable(Error.m_Type),
+                                 printable(Error.m_Message));
+  if (!Error.m_Remedy.empty())
+    Text += fmt::format("remedy: {}\n", printable(Error.m_Remedy));
+  return Text;
+}
+
+Json toJson(const CliError &Error) {
+  return {{"error",
+           {{"type", Error.m_Type},
+            {"message", Error.m_Message},
+            {"remedy", Error.m_Remedy}}}};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/cli/printable.cpp
@@ -0,0 +1,36 @@
+#include "cli/printable.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr unsigned char FirstPrintable = 0x20;
+constexpr unsigned char Delete = 0x7f;
+constexpr unsigned char ContinuationMask = 0xc0;
+constexpr unsigned char ContinuationBits = 0x80;
+
+} // namespace
+
+std::string printable(std::string_view Text) {
+  std::string Result(Text);
+  std::replace_if(
+      Result.begin(), Result.end(),
+      [](char Byte) {
+        const auto Code = static_cast<unsigned char>(Byte);
+        return Code < FirstPrintable || Code == Delete;
+      },
+      '?');
+  return Result;
+}
+
+std::size_t displayWidth(std::string_view Text) {
+  return static_cast<std::size_t>(
+      std::count_if(Text.begin(), Text.end(), [](char Byte) {
+        return (static_cast<unsigned char>(Byte) & ContinuationMask) !=
+               ContinuationBits;
+      }));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/cli/status_text.cpp
@@ -0,0 +1,73 @@
+#include "cli/status_text.h"
+
+#include "cli/printable.h"
+#include "cli/text_table.h"
+
+#include "fmt/format.h"
+
+#include <vector>
+
+namespace fulmarwinch {
+
+namespace {
+
+std::string numberText(const Json &Object, const char *Key) {
+  return fmt::format("{}", memberOr<std::int64_t>(Object, Key, 0));
+}
+
+std::string textOf(const Json &Object, const char *Key) {
+  return memberOr<std::string>(Object, Key, "");
+}
+
+std::string groupState(const Json &Group) {
+  if (memberOr(Group, "leaving", false))
+    return "leaving";
+  if (!memberOr(Group, "serving", false))
+    return "not-serving";
+  return memberOr(Group, "warm", false) ? "serving" : "serving-cold";
+}
+
+std::size_t memberCount(const Json &Group) {
+  return memberOr(Group, "members", Json::array()).size();
+}
+
+} // namespace
+
+std::string groupTable(const Json &Status) {
+  TextTable Table({"GROUP", "DEPLOYMENT", "ZONE", "STATE", "GENERATION",
+                   "MEMBERS", "RUNNING", "WAITING", "HEAD", "REASON"});
+  for (const Json &Group : memberOr(Status, "groups", Json::array()))
+    Table.add({textOf(Group, "group"), textOf(Group, "deployment"),
+               textOf(Group, "zone"), groupState(Group),
+               numberText(Group, "generation"),
+               fmt::format("{}", memberCount(Group)),
+               numberText(Group, "running"), numberText(Group, "waiting"),
+               textOf(Group, "head"), textOf(Group, "reason")});
+  return Table.empty() ? "no groups\n" : Table.text();
+}
+
+std::string nodeTable(const Json &Status) {
+  TextTable Table({"NODE", "ZONE", "STATE", "REVISION"});
+  for (const Json &Node : memberOr(Status, "nodes", Json::array()))
+    Table.add({textOf(Node, "node"), textOf(Node, "zone"),
+               textOf(Node, "state"), numberText(Node, "revision")});
+  return Table.empty() ? "no nodes\n" : Table.text();
+}
+
+std::string statusText(const Json &Status) {
+  const std::string Node = printable(textOf(Status, "node"));
+  auto Problems = memberOr(Status, "problems", std::vector<std::string>());
+  if (!memberOr(Status, "ready", false))
+    Problems.insert(Problems.begin(),
+                    fmt::format("node {} does not accept new work", Node));
+  std::string Text = Problems.empty() ? "Nothing is wrong.\n" : "Wrong now:\n";
+  for (const std::string &Problem : Problems)
+    Text += fmt::format("  {}\n", printable(Problem));
+  Text += fmt::format("\n{}\n{}\n", groupTable(Status), nodeTable(Status));
+  Text += fmt::format("seen by node {}: configuration {} at revision {}\n",
+                      Node, printable(textOf(Status, "configuration")),
+                      numberText(Status, "revision"));
+  return Text;
+}
+
+} // namespace fulmarwinch
