--- a/cli/plan_text.cpp
+++ b/cli/plan_text.cpp
@@ -76,8 +76,13 @@
                      printable(absl::StrJoin(First, ", ")), More);
 }
 
-std::string secondsText(double Seconds) {
-  return Seconds == 0 ? "none" : fmt::format("{:.0f} group-seconds", Seconds);
+/// The node that made the plan may not know how long a group takes to load;
+/// then it reports no downtime although groups are affected.
+std::string downtimeText(const Json &Plan) {
+  const double Seconds = memberOr(Plan, "downtimeSeconds", 0.0);
+  if (Seconds > 0)
+    return fmt::format("{:.0f} group-seconds", Seconds);
+  return memberOr(Plan, "groups", Json::array()).empty() ? "none" : "not known";
 }
 
 } // namespace
@@ -110,8 +115,7 @@
   Text += namesLine("affected VMs:         ", memberOr(Plan, "vms", Names()));
   Text += fmt::format("running requests:      {}\n",
                       memberOr<std::int64_t>(Plan, "runningRequests", 0));
-  Text += fmt::format("expected downtime:     {}\n",
-                      secondsText(memberOr(Plan, "downtimeSeconds", 0.0)));
+  Text += fmt::format("expected downtime:     {}\n", downtimeText(Plan));
   Text += fmt::format("stranded accelerators: {}\n",
                       memberOr<std::int64_t>(Plan, "strandedAccelerators", 0));
   for (const std::string &Warning : memberOr(Plan, "warnings", Names()))
--- a/node/group_control.h
+++ b/node/group_control.h
@@ -37,6 +37,13 @@
   /// To be called every 2 s; reads the platform's VM list.
   void tickVms();
 
+  /// Returns the availability zone of a VM by the platform's list, empty if
+  /// the list does not name the VM.
+  std::string zoneOfVm(const std::string &Vm) const {
+    const auto Row = m_Vms.find(Vm);
+    return Row == m_Vms.end() ? "" : Row->second.m_Listed.m_Zone;
+  }
+
   void onSlotRequest(const std::string &From, const SlotRequest &Request,
                      MonotonicTime Now);
 
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -60,10 +60,8 @@
   return Seeds;
 }
 
-LogLevel readLogLevel(EntryFields &Fields, const Json &Object) {
-  if (!Object.contains("logLevel"))
-    return LogLevel::Info;
-  const std::string Text = Fields.text("logLevel");
+LogLevel readLogLevel(EntryFields &Fields) {
+  const std::string Text = Fields.textOr("logLevel", "info");
   const std::optional<LogLevel> Level = valueOf(LogLevelNames, Text);
   if (!Level)
     Fields.fail("logLevel", Text, "debug, info, warning or error",
@@ -71,12 +69,12 @@
   return Level.value_or(LogLevel::Info);
 }
 
-std::string readBootstrapKey(EntryFields &Fields, const Json &Object) {
-  if (!Object.contains("bootstrapKeySha256"))
-    return {};
-  std::string Text = Fields.text("bootstrapKeySha256");
-  if (Fields.fault().ok() && !isSha256Text(Text))
-    Fields.fail("bootstrapKeySha256", Text, "64 lower-case hexadecimal digits",
+std::string readBootstrapKey(EntryFields &Fields) {
+  std::string Text = Fields.textOr("bootstrapKeySha256", "");
+  // The found value is not shown, since it may be a key in plain text.
+  if (Fields.fault().ok() && !Text.empty() && !isSha256Text(Text))
+    Fields.fail("bootstrapKeySha256", "another text",
+                "64 lower-case hexadecimal digits",
                 "store the SHA-256 of the key, not the key");
   return Text;
 }
@@ -98,9 +96,9 @@
   Value.m_PeerEndpoint = readEndpoint(Fields, "peerEndpoint");
   Value.m_PlatformEndpoint = readEndpoint(Fields, "platformEndpoint");
   Value.m_Seeds = readSeeds(Fields);
-  Value.m_BootstrapKeySha256 = readBootstrapKey(Fields, Object);
+  Value.m_BootstrapKeySha256 = readBootstrapKey(Fields);
   Value.m_ExpectedZones = Fields.integerOr("expectedZones", 0, 64, 0);
-  Value.m_LogLevel = readLogLevel(Fields, Object);
+  Value.m_LogLevel = readLogLevel(Fields);
   Value.m_HttpThreads = Fields.integerOr("httpThreads", 1, 64, 4);
   Value.m_MaxBodyBytes =
       Fields.integerOr("maxBodyBytes", 1024, 64 << 20, Value.m_MaxBodyBytes);
--- a/node/operator_api.cpp
+++ b/node/operator_api.cpp
@@ -219,7 +219,10 @@
 
 void OperatorApi::readAssignments(std::function<void(AssignmentSummary)> Done) {
   const auto Reader = std::make_shared<AssignmentReader>();
-  Reader->m_Done = std::move(Done);
+  Reader->m_Done = [this, Done = std::move(Done)](AssignmentSummary Summary) {
+    addLiveFigures(Summary);
+    Done(std::move(Summary));
+  };
   m_Parts.m_Store.list(
       {AssignmentPrefix, "", 1000}, [this, Reader](const KeysListed &List) {
         m_Parts.m_Control.post([this, Reader, List] {
@@ -238,6 +241,17 @@
       });
 }
 
+void OperatorApi::addLiveFigures(AssignmentSummary &Summary) const {
+  for (SummaryVm &Vm : Summary.m_Vms)
+    Vm.m_Zone = m_Parts.m_Groups.zoneOfVm(Vm.m_Vm);
+  for (SummaryGroup &Group : Summary.m_Groups) {
+    const auto Known = m_Parts.m_Views.groups().find(Group.m_Group);
+    if (Known != m_Parts.m_Views.groups().end())
+      Group.m_RunningRequests =
+          static_cast<std::int64_t>(Known->second.m_View.m_Running);
+  }
+}
+
 void OperatorApi::makePlan(const Request &Call, const Json &Intent,
                            const AssignmentSummary &Assignment) {
   const PlanRequest Wanted{fmt::format("{}-{}", m_Writer, m_NextPlan++),
--- a/node/operator_api.h
+++ b/node/operator_api.h
@@ -90,6 +90,10 @@
                     const absl::Status &Result);
   void onConfirmed(const Request &Call, const PlanConfirmation &Flow);
   void readAssignments(std::function<void(AssignmentSummary)> Done);
+  /// Adds what the assignment objects do not hold: the availability zone of
+  /// each VM, without which a plan to take one out affects nothing, and the
+  /// running requests of each group.
+  void addLiveFigures(AssignmentSummary &Summary) const;
   /// Starts \p Actions and those that follow from their answers, until
   /// \p OnEvent returns none.
   void run(std::vector<StoreAction> Actions, const EventHandler &OnEvent);
--- a/servers/configuration/entry_fields.cpp
+++ b/servers/configuration/entry_fields.cpp
@@ -82,6 +82,10 @@
   return Value->get<std::string>();
 }
 
+std::string EntryFields::textOr(const char *Key, const std::string &Default) {
+  return find(Key, false, "") ? text(Key) : Default;
+}
+
 std::string EntryFields::name(const char *Key) {
   constexpr std::size_t MaxNameLength = 128;
   std::string Name = text(Key, MaxNameLength);
--- a/servers/configuration/entry_fields.h
+++ b/servers/configuration/entry_fields.h
@@ -22,6 +22,8 @@
 
   /// Reads a required text of 1 to \p MaxLength bytes.
   std::string text(const char *Key, std::size_t MaxLength = 256);
+  /// Reads an optional text of 1 to 256 bytes.
+  std::string textOr(const char *Key, const std::string &Default);
   /// Reads a required name: letters, digits, '.', '_' and '-', so that it can
   /// be part of an object key and of a URL path.
   std::string name(const char *Key);
--- /dev/null
+++ b/tests/cli/test_program.cpp
@@ -0,0 +1,271 @@
+#include "cli/program.h"
+#include "drivers/http/http_server.h"
+#include "tests/support/free_port.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr const char *ZoneBefore =
+    R"({"kind":"zone","name":"a","inService":true})";
+constexpr const char *ZoneAfter =
+    R"({"kind":"zone","name":"a","inService":false})";
+
+std::string errorBody(const char *Type) {
+  return Json{
+      {"error", {{"type", Type}, {"message", "why"}, {"remedy", "do this"}}}}
+      .dump();
+}
+
+/// Answers like the operator API of a node whose key is "secret".
+class FakeOperatorApi {
+public:
+  FakeOperatorApi() {
+    HttpServerOptions Options;
+    Options.m_Port = m_Port;
+    CPPUNIT_ASSERT(m_Server
+                       .start(Options,
+                              [this](const HttpExchangePtr &Exchange) {
+                                Exchange->respond(answer(Exchange->request()));
+                              })
+                       .ok());
+  }
+  ~FakeOperatorApi() { m_Server.stop(); }
+
+  std::string url() const { return fmt::format("http://127.0.0.1:{}", m_Port); }
+  std::string lastIntent() {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    return m_Intent;
+  }
+  bool isConfirmed() {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    return m_Confirmed;
+  }
+
+private:
+  HttpResponse answer(const HttpRequest &Request) {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    if (findHeader(Request.m_Headers, "Authorization") != "Bearer secret")
+      return jsonResponse(401, errorBody("unauthenticated"));
+    const std::string Call = Request.m_Method + " " + Request.m_Path;
+    if (Call == "POST /v1/intents") {
+      m_Intent = Request.m_Body;
+      return jsonResponse(200, plan().dump());
+    }
+    if (Call == "GET /v1/plans/p1") {
+      ++m_PlanReads;
+      return jsonResponse(200, plan().dump());
+    }
+    if (Call == "POST /v1/plans/p1/confirm") {
+      m_Confirmed = true;
+      return jsonResponse(200, R"({"plan":"p1","revision":5})");
+    }
+    if (Call == "POST /v1/plans/old/confirm")
+      return jsonResponse(409, errorBody("conflict"));
+    if (Call == "GET /v1/status")
+      return jsonResponse(200, R"({"node":"n1","ready":true})");
+    if (Call == "GET /v1/configuration")
+      return jsonResponse(
+          200, Json{{"entries",
+                     {{{"entry", Json::parse(ZoneBefore)}, {"revision", 4}}}}}
+                   .dump());
+    if (Call == "GET /v1/audit")
+      return jsonResponse(200, audit(Request).dump());
+    return jsonResponse(404, errorBody("not_found"));
+  }
+
+  /// Node n2 applies the revision between two reads of the plan.
+  Json plan() const {
+    Json Plan = {{"id", "p1"},
+                 {"accepted", m_Confirmed},
+                 {"entries", Json::array({{{"id", "zone/a"},
+                                           {"before", ZoneBefore},
+                                           {"after", ZoneAfter}}})}};
+    const bool IsLast = m_PlanReads > 2;
+    if (m_Confirmed)
+      Plan["progress"] = {
+          {"revision", 5},
+          {"applied", IsLast ? Json{"n1", "n2"} : Json{"n1"}},
+          {"notYet", IsLast ? Json::array() : Json::array({"n2"})}};
+    return Plan;
+  }
+
+  static Json audit(const HttpRequest &Request) {
+    const bool IsFirst = !queryParameter(Request, "after").has_value();
+    const Json Record = {{"who", IsFirst ? "ana" : "ben"},
+                         {"when", IsFirst ? 20 : 10}};
+    return {{"records", Json::array({Record})},
+            {"after", IsFirst ? "audit/day/page 1" : ""}};
+  }
+
+  std::uint16_t m_Port = freePort();
+  std::mutex m_Mutex;
+  std::string m_Intent;
+  bool m_Confirmed = false;
+  int m_PlanReads = 0;
+  HttpServer m_Server;
+};
+
+struct Result {
+  ExitCode m_Code;
+  std::string m_Out;
+  std::string m_Error;
+};
+
+/// Runs the program; each pause lets no time pass until \p Pauses are used up.
+Result runWith(const std::string &Server, std::vector<std::string> Words,
+               const std::string &Input = "", const std::string &Key = "secret",
+               int Pauses = 5) {
+  std::istringstream In(Input);
+  std::ostringstream Out;
+  std::ostringstream Error;
+  const EnvironmentReader Environment = [&](const char *Name) {
+    return std::string(Name) == "FULMARWINCH_KEY" ? Key : Server;
+  };
+  const CommandIo Io{In, Out, Error,
+                     [&Pauses](Duration) { return Pauses-- > 0; },
+                     [] { return MonotonicTime(); }};
+  const ExitCode Code = runProgram(Words, Environment, Io);
+  return {Code, Out.str(), Error.str()};
+}
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+/// The whole program against a server that answers like a node.
+class ProgramTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ProgramTest);
+  CPPUNIT_TEST(planAndConfirm);
+  CPPUNIT_TEST(confirmWaitsForNodes);
+  CPPUNIT_TEST(confirmThatIsNotCarriedOutFails);
+  CPPUNIT_TEST(zoneAsksBeforeItConfirms);
+  CPPUNIT_TEST(drainRemovesItsEntry);
+  CPPUNIT_TEST(auditReadsAllPagesInOrder);
+  CPPUNIT_TEST(getAndDescribe);
+  CPPUNIT_TEST(watchEndsWhenInterrupted);
+  CPPUNIT_TEST(exitCodesTellErrorsApart);
+  CPPUNIT_TEST_SUITE_END();
+
+  FakeOperatorApi m_Api;
+
+  Result run(const std::vector<std::string> &Words,
+             const std::string &Input = "") {
+    return runWith(m_Api.url(), Words, Input);
+  }
+
+  void planAndConfirm() {
+    const std::string Path =
+        fmt::format("/tmp/fulmarwinch-intent-{}.json", freePort());
+    std::ofstream(Path) << R"({"entries":[]})";
+    const Result Plan = run({"plan", Path});
+    std::remove(Path.c_str());
+    CPPUNIT_ASSERT(Plan.m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"entries":[]})"), m_Api.lastIntent());
+    CPPUNIT_ASSERT(contains(Plan.m_Out, "~ inService: true -> false"));
+    CPPUNIT_ASSERT(contains(Plan.m_Out, "fulmarwinch confirm p1\n"));
+    CPPUNIT_ASSERT(!m_Api.isConfirmed());
+    const Result Confirm = run({"confirm", "p1", "--output", "json"});
+    CPPUNIT_ASSERT(Confirm.m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT_EQUAL(5, Json::parse(Confirm.m_Out)["revision"].get<int>());
+  }
+
+  void confirmWaitsForNodes() {
+    const Result Confirm = run({"confirm", "p1", "--wait"});
+    CPPUNIT_ASSERT(Confirm.m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("plan p1 is accepted as revision 5\n"
+                    "revision 5: applied by 1 of 2 nodes, not yet by n2\n"
+                    "revision 5: applied by 2 of 2 nodes\n"),
+        Confirm.m_Out);
+  }
+
+  /// Guards against a script that goes on although a node did not follow.
+  void confirmThatIsNotCarriedOutFails() {
+    const Result Confirm =
+        runWith(m_Api.url(), {"confirm", "p1", "--wait"}, "", "secret", 0);
+    CPPUNIT_ASSERT(Confirm.m_Code == ExitCode::Failed);
+    CPPUNIT_ASSERT(contains(Confirm.m_Error, "accepted but not carried out"));
+  }
+
+  /// Guards against taking an availability zone out without consent, also
+  /// when the input is closed.
+  void zoneAsksBeforeItConfirms() {
+    for (const char *Answer : {"n\n", "", "\n", "maybe\n"}) {
+      const Result Refused = run({"zone", "out", "a"}, Answer);
+      CPPUNIT_ASSERT(Refused.m_Code == ExitCode::Failed);
+      CPPUNIT_ASSERT(!m_Api.isConfirmed());
+    }
+    CPPUNIT_ASSERT(run({"zone", "out", "a"}, "y\n").m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT(m_Api.isConfirmed());
+    CPPUNIT_ASSERT_EQUAL(
+        fmt::format(R"({{"entries":[{}]}})", Json::parse(ZoneAfter).dump()),
+        m_Api.lastIntent());
+  }
+
+  void drainRemovesItsEntry() {
+    const Result Undo = run({"drain", "vm-1", "--undo", "--yes"});
+    CPPUNIT_ASSERT(Undo.m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            R"({"entries":[{"kind":"vm_drain","name":"vm-1","remove":true}]})"),
+        m_Api.lastIntent());
+  }
+
+  /// Guards against an audit trail that ends after the first page.
+  void auditReadsAllPagesInOrder() {
+    const Result Audit = run({"audit", "--output", "json"});
+    const Json Records = Json::parse(Audit.m_Out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Records.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("ben"),
+                         Records[0]["who"].get<std::string>());
+    CPPUNIT_ASSERT(contains(run({"audit"}).m_Out, "1970-01-01T00:00:10Z  ben"));
+  }
+
+  void getAndDescribe() {
+    CPPUNIT_ASSERT(contains(run({"get", "zone"}).m_Out, "zone/a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("no entries\n"),
+                         run({"get", "service"}).m_Out);
+    CPPUNIT_ASSERT(contains(run({"describe", "zone/a"}).m_Out, "inService:"));
+    CPPUNIT_ASSERT(run({"describe", "zone/b"}).m_Code == ExitCode::Failed);
+    CPPUNIT_ASSERT(run({"describe", "zone"}).m_Code == ExitCode::Usage);
+    CPPUNIT_ASSERT(run({"get", "zones"}).m_Code == ExitCode::Usage);
+  }
+
+  void watchEndsWhenInterrupted() {
+    const Result Watch = run({"watch", "--output", "json"});
+    CPPUNIT_ASSERT(Watch.m_Code == ExitCode::Done);
+    CPPUNIT_ASSERT(contains(Watch.m_Out, R"("item":"ready")"));
+  }
+
+  /// Guards against scripts that repeat what must not be repeated.
+  void exitCodesTellErrorsApart() {
+    const Result Conflict = run({"confirm", "old"});
+    CPPUNIT_ASSERT(Conflict.m_Code == ExitCode::Conflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("error: conflict: why\nremedy: do this\n"),
+                         Conflict.m_Error);
+    CPPUNIT_ASSERT(run({"confirm", "none"}).m_Code == ExitCode::Failed);
+    const Result WrongKey = runWith(m_Api.url(), {"status"}, "", "other");
+    CPPUNIT_ASSERT(WrongKey.m_Code == ExitCode::Failed);
+    CPPUNIT_ASSERT(!contains(WrongKey.m_Error, "other"));
+    CPPUNIT_ASSERT(run({"plan", "/nonexistent"}).m_Code == ExitCode::Usage);
+    const Result Nobody =
+        runWith(fmt::format("http://127.0.0.1:{}", freePort()), {"status"});
+    CPPUNIT_ASSERT(Nobody.m_Code == ExitCode::NotReachable);
+    CPPUNIT_ASSERT(contains(Nobody.m_Error, "error: not_reachable: "));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProgramTest);
+
+} // namespace fulmarwinch
