Show group members and audit changes right; end a wait at disbanded groups

Cause: a run against two nodes and four engines showed 1 member for groups of 2, audit lines of 300 characters, and disbanded groups that stay in the status. Change: members are read as a number, the audit table names changed keys, a group without members counts as gone.

--- a/cli/audit_text.cpp
+++ b/cli/audit_text.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/text_table.h"
 
+#include "absl/strings/str_join.h"
 #include "fmt/chrono.h"
 #include "fmt/format.h"
 
@@ -20,6 +21,32 @@
   return memberOr<std::string>(Record, Key, "");
 }
 
+std::string dumped(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Returns the keys that differ between two entries. An entry is too long for
+/// a table, and `describe` shows the present one.
+std::string changedKeys(const Json &Before, const Json &After) {
+  std::vector<std::string> Changes;
+  for (const auto &[Key, Value] : After.items())
+    if (!Before.contains(Key) || Before[Key] != Value)
+      Changes.push_back(fmt::format(
+          "{}: {} -> {}", Key,
+          Before.contains(Key) ? dumped(Before[Key]) : "none", dumped(Value)));
+  return absl::StrJoin(Changes, ", ");
+}
+
+std::string changeText(const std::string &Before, const std::string &After) {
+  const Json Old = Json::parse(Before, nullptr, false);
+  const Json New = Json::parse(After, nullptr, false);
+  if (Old.is_object() && New.is_object())
+    return changedKeys(Old, New);
+  if (Old.is_object())
+    return "removed";
+  return New.is_object() ? "added" : After;
+}
+
 } // namespace
 
 std::string timeText(UnixSeconds Time) {
@@ -37,11 +64,11 @@
 }
 
 std::string auditTable(const Json &Records) {
-  TextTable Table({"TIME", "WHO", "WHAT", "PLAN", "BEFORE", "AFTER"});
+  TextTable Table({"TIME", "WHO", "WHAT", "PLAN", "CHANGE"});
   for (const Json &Record : Records)
     Table.add({timeText(timeOf(Record)), textOf(Record, "who"),
                textOf(Record, "what"), textOf(Record, "plan"),
-               textOf(Record, "before"), textOf(Record, "after")});
+               changeText(textOf(Record, "before"), textOf(Record, "after"))});
   return Table.empty() ? "no records\n" : Table.text();
 }
 
--- a/cli/plan_wait.cpp
+++ b/cli/plan_wait.cpp
@@ -30,6 +30,11 @@
          !memberOr(Group, "leaving", false);
 }
 
+/// A disbanded group stays in the status for a while, without members.
+bool isDisbanded(const Json &Group) {
+  return memberOr<std::int64_t>(Group, "members", 1) == 0;
+}
+
 std::set<std::string> deadNodes(const Json &Status) {
   std::set<std::string> Dead;
   for (const Json &Node : memberOr(Status, "nodes", Json::array())) {
@@ -95,7 +100,7 @@
   const std::set<std::string> Wanted(Affected.begin(), Affected.end());
   for (const Json &Group : groupsOf(Status)) {
     const std::string Name = groupName(Group);
-    if (Wanted.count(Name) == 0)
+    if (Wanted.count(Name) == 0 || isDisbanded(Group))
       continue;
     const auto Before = m_Before.find(Name);
     const bool IsUnchanged =
--- a/cli/status_changes.cpp
+++ b/cli/status_changes.cpp
@@ -13,6 +13,9 @@
 
 using Items = std::map<std::string, std::string>;
 
+/// Text of an item that is either there or not.
+constexpr const char *Present = "present";
+
 std::string textOf(const Json &Object, const char *Key) {
   return memberOr<std::string>(Object, Key, "");
 }
@@ -41,7 +44,7 @@
     Found[fmt::format("group/{}", textOf(Group, "group"))] = groupText(Group);
   for (const Json &Problem : memberOr(Status, "problems", Json::array()))
     if (Problem.is_string())
-      Found[fmt::format("problem: {}", Problem.get<std::string>())] = "present";
+      Found[fmt::format("problem: {}", Problem.get<std::string>())] = Present;
   return Found;
 }
 
@@ -68,6 +71,8 @@
 
 std::string toText(const StatusChange &Change) {
   const std::string Item = printable(Change.m_Item);
+  if (Change.m_Before.empty() && Change.m_After == Present)
+    return fmt::format("+ {}", Item);
   if (Change.m_Before.empty())
     return fmt::format("+ {}: {}", Item, printable(Change.m_After));
   if (Change.m_After.empty())
--- a/cli/status_text.cpp
+++ b/cli/status_text.cpp
@@ -27,10 +27,6 @@
   return memberOr(Group, "warm", false) ? "serving" : "serving-cold";
 }
 
-std::size_t memberCount(const Json &Group) {
-  return memberOr(Group, "members", Json::array()).size();
-}
-
 } // namespace
 
 std::string groupTable(const Json &Status) {
@@ -39,8 +35,7 @@
   for (const Json &Group : memberOr(Status, "groups", Json::array()))
     Table.add({textOf(Group, "group"), textOf(Group, "deployment"),
                textOf(Group, "zone"), groupState(Group),
-               numberText(Group, "generation"),
-               fmt::format("{}", memberCount(Group)),
+               numberText(Group, "generation"), numberText(Group, "members"),
                numberText(Group, "running"), numberText(Group, "waiting"),
                textOf(Group, "head"), textOf(Group, "reason")});
   return Table.empty() ? "no groups\n" : Table.text();
--- a/tests/cli/test_texts.cpp
+++ b/tests/cli/test_texts.cpp
@@ -1,3 +1,4 @@
+#include "cli/audit_text.h"
 #include "cli/command_line.h"
 #include "cli/completion.h"
 #include "cli/plan_text.h"
@@ -41,6 +42,8 @@
   CPPUNIT_TEST(planShowsEffects);
   CPPUNIT_TEST(unknownDowntimeIsNotNone);
   CPPUNIT_TEST(statusStartsWithProblems);
+  CPPUNIT_TEST(groupTableShowsMembers);
+  CPPUNIT_TEST(auditShowsWhatChanged);
   CPPUNIT_TEST(waitIgnoresOldGeneration);
   CPPUNIT_TEST(waitCountsDeploymentsAndNodes);
   CPPUNIT_TEST(watchShowsOnlyChanges);
@@ -119,6 +122,27 @@
                              "  group g1 is broken\n"));
   }
 
+  /// Guards against a member count that is read as a list, which showed 1 for
+  /// every group.
+  void groupTableShowsMembers() {
+    Json Group = group("g1", "chat", 4, true);
+    Group["members"] = 32;
+    CPPUNIT_ASSERT(contains(groupTable({{"groups", Json::array({Group})}}),
+                            "4           32       0"));
+  }
+
+  /// Guards against lines of several hundred characters for one change.
+  void auditShowsWhatChanged() {
+    const auto Text = [](const char *Before, const char *After) {
+      return auditTable(Json::array({{{"before", Before}, {"after", After}}}));
+    };
+    CPPUNIT_ASSERT(contains(Text(R"({"a":1,"b":2})", R"({"a":1,"b":3})"),
+                            "  b: 2 -> 3\n"));
+    CPPUNIT_ASSERT(contains(Text("", R"({"a":1})"), "  added\n"));
+    CPPUNIT_ASSERT(contains(Text(R"({"a":1})", ""), "  removed\n"));
+    CPPUNIT_ASSERT(contains(Text("", "refused"), "  refused\n"));
+  }
+
   /// Guards against a wait that ends at once because the affected group still
   /// serves in its old form.
   void waitIgnoresOldGeneration() {
@@ -136,6 +160,10 @@
     CPPUNIT_ASSERT(!Wait.state(Plan, Status(8, false)).isDone());
     CPPUNIT_ASSERT(Wait.state(Plan, Status(8, true)).isDone());
     CPPUNIT_ASSERT(Wait.state(Plan, Json::object()).isDone());
+    // A disbanded group is still listed after its availability zone left.
+    Json Disbanded = Status(8, false);
+    Disbanded["groups"][0]["members"] = 0;
+    CPPUNIT_ASSERT(Wait.state(Plan, Disbanded).isDone());
   }
 
   /// Guards against a wait for a dead node, and against surplus groups of one
