Report only present problems in the status

Cause: after an availability zone was taken out, the status named its disbanded groups as not serving for 5 minutes, and showed expired views as serving; a deployment without any group was no problem. Change: groups and problems are made in node/status_report. Disbanded groups are left out, expired views do not serve, and a deployment with fewer serving groups than configured is a problem.

--- a/node/operator_api.cpp
+++ b/node/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "node/authenticator.h"
 #include "node/error_response.h"
+#include "node/status_report.h"
 #include "servers/groups/assignment_codec.h"
 #include "servers/planning/plan_progress.h"
 
@@ -385,20 +386,10 @@
 }
 
 Json OperatorApi::statusJson(MonotonicTime Now) const {
-  Json Groups = Json::array();
-  for (const auto &[Id, Known] : m_Parts.m_Views.groups())
-    Groups.push_back({{"group", Id},
-                      {"deployment", Known.m_View.m_Deployment},
-                      {"generation", Known.m_View.m_Generation},
-                      {"zone", Known.m_View.m_Zone},
-                      {"members", Known.m_View.m_Members},
-                      {"serving", Known.m_View.m_Serving},
-                      {"leaving", Known.m_View.m_Leaving},
-                      {"warm", Known.m_Warm},
-                      {"running", Known.m_View.m_Running},
-                      {"waiting", Known.m_View.m_Waiting},
-                      {"head", Known.m_View.m_HeadAddress},
-                      {"reason", Known.m_View.m_Reason}});
+  const StatusSources Sources{m_Parts.m_Views.groups(),
+                              m_Parts.m_Peers.membership().table().members(),
+                              *m_Parts.m_Configuration.view(),
+                              m_Parts.m_Configuration.freshness(Now), Now};
   Json Nodes = Json::array();
   const auto Revisions = m_Parts.m_Configuration.knownRevisions();
   for (const auto &[Id, Member] :
@@ -417,33 +408,8 @@
            nameOf(FreshnessNames, m_Parts.m_Configuration.freshness(Now))},
           {"held_shards", m_Parts.m_Groups.heldShards(Now)},
           {"nodes", Nodes},
-          {"groups", Groups},
-          {"problems", problems(Now)}};
-}
-
-Json OperatorApi::problems(MonotonicTime Now) const {
-  Json Found = Json::array();
-  const Freshness State = m_Parts.m_Configuration.freshness(Now);
-  if (State != Freshness::Fresh)
-    Found.push_back(
-        fmt::format("configuration is {}", nameOf(FreshnessNames, State)));
-  for (const auto &[Id, Known] : m_Parts.m_Views.groups())
-    if (!Known.m_View.m_Serving)
-      Found.push_back(fmt::format("group {} of {} does not serve: {}", Id,
-                                  Known.m_View.m_Deployment,
-                                  Known.m_View.m_Reason));
-  for (const auto &[Id, Member] :
-       m_Parts.m_Peers.membership().table().members())
-    if (Member.m_State == MemberState::Dead ||
-        Member.m_State == MemberState::Suspected)
-      Found.push_back(fmt::format("node {} is {}", Id,
-                                  nameOf(MemberStateNames, Member.m_State)));
-  const ConfigurationView &View = *m_Parts.m_Configuration.view();
-  for (const auto &[Id, Entry] : View.entries())
-    if (Id.m_Kind == EntryKind::Zone && !View.isZoneInService(Id.m_Name))
-      Found.push_back(
-          fmt::format("availability zone {} is out of service", Id.m_Name));
-  return Found;
+          {"groups", statusGroups(Sources)},
+          {"problems", statusProblems(Sources)}};
 }
 
 void OperatorApi::handleAudit(const Request &Call) {
--- a/node/operator_api.h
+++ b/node/operator_api.h
@@ -98,7 +98,6 @@
   /// \p OnEvent returns none.
   void run(std::vector<StoreAction> Actions, const EventHandler &OnEvent);
   Json statusJson(MonotonicTime Now) const;
-  Json problems(MonotonicTime Now) const;
 
   static const std::array<Route, 6> Routes;
 
--- a/node/view_receiver.cpp
+++ b/node/view_receiver.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Routers stop using a view after this time (design 4.3).
-constexpr Duration ViewLifetime = std::chrono::milliseconds(1500);
 /// The last generation of a group is remembered for this time, so that a late
 /// view of an earlier generation cannot bring the group back.
 constexpr Duration ForgetAfter = std::chrono::minutes(5);
--- a/node/view_receiver.h
+++ b/node/view_receiver.h
@@ -13,6 +13,9 @@
 /// on the control thread.
 class ViewReceiver {
 public:
+  /// Routers stop using a view after this time (design 4.3).
+  static constexpr Duration ViewLifetime = std::chrono::milliseconds(1500);
+
   /// \p Zone is the node's own availability zone.
   ViewReceiver(DataPath &Path, std::string Zone);
 
