--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: packages build check demo format
+.PHONY: packages build check demo process-faults format
 
 packages:
 	bash scripts/install_packages.sh
@@ -9,5 +9,11 @@
 check:
 	bash scripts/check.sh
 
+demo: packages build
+	python3 scripts/demo.py
+
+process-faults: packages build
+	python3 scripts/process_faults.py
+
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
