--- a/scripts/loopback.py
+++ b/scripts/loopback.py
@@ -263,8 +263,16 @@
         _, text = call(self._url(self.base, "/control"), settings)
         return json.loads(text)
 
+    def object(self, key):
+        """Returns the value of an object of the platform, parsed."""
+        quoted = key.replace("/", "%2F")
+        status, text = call(self._url(self.base, "/v1/objects/" + quoted))
+        if status != 200:
+            raise DeploymentError(f"object {key}: {status} {text}")
+        value = json.loads(text)["value"]
+        return json.loads(value) if isinstance(value, str) else value
+
     def stop_vm(self, vm):
-        """The VM's process dies and the platform shows the VM as leaving."""
         self.engines({"vm": vm, "kill": True})
 
     def start_vm(self, vm, incarnation):
