--- a/cli/plan_wait.cpp
+++ b/cli/plan_wait.cpp
@@ -76,6 +76,19 @@
   }
 }
 
+/// Returns the availability zones that the plan takes out of service.
+std::set<std::string> zonesTakenOut(const Json &Plan) {
+  std::set<std::string> Zones;
+  for (const Json &Entry : memberOr(Plan, "entries", Json::array())) {
+    const Json After =
+        Json::parse(memberOr<std::string>(Entry, "after", ""), nullptr, false);
+    if (memberOr<std::string>(After, "kind", "") == "zone" &&
+        !memberOr(After, "inService", true))
+      Zones.insert(memberOr<std::string>(After, "name", ""));
+  }
+  return Zones;
+}
+
 std::string listText(const Names &List) {
   return printable(absl::StrJoin(List, ", "));
 }
@@ -98,14 +111,19 @@
   addDeployments(Plan, Status, State);
   const Names Affected = memberOr(Plan, "groups", Names());
   const std::set<std::string> Wanted(Affected.begin(), Affected.end());
+  const std::set<std::string> ZonesOut = zonesTakenOut(Plan);
   for (const Json &Group : groupsOf(Status)) {
     const std::string Name = groupName(Group);
-    if (Wanted.count(Name) == 0 || isDisbanded(Group))
+    // This holds without the earlier generations too, so that a wait can be
+    // repeated until the availability zone is empty.
+    const bool IsLeft =
+        ZonesOut.count(memberOr<std::string>(Group, "zone", "")) > 0;
+    if ((Wanted.count(Name) == 0 && !IsLeft) || isDisbanded(Group))
       continue;
     const auto Before = m_Before.find(Name);
     const bool IsUnchanged =
         Before != m_Before.end() && Before->second == generationOf(Group);
-    if (IsUnchanged || !serves(Group))
+    if (IsLeft || IsUnchanged || !serves(Group))
       State.m_GroupsMissing.push_back(Name);
   }
   return State;
--- a/tests/cli/test_texts.cpp
+++ b/tests/cli/test_texts.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(groupTableShowsMembers);
   CPPUNIT_TEST(auditShowsWhatChanged);
   CPPUNIT_TEST(waitIgnoresOldGeneration);
+  CPPUNIT_TEST(repeatedWaitSeesGroupsThatAreLeft);
   CPPUNIT_TEST(waitCountsDeploymentsAndNodes);
   CPPUNIT_TEST(watchShowsOnlyChanges);
   CPPUNIT_TEST(completionHasEveryCommandAndOption);
@@ -166,6 +167,24 @@
     CPPUNIT_ASSERT(Wait.state(Plan, Disbanded).isDone());
   }
 
+  /// Guards against a wait that ends at once for a plan that was confirmed by
+  /// `zone out` a moment ago.
+  void repeatedWaitSeesGroupsThatAreLeft() {
+    const Json Plan = {
+        {"accepted", true},
+        {"groups", {"g1"}},
+        {"entries", Json::array({entry(
+                        "zone/a", "",
+                        R"({"kind":"zone","name":"a","inService":false})")})},
+        {"progress", {{"revision", 4}, {"applied", {"n1"}}}}};
+    Json Status = {{"groups", Json::array({group("g1", "chat", 7, true)})}};
+    Status["groups"][0]["zone"] = "a";
+    const PlanWait Wait(Plan, Status);
+    CPPUNIT_ASSERT(!Wait.state(Plan, Status).isDone());
+    Status["groups"][0]["zone"] = "b";
+    CPPUNIT_ASSERT(Wait.state(Plan, Status).isDone());
+  }
+
   /// Guards against a wait for a dead node, and against surplus groups of one
   /// deployment that stand for the missing ones of another.
   void waitCountsDeploymentsAndNodes() {
