Rename the stand-in's call limit, which had the name of another class

Cause: drivers/standin and servers/admission both defined fulmarwinch::RateLimit, which is undefined behaviour in a program that links both and kept a test from including both. Change: the stand-in's class is CallRate.

--- a/drivers/standin/rate_limit.cpp
+++ b/drivers/standin/call_rate.cpp
@@ -1,4 +1,4 @@
-#include "drivers/standin/rate_limit.h"
+#include "drivers/standin/call_rate.h"
 
 #include <algorithm>
 
@@ -10,10 +10,10 @@
 
 } // namespace
 
-RateLimit::RateLimit(double PerSecond)
+CallRate::CallRate(double PerSecond)
     : m_PerSecond(PerSecond), m_Tokens(burstOf(PerSecond)) {}
 
-bool RateLimit::tryTake(MonotonicTime Now) {
+bool CallRate::tryTake(MonotonicTime Now) {
   const std::chrono::duration<double> Elapsed = Now - m_Updated;
   m_Updated = Now;
   m_Tokens =
--- a/drivers/standin/rate_limit.h
+++ b/drivers/standin/call_rate.h
@@ -1,14 +1,14 @@
-#ifndef FULMARWINCH_DRIVERS_STANDIN_RATE_LIMIT_H
-#define FULMARWINCH_DRIVERS_STANDIN_RATE_LIMIT_H
+#ifndef FULMARWINCH_DRIVERS_STANDIN_CALL_RATE_H
+#define FULMARWINCH_DRIVERS_STANDIN_CALL_RATE_H
 
 #include "core/time.h"
 
 namespace fulmarwinch {
 
 /// Token bucket that holds a tenth of a second's calls, at least one.
-class RateLimit {
+class CallRate {
 public:
-  explicit RateLimit(double PerSecond);
+  explicit CallRate(double PerSecond);
 
   /// Takes one token if there is one.
   bool tryTake(MonotonicTime Now);
@@ -21,4 +21,4 @@
 
 } // namespace fulmarwinch
 
-#endif // FULMARWINCH_DRIVERS_STANDIN_RATE_LIMIT_H
+#endif // FULMARWINCH_DRIVERS_STANDIN_CALL_RATE_H
--- a/drivers/standin/platform_standin.cpp
+++ b/drivers/standin/platform_standin.cpp
@@ -109,9 +109,9 @@
     if (m_Settings.contains(Key))
       m_Settings[Key] = Value;
   if (Settings.contains("writes_per_s"))
-    m_Writes = RateLimit(memberOr(m_Settings, "writes_per_s", 1.0));
+    m_Writes = CallRate(memberOr(m_Settings, "writes_per_s", 1.0));
   if (Settings.contains("reads_per_s"))
-    m_Reads = RateLimit(memberOr(m_Settings, "reads_per_s", 1.0));
+    m_Reads = CallRate(memberOr(m_Settings, "reads_per_s", 1.0));
   m_Weights.setRate(memberOr(m_Settings, "weight_bytes_per_s", 1e9));
   if (Settings.contains("vms"))
     setVms(Settings["vms"]);
@@ -183,7 +183,7 @@
       count("refused_outage");
       return Exchange->respond(errorAnswer(503, "outage"));
     }
-    RateLimit &Limit = isWrite(Kind) ? m_Writes : m_Reads;
+    CallRate &Limit = isWrite(Kind) ? m_Writes : m_Reads;
     if (!Limit.tryTake(monotonicNow())) {
       count("refused_rate");
       return Exchange->respond(errorAnswer(429, "over the rate limit"));
--- a/drivers/standin/platform_standin.h
+++ b/drivers/standin/platform_standin.h
@@ -2,8 +2,8 @@
 #define FULMARWINCH_DRIVERS_STANDIN_PLATFORM_STANDIN_H
 
 #include "drivers/http/http_server.h"
+#include "drivers/standin/call_rate.h"
 #include "drivers/standin/object_table.h"
-#include "drivers/standin/rate_limit.h"
 #include "drivers/standin/task_timer.h"
 #include "drivers/standin/weight_store.h"
 
@@ -63,8 +63,8 @@
   std::mutex m_Mutex;
   ObjectTable m_Objects;
   std::map<std::string, std::uint64_t> m_Counts;
-  RateLimit m_Writes;
-  RateLimit m_Reads;
+  CallRate m_Writes;
+  CallRate m_Reads;
   std::mt19937_64 m_Random;
   Json m_Settings;
   std::map<std::string, Json> m_Vms;
