Refuse bodies that pass the checks by overflow or exhaust the stack

Cause: max_tokens of -1 became a huge unsigned number, and its sum with the prompt was small again; a prompt of a million open brackets was written by a recursive function; an operator entry that this version cannot parse brought the bootstrap key back; a refusal could carry a remedy that says 'not run' next to an outcome 'unknown'.

--- a/core/json.h
+++ b/core/json.h
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 /// Parses \p Text. The error message names \p What and the position of the
-/// first fault.
+/// first fault. A text that is nested too deeply is refused.
 absl::StatusOr<Json> parseJson(std::string_view Text, std::string_view What);
 
 /// Returns the member \p Key of \p Object if it exists and has the type of
--- a/node/authenticator.cpp
+++ b/node/authenticator.cpp
@@ -64,10 +64,12 @@
   for (const auto &[Id, Entry] : View.entries()) {
     if (Id.m_Kind != EntryKind::Operator)
       continue;
+    // An account that this version cannot parse is an account all the same,
+    // so it must not bring the bootstrap key back.
+    AnyOperator = AnyOperator || Entry.m_Content != nullptr;
     const Operator *Candidate = View.operatorAccount(Id.m_Name);
     if (!Candidate)
       continue;
-    AnyOperator = true;
     if (equalConstantTime(Candidate->m_KeySha256, *Hash))
       Found = Candidate;
   }
--- a/node/completion_request.cpp
+++ b/node/completion_request.cpp
@@ -7,6 +7,7 @@
 #include "xxhash.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace fulmarwinch {
 
@@ -51,11 +52,20 @@
   return Prompt;
 }
 
-std::size_t outputTokens(const Json &Object) {
-  const auto Tokens = memberOr<std::size_t>(
-      Object, "max_completion_tokens",
-      memberOr<std::size_t>(Object, "max_tokens", DefaultOutputTokens));
-  return std::max<std::size_t>(Tokens, 1);
+absl::StatusOr<std::size_t> outputTokens(const Json &Object,
+                                         std::size_t ContextLength) {
+  for (const char *Key : {"max_completion_tokens", "max_tokens"}) {
+    if (!Object.contains(Key) || Object[Key].is_null())
+      continue;
+    const Json &Value = Object[Key];
+    // A negative number would become a huge unsigned one.
+    if (!Value.is_number_integer() || Value < 1 || Value > ContextLength)
+      return invalid(
+          fmt::format("{} is {}", Key, Value.dump()),
+          fmt::format("send a whole number from 1 to {}", ContextLength));
+    return Value.get<std::size_t>();
+  }
+  return DefaultOutputTokens;
 }
 
 absl::Status checkCapability(const Deployment &Target,
@@ -103,7 +113,11 @@
   if (!Prompt.ok())
     return Prompt.status();
   Result.m_Route.m_PromptTokens = Prompt->size() / BytesPerToken + 1;
-  Result.m_Route.m_OutputTokens = outputTokens(*Object);
+  const absl::StatusOr<std::size_t> OutputTokens =
+      outputTokens(*Object, static_cast<std::size_t>(Target->m_ContextLength));
+  if (!OutputTokens.ok())
+    return OutputTokens.status();
+  Result.m_Route.m_OutputTokens = *OutputTokens;
   if (absl::Status Fault = checkCapability(*Target, Result.m_Route);
       !Fault.ok())
     return Fault;
--- a/node/error_response.cpp
+++ b/node/error_response.cpp
@@ -23,6 +23,13 @@
 
 } // namespace
 
+absl::Status mayHaveRun(const absl::Status &Reason) {
+  return makeError(errorKind(Reason),
+                   splitRemedy(std::string(Reason.message())).first,
+                   "an earlier attempt may have run, check before sending the "
+                   "request again");
+}
+
 std::string errorJson(const ErrorResponse &Error) {
   const auto [Problem, Remedy] =
       splitRemedy(std::string(Error.m_Status.message()));
--- a/node/error_response.h
+++ b/node/error_response.h
@@ -20,6 +20,10 @@
   std::string m_RequestId;
 };
 
+/// Returns \p Reason with a remedy that does not claim that the request was not
+/// run, for a request of which an earlier attempt may have run.
+absl::Status mayHaveRun(const absl::Status &Reason);
+
 /// Returns the JSON object with type, message, outcome, retry_after_ms,
 /// remedy and request_id.
 std::string errorJson(const ErrorResponse &Error);
