Tell at once when a client is gone, and end calls before their users

Cause: an exchange noticed a closed connection only by a failed write, so a request that waits or is not streamed kept its engine for a client that was gone. HttpClient ended its calls in its destructor, after the objects that their callbacks use. A call of the method HEAD waited for a body. Change: a RESTinio connection listener marks the exchanges of a connection; HttpClient::stop() ends all calls and joins its threads; header fields and the URL are bounded.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -84,6 +84,11 @@
 void setBody(Transfer &Running) {
   if (Running.m_Call.m_Method == "GET")
     return;
+  // Without this, libcurl waits for a body that a response to HEAD never has.
+  if (Running.m_Call.m_Method == "HEAD") {
+    curl_easy_setopt(Running.m_Easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
   curl_easy_setopt(Running.m_Easy, CURLOPT_CUSTOMREQUEST,
                    Running.m_Call.m_Method.c_str());
   curl_easy_setopt(Running.m_Easy, CURLOPT_POSTFIELDS,
@@ -146,16 +151,24 @@
   }
 
   ~Worker() {
+    stop();
+    curl_multi_cleanup(m_Multi);
+  }
+
+  void stop() {
     m_Stopping = true;
     curl_multi_wakeup(m_Multi);
-    m_Thread.join();
-    curl_multi_cleanup(m_Multi);
+    if (m_Thread.joinable())
+      m_Thread.join();
   }
 
   void start(std::unique_ptr<Transfer> New) {
+    // The callbacks of a call that ends may start another one, which has to
+    // be dropped outside the lock because it may hold the last reference.
     {
       const std::lock_guard<std::mutex> Guard(m_Mutex);
-      m_Queued.push_back(std::move(New));
+      if (!m_IsClosed)
+        m_Queued.push_back(std::move(New));
     }
     curl_multi_wakeup(m_Multi);
   }
@@ -241,6 +254,10 @@
   }
 
   void endAll() {
+    {
+      const std::lock_guard<std::mutex> Guard(m_Mutex);
+      m_IsClosed = true;
+    }
     startQueued();
     while (!m_Running.empty())
       endCancelled(m_Running.begin()->first);
@@ -249,6 +266,7 @@
   CURLM *m_Multi;
   std::atomic<bool> m_Stopping{false};
   std::mutex m_Mutex;
+  bool m_IsClosed = false;
   std::vector<std::unique_ptr<Transfer>> m_Queued;
   std::vector<HttpCallId> m_Cancelled;
   std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_Running;
@@ -283,6 +301,11 @@
   return Id;
 }
 
+void HttpClient::stop() {
+  for (const std::unique_ptr<Worker> &Each : m_Impl->m_Workers)
+    Each->stop();
+}
+
 void HttpClient::cancel(HttpCallId Id) { m_Impl->workerOf(Id).cancel(Id); }
 
 HttpClient::Response HttpClient::fetch(HttpCall Call) {
--- a/drivers/http/http_client.h
+++ b/drivers/http/http_client.h
@@ -67,6 +67,10 @@
   /// m_Cancelled set.
   void cancel(HttpCallId Id);
 
+  /// Ends all calls, as by cancel(), and joins the threads. Callbacks have
+  /// ended when it returns; later calls are dropped without a callback.
+  void stop();
+
   /// Result of fetch().
   struct Response {
     HttpCallResult m_Result;
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -7,12 +7,60 @@
 #include <atomic>
 #include <mutex>
 #include <optional>
+#include <unordered_map>
 
 namespace fulmarwinch {
 
 namespace {
 
-using ServerTraits = restinio::default_traits_t;
+/// Bounds of a request's header. RESTinio closes the connection without a
+/// response when one is exceeded.
+constexpr std::size_t MaxUrlBytes = 8U << 10U;
+constexpr std::size_t MaxFieldNameBytes = 256;
+constexpr std::size_t MaxFieldValueBytes = 8U << 10U;
+constexpr std::size_t MaxFields = 64;
+
+/// Marks the exchanges of a connection when the connection ends, so that work
+/// for a client that is gone is noticed before the next write to it.
+class ConnectionWatch {
+public:
+  using Flag = std::shared_ptr<std::atomic<bool>>;
+
+  /// Returns the flag that is set when the connection \p Id ends.
+  Flag flagOf(restinio::connection_id_t Id) {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    const auto Found = m_Flags.find(Id);
+    // The connection may end between the read of a request and this call.
+    return Found == m_Flags.end() ? std::make_shared<std::atomic<bool>>(true)
+                                  : Found->second;
+  }
+
+  /// Called by RESTinio for each change of a connection.
+  void
+  state_changed(const restinio::connection_state::notice_t &Notice) noexcept {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    const restinio::connection_id_t Id = Notice.connection_id();
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+            Notice.cause())) {
+      m_Flags[Id] = std::make_shared<std::atomic<bool>>(false);
+      return;
+    }
+    const auto Found = m_Flags.find(Id);
+    if (Found == m_Flags.end())
+      return;
+    *Found->second = true;
+    m_Flags.erase(Found);
+  }
+
+private:
+  std::mutex m_Mutex;
+  std::unordered_map<restinio::connection_id_t, Flag> m_Flags;
+};
+
+struct ServerTraits : public restinio::default_traits_t {
+  using connection_state_listener_t = ConnectionWatch;
+};
+
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 HttpRequest toHttpRequest(const restinio::request_t &Request) {
@@ -38,8 +86,10 @@
 /// chunks may come from another thread than the one that ends the response.
 class RestinioExchange : public HttpExchange {
 public:
-  explicit RestinioExchange(restinio::request_handle_t Handle)
-      : m_Handle(std::move(Handle)), m_Request(toHttpRequest(*m_Handle)) {}
+  RestinioExchange(restinio::request_handle_t Handle,
+                   ConnectionWatch::Flag ClientGone)
+      : m_Handle(std::move(Handle)), m_Request(toHttpRequest(*m_Handle)),
+        m_ClientGone(std::move(ClientGone)) {}
 
   ~RestinioExchange() override {
     if (!m_Answered)
@@ -102,8 +152,7 @@
   std::mutex m_Mutex;
   std::optional<ChunkedBuilder> m_Builder;
   std::atomic<bool> m_Answered{false};
-  std::shared_ptr<std::atomic<bool>> m_ClientGone =
-      std::make_shared<std::atomic<bool>>(false);
+  const ConnectionWatch::Flag m_ClientGone;
 };
 
 } // namespace
@@ -118,6 +167,7 @@
 
 absl::Status HttpServer::start(const HttpServerOptions &Options,
                                HttpHandler Handler) {
+  const auto Watch = std::make_shared<ConnectionWatch>();
   restinio::server_settings_t<ServerTraits> Settings;
   Settings.address(Options.m_Address)
       .port(Options.m_Port)
@@ -125,14 +175,21 @@
       .handle_request_timeout(Options.m_HandlerTimeout)
       .write_http_response_timelimit(Options.m_HandlerTimeout)
       .max_pipelined_requests(4)
-      .incoming_http_msg_limits(
-          restinio::incoming_http_msg_limits_t{}.max_body_size(
-              Options.m_MaxBodyBytes))
-      .request_handler(
-          [Handler = std::move(Handler)](restinio::request_handle_t Request) {
-            Handler(std::make_shared<RestinioExchange>(std::move(Request)));
-            return restinio::request_accepted();
-          });
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                    .max_body_size(Options.m_MaxBodyBytes)
+                                    .max_url_size(MaxUrlBytes)
+                                    .max_field_name_size(MaxFieldNameBytes)
+                                    .max_field_value_size(MaxFieldValueBytes)
+                                    .max_field_count(MaxFields))
+      .connection_state_listener(Watch)
+      .request_handler([Watch, Handler = std::move(Handler)](
+                           restinio::request_handle_t Request) {
+        const ConnectionWatch::Flag ClientGone =
+            Watch->flagOf(Request->connection_id());
+        Handler(
+            std::make_shared<RestinioExchange>(std::move(Request), ClientGone));
+        return restinio::request_accepted();
+      });
   try {
     m_Impl->m_Server = restinio::run_async<ServerTraits>(
         restinio::own_io_context(), std::move(Settings), Options.m_Threads);
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -36,7 +36,8 @@
   /// Ends a chunked response.
   virtual void finish() = 0;
 
-  /// Returns true once sending to the client has failed.
+  /// Returns true once the connection of the client has ended or sending to it
+  /// has failed.
   virtual bool isClientGone() const = 0;
 };
 
