Keep a request that cannot be served from holding up others

Cause: the head of a deployment's queue blocked all others for up to 5 s when its adapter was missing or its class failed, and a repeated request that had tried every group did so too. A stream whose content was suspected was refused with half of its response at the client. A response that was not streamed had no bound. An engine's 'not run' was passed on although an earlier attempt may have run. A silent group was not counted as failing. Change: tryStart() tells NoRoom from Unservable by a mark on the router's refusal; unservable requests are set aside (64 per deployment). A relay ends when its client is gone, holds at most 8 MB, waits for isolation once its response began, and answers other than the engine's own are its own.

--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -42,33 +42,41 @@
   return MonotonicTime(Duration(m_WaitUntilTicks.load()));
 }
 
-bool ChatRelay::tryStart(MonotonicTime Now) {
+absl::StatusOr<RouteDecision> ChatRelay::chooseGroup(MonotonicTime Now) {
+  absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
+  if (Decision.ok() || !m_ResponseStarted ||
+      m_Request.m_Route.m_Excluded.empty())
+    return Decision;
+  // A group that failed once is still better than an incomplete response.
+  m_Request.m_Route.m_Excluded.clear();
+  return m_Path.route(m_Request.m_Route, Now);
+}
+
+StartResult ChatRelay::tryStart(MonotonicTime Now) {
   const std::lock_guard<std::mutex> Guard(m_Mutex);
   if (m_Done)
-    return true;
+    return StartResult::Started;
   if (m_Request.m_Exchange->isClientGone()) {
     finish();
-    return true;
-  }
-  absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
-  if (!Decision.ok() && m_ResponseStarted &&
-      !m_Request.m_Route.m_Excluded.empty()) {
-    // A group that failed once is still better than an incomplete response.
-    m_Request.m_Route.m_Excluded.clear();
-    Decision = m_Path.route(m_Request.m_Route, Now);
+    return StartResult::Started;
   }
+  const absl::StatusOr<RouteDecision> Decision = chooseGroup(Now);
   if (!Decision.ok()) {
-    if (isWaitable(errorKind(Decision.status())))
-      return false;
-    answerError(Decision.status(), Outcome::NotRun, Duration{0});
-    return true;
+    const absl::Status &Refusal = Decision.status();
+    if (isWaitable(errorKind(Refusal)))
+      return dependsOnRequest(Refusal) ? StartResult::Unservable
+                                       : StartResult::NoRoom;
+    answerError(Refusal, Outcome::NotRun, Duration{0});
+    return StartResult::Started;
   }
-  if (checkPoison(*Decision))
-    dispatch(*Decision, Now);
-  return true;
+  if (const std::optional<StartResult> Instead = checkPoison(*Decision))
+    return *Instead;
+  dispatch(*Decision, Now);
+  return StartResult::Started;
 }
 
-bool ChatRelay::checkPoison(const RouteDecision &Decision) {
+std::optional<StartResult>
+ChatRelay::checkPoison(const RouteDecision &Decision) {
   const std::string &Server = Decision.m_View->m_Group;
   const PoisonVerdict Verdict = m_Path.withPoison([&](PoisonDetector &Poison) {
     const PoisonVerdict Found =
@@ -83,21 +91,26 @@
     return Found;
   });
   if (Verdict == PoisonVerdict::Run)
-    return true;
+    return std::nullopt;
   m_Path.endAttempt(Decision, std::nullopt);
-  if (Verdict == PoisonVerdict::Refuse)
+  if (Verdict == PoisonVerdict::Refuse) {
     answerError(makeError(ErrorKind::Quarantined,
                           "requests with this content crashed several backend "
                           "servers",
                           "change the request or wait for one hour"),
                 Outcome::NotRun, Duration{0});
-  else
-    answerError(makeError(ErrorKind::Isolated,
-                          "the request is suspected of crashing backend "
-                          "servers and another suspect runs in isolation",
-                          "send it again later"),
-                Outcome::NotRun, RetryAfterFailure);
-  return false;
+    return StartResult::Started;
+  }
+  // The client of a started response holds a part that would be lost, so the
+  // request waits for the place of isolation.
+  if (m_ResponseStarted)
+    return StartResult::Unservable;
+  answerError(makeError(ErrorKind::Isolated,
+                        "the request is suspected of crashing backend servers "
+                        "and another suspect runs in isolation",
+                        "send it again later"),
+              Outcome::NotRun, RetryAfterFailure);
+  return StartResult::Started;
 }
 
 void ChatRelay::dispatch(const RouteDecision &Decision, MonotonicTime Now) {
@@ -167,11 +180,20 @@
   const MonotonicTime Now = monotonicNow();
   if (!m_Request.m_IsStream || m_Attempt.m_Status != 200) {
     m_Attempt.m_LastTokenAt = Now;
+    if (m_Attempt.m_Body.size() + Data.size() > m_Limits.m_MaxBodyBytes) {
+      m_Attempt.m_IsTooLarge = true;
+      m_Client.cancel(m_Attempt.m_Call);
+      return;
+    }
     m_Attempt.m_Body += Data;
     return;
   }
   for (const std::string &Event : m_Attempt.m_Parser.accept(Data))
     acceptEvent(Event, Now);
+  // Nothing after an event that is too large can be used, so the stream is
+  // resumed by another attempt.
+  if (m_Attempt.m_Parser.hasOverflowed())
+    m_Client.cancel(m_Attempt.m_Call);
 }
 
 void ChatRelay::acceptEvent(const std::string &Data, MonotonicTime Now) {
@@ -185,10 +207,16 @@
   if (m_Attempt.m_Tokens == 0)
     m_Attempt.m_FirstTokenTime =
         std::chrono::duration_cast<Duration>(Now - m_Attempt.m_StartedAt);
+  // An engine that does not number its tokens may ignore the resume offset
+  // too, so its tokens can only be placed if they start at the first one.
+  const bool IsNumbered = Event.contains("fulmarwinch_index");
+  if (!IsNumbered && m_Attempt.m_FirstIndex > 0) {
+    m_Client.cancel(m_Attempt.m_Call);
+    return;
+  }
   StreamChunk Chunk;
   Chunk.m_RequestId = memberOr<std::string>(Event, "id", "");
   Chunk.m_Attempt = m_Attempt.m_Number;
-  // An engine that does not number its tokens sends them in order.
   Chunk.m_Index = memberOr<std::uint64_t>(
       Event, "fulmarwinch_index", m_Attempt.m_FirstIndex + m_Attempt.m_Tokens);
   Chunk.m_Payload = Data;
@@ -201,6 +229,9 @@
   const SpliceResult Result = m_Splicer.accept(Chunk);
   if (Result.m_Verdict == SpliceVerdict::ForeignRequest)
     m_Path.metrics().count("foreign_chunks_total");
+  // The attempt has lost chunks; the next one starts at the missing token.
+  if (Result.m_Verdict == SpliceVerdict::TooEarly)
+    m_Client.cancel(m_Attempt.m_Call);
   for (const std::string &Payload : Result.m_Deliver)
     deliver(Payload);
 }
@@ -254,6 +285,13 @@
     finish();
     return NextStep::None;
   }
+  if (m_Attempt.m_IsTooLarge) {
+    answerError(makeError(ErrorKind::UpstreamFailed,
+                          "the response is larger than this node accepts",
+                          "ask for fewer tokens or a streamed response"),
+                Outcome::Unknown, Duration{0});
+    return NextStep::None;
+  }
   if (Success) {
     m_Path.onSuccess(m_Request.m_Route.m_Deployment);
     m_Request.m_IsStream ? finishStream() : answerWhole();
@@ -318,7 +356,9 @@
       Action != RetryAction::Answer && m_Attempts < m_Limits.m_MaxAttempts &&
       (IsResume || m_Path.tryRetry(m_Request.m_Route.m_Deployment, Now));
   if (!Allowed) {
-    if (!m_ResponseStarted && m_Attempt.m_Status >= 400)
+    // Only the engine's own answer to the request is passed on. Other errors
+    // are told by this node, which knows the outcome of all attempts.
+    if (!m_ResponseStarted && Result == Outcome::Ran)
       answerWhole();
     else
       answerError(
@@ -336,7 +376,13 @@
 void ChatRelay::checkProgress(MonotonicTime Now) {
   {
     const std::lock_guard<std::mutex> Guard(m_Mutex);
-    if (m_Done || !m_Attempt.m_IsOpen)
+    if (m_Done)
+      return;
+    if (m_Request.m_Exchange->isClientGone()) {
+      abandon();
+      return;
+    }
+    if (!m_Attempt.m_IsOpen)
       return;
     const Duration Limit = m_Attempt.m_Tokens == 0
                                ? m_Limits.m_FirstTokenTimeout
@@ -348,6 +394,10 @@
         !m_Path.isServing(*m_Attempt.m_Decision.m_View, Now);
     if (!IsSilent && !IsWithdrawn)
       return;
+    // A group that no longer serves has left the routing table already.
+    if (IsSilent)
+      m_Path.outliers().onFailure(m_Attempt.m_Decision.m_View->m_Group,
+                                  m_Request.m_Route.m_Class, Now);
     moveElsewhere(Now);
     if (m_Done)
       return;
@@ -355,6 +405,19 @@
   m_Queue.resume(m_Request.m_Route.m_Deployment, shared_from_this(), Now);
 }
 
+void ChatRelay::abandon() {
+  if (m_Attempt.m_IsOpen) {
+    m_Client.cancel(m_Attempt.m_Call);
+    m_Path.withPoison([this](PoisonDetector &Poison) {
+      Poison.onEnded(m_Request.m_ContentHash,
+                     m_Attempt.m_Decision.m_View->m_Group);
+    });
+    closeAttempt();
+  }
+  m_Path.metrics().count("abandoned_requests_total");
+  finish();
+}
+
 void ChatRelay::moveElsewhere(MonotonicTime Now) {
   const std::string Group = m_Attempt.m_Decision.m_View->m_Group;
   m_Client.cancel(m_Attempt.m_Call);
@@ -396,9 +459,13 @@
 
 void ChatRelay::answerError(const absl::Status &Reason, Outcome Result,
                             Duration RetryAfter) {
+  // The last refusal says nothing about earlier attempts.
   const bool IsContradicted = m_MayHaveRun && Result == Outcome::NotRun;
-  const ErrorResponse Error{Reason, IsContradicted ? Outcome::Unknown : Result,
-                            RetryAfter, m_Request.m_RequestId};
+  const ErrorResponse Error =
+      IsContradicted
+          ? ErrorResponse{mayHaveRun(Reason), Outcome::Unknown, RetryAfter,
+                          m_Request.m_RequestId}
+          : ErrorResponse{Reason, Result, RetryAfter, m_Request.m_RequestId};
   m_Path.metrics().count(
       fmt::format("refusals_total{{kind=\"{}\"}}",
                   nameOf(ErrorKindNames, errorKind(Reason))));
--- a/node/chat_relay.h
+++ b/node/chat_relay.h
@@ -49,6 +49,8 @@
   Duration m_ResumeWait = std::chrono::seconds(30);
   /// Early chunks that are held for one stream.
   std::size_t m_MaxEarlyChunks = 256;
+  /// Largest response that is not streamed; it is held whole.
+  std::size_t m_MaxBodyBytes = 8U << 20U;
 };
 
 /// Carries one completion request to a replica group and its response back.
@@ -63,12 +65,12 @@
             DispatchQueue &Queue, const RelayLimits &Limits,
             DoneCallback OnDone);
 
-  bool tryStart(MonotonicTime Now) override;
+  StartResult tryStart(MonotonicTime Now) override;
   void refuse(const absl::Status &Reason, Duration RetryAfter) override;
   MonotonicTime waitUntil() const override;
 
   /// Moves the request to another group if its group no longer serves or is
-  /// silent for too long.
+  /// silent for too long. Cancels the request if its client is gone.
   void checkProgress(MonotonicTime Now);
 
   bool isDone() const { return m_Done; }
@@ -85,6 +87,7 @@
     std::uint64_t m_Tokens = 0;
     bool m_MarkedNotRun = false;
     bool m_IsOpen = false;
+    bool m_IsTooLarge = false;
     Duration m_FirstTokenTime{0};
     SseParser m_Parser;
     HttpHeaders m_Headers;
@@ -95,7 +98,9 @@
   /// What happens after an attempt ended.
   enum class NextStep { None, Wait };
 
-  bool checkPoison(const RouteDecision &Decision);
+  /// Returns what to do instead of a dispatch, if anything.
+  std::optional<StartResult> checkPoison(const RouteDecision &Decision);
+  absl::StatusOr<RouteDecision> chooseGroup(MonotonicTime Now);
   void dispatch(const RouteDecision &Decision, MonotonicTime Now);
   HttpCall makeCall(const GroupView &View, std::uint32_t Number);
 
@@ -110,6 +115,7 @@
   void recordAttempt(const HttpCallResult &Result, bool Success,
                      MonotonicTime Now);
   void closeAttempt();
+  void abandon();
   void moveElsewhere(MonotonicTime Now);
   void finishStream();
   void answerWhole();
--- a/node/dispatch_queue.cpp
+++ b/node/dispatch_queue.cpp
@@ -14,6 +14,12 @@
                    "the request was not run, send it again later");
 }
 
+absl::Status noGroupFits() {
+  return makeError(ErrorKind::NoCapacity,
+                   "no group can take the request and many such requests wait",
+                   "the request was not run, send it again later");
+}
+
 constexpr Duration RetryAfterWait = std::chrono::seconds(1);
 
 } // namespace
@@ -81,6 +87,7 @@
   for (Queue *Waiting : All) {
     const std::lock_guard<std::mutex> Guard(Waiting->m_Mutex);
     expireLocked(*Waiting, Now);
+    startAside(*Waiting, Now);
     pumpLocked(*Waiting, Now);
   }
 }
@@ -91,17 +98,45 @@
   for (const auto &[Deployment, Waiting] : m_Queues) {
     const std::lock_guard<std::mutex> QueueGuard(Waiting->m_Mutex);
     Count += Waiting->m_Fair.size() + Waiting->m_Resumed.size() +
-             (Waiting->m_Head ? 1 : 0);
+             Waiting->m_Aside.size() + (Waiting->m_Head ? 1 : 0);
   }
   return Count;
 }
 
-void DispatchQueue::pumpLocked(Queue &Waiting, MonotonicTime Now) {
-  while (!Waiting.m_Resumed.empty()) {
-    if (!Waiting.m_Resumed.front()->tryStart(Now))
-      return;
-    Waiting.m_Resumed.pop_front();
+void DispatchQueue::clear() {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  m_Queues.clear();
+}
+
+bool DispatchQueue::startResumed(Queue &Waiting, MonotonicTime Now) {
+  bool HasRoom = true;
+  for (auto Entry = Waiting.m_Resumed.begin();
+       Entry != Waiting.m_Resumed.end();) {
+    const StartResult Result = (*Entry)->tryStart(Now);
+    HasRoom = HasRoom && Result != StartResult::NoRoom;
+    Entry = Result == StartResult::Started ? Waiting.m_Resumed.erase(Entry)
+                                           : std::next(Entry);
   }
+  return HasRoom;
+}
+
+void DispatchQueue::startAside(Queue &Waiting, MonotonicTime Now) {
+  Waiting.m_Aside.remove_if([Now](const QueuedWorkPtr &Work) {
+    return Work->tryStart(Now) == StartResult::Started;
+  });
+}
+
+void DispatchQueue::setAside(Queue &Waiting) {
+  if (Waiting.m_Aside.size() < MaxAside)
+    Waiting.m_Aside.push_back(std::move(Waiting.m_Head));
+  else
+    Waiting.m_Head->refuse(noGroupFits(), RetryAfterWait);
+  Waiting.m_Head.reset();
+}
+
+void DispatchQueue::pumpLocked(Queue &Waiting, MonotonicTime Now) {
+  if (!startResumed(Waiting, Now))
+    return;
   while (true) {
     if (!Waiting.m_Head) {
       const std::optional<QueuedRequest> Next = Waiting.m_Fair.dequeue(Now);
@@ -111,9 +146,13 @@
       Waiting.m_Head = std::move(Found->second);
       Waiting.m_Work.erase(Found);
     }
-    if (!Waiting.m_Head->tryStart(Now))
+    const StartResult Result = Waiting.m_Head->tryStart(Now);
+    if (Result == StartResult::NoRoom)
       return;
-    Waiting.m_Head.reset();
+    if (Result == StartResult::Unservable)
+      setAside(Waiting);
+    else
+      Waiting.m_Head.reset();
   }
 }
 
@@ -131,15 +170,13 @@
     Entry->second->refuse(waitedTooLong(), RetryAfterWait);
     Entry = Waiting.m_Work.erase(Entry);
   }
-  for (auto Entry = Waiting.m_Resumed.begin();
-       Entry != Waiting.m_Resumed.end();) {
-    if ((*Entry)->waitUntil() > Now) {
-      ++Entry;
-      continue;
-    }
-    (*Entry)->refuse(waitedTooLong(), RetryAfterWait);
-    Entry = Waiting.m_Resumed.erase(Entry);
-  }
+  for (std::list<QueuedWorkPtr> *Part : {&Waiting.m_Resumed, &Waiting.m_Aside})
+    Part->remove_if([Now](const QueuedWorkPtr &Work) {
+      if (Work->waitUntil() > Now)
+        return false;
+      Work->refuse(waitedTooLong(), RetryAfterWait);
+      return true;
+    });
 }
 
 } // namespace fulmarwinch
--- a/node/dispatch_queue.h
+++ b/node/dispatch_queue.h
@@ -8,7 +8,7 @@
 
 #include <array>
 #include <atomic>
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,14 +16,24 @@
 
 namespace fulmarwinch {
 
+/// Result of an attempt to dispatch a request.
+enum class StartResult {
+  /// It was dispatched or has been answered.
+  Started,
+  /// There is no place for it or for any other request of the deployment.
+  NoRoom,
+  /// No group can take this request now, but others may be served: the groups
+  /// lack an ability that it needs, or it has failed there.
+  Unservable,
+};
+
 /// A request that waits for a place at a backend server.
 class QueuedWork {
 public:
   virtual ~QueuedWork() = default;
 
-  /// Tries to dispatch. Returns false if there is no place yet and the request
-  /// has to wait; true if it was dispatched or has been answered.
-  virtual bool tryStart(MonotonicTime Now) = 0;
+  /// Tries to dispatch.
+  virtual StartResult tryStart(MonotonicTime Now) = 0;
 
   /// Answers the request, which was not dispatched by this attempt.
   virtual void refuse(const absl::Status &Reason, Duration RetryAfter) = 0;
@@ -36,10 +46,15 @@
 
 /// Requests that wait, per deployment, in the order of the fair queue. A
 /// request whose response has begun goes before all others, because its client
-/// holds a part that would be lost. Work is called under the lock of its
+/// holds a part that would be lost. A request that no group can take is set
+/// aside, so that it blocks no other. Work is called under the lock of its
 /// deployment, so it must not call this queue back from these calls.
 class DispatchQueue {
 public:
+  /// Most requests of one deployment that are set aside; further ones are
+  /// refused, because each is tried again on every tick.
+  static constexpr std::size_t MaxAside = 64;
+
   explicit DispatchQueue(const FairQueueSettings &Settings);
 
   void setWeight(const std::string &Organisation, double Weight);
@@ -60,6 +75,8 @@
   void tick(MonotonicTime Now);
 
   std::size_t size() const;
+  /// Drops all requests unanswered.
+  void clear();
 
 private:
   struct Queue {
@@ -69,13 +86,19 @@
     FairQueue m_Fair;
     std::map<std::uint64_t, QueuedWorkPtr> m_Work;
     /// Goes before m_Head.
-    std::deque<QueuedWorkPtr> m_Resumed;
+    std::list<QueuedWorkPtr> m_Resumed;
     /// Left the fair queue but found no place.
     QueuedWorkPtr m_Head;
+    /// Unservable when they were tried last.
+    std::list<QueuedWorkPtr> m_Aside;
   };
 
   Queue &queueOf(const std::string &Deployment);
   static void pumpLocked(Queue &Waiting, MonotonicTime Now);
+  /// Returns false if a resumed request found no room.
+  static bool startResumed(Queue &Waiting, MonotonicTime Now);
+  static void startAside(Queue &Waiting, MonotonicTime Now);
+  static void setAside(Queue &Waiting);
   static void expireLocked(Queue &Waiting, MonotonicTime Now);
 
   FairQueueSettings m_Settings;
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -17,6 +17,8 @@
 constexpr double SmallestWeight = 0.05;
 /// With fewer peers the median says nothing.
 constexpr std::size_t FewestPeers = 3;
+/// Marks refusals for reasons that lie in the request.
+constexpr const char *RequestReasonUrl = "fulmarwinch/depends_on_request";
 } // namespace
 
 namespace {
@@ -92,9 +94,6 @@
       Reasons += fmt::format("{}{} {}", Reasons.empty() ? "" : ", ", Count,
                              Row.m_Name);
   }
-  const auto CountOf = [&](RemovalReason Reason) {
-    return Removed[static_cast<std::size_t>(Reason)];
-  };
   if (Reasons.empty())
     return makeError(
         ErrorKind::NoCapacity,
@@ -103,6 +102,22 @@
   const std::string Problem =
       fmt::format("no group of deployment {} can take the request ({})",
                   Request.m_Deployment, Reasons);
+  absl::Status Refusal = refusalOf(Removed, Problem);
+  constexpr std::array RequestReasons{
+      RemovalReason::AlreadyTried, RemovalReason::ContextTooShort,
+      RemovalReason::AdapterMissing, RemovalReason::VersionDiffers,
+      RemovalReason::FailsThisClass};
+  for (const RemovalReason Reason : RequestReasons)
+    if (Removed[static_cast<std::size_t>(Reason)] > 0)
+      Refusal.SetPayload(RequestReasonUrl, absl::Cord());
+  return Refusal;
+}
+
+absl::Status Router::refusalOf(const ReasonCounts &Removed,
+                               const std::string &Problem) {
+  const auto CountOf = [&](RemovalReason Reason) {
+    return Removed[static_cast<std::size_t>(Reason)];
+  };
   // A group that is full would have been in time, so the load is the cause.
   if (CountOf(RemovalReason::AtCapacity) + CountOf(RemovalReason::NoSlot) > 0)
     return makeError(ErrorKind::Overloaded, Problem,
@@ -115,6 +130,10 @@
                    "and what the request demands");
 }
 
+bool dependsOnRequest(const absl::Status &Refusal) {
+  return Refusal.GetPayload(RequestReasonUrl).has_value();
+}
+
 void weighStragglers(std::vector<Candidate> &Groups) {
   std::vector<double> Times;
   for (const Candidate &Group : Groups)
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -37,6 +37,8 @@
                                 ReasonCounts &Removed) const;
   static absl::Status refuse(const RouteRequest &Request,
                              const ReasonCounts &Removed);
+  static absl::Status refusalOf(const ReasonCounts &Removed,
+                                const std::string &Problem);
 
   RoutingTable &m_Table;
   OutlierTracker &m_Outliers;
@@ -45,6 +47,11 @@
   std::vector<CandidateFilter> m_Filters;
 };
 
+/// Returns true if \p Refusal, a result of Router::route(), is at least partly
+/// due to what the request demands or where it failed, so that other requests
+/// of the deployment may still be served.
+bool dependsOnRequest(const absl::Status &Refusal);
+
 /// Sets the weight of groups whose time per token is far above the median of
 /// their peers, so that stragglers get less work.
 void weighStragglers(std::vector<Candidate> &Groups);
