Forget heads, members and failures of earlier generations

Cause: a VM that was once the head of a group kept feeding that group's slot granter after it had moved, so that two start IDs reset the ramp in turn. Statuses of replaced members, groups of repaired domains and nodes that are gone stayed in memory. Nothing called OutlierTracker::forget(), so a repaired group was avoided for what its earlier members failed. Change: heads and groups of a domain are listed anew with each task message, statuses follow the task, and a new generation starts without failures.

--- a/node/group_control.cpp
+++ b/node/group_control.cpp
@@ -7,6 +7,8 @@
 #include "fmt/format.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace fulmarwinch {
 
@@ -223,6 +225,18 @@
       sendDomainTasks(Domain, Epoch, *Value);
 }
 
+void GroupControl::forgetGroups(const std::string &Domain) {
+  for (auto Entry = m_GroupOfHead.begin(); Entry != m_GroupOfHead.end();) {
+    const auto Found = m_DomainOfGroup.find(Entry->second);
+    const bool IsOfDomain =
+        Found != m_DomainOfGroup.end() && Found->second == Domain;
+    Entry = IsOfDomain ? m_GroupOfHead.erase(Entry) : std::next(Entry);
+  }
+  for (auto Entry = m_DomainOfGroup.begin(); Entry != m_DomainOfGroup.end();)
+    Entry = Entry->second == Domain ? m_DomainOfGroup.erase(Entry)
+                                    : std::next(Entry);
+}
+
 void GroupControl::sendDomainTasks(const std::string &Domain,
                                    std::uint64_t Epoch,
                                    const Assignment &Value) {
@@ -232,9 +246,12 @@
     NodesOfZone[Member.m_Zone].push_back(Member.m_Id);
     AllNodes.push_back(Member.m_Id);
   }
+  forgetGroups(Domain);
   std::map<std::string, Json> TasksOfNode;
-  for (const std::string &Node : m_Informed[Domain])
-    TasksOfNode[Node] = Json::array();
+  std::set<std::string> &Informed = m_Informed[Domain];
+  for (const std::string &Node : std::exchange(Informed, {}))
+    if (std::find(AllNodes.begin(), AllNodes.end(), Node) != AllNodes.end())
+      TasksOfNode[Node] = Json::array();
   for (const auto &[Id, Group] : Value.m_Groups) {
     const MonitorTask Task = makeTask(Id, Group, Value, Epoch);
     m_DomainOfGroup[Id] = Domain;
@@ -251,7 +268,7 @@
       }
   }
   for (const auto &[Node, Tasks] : TasksOfNode) {
-    m_Informed[Domain].insert(Node);
+    Informed.insert(Node);
     m_Peers.send(
         Node, PeerChannel::Tasks,
         {{"d", Domain}, {"e", Epoch}, {"n", Value.m_Generation}, {"t", Tasks}});
--- a/node/group_control.h
+++ b/node/group_control.h
@@ -62,6 +62,10 @@
   void feedGranter(const std::string &Vm, const EngineStatus &Status);
   void sendOrders(const std::vector<EngineOrder> &Orders);
   void sendTasks(const std::map<std::string, std::uint64_t> &Held);
+  /// Forgets the groups and heads of \p Domain before they are listed anew. A
+  /// VM that is no longer the head of its group would otherwise reset the
+  /// group's ramp by its own start ID.
+  void forgetGroups(const std::string &Domain);
   void sendDomainTasks(const std::string &Domain, std::uint64_t Epoch,
                        const Assignment &Value);
   MonitorTask makeTask(const std::string &Id, const GroupEntry &Group,
--- a/node/group_monitor.cpp
+++ b/node/group_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include "servers/lease/rendezvous.h"
 
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -47,6 +48,7 @@
     Listed.insert(Task->m_Group);
     Monitored &Group = m_Groups[Task->m_Group];
     Group.m_Task = *std::move(Task);
+    forgetOtherMembers(Group);
   }
   for (auto Entry = m_Groups.begin(); Entry != m_Groups.end();) {
     const bool IsRemoved = Entry->second.m_Task.m_Domain == Domain &&
@@ -61,6 +63,15 @@
   }
 }
 
+void GroupMonitor::forgetOtherMembers(Monitored &Group) {
+  std::set<std::string> Members;
+  for (const MonitoredMember &Member : Group.m_Task.m_Members)
+    Members.insert(Member.m_Vm);
+  for (auto Entry = Group.m_Statuses.begin(); Entry != Group.m_Statuses.end();)
+    Entry = Members.count(Entry->first) == 0 ? Group.m_Statuses.erase(Entry)
+                                             : std::next(Entry);
+}
+
 void GroupMonitor::tick(MonotonicTime Now) {
   for (auto &[Id, Group] : m_Groups) {
     if (!isActive(Group.m_Task))
--- a/node/group_monitor.h
+++ b/node/group_monitor.h
@@ -37,6 +37,8 @@
     std::uint64_t m_Generation = 0;
   };
 
+  /// Without this, VMs that were replaced long ago would be kept.
+  static void forgetOtherMembers(Monitored &Group);
   bool isActive(const MonitorTask &Task) const;
   void pollMembers(Monitored &Group);
   PublishedView makeView(const Monitored &Group, MonotonicTime Now) const;
--- a/node/view_receiver.cpp
+++ b/node/view_receiver.cpp
@@ -27,6 +27,9 @@
   Known &Group = m_Groups[View.m_Group];
   if (View.m_Generation < Group.m_View.m_Generation)
     return;
+  // What the group failed says nothing about its new members.
+  if (View.m_Generation != Group.m_View.m_Generation)
+    m_Path.outliers().forget(View.m_Group);
   const bool WasServing = Group.m_View.m_Serving;
   const bool SameStart = View.m_StartId == Group.m_View.m_StartId;
   // A completed ramp belongs to one start of the engine. It outlives a change
@@ -94,6 +97,7 @@
       continue;
     }
     m_Path.table().remove(Entry->first);
+    m_Path.outliers().forget(Entry->first);
     Entry = m_Groups.erase(Entry);
   }
 }
--- /dev/null
+++ b/tests/node/test_group_monitor.cpp
@@ -0,0 +1,162 @@
+#include "node/group_monitor.h"
+#include "tests/node/http_caller.h"
+#include "tests/support/free_port.h"
+
+#include "drivers/http/http_server.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+/// Answers `GET /v1/state` as a ready member of group g, generation 1.
+class FakeMember {
+public:
+  explicit FakeMember(std::string Vm) : m_Vm(std::move(Vm)) {
+    HttpServerOptions Options;
+    Options.m_Port = m_Port;
+    CPPUNIT_ASSERT(m_Server
+                       .start(Options,
+                              [](const HttpExchangePtr &Exchange) {
+                                const Json State = {{"start_id", "s1"},
+                                                    {"group", "g"},
+                                                    {"generation", 1},
+                                                    {"state", "ready"},
+                                                    {"capacity", 5}};
+                                Exchange->respond(
+                                    jsonResponse(200, State.dump()));
+                              })
+                       .ok());
+  }
+
+  MonitoredMember row() const {
+    return {m_Vm, fmt::format("127.0.0.1:{}", m_Port)};
+  }
+  void stop() { m_Server.stop(); }
+
+private:
+  const std::string m_Vm;
+  const std::uint16_t m_Port = freePort();
+  HttpServer m_Server;
+};
+
+NodeSettings monitorSettings() {
+  NodeSettings Settings;
+  Settings.m_Node = "n1";
+  Settings.m_Region = "r";
+  Settings.m_Zone = "z";
+  Settings.m_PeerEndpoint = {"127.0.0.1", freePort()};
+  return Settings;
+}
+
+} // namespace
+
+class GroupMonitorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupMonitorTest);
+  CPPUNIT_TEST(missingMemberWithdrawsTheGroup);
+  CPPUNIT_TEST(tasksOfAnOlderEpochAreIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    m_Control.start();
+    onControl([this] {
+      m_Peers.onChannel(PeerChannel::Views,
+                        [this](const std::string &, const Json &Message) {
+                          const std::lock_guard<std::mutex> Guard(m_Mutex);
+                          m_View = parsePublishedView(Message).value();
+                        });
+    });
+    m_Control.every(std::chrono::milliseconds(10),
+                    [this] { m_Monitor.tick(monotonicNow()); });
+    sendTasks(2, 1, {task()});
+    waitFor("the group serves", [this] { return view().m_Serving; });
+  }
+
+  void tearDown() override {
+    m_Control.stop();
+    m_Client.stop();
+  }
+
+  /// Guards against service by a group of which a member is missing.
+  void missingMemberWithdrawsTheGroup() {
+    CPPUNIT_ASSERT_EQUAL(m_Head.row().m_Address, view().m_HeadAddress);
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), view().m_StartId);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, view().m_Capacity);
+    m_Member.stop();
+    waitFor("the group is withdrawn", [this] { return !view().m_Serving; });
+    CPPUNIT_ASSERT(!view().m_Reason.empty());
+  }
+
+  /// Guards against an earlier holder of the shard that takes groups from the
+  /// monitor or brings them back.
+  void tasksOfAnOlderEpochAreIgnored() {
+    sendTasks(1, 1, {});
+    sendTasks(9, 0, {});
+    MonitorTask Late = task();
+    Late.m_Holder = "old";
+    sendTasks(1, 1, {Late});
+    onControl([this] { m_Monitor.tick(monotonicNow()); });
+    CPPUNIT_ASSERT(view().m_Serving);
+    CPPUNIT_ASSERT_EQUAL(std::string("n1"), view().m_Holder);
+    sendTasks(2, 2, {});
+    CPPUNIT_ASSERT(!view().m_Serving);
+  }
+
+private:
+  MonitorTask task() const {
+    MonitorTask Task;
+    Task.m_Group = "g";
+    Task.m_Domain = "d";
+    Task.m_Zone = "z";
+    Task.m_Deployment = "chat";
+    Task.m_Generation = 1;
+    Task.m_State = GroupState::Serving;
+    Task.m_Members = {m_Head.row(), m_Member.row()};
+    Task.m_Holder = "n1";
+    return Task;
+  }
+
+  void sendTasks(std::uint64_t Epoch, std::uint64_t Generation,
+                 const std::vector<MonitorTask> &Tasks) {
+    Json Rows = Json::array();
+    for (const MonitorTask &Task : Tasks)
+      Rows.push_back(toJson(Task));
+    onControl([&] {
+      m_Monitor.onTasks(
+          {{"d", "d"}, {"e", Epoch}, {"n", Generation}, {"t", Rows}});
+    });
+  }
+
+  /// Runs \p Task on the control thread and waits for its end.
+  void onControl(const std::function<void()> &Task) {
+    std::atomic<bool> IsDone{false};
+    m_Control.post([&] {
+      Task();
+      IsDone = true;
+    });
+    waitFor("the control thread runs", [&IsDone] { return IsDone.load(); });
+  }
+
+  PublishedView view() {
+    const std::lock_guard<std::mutex> Guard(m_Mutex);
+    return m_View;
+  }
+
+  std::mutex m_Mutex;
+  PublishedView m_View;
+  FakeMember m_Head{"v1"};
+  FakeMember m_Member{"v2"};
+  const NodeSettings m_Settings = monitorSettings();
+  ControlThread m_Control;
+  PeerService m_Peers{m_Settings, m_Control};
+  HttpClient m_Client{1};
+  EngineClient m_Engines{m_Client, m_Control};
+  GroupMonitor m_Monitor{m_Peers, m_Engines};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupMonitorTest);
+
+} // namespace fulmarwinch
