--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -254,7 +254,8 @@
   if (Record && Record->m_State != MemberState::Alive)
     Message.m_Updates.push_back(*Record);
   for (const auto &[Topic, Source] : m_TopicSources)
-    Message.m_Topics[Topic] = Source(Peer, Now);
+    if (Json Value = Source(Peer, Now); !Value.is_null())
+      Message.m_Topics[Topic] = std::move(Value);
   return Message;
 }
 
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -38,7 +38,8 @@
   std::vector<MemberChanged> m_Changes;
 };
 
-/// Returns the object of one topic for a ping or response to \p Peer.
+/// Returns the object of one topic for a ping or response to \p Peer, or null
+/// if there is nothing to tell.
 using TopicSource =
     std::function<Json(const std::string &Peer, MonotonicTime Now)>;
 
