Send failure records with one message in four

Cause: 200 bytes in each of some 32 messages per second are 6.4 KB/s, more than the 4 KB/s that membership may use. Change: one message in four, chosen at random, carries the records: 1.6 KB/s while there are records. Conclusion: computed from the message rate of the design, not measured.

--- a/node/failure_gossip.cpp
+++ b/node/failure_gossip.cpp
@@ -124,6 +124,8 @@
 }
 
 Json FailureGossip::records(MonotonicTime Now) {
+  if (m_Random() % MessagesPerTopic != 0)
+    return nullptr;
   FailureRecords Records;
   Records.m_Poison = m_Path.withPoison(
       [Now](PoisonDetector &Poison) { return Poison.records(Now); });
--- a/node/failure_gossip.h
+++ b/node/failure_gossip.h
@@ -5,6 +5,8 @@
 #include "node/peer_service.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <random>
 #include <vector>
 
 namespace fulmarwinch {
@@ -26,9 +28,10 @@
 /// control thread.
 class FailureGossip {
 public:
-  /// Pings and responses go to some 8 peers twice a second, and membership
-  /// may use 4 KB/s in total.
   static constexpr std::size_t MaxTopicBytes = 200;
+  /// Pings and responses make some 32 messages per second, and membership may
+  /// use 4 KB/s in total, so one message in this many carries records.
+  static constexpr std::uint32_t MessagesPerTopic = 4;
 
   FailureGossip(PeerService &Peers, DataPath &Path);
 
@@ -40,6 +43,8 @@
   void onTopic(const TopicReceived &Topic);
 
   DataPath &m_Path;
+  /// The choice is random, so that every peer gets its share.
+  std::minstd_rand m_Random{std::random_device{}()};
 };
 
 } // namespace fulmarwinch
