End callbacks before the objects they use, and close gaps in the gateway

Cause: a node destroyed its claims, queue and control thread before the HTTP clients, whose running calls (at least one watch at any time) then called them; exchanges outlived their connections. A deadline of 2^63 ms overflowed. A path such as /%70ayouts or /x/../payouts reached a non-idempotent route without a key. The limit of requests per second had no effect. A body over the limit closed the connection without a response. Change: ~Node ends threads, then the clients, then drops the exchanges, each while the connections exist. Deadlines are at most 24 h, paths that services read in different ways are refused, prefixes are compared with the decoded path, requests are limited per organisation, and a body up to 1 MB over the limit is answered by 413. The holder of shard 0 of a region deletes expired claim buckets every ten minutes. Conclusion: larger bodies and headers beyond their bounds are still closed without a response, because RESTinio offers no hook there.

--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -1,9 +1,20 @@
 #include "node/claim_service.h"
 
 #include <utility>
+#include <vector>
 
 namespace fulmarwinch {
 
+namespace {
+
+constexpr const char *ClaimPrefix = "claims/";
+/// Keys are listed in the order of their hours, so the first page holds the
+/// expired ones. An hour has 64 buckets at most, so one page in ten minutes is
+/// more than what expires.
+constexpr std::size_t GarbagePage = 128;
+
+} // namespace
+
 ClaimService::ClaimService(const std::string &Writer, ObjectStore &Store,
                            WriterLiveness IsAlive)
     : m_Store(Store),
@@ -56,12 +67,32 @@
   carryOut(std::move(Effects));
 }
 
+void ClaimService::collectGarbage() {
+  m_Store.list({ClaimPrefix, "", GarbagePage}, [this](const KeysListed &List) {
+    if (List.m_Outcome != StoreOutcome::Applied)
+      return;
+    std::vector<ListedClaimBucket> Buckets;
+    for (const StoreKey &Key : List.m_Keys)
+      Buckets.push_back({Key.m_Key, Key.m_Version});
+    ClaimEffects Effects;
+    m_Registry.collectGarbage(Buckets, unixNow(), Effects);
+    carryOut(std::move(Effects));
+  });
+}
+
 void ClaimService::beginShutdown() {
   ClaimEffects Effects;
   m_Registry.beginShutdown(monotonicNow(), Effects);
   carryOut(std::move(Effects));
 }
 
+void ClaimService::dropWaiting() {
+  std::map<ClaimId, ResultCallback> Dropped;
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  Dropped.swap(m_Waiting);
+  m_Early.clear();
+}
+
 void ClaimService::carryOut(ClaimEffects Effects) {
   for (ClaimResult &Result : Effects.m_Results)
     deliver(std::move(Result));
--- a/node/claim_service.h
+++ b/node/claim_service.h
@@ -31,7 +31,12 @@
 
   /// To be called every few milliseconds; sends batches that are due.
   void tick(MonotonicTime Now);
+  /// Deletes bucket objects in which no key can be accepted any more. To be
+  /// called on one node at a time, every ten minutes.
+  void collectGarbage();
   void beginShutdown();
+  /// Drops the requests that wait for a result.
+  void dropWaiting();
   bool isDrained() const { return m_Registry.isDrained(); }
 
 private:
--- a/node/control_thread.cpp
+++ b/node/control_thread.cpp
@@ -35,9 +35,10 @@
 } // namespace
 
 struct ControlThread::Impl {
-  asio::io_context m_Context{1};
+  std::unique_ptr<asio::io_context> m_Context =
+      std::make_unique<asio::io_context>(1);
   asio::executor_work_guard<asio::io_context::executor_type> m_Work{
-      m_Context.get_executor()};
+      m_Context->get_executor()};
   std::thread m_Thread;
 };
 
@@ -46,21 +47,28 @@
 ControlThread::~ControlThread() { stop(); }
 
 void ControlThread::start() {
-  m_Impl->m_Thread = std::thread([this] { m_Impl->m_Context.run(); });
+  m_Impl->m_Thread = std::thread([this] { m_Impl->m_Context->run(); });
 }
 
 void ControlThread::stop() {
-  m_Impl->m_Context.stop();
+  if (m_Impl->m_Context)
+    m_Impl->m_Context->stop();
   if (m_Impl->m_Thread.joinable())
     m_Impl->m_Thread.join();
 }
 
+void ControlThread::discardTasks() {
+  m_Impl->m_Work.reset();
+  m_Impl->m_Context.reset();
+}
+
 void ControlThread::post(std::function<void()> Task) {
-  asio::post(m_Impl->m_Context, std::move(Task));
+  if (m_Impl->m_Context)
+    asio::post(*m_Impl->m_Context, std::move(Task));
 }
 
 void ControlThread::every(Duration Period, std::function<void()> Task) {
-  const auto Periodic = std::make_shared<PeriodicTask>(m_Impl->m_Context,
+  const auto Periodic = std::make_shared<PeriodicTask>(*m_Impl->m_Context,
                                                        Period, std::move(Task));
   post([Periodic] { Periodic->schedule(); });
 }
--- a/node/control_thread.h
+++ b/node/control_thread.h
@@ -18,8 +18,11 @@
   ControlThread &operator=(const ControlThread &) = delete;
 
   void start();
-  /// Ends the thread. Tasks that have not run are dropped.
+  /// Ends the thread. Tasks that have not run never run.
   void stop();
+  /// Destroys the tasks that have not run, and with them what they hold. To be
+  /// called after stop(), when no other thread calls post() any more.
+  void discardTasks();
 
   /// Runs \p Task on the thread, after all tasks posted before.
   void post(std::function<void()> Task);
--- a/node/data_path.h
+++ b/node/data_path.h
@@ -50,7 +50,10 @@
   RoutingTable &table() { return m_Table; }
   OutlierTracker &outliers() { return m_Outliers; }
   SlotHolder &slots() { return m_Slots; }
+  /// Limits tokens per second of each organisation.
   RateLimiter &rateLimiter() { return m_RateLimiter; }
+  /// Limits requests per second of each organisation.
+  RateLimiter &requestLimiter() { return m_RequestLimiter; }
   Metrics &metrics() { return m_Metrics; }
 
   /// Returns true if the group still serves with this generation.
@@ -73,6 +76,7 @@
   NodeAdmissionGate m_Gate;
   Router m_Router;
   RateLimiter m_RateLimiter;
+  RateLimiter m_RequestLimiter;
   std::shared_ptr<const ConfigurationInForce> m_Configuration;
   std::mutex m_PoisonMutex;
   PoisonDetector m_Poison;
--- a/node/gateway.cpp
+++ b/node/gateway.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/numbers.h"
 #include "fmt/format.h"
 
+#include <algorithm>
 #include <random>
 #include <vector>
 
@@ -19,6 +20,12 @@
 
 /// Longest time that a request waits for a place at a backend server.
 constexpr Duration QueueWait = std::chrono::seconds(5);
+/// Bounds the deadline, so that its sum with a time cannot overflow.
+constexpr std::chrono::milliseconds LongestDeadline = std::chrono::hours(24);
+/// A body that exceeds the limit by less than this is read and answered by
+/// 413; RESTinio closes the connection of a larger one without a response.
+constexpr std::size_t AnsweredExcessBytes = 1U << 20U;
+constexpr int PayloadTooLarge = 413;
 constexpr Duration RetryAfterClosed = std::chrono::seconds(1);
 constexpr std::string_view ServicePrefix = "/services/";
 
@@ -28,6 +35,18 @@
   return Result;
 }
 
+/// Returns true if a backend server may read \p Path, which is decoded, as
+/// another path. Such a path could name a non-idempotent route without matching
+/// its prefix.
+bool isAmbiguous(std::string Path) {
+  if (Path.empty() || Path.back() != '/')
+    Path += '/';
+  for (const char *Part : {"//", "/./", "/../", "\\", ";"})
+    if (Path.find(Part) != std::string::npos)
+      return true;
+  return Path.find('\0') != std::string::npos;
+}
+
 const NonIdempotentRoute *findNonIdempotent(const Service &Target,
                                             const std::string &Method,
                                             const std::string &Path) {
@@ -40,9 +59,9 @@
 
 } // namespace
 
-const std::array<Gateway::Filter, 4> Gateway::Filters{
-    &Gateway::checkOpen, &Gateway::authenticate, &Gateway::readPriority,
-    &Gateway::readDeadline};
+const std::array<Gateway::Filter, 5> Gateway::Filters{
+    &Gateway::checkOpen, &Gateway::authenticate, &Gateway::takeRequest,
+    &Gateway::readPriority, &Gateway::readDeadline};
 
 const std::array<Gateway::Route, 4> Gateway::Routes{{
     {"POST", "/v1/chat/completions", false, &Gateway::handleCompletion},
@@ -63,7 +82,8 @@
   Options.m_Address = m_Settings.m_ClientEndpoint.m_Address;
   Options.m_Port = m_Settings.m_ClientEndpoint.m_Port;
   Options.m_Threads = static_cast<std::size_t>(m_Settings.m_HttpThreads);
-  Options.m_MaxBodyBytes = static_cast<std::size_t>(m_Settings.m_MaxBodyBytes);
+  Options.m_MaxBodyBytes =
+      static_cast<std::size_t>(m_Settings.m_MaxBodyBytes) + AnsweredExcessBytes;
   Options.m_ReadTimeout =
       std::chrono::milliseconds(m_Settings.m_HeaderTimeoutMs);
   return m_Server.start(Options, [this](HttpExchangePtr Exchange) {
@@ -71,7 +91,9 @@
   });
 }
 
-void Gateway::stop() { m_Server.stop(); }
+void Gateway::stop(const std::function<void()> &Release) {
+  m_Server.stop(Release);
+}
 
 std::string Gateway::newRequestId() {
   return fmt::format("{}-{}", m_RequestPrefix, m_NextRequest++);
@@ -83,14 +105,24 @@
   Request.m_RequestId = newRequestId();
   Request.m_ArrivedAt = monotonicNow();
   Request.m_Configuration = m_Path.configuration();
-  const absl::Status Result = process(Request);
+  const bool IsTooLarge = Request.m_Exchange->request().m_Body.size() >
+                          static_cast<std::size_t>(m_Settings.m_MaxBodyBytes);
+  const absl::Status Result =
+      IsTooLarge
+          ? makeError(
+                ErrorKind::InvalidArgument, "the request body is too large",
+                fmt::format("send at most {} bytes", m_Settings.m_MaxBodyBytes))
+          : process(Request);
   if (Result.ok())
     return;
   m_Path.metrics().count(
       fmt::format("refusals_total{{kind=\"{}\"}}",
                   nameOf(ErrorKindNames, errorKind(Result))));
-  Request.m_Exchange->respond(errorHttpResponse(
-      {Result, Outcome::NotRun, Request.m_RetryAfter, Request.m_RequestId}));
+  HttpResponse Response = errorHttpResponse(
+      {Result, Outcome::NotRun, Request.m_RetryAfter, Request.m_RequestId});
+  if (IsTooLarge)
+    Response.m_Status = PayloadTooLarge;
+  Request.m_Exchange->respond(std::move(Response));
 }
 
 absl::Status Gateway::process(Context &Request) {
@@ -163,32 +195,47 @@
   if (!Text)
     return absl::OkStatus();
   std::int64_t Milliseconds = 0;
-  if (!absl::SimpleAtoi(*Text, &Milliseconds) || Milliseconds <= 0)
+  if (!absl::SimpleAtoi(*Text, &Milliseconds) || Milliseconds <= 0 ||
+      Milliseconds > LongestDeadline.count())
     return makeError(ErrorKind::InvalidArgument,
                      fmt::format("X-Deadline-Ms is '{}'", *Text),
-                     "send the time left in milliseconds, above 0");
+                     fmt::format("send the time left in milliseconds, from 1 "
+                                 "to {}",
+                                 LongestDeadline.count()));
   Request.m_Deadline =
       Request.m_ArrivedAt + std::chrono::milliseconds(Milliseconds);
   return absl::OkStatus();
 }
 
-absl::Status Gateway::takeRate(Context &Request, double CostTokens) {
-  const double Limit = Request.m_Organisation.m_TokensPerSecond;
+absl::Status Gateway::take(Context &Request, RateLimiter &Limiter, double Limit,
+                           double Cost, std::string_view Unit) {
   if (Limit <= 0)
     return absl::OkStatus();
-  m_Path.rateLimiter().setLimit(Request.m_Organisation.m_Name, {Limit, Limit});
-  const std::optional<Duration> Wait = m_Path.rateLimiter().tryTake(
-      Request.m_Organisation.m_Name, CostTokens, Request.m_ArrivedAt);
+  const std::string &Name = Request.m_Organisation.m_Name;
+  // A limit below one per second still allows one at a time.
+  Limiter.setLimit(Name, {Limit, std::max(Limit, 1.0)});
+  const std::optional<Duration> Wait =
+      Limiter.tryTake(Name, Cost, Request.m_ArrivedAt);
   if (!Wait)
     return absl::OkStatus();
   Request.m_RetryAfter = *Wait;
   return makeError(ErrorKind::LimitExceeded,
-                   fmt::format("organisation {} is over its limit of {} "
-                               "tokens per second on this node",
-                               Request.m_Organisation.m_Name, Limit),
+                   fmt::format("organisation {} is over its limit of {} {} per "
+                               "second on this node",
+                               Name, Limit, Unit),
                    "the request was not run, send it after the given time");
 }
 
+absl::Status Gateway::takeRequest(Context &Request) {
+  return take(Request, m_Path.requestLimiter(),
+              Request.m_Organisation.m_RequestsPerSecond, 1, "requests");
+}
+
+absl::Status Gateway::takeTokens(Context &Request, double CostTokens) {
+  return take(Request, m_Path.rateLimiter(),
+              Request.m_Organisation.m_TokensPerSecond, CostTokens, "tokens");
+}
+
 absl::Status Gateway::handleModels(Context &Request) {
   Json Models = Json::array();
   const ConfigurationView &View = *Request.m_Configuration->m_View;
@@ -218,7 +265,8 @@
       Request.m_Exchange->request().m_Body, *Request.m_Configuration->m_View);
   if (!Parsed.ok())
     return Parsed.status();
-  if (absl::Status Limit = takeRate(Request, Parsed->m_CostTokens); !Limit.ok())
+  if (absl::Status Limit = takeTokens(Request, Parsed->m_CostTokens);
+      !Limit.ok())
     return Limit;
   ChatRequest Chat;
   Chat.m_Exchange = Request.m_Exchange;
@@ -273,9 +321,15 @@
   ServiceRequest Service;
   const std::string Path =
       Slash == std::string_view::npos ? "/" : std::string(Rest.substr(Slash));
+  const std::string Decoded = percentDecode(Path);
+  if (isAmbiguous(Decoded))
+    return makeError(ErrorKind::InvalidArgument,
+                     "the path contains '.', '..', '//', '\\', ';' or a zero "
+                     "byte, which services read in different ways",
+                     "send the path in its plain form");
   Service.m_Target =
       Http.m_Query.empty() ? Path : fmt::format("{}?{}", Path, Http.m_Query);
-  if (findNonIdempotent(*Target, Http.m_Method, Path)) {
+  if (findNonIdempotent(*Target, Http.m_Method, Decoded)) {
     absl::StatusOr<IdempotencyKey> Key = IdempotencyKey::parse(
         findHeader(Http.m_Headers, "Idempotency-Key").value_or(""));
     if (!Key.ok())
@@ -284,7 +338,7 @@
       return Age;
     Service.m_Key = *std::move(Key);
   }
-  if (absl::Status Limit = takeRate(Request, 1); !Limit.ok())
+  if (absl::Status Limit = takeTokens(Request, 1); !Limit.ok())
     return Limit;
   Service.m_Exchange = Request.m_Exchange;
   Service.m_RequestId = Request.m_RequestId;
--- a/node/gateway.h
+++ b/node/gateway.h
@@ -26,7 +26,10 @@
           ClaimService &Claims);
 
   absl::Status start();
-  void stop();
+  /// See HttpServer::stop().
+  void stop(const std::function<void()> &Release);
+  /// Drops the requests that wait, unanswered.
+  void dropWaiting() { m_Queue.clear(); }
 
   /// To be called every few milliseconds: moves streams away from groups that
   /// no longer serve and dispatches requests that wait.
@@ -72,11 +75,14 @@
   absl::Status handleCompletion(Context &Request);
   absl::Status handleService(Context &Request);
 
-  absl::Status takeRate(Context &Request, double CostTokens);
+  absl::Status takeRequest(Context &Request);
+  absl::Status takeTokens(Context &Request, double CostTokens);
+  static absl::Status take(Context &Request, RateLimiter &Limiter, double Limit,
+                           double Cost, std::string_view Unit);
   void submit(Context &Request, ChatRequest Chat);
   std::string newRequestId();
 
-  static const std::array<Filter, 4> Filters;
+  static const std::array<Filter, 5> Filters;
   static const std::array<Route, 4> Routes;
 
   const NodeSettings &m_Settings;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -6,6 +6,7 @@
 #include "node/configuration_service.h"
 #include "node/data_path.h"
 #include "node/engine_client.h"
+#include "node/failure_gossip.h"
 #include "node/gateway.h"
 #include "node/group_control.h"
 #include "node/group_monitor.h"
@@ -31,6 +32,8 @@
 constexpr Duration LeasePeriod = std::chrono::milliseconds(100);
 constexpr Duration GroupPeriod = std::chrono::milliseconds(250);
 constexpr Duration VmListPeriod = std::chrono::seconds(2);
+constexpr Duration ForgetPeriod = std::chrono::minutes(1);
+constexpr Duration GarbagePeriod = std::chrono::minutes(10);
 constexpr Duration ShutdownPoll = std::chrono::milliseconds(20);
 /// Longest wait for leases, claims and audit records at a shutdown.
 constexpr Duration ReleaseTimeout = std::chrono::seconds(5);
@@ -57,6 +60,9 @@
   void waitForWork();
   bool waitUntil(Duration Limit, const std::function<bool()> &IsReached) const;
   bool isReleased();
+  /// Ends the calls of both clients and drops the requests of clients that
+  /// are still kept.
+  void endCalls();
 
   const NodeSettings m_Settings;
   const std::string m_Writer;
@@ -78,6 +84,7 @@
   ConfigurationService m_Configuration;
   SlotClient m_Slots;
   OperatorApi m_Operators;
+  FailureGossip m_Failures;
 };
 
 Node::Impl::Impl(const NodeSettings &Settings)
@@ -103,7 +110,8 @@
                      return !m_IsStopping &&
                             m_Path.configuration()->m_MayAcceptNewWork;
                    }},
-                  m_Writer) {}
+                  m_Writer),
+      m_Failures(m_Peers, m_Path) {}
 
 void Node::Impl::connectChannels() {
   m_Peers.onChannel(PeerChannel::Views,
@@ -150,6 +158,13 @@
     m_Metrics.setGauge("requests_waiting",
                        static_cast<double>(m_Gateway.waiting()));
   });
+  m_Control.every(ForgetPeriod, [this] { m_Failures.tick(monotonicNow()); });
+  m_Control.every(GarbagePeriod, [this] {
+    // The holder of one fixed shard of the region does this work.
+    for (const std::string &Shard : m_Groups.heldShards(monotonicNow()))
+      if (Shard == fmt::format("{}.0", m_Settings.m_Region))
+        m_Claims.collectGarbage();
+  });
   m_Control.every(VmListPeriod, [this] { m_Groups.tickVms(); });
   m_Control.post([this] { m_Groups.tickVms(); });
 }
@@ -178,12 +193,28 @@
     : m_Impl(std::make_unique<Impl>(Settings)) {}
 
 Node::~Node() {
-  // Threads end before the objects that their tasks use.
-  m_Impl->m_Gateway.stop();
-  m_Impl->m_Operators.stop();
-  m_Impl->m_Peers.stop();
-  m_Impl->m_DataTimer.stop();
-  m_Impl->m_Control.stop();
+  Impl &Parts = *m_Impl;
+  // Threads end before the objects that their callbacks use, and exchanges
+  // are dropped while the connections that they answer still exist.
+  Parts.m_DataTimer.stop();
+  Parts.m_Control.stop();
+  Parts.m_Peers.stop();
+  Parts.m_Gateway.stop([&Parts] { Parts.endCalls(); });
+  // A server that never started does not call its release function.
+  Parts.endCalls();
+  const auto DropOperatorCalls = [&Parts] {
+    Parts.m_Operators.dropWaiting();
+    Parts.m_Control.discardTasks();
+  };
+  Parts.m_Operators.stop(DropOperatorCalls);
+  DropOperatorCalls();
+}
+
+void Node::Impl::endCalls() {
+  m_DataClient.stop();
+  m_ControlClient.stop();
+  m_Gateway.dropWaiting();
+  m_Claims.dropWaiting();
 }
 
 absl::Status Node::start() {
--- a/node/operator_api.cpp
+++ b/node/operator_api.cpp
@@ -96,7 +96,9 @@
       Options, [this](const HttpExchangePtr &Exchange) { handle(Exchange); });
 }
 
-void OperatorApi::stop() { m_Server.stop(); }
+void OperatorApi::stop(const std::function<void()> &Release) {
+  m_Server.stop(Release);
+}
 
 void OperatorApi::audit(AuditRecord Record) {
   m_Audit.record(std::move(Record), monotonicNow());
--- a/node/operator_api.h
+++ b/node/operator_api.h
@@ -45,7 +45,10 @@
   OperatorApi(OperatorApiParts Parts, const std::string &Writer);
 
   absl::Status start();
-  void stop();
+  /// See HttpServer::stop().
+  void stop(const std::function<void()> &Release);
+  /// Drops the confirmations in progress with their exchanges.
+  void dropWaiting() { m_Confirmations.clear(); }
   /// To be called every 50 ms.
   void tick(MonotonicTime Now);
 
