Keep a claim after any byte was sent, and never replay part of a response

Cause: an attempt that the service refused followed by one that sent nothing released the claim, although bytes had left this node. The remedy of a refused payout told the caller to use a key that is used up. Change: the claim is released only if no attempt sent anything; a response that was not recorded whole is answered 409 with outcome ran; the remedy names a new key. Conclusion: test_payouts.cpp.

--- a/node/service_relay.cpp
+++ b/node/service_relay.cpp
@@ -75,6 +75,19 @@
 }
 
 void ServiceRelay::answerClaimed(const ClaimResult &Result) {
+  if (Result.m_Kind == ClaimResultKind::AlreadyDone && Result.m_Outcome &&
+      !Result.m_Outcome->m_IsBodyComplete) {
+    // The start of a response must not look like a complete one.
+    m_Request.m_Exchange->respond(errorHttpResponse(
+        {makeError(ErrorKind::Conflict,
+                   fmt::format("the request ran with status {} and its "
+                               "response was too long to be recorded",
+                               Result.m_Outcome->m_StatusCode),
+                   "read the result from the service"),
+         Outcome::Ran, Duration{0}, m_Request.m_RequestId}));
+    m_OnDone();
+    return;
+  }
   if (Result.m_Kind == ClaimResultKind::AlreadyDone && Result.m_Outcome) {
     HttpResponse Response;
     Response.m_Status = Result.m_Outcome->m_StatusCode;
@@ -101,6 +114,7 @@
   m_Headers.clear();
   m_Body.clear();
   m_MarkedNotRun = false;
+  m_TooLarge = false;
   m_Client.start(makeCall());
 }
 
@@ -144,6 +158,7 @@
   Facts.m_ResponseComplete = Result.m_Complete;
   const Outcome Ended = classifyAttempt(Facts);
   m_MayHaveRun = m_MayHaveRun || Ended != Outcome::NotRun;
+  m_IsAnySent = m_IsAnySent || !Result.m_NothingSent;
   RetryState State;
   State.m_Idempotent = !m_Request.m_Key.has_value();
   const bool Retry =
@@ -164,21 +179,28 @@
     return;
   }
   answerError(
-      makeError(
-          ErrorKind::UpstreamFailed,
-          fmt::format("service {} did not complete the response: {}",
-                      m_Request.m_Service.m_Name,
-                      Result.m_Error.empty()
-                          ? fmt::format("status {}", Result.m_Status)
-                          : Result.m_Error),
-          Ended == Outcome::NotRun
-              ? "the request was not run, send it again"
-              : "the request may have run; check before sending it again"),
+      makeError(ErrorKind::UpstreamFailed,
+                fmt::format("service {} did not complete the response: {}",
+                            m_Request.m_Service.m_Name,
+                            Result.m_Error.empty()
+                                ? fmt::format("status {}", Result.m_Status)
+                                : Result.m_Error),
+                remedyFor(Ended)),
       Ended);
 }
 
+std::string_view ServiceRelay::remedyFor(Outcome Ended) const {
+  if (Ended != Outcome::NotRun)
+    return "the request may have run, check before sending it again";
+  // A claim is released only if no byte left this node, so the key is used up
+  // by a request that the service itself refused.
+  return m_Request.m_Key && m_IsAnySent
+             ? "the request was not run, send it again under a new key"
+             : "the request was not run, send it again";
+}
+
 void ServiceRelay::record(const HttpCallResult &Result, Outcome Ended) {
-  if (Result.m_NothingSent) {
+  if (!m_IsAnySent) {
     m_Claims.releaseUnsent(std::move(*m_Claim));
   } else if (Ended == Outcome::Ran) {
     ClaimOutcome Recorded;
@@ -204,8 +226,11 @@
 
 void ServiceRelay::answerError(const absl::Status &Reason, Outcome Ended) {
   const bool IsContradicted = m_MayHaveRun && Ended == Outcome::NotRun;
-  const ErrorResponse Error{Reason, IsContradicted ? Outcome::Unknown : Ended,
-                            RetryAfterFailure, m_Request.m_RequestId};
+  const ErrorResponse Error =
+      IsContradicted ? ErrorResponse{mayHaveRun(Reason), Outcome::Unknown,
+                                     RetryAfterFailure, m_Request.m_RequestId}
+                     : ErrorResponse{Reason, Ended, RetryAfterFailure,
+                                     m_Request.m_RequestId};
   m_Path.metrics().count("service_requests_total{result=\"failed\"}");
   logLine(LogLevel::Warning, "gateway",
           fmt::format("request {}: {}", m_Request.m_RequestId,
--- a/node/service_relay.h
+++ b/node/service_relay.h
@@ -42,6 +42,7 @@
   void dispatch();
   HttpCall makeCall();
   void onDone(const HttpCallResult &Result);
+  std::string_view remedyFor(Outcome Ended) const;
   void record(const HttpCallResult &Result, Outcome Ended);
   void answerResponse(int Status);
   void answerError(const absl::Status &Reason, Outcome Ended);
@@ -58,6 +59,8 @@
   bool m_MayHaveRun = false;
   HttpHeaders m_Headers;
   std::string m_Body;
+  /// A byte of any attempt left this node.
+  bool m_IsAnySent = false;
   bool m_MarkedNotRun = false;
   bool m_TooLarge = false;
 };
--- /dev/null
+++ b/tests/node/test_payouts.cpp
@@ -0,0 +1,167 @@
+#include "core/time.h"
+#include "tests/node/gateway_world.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+#include "fmt/format.h"
+
+#include <atomic>
+#include <future>
+
+namespace fulmarwinch {
+
+/// Non-idempotent requests that go through the gateway.
+class PayoutsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PayoutsTest);
+  CPPUNIT_TEST(outcomeIsReplayed);
+  CPPUNIT_TEST(longOutcomeIsNotReplayedInPart);
+  CPPUNIT_TEST(lostAnswersNeverRepeatAPayout);
+  CPPUNIT_TEST(outageRefusesAsNotRun);
+  CPPUNIT_TEST(payoutNeedsAKeyWhateverItsSpelling);
+  CPPUNIT_TEST(expiredBucketsAreDeleted);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against a payout that is made again, or a body that is changed
+  /// under the same key.
+  void outcomeIsReplayed() {
+    const std::string Key = newKey();
+    const HttpClient::Response First = pay(Key, {{"sum", 1}});
+    const HttpClient::Response Second = pay(Key, {{"sum", 1}});
+    CPPUNIT_ASSERT_EQUAL(200, First.m_Result.m_Status);
+    CPPUNIT_ASSERT_EQUAL(200, Second.m_Result.m_Status);
+    CPPUNIT_ASSERT_EQUAL(First.m_Body, Second.m_Body);
+    CPPUNIT_ASSERT(findHeader(Second.m_Headers, "X-Idempotent-Replay") ==
+                   "true");
+    const HttpClient::Response Other = pay(Key, {{"sum", 2}});
+    CPPUNIT_ASSERT_EQUAL(std::string("key_reused"),
+                         errorOf(Other)["type"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(1, executions(Key));
+  }
+
+  /// Guards against the recorded start of a long response that looks like the
+  /// whole one.
+  void longOutcomeIsNotReplayedInPart() {
+    HttpServer Long;
+    HttpServerOptions Options;
+    Options.m_Port = m_World.m_ServicePort;
+    m_World.m_Service.stop();
+    std::atomic<int> Calls{0};
+    CPPUNIT_ASSERT(Long.start(Options,
+                              [&Calls](const HttpExchangePtr &Exchange) {
+                                ++Calls;
+                                Exchange->respond(
+                                    jsonResponse(200, std::string(5000, '1')));
+                              })
+                       .ok());
+    const std::string Key = newKey();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5000}, pay(Key, {}).m_Body.size());
+    const HttpClient::Response Second = pay(Key, {});
+    CPPUNIT_ASSERT_EQUAL(409, Second.m_Result.m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), outcomeOf(Second));
+    CPPUNIT_ASSERT_EQUAL(1, Calls.load());
+  }
+
+  /// Guards against payouts that run twice when answers of the platform are
+  /// lost after the write took effect, and against untrue outcomes.
+  void lostAnswersNeverRepeatAPayout() {
+    m_World.m_Platform.control({{"lose_answers", 0.3}, {"seed", 7}});
+    for (int Index = 0; Index < 15; ++Index) {
+      const std::string Key = newKey();
+      for (int Attempt = 0; Attempt < 2; ++Attempt) {
+        const HttpClient::Response Response = pay(Key, {});
+        if (Response.m_Result.m_Status == 200)
+          CPPUNIT_ASSERT_EQUAL(1, executions(Key));
+        else if (Attempt == 0 && outcomeOf(Response) == "not_run")
+          CPPUNIT_ASSERT_EQUAL(0, executions(Key));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(
+        0,
+        m_World.m_Service.status()["keys_executed_more_than_once"].get<int>());
+  }
+
+  /// Guards against a payout without a stored claim.
+  void outageRefusesAsNotRun() {
+    m_World.m_Platform.control({{"outage", true}});
+    const std::string Key = newKey();
+    const HttpClient::Response Response = pay(Key, {});
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), outcomeOf(Response));
+    CPPUNIT_ASSERT_EQUAL(0, executions(Key));
+  }
+
+  /// Guards against a payout without a claim because another spelling of its
+  /// path does not match the declared prefix.
+  void payoutNeedsAKeyWhateverItsSpelling() {
+    for (const char *Path :
+         {"/payouts", "/%70ayouts", "//payouts", "/x/%2e%2e/payouts",
+          "/%2fpayouts", "/.%2fpayouts", "/payouts%00", "/;/payouts"}) {
+      const HttpClient::Response Response =
+          RunningCall(m_World.m_Caller,
+                      m_World.post(fmt::format("/services/pay{}", Path), {}))
+              .wait();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Path, 400, Response.m_Result.m_Status);
+    }
+    CPPUNIT_ASSERT(m_World.m_Service.status()["executions"].empty());
+    HttpCall Lookup = m_World.post("/services/pay/balance/", {});
+    Lookup.m_Method = "GET";
+    CPPUNIT_ASSERT_EQUAL(
+        200, RunningCall(m_World.m_Caller, Lookup).wait().m_Result.m_Status);
+  }
+
+  /// Guards against claim objects that fill the object store, and against
+  /// the deletion of a claim that still protects its payout.
+  void expiredBucketsAreDeleted() {
+    const std::string Key = newKey();
+    CPPUNIT_ASSERT_EQUAL(200, pay(Key, {}).m_Result.m_Status);
+    store(PutObject{1, "claims/1/7", 0, "{}"});
+    CPPUNIT_ASSERT(isStored("claims/1/7"));
+    m_World.m_Claims.collectGarbage();
+    waitFor("the old bucket is deleted",
+            [this] { return !isStored("claims/1/7"); });
+    CPPUNIT_ASSERT_EQUAL(200, pay(Key, {}).m_Result.m_Status);
+    CPPUNIT_ASSERT_EQUAL(1, executions(Key));
+  }
+
+private:
+  StoreCompletion store(StoreAction Action) {
+    std::promise<StoreCompletion> Done;
+    m_World.m_Store.start(std::move(Action), [&Done](StoreCompletion Event) {
+      Done.set_value(std::move(Event));
+    });
+    return Done.get_future().get();
+  }
+
+  bool isStored(const std::string &Key) {
+    return std::get<GetCompleted>(store(GetObject{1, Key})).m_Outcome ==
+           StoreOutcome::Applied;
+  }
+
+  std::string newKey() {
+    return fmt::format("{}-payout{}", unixNow(), m_NextKey++);
+  }
+
+  HttpClient::Response pay(const std::string &Key, const Json &Body) {
+    return RunningCall(m_World.m_Caller,
+                       m_World.post("/services/pay/payouts", Body,
+                                    {{"Idempotency-Key", Key}}))
+        .wait();
+  }
+
+  static Json errorOf(const HttpClient::Response &Response) {
+    return Json::parse(Response.m_Body)["error"];
+  }
+  static std::string outcomeOf(const HttpClient::Response &Response) {
+    return errorOf(Response)["outcome"].get<std::string>();
+  }
+
+  int executions(const std::string &Key) {
+    return memberOr(m_World.m_Service.status()["executions"], Key.c_str(), 0);
+  }
+
+  int m_NextKey = 0;
+  GatewayWorld m_World;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PayoutsTest);
+
+} // namespace fulmarwinch
