Keep a request without a place from holding up its node

Cause: DispatchQueue stopped at the first resumed request that found no group. Change: the queue tries all resumed requests and then the new ones. Exclusions end 750 ms after the last failed attempt, whether or not the response has begun. A suspect that was dispatched before waits for its turn in isolation instead of being refused in the middle of a stream.

--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -50,25 +50,32 @@
     finish();
     return true;
   }
-  absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
-  if (!Decision.ok() && m_ResponseStarted &&
-      !m_Request.m_Route.m_Excluded.empty()) {
-    // A group that failed once is still better than an incomplete response.
-    m_Request.m_Route.m_Excluded.clear();
-    Decision = m_Path.route(m_Request.m_Route, Now);
-  }
+  const absl::StatusOr<RouteDecision> Decision = chooseGroup(Now);
   if (!Decision.ok()) {
     if (isWaitable(errorKind(Decision.status())))
       return false;
     answerError(Decision.status(), Outcome::NotRun, Duration{0});
     return true;
   }
-  if (checkPoison(*Decision))
+  const PoisonCheck Check = checkPoison(*Decision);
+  if (Check == PoisonCheck::Passed)
     dispatch(*Decision, Now);
-  return true;
+  return Check != PoisonCheck::Waits;
+}
+
+absl::StatusOr<RouteDecision> ChatRelay::chooseGroup(MonotonicTime Now) {
+  absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
+  // A group that failed once is still better than none, for example after all
+  // groups have failed.
+  const bool MayReturn = !m_Request.m_Route.m_Excluded.empty() &&
+                         Now - m_LastAttemptEnded >= m_Limits.m_ExclusionTime;
+  if (Decision.ok() || !MayReturn)
+    return Decision;
+  m_Request.m_Route.m_Excluded.clear();
+  return m_Path.route(m_Request.m_Route, Now);
 }
 
-bool ChatRelay::checkPoison(const RouteDecision &Decision) {
+ChatRelay::PoisonCheck ChatRelay::checkPoison(const RouteDecision &Decision) {
   const std::string &Server = Decision.m_View->m_Group;
   const PoisonVerdict Verdict = m_Path.withPoison([&](PoisonDetector &Poison) {
     const PoisonVerdict Found =
@@ -83,8 +90,12 @@
     return Found;
   });
   if (Verdict == PoisonVerdict::Run)
-    return true;
+    return PoisonCheck::Passed;
   m_Path.endAttempt(Decision, std::nullopt);
+  // A request that was dispatched before waits for its turn, since an answer
+  // now would leave the client with a part of the response.
+  if (Verdict == PoisonVerdict::Isolate && m_Attempts > 0)
+    return PoisonCheck::Waits;
   if (Verdict == PoisonVerdict::Refuse)
     answerError(makeError(ErrorKind::Quarantined,
                           "requests with this content crashed several backend "
@@ -97,7 +108,7 @@
                           "servers and another suspect runs in isolation",
                           "send it again later"),
                 Outcome::NotRun, RetryAfterFailure);
-  return false;
+  return PoisonCheck::Answered;
 }
 
 void ChatRelay::dispatch(const RouteDecision &Decision, MonotonicTime Now) {
@@ -300,6 +311,7 @@
   }
   m_Path.endAttempt(m_Attempt.m_Decision, Times);
   m_Attempt.m_IsOpen = false;
+  m_LastAttemptEnded = monotonicNow();
 }
 
 ChatRelay::NextStep ChatRelay::chooseNext(Outcome Result, MonotonicTime Now) {
--- a/node/chat_relay.h
+++ b/node/chat_relay.h
@@ -47,6 +47,10 @@
   Duration m_FirstTokenTimeout = std::chrono::seconds(20);
   /// Longest time that a broken stream waits for another group.
   Duration m_ResumeWait = std::chrono::seconds(30);
+  /// Time after a failed attempt in which its group is not used again. It
+  /// covers the time until the monitor withdraws a broken group; without it
+  /// the attempts would be used up at a group that refuses connections.
+  Duration m_ExclusionTime = std::chrono::milliseconds(750);
   /// Early chunks that are held for one stream.
   std::size_t m_MaxEarlyChunks = 256;
 };
@@ -95,7 +99,11 @@
   /// What happens after an attempt ended.
   enum class NextStep { None, Wait };
 
-  bool checkPoison(const RouteDecision &Decision);
+  /// What the poison detector decided about a dispatch.
+  enum class PoisonCheck { Passed, Waits, Answered };
+
+  absl::StatusOr<RouteDecision> chooseGroup(MonotonicTime Now);
+  PoisonCheck checkPoison(const RouteDecision &Decision);
   void dispatch(const RouteDecision &Decision, MonotonicTime Now);
   HttpCall makeCall(const GroupView &View, std::uint32_t Number);
 
@@ -128,6 +136,7 @@
   StreamSplicer m_Splicer;
   Attempt m_Attempt;
   std::uint32_t m_Attempts = 0;
+  MonotonicTime m_LastAttemptEnded{};
   bool m_ResponseStarted = false;
   /// An attempt may have run, so the request is never reported as not run.
   bool m_MayHaveRun = false;
--- a/node/dispatch_queue.cpp
+++ b/node/dispatch_queue.cpp
@@ -97,11 +97,12 @@
 }
 
 void DispatchQueue::pumpLocked(Queue &Waiting, MonotonicTime Now) {
-  while (!Waiting.m_Resumed.empty()) {
-    if (!Waiting.m_Resumed.front()->tryStart(Now))
-      return;
-    Waiting.m_Resumed.pop_front();
-  }
+  // A request that finds no place must not hold up the others, because the
+  // groups that it may use can differ from those that are free.
+  for (auto Entry = Waiting.m_Resumed.begin();
+       Entry != Waiting.m_Resumed.end();)
+    Entry = (*Entry)->tryStart(Now) ? Waiting.m_Resumed.erase(Entry)
+                                    : std::next(Entry);
   while (true) {
     if (!Waiting.m_Head) {
       const std::optional<QueuedRequest> Next = Waiting.m_Fair.dequeue(Now);
--- a/node/dispatch_queue.h
+++ b/node/dispatch_queue.h
@@ -49,7 +49,7 @@
   void submit(const std::string &Deployment, QueuedRequest Request,
               const QueuedWorkPtr &Work, MonotonicTime Now);
 
-  /// Puts a request whose response has begun before all others.
+  /// Puts a request that was dispatched before ahead of all others.
   void resume(const std::string &Deployment, const QueuedWorkPtr &Work,
               MonotonicTime Now);
 
