--- a/node/node.cpp
+++ b/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node/group_monitor.h"
 #include "node/operator_api.h"
 #include "node/peer_service.h"
+#include "node/poison_exchange.h"
 #include "node/slot_client.h"
 #include "node/slot_codec.h"
 #include "node/view_receiver.h"
@@ -77,6 +78,7 @@
   GroupControl m_Groups;
   ConfigurationService m_Configuration;
   SlotClient m_Slots;
+  PoisonExchange m_Poison;
   OperatorApi m_Operators;
 };
 
@@ -97,6 +99,7 @@
                         m_Groups.setConfiguration(std::move(View));
                       }),
       m_Slots(m_Path, m_Peers, m_Views, [this] { return m_Gateway.waiting(); }),
+      m_Poison(m_Path, m_Peers),
       m_Operators({m_Settings, m_Store, m_Control, m_Peers, m_Configuration,
                    m_Groups, m_Views, m_Metrics,
                    [this] {
@@ -145,6 +148,7 @@
     m_Monitor.tick(Now);
     m_Views.tick(Now);
     m_Slots.tick(Now);
+    m_Poison.tick(Now);
     m_Metrics.setGauge("requests_in_progress",
                        static_cast<double>(m_Gateway.inProgress()));
     m_Metrics.setGauge("requests_waiting",
--- a/node/peer_service.h
+++ b/node/peer_service.h
@@ -17,14 +17,22 @@
 namespace fulmarwinch {
 
 /// Kinds of messages between nodes; the name is the first byte of a message.
-enum class PeerChannel { Membership, Views, Tasks, Slots, Configuration };
+enum class PeerChannel {
+  Membership,
+  Views,
+  Tasks,
+  Slots,
+  Configuration,
+  Poison
+};
 
-inline constexpr std::array<EnumName<PeerChannel>, 5> PeerChannelNames{{
+inline constexpr std::array<EnumName<PeerChannel>, 6> PeerChannelNames{{
     {PeerChannel::Membership, "m"},
     {PeerChannel::Views, "v"},
     {PeerChannel::Tasks, "t"},
     {PeerChannel::Slots, "s"},
     {PeerChannel::Configuration, "c"},
+    {PeerChannel::Poison, "p"},
 }};
 
 /// Membership and messages between nodes. All functions and handlers run on
