Hand a group's monitoring over without withdrawing the group

Cause: when membership changes move a group to another monitor, the earlier monitor published the group as disbanded, and the new one published a view before its first poll ('no recent report'). Every node withdrew the group for 0.2 s to 0.5 s (log of make demo: groups of domain-2 at 06:09:19, 06:09:42 and 06:09:43 when nodes joined and left). Change: the tasks name all groups of the domain, so a monitor can tell a group that moved from one that is disbanded. A new monitor publishes once it has polled all members, at the latest after 750 ms; until then the earlier view expires by itself after 1.5 s.

--- a/node/group_control.cpp
+++ b/node/group_control.cpp
@@ -250,11 +250,19 @@
         Tasks.push_back(toJson(Task));
       }
   }
+  // A group that is in the domain but not among a node's tasks has another
+  // monitor; one that is not in the domain is disbanded.
+  Json Groups = Json::array();
+  for (const auto &[Id, Group] : Value.m_Groups)
+    Groups.push_back(Id);
   for (const auto &[Node, Tasks] : TasksOfNode) {
     m_Informed[Domain].insert(Node);
-    m_Peers.send(
-        Node, PeerChannel::Tasks,
-        {{"d", Domain}, {"e", Epoch}, {"n", Value.m_Generation}, {"t", Tasks}});
+    m_Peers.send(Node, PeerChannel::Tasks,
+                 {{"d", Domain},
+                  {"e", Epoch},
+                  {"n", Value.m_Generation},
+                  {"g", Groups},
+                  {"t", Tasks}});
   }
 }
 
--- a/node/group_monitor.cpp
+++ b/node/group_monitor.cpp
@@ -11,6 +11,10 @@
 
 /// An unchanged view is repeated after this time; routers drop it after 1.5 s.
 constexpr Duration RepeatAfter = std::chrono::milliseconds(500);
+/// A node that becomes the monitor publishes nothing for this time or until it
+/// has polled all members. A view without their reports would withdraw a group
+/// that serves; the view of the earlier monitor expires by itself.
+constexpr Duration FirstReportsWithin = std::chrono::milliseconds(750);
 
 GroupEntry toGroupEntry(const MonitorTask &Task) {
   GroupEntry Group;
@@ -48,6 +52,13 @@
     Monitored &Group = m_Groups[Task->m_Group];
     Group.m_Task = *std::move(Task);
   }
+  const auto Existing = memberOr(Message, "g", std::vector<std::string>());
+  removeUnlisted(Domain, Listed, {Existing.begin(), Existing.end()});
+}
+
+void GroupMonitor::removeUnlisted(const std::string &Domain,
+                                  const std::set<std::string> &Listed,
+                                  const std::set<std::string> &Existing) {
   for (auto Entry = m_Groups.begin(); Entry != m_Groups.end();) {
     const bool IsRemoved = Entry->second.m_Task.m_Domain == Domain &&
                            Listed.count(Entry->first) == 0;
@@ -55,21 +66,41 @@
       ++Entry;
       continue;
     }
-    Entry->second.m_Task.m_State = GroupState::Disbanded;
-    publish(Entry->second, monotonicNow());
+    // A group that another node monitors from now on goes on serving.
+    if (Existing.count(Entry->first) == 0) {
+      Entry->second.m_Task.m_State = GroupState::Disbanded;
+      publish(Entry->second, monotonicNow());
+    }
     Entry = m_Groups.erase(Entry);
   }
 }
 
 void GroupMonitor::tick(MonotonicTime Now) {
   for (auto &[Id, Group] : m_Groups) {
-    if (!isActive(Group.m_Task))
+    if (!isActive(Group.m_Task)) {
+      Group.m_ActiveSince.reset();
       continue;
-    publish(Group, Now);
+    }
+    if (!Group.m_ActiveSince)
+      Group.m_ActiveSince = Now;
+    if (knowsMembers(Group, Now))
+      publish(Group, Now);
     pollMembers(Group);
   }
 }
 
+bool GroupMonitor::knowsMembers(const Monitored &Group, MonotonicTime Now) {
+  if (Now - *Group.m_ActiveSince >= FirstReportsWithin)
+    return true;
+  for (const MonitoredMember &Member : Group.m_Task.m_Members) {
+    const auto Found = Group.m_Statuses.find(Member.m_Vm);
+    if (Found == Group.m_Statuses.end() ||
+        Found->second.m_Report.m_At < *Group.m_ActiveSince)
+      return false;
+  }
+  return true;
+}
+
 bool GroupMonitor::isActive(const MonitorTask &Task) const {
   std::vector<std::string> InZone;
   std::vector<std::string> All;
--- a/node/group_monitor.h
+++ b/node/group_monitor.h
@@ -7,6 +7,8 @@
 #include "servers/groups/serving_view.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace fulmarwinch {
@@ -31,13 +33,21 @@
     std::map<std::string, bool> m_IsPolled;
     std::string m_LastText;
     MonotonicTime m_PublishedAt{};
+    /// Time since which this node is the monitor.
+    std::optional<MonotonicTime> m_ActiveSince;
   };
   struct DomainVersion {
     std::uint64_t m_Epoch = 0;
     std::uint64_t m_Generation = 0;
   };
 
+  void removeUnlisted(const std::string &Domain,
+                      const std::set<std::string> &Listed,
+                      const std::set<std::string> &Existing);
   bool isActive(const MonitorTask &Task) const;
+  /// Returns true if all members were polled since this node is the monitor,
+  /// or if that took too long.
+  static bool knowsMembers(const Monitored &Group, MonotonicTime Now);
   void pollMembers(Monitored &Group);
   PublishedView makeView(const Monitored &Group, MonotonicTime Now) const;
   void publish(Monitored &Group, MonotonicTime Now);
