Report nodes that end at the start of a loopback deployment

Cause: with overlapping port ranges the scripts waited 30 s for nodes that had ended. Change: start_nodes() fails at once and names the node and the logs; the port range is documented.

--- a/scripts/loopback.py
+++ b/scripts/loopback.py
@@ -56,7 +56,10 @@
 
 
 class Deployment:
-    """Platform, engines, payout service and nodes as child processes."""
+    """Platform, engines, payout service and nodes as child processes.
+
+    It uses the ports from `base_port` up to `base_port` + 409.
+    """
 
     def __init__(self, base_port, spares=1, zones=ZONES, members=MEMBERS,
                  engine_defaults=None, node_settings=None):
@@ -152,8 +155,14 @@
             self.start_node(number)
         self._poller = threading.Thread(target=self._poll_ready, daemon=True)
         self._poller.start()
-        self.wait(lambda: all(node.is_ready for node in self.nodes), 30,
-                  "all nodes to be ready")
+        self.wait(self._all_ready, 30, "all nodes to be ready")
+
+    def _all_ready(self):
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                raise DeploymentError(f"{node.name} ended; logs are in "
+                                      f"{self.directory}")
+        return all(node.is_ready for node in self.nodes)
 
     def _poll_ready(self):
         """Takes the part of the load balancer's health check."""
