--- a/node/chat_relay.cpp
+++ b/node/chat_relay.cpp
@@ -44,10 +44,12 @@
 
 absl::StatusOr<RouteDecision> ChatRelay::chooseGroup(MonotonicTime Now) {
   absl::StatusOr<RouteDecision> Decision = m_Path.route(m_Request.m_Route, Now);
-  if (Decision.ok() || !m_ResponseStarted ||
-      m_Request.m_Route.m_Excluded.empty())
+  // A group that failed once is still better than none, for example after all
+  // groups have failed.
+  const bool MayReturn = !m_Request.m_Route.m_Excluded.empty() &&
+                         Now - m_LastAttemptEnded >= m_Limits.m_ExclusionTime;
+  if (Decision.ok() || !MayReturn)
     return Decision;
-  // A group that failed once is still better than an incomplete response.
   m_Request.m_Route.m_Excluded.clear();
   return m_Path.route(m_Request.m_Route, Now);
 }
@@ -63,9 +65,12 @@
   const absl::StatusOr<RouteDecision> Decision = chooseGroup(Now);
   if (!Decision.ok()) {
     const absl::Status &Refusal = Decision.status();
+    // A request that excludes groups may wait while others find a place, so it
+    // must not hold them up.
+    const bool IsParticular =
+        dependsOnRequest(Refusal) || !m_Request.m_Route.m_Excluded.empty();
     if (isWaitable(errorKind(Refusal)))
-      return dependsOnRequest(Refusal) ? StartResult::Unservable
-                                       : StartResult::NoRoom;
+      return IsParticular ? StartResult::Unservable : StartResult::NoRoom;
     answerError(Refusal, Outcome::NotRun, Duration{0});
     return StartResult::Started;
   }
@@ -101,9 +106,9 @@
                 Outcome::NotRun, Duration{0});
     return StartResult::Started;
   }
-  // The client of a started response holds a part that would be lost, so the
-  // request waits for the place of isolation.
-  if (m_ResponseStarted)
+  // A request that was dispatched before waits for its turn, since an answer
+  // now would leave the client with a part of the response.
+  if (m_Attempts > 0)
     return StartResult::Unservable;
   answerError(makeError(ErrorKind::Isolated,
                         "the request is suspected of crashing backend servers "
@@ -338,6 +343,7 @@
   }
   m_Path.endAttempt(m_Attempt.m_Decision, Times);
   m_Attempt.m_IsOpen = false;
+  m_LastAttemptEnded = monotonicNow();
 }
 
 ChatRelay::NextStep ChatRelay::chooseNext(Outcome Result, MonotonicTime Now) {
--- a/tests/node/test_dispatch_queue.cpp
+++ b/tests/node/test_dispatch_queue.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(unservableRequestsAreBounded);
   CPPUNIT_TEST(resumedStreamGoesFirst);
   CPPUNIT_TEST(failedResumeBlocksNoOther);
+  CPPUNIT_TEST(stuckResumeBlocksNoOtherResume);
   CPPUNIT_TEST(overdueRequestsAreRefused);
   CPPUNIT_TEST(overflowIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -104,6 +105,22 @@
     CPPUNIT_ASSERT(submit(StartResult::Started)->m_IsStarted);
   }
 
+  /// Guards against the failure that one resumed request that had excluded
+  /// every group blocked all requests of its node for 30 s.
+  void stuckResumeBlocksNoOtherResume() {
+    const auto Stuck = std::make_shared<FakeWork>();
+    const auto Resumed = std::make_shared<FakeWork>();
+    Stuck->m_Result = StartResult::Unservable;
+    m_Queue.resume("chat", Stuck, Start);
+    m_Queue.resume("chat", Resumed, Start);
+    CPPUNIT_ASSERT(Resumed->m_IsStarted && !Stuck->m_IsStarted);
+    CPPUNIT_ASSERT(submit(StartResult::Started)->m_IsStarted);
+    Stuck->m_Result = StartResult::Started;
+    m_Queue.pump("chat", Start);
+    CPPUNIT_ASSERT(Stuck->m_IsStarted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Queue.size());
+  }
+
   /// Guards against requests that are never answered, wherever they wait.
   void overdueRequestsAreRefused() {
     const auto Resumed = std::make_shared<FakeWork>();
@@ -144,7 +161,7 @@
     const auto Work = std::make_shared<FakeWork>();
     Work->m_Result = Result;
     QueuedRequest Request;
-    Request.m_Organisation = "tadamun";
+    Request.m_Organisation = "acme";
     Request.m_EnqueuedAt = Start;
     m_Queue.submit("chat", Request, Work, Start);
     return Work;
--- a/tests/node/test_group_monitor.cpp
+++ b/tests/node/test_group_monitor.cpp
@@ -151,7 +151,8 @@
   FakeMember m_Member{"v2"};
   const NodeSettings m_Settings = monitorSettings();
   ControlThread m_Control;
-  PeerService m_Peers{m_Settings, m_Control};
+  Metrics m_Metrics;
+  PeerService m_Peers{m_Settings, m_Control, m_Metrics};
   HttpClient m_Client{1};
   EngineClient m_Engines{m_Client, m_Control};
   GroupMonitor m_Monitor{m_Peers, m_Engines};
