--- a/tests/node/status/test_status_report.cpp
+++ b/tests/node/status/test_status_report.cpp
@@ -29,7 +29,7 @@
   CPPUNIT_TEST(expiredViewDoesNotServe);
   CPPUNIT_TEST_SUITE_END();
 
-  const std::map<std::string, MemberRecord> m_Nodes;
+  const std::map<std::string, MemberRecord> m_Nodes{};
   const ConfigurationView::Pointer m_Empty = ConfigurationView::empty();
   const MonotonicTime m_Start{};
 
