Send the chunks of a stream at once

Cause: the HTTP server left Nagle's algorithm on. The chunks of a stream are small separate writes, so each one after the first waited for the client's delayed acknowledgement (40 ms on Linux), in the node and in the stand-ins. Change: TCP_NODELAY on accepted connections.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -125,6 +125,11 @@
       .handle_request_timeout(Options.m_HandlerTimeout)
       .write_http_response_timelimit(Options.m_HandlerTimeout)
       .max_pipelined_requests(4)
+      // Nagle's algorithm would hold back each small chunk of a stream until
+      // the client's delayed acknowledgement, 40 ms on Linux.
+      .socket_options_setter([](restinio::socket_options_t &Socket) {
+        Socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+      })
       .incoming_http_msg_limits(
           restinio::incoming_http_msg_limits_t{}.max_body_size(
               Options.m_MaxBodyBytes))
