--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -210,10 +210,31 @@
     Effects.m_Messages.push_back(
         {Chosen.m_Address, encodePeerMessage(Message)});
   }
+  contactSeed(Message, Effects);
+}
+
+void Membership::contactSeed(const PeerMessage &Message,
+                             MembershipEffects &Effects) {
+  if (m_Seeds.empty())
+    return;
+  std::set<std::string> Reachable{m_Table.self().m_Address};
+  for (const auto &[Id, Record] : m_Table.members())
+    if (Record.isReachable())
+      Reachable.insert(Record.m_Address);
+  std::vector<std::string> Unknown;
+  for (const std::string &Seed : m_Seeds)
+    if (Reachable.count(Seed) == 0)
+      Unknown.push_back(Seed);
+  // Nodes that start at the same time can form two sides that do not know each
+  // other. A seed that is not a member may belong to the other side.
+  if (!Unknown.empty()) {
+    Effects.m_Messages.push_back(
+        {Unknown[m_Random() % Unknown.size()], encodePeerMessage(Message)});
+    return;
+  }
   // Rare contacts to a seed join two sides that have forgotten each other;
   // all nodes together make about one per interval.
-  const bool IsChosen = m_Random() % m_Table.members().size() == 0;
-  if ((m_Neighbours.empty() || IsChosen) && !m_Seeds.empty())
+  if (m_Neighbours.empty() || m_Random() % m_Table.members().size() == 0)
     Effects.m_Messages.push_back(
         {m_Seeds[m_Random() % m_Seeds.size()], encodePeerMessage(Message)});
 }
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -73,6 +73,7 @@
                      MembershipEffects &Effects);
   void sendRecords(const PeerMessage &Request, MembershipEffects &Effects);
   void contactUnreachable(MonotonicTime Now, MembershipEffects &Effects);
+  void contactSeed(const PeerMessage &Message, MembershipEffects &Effects);
   void refreshPeers(MonotonicTime Now);
   void mark(const std::string &Id, MemberState State, MonotonicTime Now,
             MembershipEffects &Effects);
--- a/tests/servers/membership/test_membership.cpp
+++ b/tests/servers/membership/test_membership.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(gossipIsBounded);
   CPPUNIT_TEST(codecKeepsEveryField);
   CPPUNIT_TEST(carriesTopics);
+  CPPUNIT_TEST(contactsSeedThatIsNoMember);
   CPPUNIT_TEST_SUITE_END();
 
   void restartSupersedesFormerSelf() {
@@ -153,6 +154,25 @@
     CPPUNIT_ASSERT(Received && Received->m_AskedAt == SentAt);
     CPPUNIT_ASSERT_EQUAL(12, Received->m_Value.at("revision").get<int>());
   }
+
+  /// Guards against two sides that formed at a simultaneous start and did not
+  /// know each other for 30 s, because a node with neighbours hardly ever
+  /// contacted a seed.
+  void contactsSeedThatIsNoMember() {
+    Membership Node(makeMember("a", "z", "r"), {"b1:1", "other:1"}, 1);
+    PeerMessage Known;
+    Known.m_Kind = PeerMessageKind::Records;
+    Known.m_From = "b1";
+    for (int Index = 0; Index < 50; ++Index)
+      Known.m_Updates.push_back(
+          makeMember("b" + std::to_string(Index), "z", "r"));
+    MembershipEffects Effects;
+    Node.onMessage(encodePeerMessage(Known), Zero, Effects);
+    Node.tick(Zero + std::chrono::seconds(6), Effects);
+    CPPUNIT_ASSERT(std::any_of(
+        Effects.m_Messages.begin(), Effects.m_Messages.end(),
+        [](const SendToPeer &Each) { return Each.m_Address == "other:1"; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
