End the nodes of a loopback deployment before its stand-ins

Cause: on Ctrl-C the engines ended together with the nodes, so the nodes waited for work that could not finish and 6 had to be killed after 15 s. SIGINT was also ignored in background jobs of a shell. Change: the nodes end first and the clients stop sending; SIGINT is handled explicitly.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -198,6 +198,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--base-port", type=int, default=32000)
     arguments = parser.parse_args()
+    # Set even if the caller ignores SIGINT, as shells do for background jobs.
+    signal.signal(signal.SIGINT, raise_interrupt)
     signal.signal(signal.SIGTERM, raise_interrupt)
     demo = Demo(arguments.seed, arguments.base_port)
     result = {"ok": False}
--- a/scripts/loopback.py
+++ b/scripts/loopback.py
@@ -174,6 +174,8 @@
                     node.is_ready = status == 200
                 except OSError:
                     node.is_ready = False
+                if self._stop.is_set():
+                    node.is_ready = False
 
     def pick_node(self, rng, avoid=None):
         ready = [node for node in self.nodes if node.is_ready]
@@ -185,15 +187,28 @@
         self.nodes.remove(node)
 
     def close(self):
-        """Ends every child process, the paused ones too."""
+        """Ends every child process, the paused ones too.
+
+        The nodes go first, so that they can finish their work at the engines.
+        Returns how many processes had to be killed.
+        """
         self._stop.set()
-        running = [p for p in self.processes if p.poll() is None]
-        for process in reversed(running):
+        # The clients find no node any more and stop sending.
+        for node in self.nodes:
+            node.is_ready = False
+        nodes = [p for p in self.processes if p.args[0].endswith("winchd")]
+        standins = [p for p in self.processes if p not in nodes]
+        return self._end(nodes) + self._end(standins)
+
+    @staticmethod
+    def _end(processes):
+        running = [p for p in processes if p.poll() is None]
+        for process in running:
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
         deadline = time.monotonic() + 15
         killed = 0
-        for process in reversed(running):
+        for process in running:
             try:
                 process.wait(max(0.1, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
--- a/scripts/process_faults.py
+++ b/scripts/process_faults.py
@@ -263,6 +263,8 @@
                         help="run this phase only; may be repeated")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}; replay with --seed {arguments.seed}")
+    # Set even if the caller ignores SIGINT, as shells do for background jobs.
+    signal.signal(signal.SIGINT, raise_interrupt)
     signal.signal(signal.SIGTERM, raise_interrupt)
     signal.signal(signal.SIGALRM, raise_interrupt)
     signal.alarm(LIMIT_SECONDS)
