Build only the needed programs for make demo and make process-faults

Cause: the whole release preset with its tests is not needed to run them. Change: target programs. Conclusion: none of the checks changes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: packages build check demo process-faults format
+.PHONY: packages build programs check demo process-faults format
 
 packages:
 	bash scripts/install_packages.sh
@@ -9,10 +9,13 @@
 check:
 	bash scripts/check.sh
 
-demo: packages build
+programs:
+	cmake --preset release >/dev/null && cmake --build --preset release --target fulmarwinchd fulmarwinch-standin
+
+demo: packages programs
 	python3 scripts/demo.py
 
-process-faults: packages build
+process-faults: packages programs
 	python3 scripts/process_faults.py
 
 format:
