Check the threads of the request path with ThreadSanitizer

Cause: GCC warns of Asio's fences under -fsanitize=thread, so the preset tsan did not build, and no check ran it. The wait of a claim's caller is one function, which the linter can follow.

--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -26,22 +26,24 @@
   ClaimEffects Effects;
   const ClaimId Id = m_Registry.claim(Key, Organisation, Body, monotonicNow(),
                                       unixNow(), Effects);
-  std::optional<ClaimResult> Early;
-  {
-    const std::lock_guard<std::mutex> Guard(m_Mutex);
-    const auto Found = m_Early.find(Id);
-    if (Found == m_Early.end()) {
-      m_Waiting.emplace(Id, std::move(OnResult));
-    } else {
-      Early = std::move(Found->second);
-      m_Early.erase(Found);
-    }
-  }
-  if (Early)
+  if (std::optional<ClaimResult> Early = waitOrTake(Id, OnResult))
     OnResult(std::move(*Early));
   carryOut(std::move(Effects));
 }
 
+std::optional<ClaimResult>
+ClaimService::waitOrTake(ClaimId Id, const ResultCallback &OnResult) {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  const auto Found = m_Early.find(Id);
+  if (Found == m_Early.end()) {
+    m_Waiting.emplace(Id, OnResult);
+    return std::nullopt;
+  }
+  ClaimResult Early = std::move(Found->second);
+  m_Early.erase(Found);
+  return Early;
+}
+
 void ClaimService::recordDone(DispatchedClaim &&Claim, ClaimOutcome Outcome) {
   ClaimEffects Effects;
   m_Registry.recordDone(std::move(Claim), std::move(Outcome), monotonicNow(),
--- a/node/claim_service.h
+++ b/node/claim_service.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace fulmarwinch {
@@ -42,6 +43,9 @@
 private:
   void carryOut(ClaimEffects Effects);
   void deliver(ClaimResult Result);
+  /// Registers \p OnResult, or returns the result if it has arrived already.
+  std::optional<ClaimResult> waitOrTake(ClaimId Id,
+                                        const ResultCallback &OnResult);
 
   ObjectStore &m_Store;
   ClaimRegistry m_Registry;
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,5 +22,12 @@
 cmake --build --preset asan
 ctest --test-dir build/asan --output-on-failure -j 8
 
+step "threads with ThreadSanitizer"
+cmake --preset tsan >/dev/null
+cmake --build --preset tsan --target test_node test_servers_routing \
+  test_servers_admission test_servers_idempotency
+ctest --test-dir build/tsan --output-on-failure -j 4 \
+  -R '^(node|servers_routing|servers_admission|servers_idempotency)$'
+
 step "model check"
 bash scripts/model_check.sh
