Never let libcurl repeat a request by itself unless it is a GET

Cause: libcurl repeats a request when its kept connection ends without a response. A request that crashes a backend server crashed it a second time, which also made EngineStandinTest::markedRequestCrashesEngine fail under load. Change: a callback before each send aborts a second send of anything but a GET; NothingSent is true only if the request was never about to be sent. Test postIsNeverRepeated.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -29,6 +29,8 @@
   curl_slist *m_HeaderList = nullptr;
   HttpHeaders m_ResponseHeaders;
   bool m_HeadersReported = false;
+  /// Times that the request was about to be written to a connection.
+  unsigned m_Sends = 0;
 
   ~Transfer() {
     curl_easy_cleanup(m_Easy);
@@ -50,6 +52,17 @@
   }
 };
 
+/// libcurl repeats a request by itself when a kept connection ends without a
+/// response. Only a GET may be repeated without the caller's knowledge: a
+/// request that crashes a backend server would crash it twice.
+int onBeforeSend(void *User, char *, char *, int, int) {
+  auto *Running = static_cast<Transfer *>(User);
+  ++Running->m_Sends;
+  const bool IsRepeated = Running->m_Sends > 1;
+  return IsRepeated && Running->m_Call.m_Method != "GET" ? CURL_PREREQFUNC_ABORT
+                                                         : CURL_PREREQFUNC_OK;
+}
+
 std::size_t onHeaderLine(char *Data, std::size_t Size, std::size_t Count,
                          void *User) {
   auto *Running = static_cast<Transfer *>(User);
@@ -120,6 +133,8 @@
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Running);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBodyData);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Running);
+  curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onBeforeSend);
+  curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Running);
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Running);
   if (Call.m_FreshConnection) {
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -134,10 +149,7 @@
   Result.m_Status = Running.status();
   if (Code != CURLE_OK)
     Result.m_Error = curl_easy_strerror(Code);
-  // The size counts request bytes that were handed to the socket.
-  long RequestBytes = 0;
-  curl_easy_getinfo(Running.m_Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
-  Result.m_NothingSent = Code != CURLE_OK && RequestBytes == 0;
+  Result.m_NothingSent = Code != CURLE_OK && Running.m_Sends == 0;
   return Result;
 }
 
--- a/drivers/http/http_client.h
+++ b/drivers/http/http_client.h
@@ -37,9 +37,8 @@
   Duration m_ConnectTimeout = std::chrono::seconds(1);
   /// Longest time for the whole call, 0 for none.
   Duration m_TotalTimeout{0};
-  /// Uses a connection of its own. libcurl repeats a request by itself when a
-  /// kept connection turns out to be closed, which must not happen to a
-  /// request that is not idempotent.
+  /// Uses a connection of its own, for requests that must not fail because a
+  /// kept connection turned out to be closed.
   bool m_FreshConnection = false;
   /// Called once, before the first byte of the body.
   std::function<void(int Status, const HttpHeaders &)> m_OnHeaders;
--- a/tests/drivers/http/test_http.cpp
+++ b/tests/drivers/http/test_http.cpp
@@ -2,11 +2,14 @@
 #include "drivers/http/http_server.h"
 #include "tests/support/free_port.h"
 
+#include "asio.hpp"
 #include "cppunit/extensions/HelperMacros.h"
 #include "fmt/format.h"
 
+#include <atomic>
 #include <future>
 #include <string>
+#include <thread>
 
 namespace fulmarwinch {
 
@@ -26,6 +29,57 @@
   }
 }
 
+/// Server that answers the first request on a connection and closes the
+/// connection at the second one without a response. Counts all requests.
+class ClosingServer {
+public:
+  ClosingServer() : m_Thread([this] { run(); }) {}
+
+  ~ClosingServer() {
+    // The last connection wakes the thread from accept().
+    m_IsStopping = true;
+    asio::ip::tcp::socket Wake(m_Context);
+    asio::error_code Ignored;
+    Wake.connect(m_Acceptor.local_endpoint(), Ignored);
+    Wake.close(Ignored);
+    m_Thread.join();
+  }
+
+  std::uint16_t port() const { return m_Acceptor.local_endpoint().port(); }
+  unsigned requests() const { return m_Requests; }
+
+private:
+  void run() {
+    while (!m_IsStopping) {
+      asio::ip::tcp::socket Socket(m_Context);
+      m_Acceptor.accept(Socket);
+      if (readRequest(Socket)) {
+        asio::write(Socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        readRequest(Socket);
+      }
+    }
+  }
+
+  bool readRequest(asio::ip::tcp::socket &Socket) {
+    std::string Data;
+    asio::error_code Error;
+    asio::read_until(Socket, asio::dynamic_buffer(Data), "\r\n\r\n", Error);
+    if (Error)
+      return false;
+    ++m_Requests;
+    return true;
+  }
+
+  asio::io_context m_Context;
+  asio::ip::tcp::acceptor m_Acceptor{
+      m_Context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  std::atomic<bool> m_IsStopping{false};
+  std::atomic<unsigned> m_Requests{0};
+  std::thread m_Thread;
+};
+
 } // namespace
 
 /// The HTTP server and client on loopback.
@@ -36,6 +90,7 @@
   CPPUNIT_TEST(unansweredExchangeIsAnError);
   CPPUNIT_TEST(refusedConnectionSentNothing);
   CPPUNIT_TEST(cancelEndsARunningCall);
+  CPPUNIT_TEST(postIsNeverRepeated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +156,22 @@
     CPPUNIT_ASSERT(Result.m_Cancelled || Result.m_Complete);
   }
 
+  /// Guards against the failure that libcurl repeats a request when its kept
+  /// connection ends without a response: a request that crashes a backend
+  /// server crashed it a second time.
+  void postIsNeverRepeated() {
+    ClosingServer Server;
+    HttpClient Client(1);
+    HttpCall Call;
+    Call.m_Method = "POST";
+    Call.m_Url = fmt::format("http://127.0.0.1:{}/", Server.port());
+    CPPUNIT_ASSERT(Client.fetch(Call).m_Result.m_Complete);
+    const HttpCallResult Second = Client.fetch(Call).m_Result;
+    CPPUNIT_ASSERT(!Second.m_Complete);
+    CPPUNIT_ASSERT(!Second.m_NothingSent);
+    CPPUNIT_ASSERT_EQUAL(2U, Server.requests());
+  }
+
 private:
   std::string urlOf(const std::string &Path) const {
     return fmt::format("http://127.0.0.1:{}{}", m_Port, Path);
