Spread popular prefixes and queue at the groups that hold them

Cause: the new breakdown of late requests shows waits for a place of 0.6 s. Ruled out by trials: report lag (20 ms: no gain), cache size (400 prefixes: 366 instead of 348), the choice of the least loaded holder (348). Change: a prefix has holders by its share of the load, chosen at random by room; at most 2 more groups take its overflow; a warm group may queue half its capacity.

--- a/node/data_path.cpp
+++ b/node/data_path.cpp
@@ -16,7 +16,8 @@
 DataPath::DataPath(const std::string &Node,
                    std::unique_ptr<SelectionStrategy> Strategy,
                    Metrics &Figures)
-    : m_Metrics(Figures), m_Slots(Node), m_Gate(m_Table, m_Slots),
+    : m_Metrics(Figures), m_Slots(Node),
+      m_Gate(m_Table, m_Slots, NodeAdmissionGate::UsualQueueShare),
       m_Router(m_Table, m_Outliers, m_Gate, std::move(Strategy)),
       m_Configuration(std::make_shared<const ConfigurationInForce>()) {}
 
--- a/servers/measurement/fake_server.cpp
+++ b/servers/measurement/fake_server.cpp
@@ -21,12 +21,14 @@
   m_Hits += Hit ? 1 : 0;
   const double Tokens =
       static_cast<double>(OwnTokens + (Hit ? 0 : PrefixTokens));
-  m_PrefillFree = std::max(m_PrefillFree, Start) +
-                  Tokens / m_Settings.m_PrefillRate * m_Settings.m_Slowness;
+  const double ReadFrom = std::max(m_PrefillFree, Start);
+  m_PrefillFree =
+      ReadFrom + Tokens / m_Settings.m_PrefillRate * m_Settings.m_Slowness;
   const double PerToken = m_Settings.m_PerTokenSeconds * m_Settings.m_Slowness;
   const FakeTimes Times{m_PrefillFree + PerToken,
                         m_PrefillFree +
-                            PerToken * static_cast<double>(OutputTokens)};
+                            PerToken * static_cast<double>(OutputTokens),
+                        Start, ReadFrom, Hit};
   m_Ends.insert(std::upper_bound(m_Ends.begin(), m_Ends.end(), Times.m_End),
                 Times.m_End);
   return Times;
--- a/servers/measurement/fake_server.h
+++ b/servers/measurement/fake_server.h
@@ -28,6 +28,10 @@
 struct FakeTimes {
   double m_FirstToken = 0;
   double m_End = 0;
+  /// When a place was free and when reading the prompt began.
+  double m_Placed = 0;
+  double m_ReadFrom = 0;
+  bool m_Hit = false;
 };
 
 /// Backend server made of a capacity, a prefix cache and delays.
--- a/servers/measurement/fleet_run.cpp
+++ b/servers/measurement/fleet_run.cpp
@@ -51,7 +51,8 @@
 
 struct FleetRun::Node {
   Node(const std::string &Name, const FleetSettings &Settings)
-      : m_Slots(Name), m_Gate(m_Table, m_Slots),
+      : m_Slots(Name),
+        m_Gate(m_Table, m_Slots, NodeAdmissionGate::UsualQueueShare),
         m_Router(m_Table, m_Outliers, m_Gate,
                  *makeStrategy(Settings.m_Policy, selection(Settings))) {}
   static SelectionSettings selection(const FleetSettings &Settings) {
@@ -78,6 +79,21 @@
   Quantiles m_PerToken{acc::tag::tail<acc::right>::cache_size = QuantileCache};
 };
 
+void FleetFigures::countLate(double ArrivedAt, double SentAt,
+                             const FakeTimes &Times) {
+  if (Times.m_FirstToken - ArrivedAt <= FirstTokenObjective)
+    return;
+  ++m_Late;
+  m_LateMisses += Times.m_Hit ? 0 : 1;
+  const double Weight = 1.0 / static_cast<double>(m_Late);
+  const auto Add = [Weight](double &Mean, double Value) {
+    Mean += (Value - Mean) * Weight;
+  };
+  Add(m_LateAtNode, SentAt - ArrivedAt);
+  Add(m_LateForPlace, Times.m_Placed - SentAt);
+  Add(m_LateForRead, Times.m_ReadFrom - Times.m_Placed);
+}
+
 FleetRun::FleetRun(const FleetSettings &Settings)
     : m_Settings(Settings), m_Random(Settings.m_Seed),
       m_Figures(std::make_unique<Figures>()) {
@@ -323,6 +339,7 @@
     ++m_Figures->m_Counts.m_Completed;
     const double FirstToken = Times.m_FirstToken - Item.m_ArrivedAt;
     m_Figures->m_FirstToken(FirstToken);
+    m_Figures->m_Counts.countLate(Item.m_ArrivedAt, SentAt, Times);
     m_Figures->m_PerToken(PerToken);
     if (Item.m_Organisation != "o0")
       m_Figures->m_Others(FirstToken);
--- a/servers/measurement/fleet_run.h
+++ b/servers/measurement/fleet_run.h
@@ -51,6 +51,9 @@
 
 /// What one run measured after the warm-up.
 struct FleetFigures {
+  void countLate(double ArrivedAt, double SentAt, const FakeTimes &Times);
+  /// First-token objective of the target, in seconds.
+  static constexpr double FirstTokenObjective = 0.83;
   std::uint64_t m_Arrived = 0;
   std::uint64_t m_Completed = 0;
   std::uint64_t m_Refused = 0;
@@ -66,6 +69,14 @@
   double m_OthersP99 = 0;
   double m_PerTokenP95 = 0;
   double m_HitShare = 0;
+  /// Requests whose first token came later than the objective, and their mean
+  /// seconds at the node, waiting for a place and waiting for prompts that the
+  /// server read before.
+  std::uint64_t m_Late = 0;
+  std::uint64_t m_LateMisses = 0;
+  double m_LateAtNode = 0;
+  double m_LateForPlace = 0;
+  double m_LateForRead = 0;
   double m_WarmAfterSeconds = 0;
 };
 
--- a/servers/routing/group_view.cpp
+++ b/servers/routing/group_view.cpp
@@ -26,4 +26,17 @@
          Group.m_View->m_Distance;
 }
 
+double expectedLoad(const Candidate &Group, std::size_t Sharers,
+                    double OthersFactor) {
+  const double Others = static_cast<double>(Sharers > 0 ? Sharers - 1 : 0);
+  const double Requests =
+      static_cast<double>(reportedByOthers(Group) + Group.m_OwnInFlight) +
+      OthersFactor * Others * static_cast<double>(Group.m_OwnSinceReport);
+  const double Capacity =
+      std::max(1.0, static_cast<double>(Group.m_Report.m_Capacity)) *
+      std::max(0.01, Group.m_Weight);
+  return (Requests + Group.m_ClassFailures) / Capacity +
+         Group.m_View->m_Distance;
+}
+
 } // namespace fulmarwinch
--- a/servers/routing/group_view.h
+++ b/servers/routing/group_view.h
@@ -3,7 +3,6 @@
 
 #include "core/time.h"
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -66,8 +65,6 @@
   double m_ClassFailures = 0;
   /// Share of the capacity that is counted; below 1 for a straggler.
   double m_Weight = 1;
-  /// Affinity passed this group over because of its load.
-  std::shared_ptr<std::atomic<bool>> m_PassedOver;
 };
 
 /// Returns the load that others put on the group according to its report.
@@ -78,6 +75,12 @@
 /// \p Sharers is the number of nodes that use the group.
 double correctedLoad(const Candidate &Group, std::size_t Sharers);
 
+/// Like correctedLoad(), but with the own requests that are in flight now, and
+/// with \p OthersFactor dispatches of each other node for each own one since
+/// the report.
+double expectedLoad(const Candidate &Group, std::size_t Sharers,
+                    double OthersFactor);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_ROUTING_GROUP_VIEW_H
--- a/servers/routing/node_admission_gate.cpp
+++ b/servers/routing/node_admission_gate.cpp
@@ -5,8 +5,9 @@
 
 namespace fulmarwinch {
 
-NodeAdmissionGate::NodeAdmissionGate(RoutingTable &Table, SlotHolder &Slots)
-    : m_Table(Table), m_Slots(Slots) {}
+NodeAdmissionGate::NodeAdmissionGate(RoutingTable &Table, SlotHolder &Slots,
+                                     double QueueShare)
+    : m_Table(Table), m_Slots(Slots), m_QueueShare(QueueShare) {}
 
 bool NodeAdmissionGate::mayAdmit(const Candidate &Group,
                                  MonotonicTime Now) const {
@@ -34,9 +35,10 @@
   m_Table.onEnded(Group, Times);
 }
 
-std::size_t NodeAdmissionGate::ownLimit(const Candidate &Group) {
+std::size_t NodeAdmissionGate::ownLimit(const Candidate &Group) const {
   const std::size_t Others = reportedByOthers(Group);
-  const std::size_t Capacity = Group.m_Report.m_Capacity;
+  const auto Capacity = static_cast<std::size_t>(
+      static_cast<double>(Group.m_Report.m_Capacity) * (1 + m_QueueShare));
   return std::max<std::size_t>(1, Capacity - std::min(Capacity, Others));
 }
 
--- a/servers/routing/routing_table.cpp
+++ b/servers/routing/routing_table.cpp
@@ -43,7 +43,6 @@
     Known = Part.find(View.m_Group);
     Known->m_Figures.m_GroupHash =
         XXH3_64bits(View.m_Group.data(), View.m_Group.size());
-    Known->m_Figures.m_PassedOver = std::make_shared<std::atomic<bool>>(false);
   }
   Known->m_Figures.m_View = std::make_shared<const GroupView>(std::move(View));
 }
--- a/servers/routing/selection_strategy.h
+++ b/servers/routing/selection_strategy.h
@@ -18,13 +18,24 @@
 struct SelectionSettings {
   /// Nodes that use the same groups.
   std::size_t m_Sharers = 1;
-  double m_LoadBound = 1.25;
-  double m_ReturnBound = 1.1;
-  /// Up to this load a group has no queue, so another group would only lose
-  /// the prefix cache.
+  /// Load of one prefix that one group takes, as a share of its capacity.
+  double m_PrefixLoad = 0.2;
+  /// Holders of a prefix are not passed over up to this multiple of the mean
+  /// load, nor up to m_QuietLoad, where a group has no queue and another group
+  /// would only lose the prefix cache.
+  double m_LoadBound = 1.5;
   double m_QuietLoad = 0.5;
-  /// Groups that are tried in the order of the prefix hash.
-  std::size_t m_OrderLength = 8;
+  /// Above this load the wait for a place is longer than reading the prefix.
+  double m_SpillLoad = 1.3;
+  /// Further groups in the order of the prefix that are used when no holder
+  /// is within the bounds. With more, each prefix displaces others from the
+  /// caches when the fleet is nearly full, and throughput collapses.
+  std::size_t m_SpillGroups = 2;
+  /// Load from which on a holder is chosen rarely.
+  double m_FullLoad = 1.2;
+  /// Dispatches of each other node since the report, as a multiple of the own
+  /// ones.
+  double m_OthersFactor = 0.3;
 };
 
 /// Chooses one of the candidates that passed the filters.
