Keep gossip updates in one list per transmission count

Cause: GossipQueue::take scanned all waiting updates up to eight times for each message, so a message cost time in proportion to the waiting updates. Change: one list per transmission count; a message costs time in proportion to the updates it takes. Among equal counts the longest waiting update goes first instead of the first by ID, so that IDs give no preference.

--- a/servers/membership/gossip_queue.cpp
+++ b/servers/membership/gossip_queue.cpp
@@ -14,34 +14,49 @@
 } // namespace
 
 void GossipQueue::add(const MemberRecord &Record) {
-  m_Entries[Record.m_Id] = {Record, 0};
+  const auto [Found, IsNew] = m_Places.try_emplace(Record.m_Id);
+  Place &Current = Found->second;
+  if (!IsNew)
+    m_Waiting[Current.m_Transmissions].erase(Current.m_Record);
+  Current = {0, m_Waiting[0].insert(m_Waiting[0].end(), Record)};
 }
 
 std::vector<MemberRecord> GossipQueue::take(std::size_t Budget) {
   std::vector<MemberRecord> Taken;
-  std::vector<std::string> Done;
-  constexpr std::size_t SmallestRecord = 40;
-  for (unsigned Count = 0; Count < MaxTransmissions; ++Count) {
-    if (Budget < SmallestRecord)
-      break;
-    for (auto &[Id, Each] : m_Entries) {
-      if (Each.m_Transmissions != Count)
-        continue;
-      const std::size_t Bytes = bytesOf(Each.m_Record);
+  // Records that were taken wait here, so that none is taken twice for one
+  // message.
+  std::array<Records, MaxTransmissions> Sent;
+  bool IsFull = false;
+  for (unsigned Count = 0; Count < MaxTransmissions && !IsFull; ++Count) {
+    Records &Waiting = m_Waiting[Count];
+    while (!Waiting.empty()) {
+      const std::size_t Bytes = bytesOf(Waiting.front());
       if (Bytes > Budget) {
         // Later records wait, so that the longest ones are not left behind.
-        Budget = 0;
+        IsFull = true;
         break;
       }
       Budget -= Bytes;
-      Taken.push_back(Each.m_Record);
-      Done.push_back(Id);
+      Taken.push_back(Waiting.front());
+      Sent[Count].splice(Sent[Count].end(), Waiting, Waiting.begin());
     }
   }
-  for (const std::string &Id : Done)
-    if (++m_Entries[Id].m_Transmissions >= MaxTransmissions)
-      m_Entries.erase(Id);
+  for (unsigned Count = 0; Count < MaxTransmissions; ++Count)
+    while (!Sent[Count].empty())
+      advance(Sent[Count], Count);
   return Taken;
 }
 
+void GossipQueue::advance(Records &From, unsigned Transmissions) {
+  const auto First = From.begin();
+  const unsigned Next = Transmissions + 1;
+  if (Next >= MaxTransmissions) {
+    m_Places.erase(First->m_Id);
+    From.erase(First);
+    return;
+  }
+  m_Places[First->m_Id].m_Transmissions = Next;
+  m_Waiting[Next].splice(m_Waiting[Next].end(), From, First);
+}
+
 } // namespace fulmarwinch
