Compute the placement once per tick and measure the cost of control work

Cause: GroupController::tick computed the placement of all domains again for each controlled domain, and each comparison of two domains hashed both names. Change: placementChanges() returns the changes of all domains; the rendezvous weights are computed once per deployment. The scenario control-cost measures ticks and configuration views at 100, 1,000 and 10,000. Conclusion: forming no longer grows with the square of the domains.

--- a/servers/groups/group_controller.cpp
+++ b/servers/groups/group_controller.cpp
@@ -39,7 +39,10 @@
                       const std::map<std::string, std::uint64_t> &Held) {
   for (const auto &[Domain, Epoch] : Held)
     m_Domains.try_emplace(Domain, Domain, m_Writer, m_Settings);
-  const std::vector<DomainSummary> Summaries = summaries();
+  // Computed once for all domains; for each domain alone, the work would grow
+  // with the square of their number.
+  const std::map<std::string, PlacementChange> Placement =
+      placementChanges(m_Specs, summaries());
   const std::vector<LoadCandidate> Loads = loads();
   GroupActions Actions;
   for (auto &[Domain, Controller] : m_Domains) {
@@ -49,12 +52,19 @@
     Controller.observe(m_Listed[Domain], m_Reports, Now);
     if (Lease == Held.end())
       continue;
-    DomainView View{m_Settings, m_Specs,
-                    *m_Policy,  Controller.health(),
-                    m_Reports,  m_Listed[Domain],
-                    {},         placementChange(m_Specs, Summaries, Domain),
-                    Loads,      Now,
-                    1};
+    const auto Change = Placement.find(Domain);
+    DomainView View{
+        m_Settings,
+        m_Specs,
+        *m_Policy,
+        Controller.health(),
+        m_Reports,
+        m_Listed[Domain],
+        {},
+        Change == Placement.end() ? PlacementChange() : Change->second,
+        Loads,
+        Now,
+        1};
     if (auto Call = Controller.nextCall(View, m_NextId)) {
       m_InFlight[m_NextId++] = Domain;
       Actions.m_StoreActions.push_back(std::move(*Call));
--- a/servers/groups/placement.cpp
+++ b/servers/groups/placement.cpp
@@ -14,35 +14,48 @@
   return Found == Counts.end() ? 0 : Found->second;
 }
 
+/// Order of the domains for one deployment among equally suitable ones. It is
+/// computed once, since each group that is placed compares all domains.
+std::vector<std::uint64_t> weightsOf(const std::vector<DomainSummary> &Domains,
+                                     const DeploymentSpec &Spec) {
+  std::vector<std::uint64_t> Weights;
+  Weights.reserve(Domains.size());
+  for (const DomainSummary &Domain : Domains)
+    Weights.push_back(rendezvousWeight(Spec.m_Name, Domain.m_Domain));
+  return Weights;
+}
+
 DomainSummary *formingDomain(std::vector<DomainSummary> &Domains,
-                             const DeploymentSpec &Spec) {
-  DomainSummary *Best = nullptr;
-  const auto Rank = [&Spec](const DomainSummary &Domain) {
-    return std::make_tuple(Domain.m_FreeVms,
-                           rendezvousWeight(Spec.m_Name, Domain.m_Domain));
+                             const DeploymentSpec &Spec,
+                             const std::vector<std::uint64_t> &Weights) {
+  std::size_t Best = Domains.size();
+  const auto Rank = [&](std::size_t Index) {
+    return std::make_tuple(Domains[Index].m_FreeVms, Weights[Index]);
   };
-  for (DomainSummary &Domain : Domains)
-    if (!Domain.m_Dark && Domain.m_FreeVms >= Spec.m_VmsPerGroup &&
-        (Best == nullptr || Rank(Domain) > Rank(*Best)))
-      Best = &Domain;
-  return Best;
+  for (std::size_t I = 0; I < Domains.size(); ++I)
+    if (!Domains[I].m_Dark && Domains[I].m_FreeVms >= Spec.m_VmsPerGroup &&
+        (Best == Domains.size() || Rank(I) > Rank(Best)))
+      Best = I;
+  return Best == Domains.size() ? nullptr : &Domains[Best];
 }
 
 DomainSummary *removingDomain(std::vector<DomainSummary> &Domains,
-                              const DeploymentSpec &Spec) {
-  DomainSummary *Best = nullptr;
+                              const DeploymentSpec &Spec,
+                              const std::vector<std::uint64_t> &Weights) {
+  std::size_t Best = Domains.size();
   // A domain with groups that don't serve loses one first.
-  const auto Rank = [&Spec](const DomainSummary &Domain) {
+  const auto Rank = [&](std::size_t Index) {
+    const DomainSummary &Domain = Domains[Index];
     const std::size_t Groups = countOf(Domain.m_Groups, Spec.m_Name);
-    return std::make_tuple(
-        Groups - countOf(Domain.m_ServingGroups, Spec.m_Name), Groups,
-        rendezvousWeight(Spec.m_Name, Domain.m_Domain));
+    return std::make_tuple(Groups -
+                               countOf(Domain.m_ServingGroups, Spec.m_Name),
+                           Groups, Weights[Index]);
   };
-  for (DomainSummary &Domain : Domains)
-    if (!Domain.m_Dark && countOf(Domain.m_Groups, Spec.m_Name) > 0 &&
-        (Best == nullptr || Rank(Domain) > Rank(*Best)))
-      Best = &Domain;
-  return Best;
+  for (std::size_t I = 0; I < Domains.size(); ++I)
+    if (!Domains[I].m_Dark && countOf(Domains[I].m_Groups, Spec.m_Name) > 0 &&
+        (Best == Domains.size() || Rank(I) > Rank(Best)))
+      Best = I;
+  return Best == Domains.size() ? nullptr : &Domains[Best];
 }
 
 } // namespace
@@ -84,38 +97,36 @@
   return Ordered;
 }
 
-std::map<std::string, int>
-placementChange(const DeploymentSpecs &Specs,
-                const std::vector<DomainSummary> &Domains,
-                const std::string &Domain) {
-  std::vector<DomainSummary> Work = Domains;
-  std::map<std::string, int> Change;
+std::map<std::string, PlacementChange>
+placementChanges(const DeploymentSpecs &Specs,
+                 std::vector<DomainSummary> Domains) {
+  std::map<std::string, PlacementChange> Changes;
   for (const DeploymentSpec *Spec : byValue(Specs)) {
+    const std::string &Name = Spec->m_Name;
+    const std::vector<std::uint64_t> Weights = weightsOf(Domains, *Spec);
     std::size_t Have = 0;
-    for (const DomainSummary &Current : Work)
+    for (const DomainSummary &Current : Domains)
       if (!Current.m_Dark)
-        Have += countOf(Current.m_Groups, Spec->m_Name);
+        Have += countOf(Current.m_Groups, Name);
     for (; Have < Spec->m_Replicas; ++Have) {
-      DomainSummary *Place = formingDomain(Work, *Spec);
+      DomainSummary *Place = formingDomain(Domains, *Spec, Weights);
       if (Place == nullptr)
         break;
       Place->m_FreeVms -= Spec->m_VmsPerGroup;
-      ++Place->m_Groups[Spec->m_Name];
-      if (Place->m_Domain == Domain)
-        ++Change[Spec->m_Name];
+      ++Place->m_Groups[Name];
+      ++Changes[Place->m_Domain][Name];
     }
     for (; Have > Spec->m_Replicas; --Have) {
-      DomainSummary *Place = removingDomain(Work, *Spec);
+      DomainSummary *Place = removingDomain(Domains, *Spec, Weights);
       if (Place == nullptr)
         break;
-      --Place->m_Groups[Spec->m_Name];
-      std::size_t &Serving = Place->m_ServingGroups[Spec->m_Name];
-      Serving = std::min(Serving, Place->m_Groups[Spec->m_Name]);
-      if (Place->m_Domain == Domain)
-        --Change[Spec->m_Name];
+      --Place->m_Groups[Name];
+      std::size_t &Serving = Place->m_ServingGroups[Name];
+      Serving = std::min(Serving, Place->m_Groups[Name]);
+      --Changes[Place->m_Domain][Name];
     }
   }
-  return Change;
+  return Changes;
 }
 
 } // namespace fulmarwinch
--- a/servers/groups/placement.h
+++ b/servers/groups/placement.h
@@ -24,14 +24,16 @@
 /// Summarises a stored assignment.
 DomainSummary summarise(const Assignment &Value);
 
-/// Returns, by deployment, how many groups the domain \p Domain forms
-/// (positive) or removes (negative). Existing groups stay where they are, so
-/// that the result does not depend on the order of failures. All holders
-/// compute the same result from the same summaries.
-std::map<std::string, int>
-placementChange(const DeploymentSpecs &Specs,
-                const std::vector<DomainSummary> &Domains,
-                const std::string &Domain);
+/// How many groups a domain forms (positive) or removes (negative), by
+/// deployment.
+using PlacementChange = std::map<std::string, int>;
+
+/// Returns the changes of all domains that have any, by domain. Existing
+/// groups stay where they are, so that the result does not depend on the order
+/// of failures. All holders compute the same result from the same summaries.
+std::map<std::string, PlacementChange>
+placementChanges(const DeploymentSpecs &Specs,
+                 std::vector<DomainSummary> Domains);
 
 /// Deployments, the most valuable first.
 std::vector<const DeploymentSpec *> byValue(const DeploymentSpecs &Specs);
--- /dev/null
+++ b/servers/measurement/control_cost.cpp
@@ -0,0 +1,164 @@
+#include "servers/measurement/control_cost.h"
+
+#include "servers/configuration/configuration_view.h"
+#include "servers/groups/group_controller.h"
+
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr std::size_t VmsPerDomain = 40;
+constexpr std::size_t VmsPerGroup = 4;
+constexpr std::size_t MeasuredTicks = 20;
+constexpr std::size_t FormingTicks = 60;
+constexpr std::size_t MeasuredChanges = 20;
+constexpr Duration TickPeriod = std::chrono::milliseconds(250);
+
+/// Controls all domains; the store and the engines answer at once.
+class ControlledFleet {
+public:
+  explicit ControlledFleet(std::size_t Vms)
+      : m_Controller(settings(), "writer",
+                     std::make_shared<CostRepairPolicy>()) {
+    for (std::size_t I = 0; I < Vms; ++I) {
+      const std::string Domain = fmt::format("d{:05}", I / VmsPerDomain);
+      m_Vms.push_back(
+          {fmt::format("vm{:05}", I), "z1", Domain, 1, false, false});
+      m_Held[Domain] = 1;
+    }
+    m_Controller.setDeployments(
+        {{"d",
+          {"d", "m", "v", VmsPerGroup, Vms * 9 / 10 / VmsPerGroup, 1, 1.0, 0.1,
+           true}}});
+    m_Controller.setVms(m_Vms);
+  }
+
+  /// Reports of all engines and one tick; returns the time of the tick alone,
+  /// in microseconds.
+  double step(const std::function<MonotonicTime()> &Clock) {
+    m_Now += TickPeriod;
+    for (const ListedVm &Vm : m_Vms) {
+      EngineReport &Report = m_Reports[Vm.m_Vm];
+      Report.m_Reachable = true;
+      Report.m_StartId = "s1";
+      Report.m_At = m_Now;
+      m_Controller.onEngineReport(Vm.m_Vm, Report);
+    }
+    const MonotonicTime Start = Clock();
+    const GroupActions Actions = m_Controller.tick(m_Now, m_Held);
+    const std::chrono::duration<double, std::micro> Spent = Clock() - Start;
+    for (const StoreAction &Action : Actions.m_StoreActions)
+      answer(Action);
+    for (const EngineOrder &Order : Actions.m_Orders)
+      execute(Order);
+    return Spent.count();
+  }
+
+  std::size_t readyVms() const {
+    return static_cast<std::size_t>(std::count_if(
+        m_Reports.begin(), m_Reports.end(), [](const auto &Entry) {
+          return Entry.second.m_State == EngineState::Ready;
+        }));
+  }
+
+private:
+  static GroupSettings settings() {
+    GroupSettings Settings;
+    // Loading is no matter of this measurement.
+    Settings.m_WeightStore.m_BytesPerSecond = 1e15;
+    return Settings;
+  }
+
+  void answer(const StoreAction &Action) {
+    if (const auto *Get = std::get_if<GetObject>(&Action)) {
+      m_Controller.onGetCompleted({Get->m_Id, StoreOutcome::NotFound, 0, ""},
+                                  m_Now);
+      return;
+    }
+    const auto &Put = std::get<PutObject>(Action);
+    m_Controller.onPutCompleted(
+        {Put.m_Id, StoreOutcome::Applied, Put.m_ExpectedVersion + 1}, m_Now);
+  }
+
+  void execute(const EngineOrder &Order) {
+    EngineReport &Report = m_Reports[Order.m_Vm];
+    const bool Loads = Order.m_Order == OrderKind::Load;
+    Report.m_State = Loads ? EngineState::Ready : EngineState::Empty;
+    Report.m_Group = Loads ? Order.m_Group : "";
+    Report.m_Generation = Loads ? Order.m_Generation : 0;
+    m_Controller.onOrderCompleted(
+        {Order.m_Vm, Order.m_Order, Order.m_Fence, OrderOutcome::Accepted, 0},
+        m_Now);
+  }
+
+  GroupController m_Controller;
+  std::vector<ListedVm> m_Vms;
+  std::map<std::string, std::uint64_t> m_Held;
+  EngineReports m_Reports;
+  MonotonicTime m_Now{std::chrono::seconds(1000)};
+};
+
+Json groupCost(const ScenarioOptions &Options, std::size_t Vms) {
+  const std::size_t Before = Options.m_HeapBytes();
+  ControlledFleet Fleet(Vms);
+  double Longest = 0;
+  for (std::size_t I = 0; I < FormingTicks; ++I)
+    Longest = std::max(Longest, Fleet.step(Options.m_Clock));
+  std::vector<double> Times;
+  for (std::size_t I = 0; I < MeasuredTicks; ++I)
+    Times.push_back(Fleet.step(Options.m_Clock));
+  std::sort(Times.begin(), Times.end());
+  return {{"tick_median_us", Times[Times.size() / 2]},
+          {"tick_longest_forming_us", Longest},
+          {"ready_vms", Fleet.readyVms()},
+          {"bytes", Options.m_HeapBytes() - Before}};
+}
+
+Json viewCost(const ScenarioOptions &Options, std::size_t Entries) {
+  const std::size_t Before = Options.m_HeapBytes();
+  ConfigurationChange Change{1, "plan", "operator", 0, {}};
+  for (std::size_t I = 0; I < Entries; ++I) {
+    const std::string Vm = fmt::format("vm{:05}", I);
+    Change.m_Entries.push_back(
+        {{EntryKind::VmDrain, Vm},
+         fmt::format(R"({{"kind":"vm_drain","name":"{}"}})", Vm)});
+  }
+  ConfigurationView::Pointer View =
+      ConfigurationView::empty()->applied(Change).value();
+  Change.m_Entries.resize(1);
+  const std::size_t Bytes = Options.m_HeapBytes() - Before;
+  std::vector<double> Times;
+  for (std::size_t I = 0; I < MeasuredChanges; ++I) {
+    ++Change.m_Revision;
+    const MonotonicTime Start = Options.m_Clock();
+    View = View->applied(Change).value();
+    const std::chrono::duration<double, std::micro> Spent =
+        Options.m_Clock() - Start;
+    Times.push_back(Spent.count());
+  }
+  std::sort(Times.begin(), Times.end());
+  return {{"change_median_us", Times[Times.size() / 2]}, {"bytes", Bytes}};
+}
+
+} // namespace
+
+ScenarioResult runControlCost(const ScenarioOptions &Options) {
+  ScenarioResult Result;
+  for (const std::size_t Count :
+       {std::size_t{100}, std::size_t{1000}, std::size_t{10000}}) {
+    Json Groups = groupCost(Options, Count);
+    if (Groups["ready_vms"] == 0)
+      Result.m_Violations.push_back(
+          fmt::format("no group of {} VMs was formed", Count));
+    Result.m_Figures[fmt::format("groups_{}", Count)] = std::move(Groups);
+    Result.m_Figures[fmt::format("view_{}", Count)] = viewCost(Options, Count);
+  }
+  return Result;
+}
+
+} // namespace fulmarwinch
--- a/servers/measurement/routing_scenarios.cpp
+++ b/servers/measurement/routing_scenarios.cpp
@@ -1,5 +1,6 @@
 #include "servers/measurement/scenario.h"
 
+#include "servers/measurement/control_cost.h"
 #include "servers/measurement/decision_cost.h"
 #include "servers/measurement/fleet_run.h"
 
@@ -181,6 +182,7 @@
       {"cold-start", "10 servers join cold", runColdStart},
       {"cold-again", "10 warm servers turn cold without warning", runColdAgain},
       {"decision-cost", "time and memory of one decision", runDecisionCost},
+      {"control-cost", "time and memory of control work", runControlCost},
   };
   return Table;
 }
