Ask for slots only when there is work

Cause: each node asked every 250 ms for slots of each cold group, also without any request, and thereby held slots that nodes with work needed. Change: SlotAskSchedule: every 250 ms while requests wait, are in flight or have failed, at once (at most every 50 ms) when work begins, otherwise every 5 s. The gateway's timer tells the control thread when requests begin to wait. The wait of the first request on a cold group was not measured.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -54,13 +54,15 @@
   void connectChannels();
   void startTimers();
   void onSlots(const std::string &From, const Json &Message);
-  void waitForWork();
+  void noticeWaiting();
   bool waitUntil(Duration Limit, const std::function<bool()> &IsReached) const;
   bool isReleased();
 
   const NodeSettings m_Settings;
   const std::string m_Writer;
   std::atomic<bool> m_IsStopping{false};
+  /// Used on the thread of the data timer only.
+  bool m_WasWaiting = false;
   Metrics m_Metrics;
   HttpClient m_DataClient{2};
   HttpClient m_ControlClient{1};
@@ -130,8 +132,20 @@
     m_Slots.onGrant(*Grant, Now);
 }
 
+void Node::Impl::noticeWaiting() {
+  const bool IsWaiting = m_Gateway.waiting() > 0;
+  // A node without work holds no slots, so the first request that waits must
+  // not wait for the next period as well.
+  if (IsWaiting && !m_WasWaiting)
+    m_Control.post([this] { m_Slots.tick(monotonicNow()); });
+  m_WasWaiting = IsWaiting;
+}
+
 void Node::Impl::startTimers() {
-  m_DataTimer.every(GatewayPeriod, [this] { m_Gateway.tick(monotonicNow()); });
+  m_DataTimer.every(GatewayPeriod, [this] {
+    m_Gateway.tick(monotonicNow());
+    noticeWaiting();
+  });
   m_DataTimer.every(ClaimPeriod, [this] { m_Claims.tick(monotonicNow()); });
   m_Control.every(ConfigurationPeriod, [this] {
     const MonotonicTime Now = monotonicNow();
--- a/node/slot_client.cpp
+++ b/node/slot_client.cpp
@@ -26,11 +26,15 @@
     const PublishedView &View = Known.m_View;
     if (!View.m_Serving || Known.m_Warm || View.m_Holder.empty())
       continue;
+    SlotHolder &Slots = m_Path.slots();
+    if (!m_Schedule.isDue(Group, Waiting > 0 || Slots.isActive(Group), Now))
+      continue;
     const std::size_t Wanted =
-        std::min(MostWanted, m_Path.slots().inFlight(Group) + Waiting + 1);
-    const SlotRequest Request = m_Path.slots().makeRequest(Group, Wanted, Now);
+        std::min(MostWanted, Slots.inFlight(Group) + Waiting + 1);
+    const SlotRequest Request = Slots.makeRequest(Group, Wanted, Now);
     m_Peers.send(View.m_Holder, PeerChannel::Slots, toJson(Request));
   }
+  m_Schedule.forget(Now - 2 * SlotAskSchedule::Idle);
 }
 
 void SlotClient::onGrant(const SlotGrant &Grant, MonotonicTime Now) {
--- a/node/slot_client.h
+++ b/node/slot_client.h
@@ -4,6 +4,7 @@
 #include "node/data_path.h"
 #include "node/peer_service.h"
 #include "node/view_receiver.h"
+#include "servers/admission/slot_ask_schedule.h"
 
 #include <functional>
 
@@ -17,7 +18,8 @@
   SlotClient(DataPath &Path, PeerService &Peers, const ViewReceiver &Views,
              std::function<std::size_t()> Waiting);
 
-  /// To be called every 250 ms, a quarter of a slot's lifetime.
+  /// To be called every 250 ms and when requests begin to wait; the schedule
+  /// decides which groups are asked for.
   void tick(MonotonicTime Now);
   void onGrant(const SlotGrant &Grant, MonotonicTime Now);
 
@@ -26,6 +28,7 @@
   PeerService &m_Peers;
   const ViewReceiver &m_Views;
   std::function<std::size_t()> m_Waiting;
+  SlotAskSchedule m_Schedule;
 };
 
 } // namespace fulmarwinch
--- a/servers/admission/slot_holder.cpp
+++ b/servers/admission/slot_holder.cpp
@@ -106,6 +106,13 @@
   ++m_Servers[Server].m_Failures;
 }
 
+bool SlotHolder::isActive(const std::string &Server) const {
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
+  const auto Found = m_Servers.find(Server);
+  return Found != m_Servers.end() &&
+         (Found->second.m_InFlight > 0 || Found->second.m_Failures > 0);
+}
+
 std::size_t SlotHolder::inFlight(const std::string &Server) const {
   const std::lock_guard<std::mutex> Lock(m_Mutex);
   const auto Found = m_Servers.find(Server);
--- a/servers/admission/slot_holder.h
+++ b/servers/admission/slot_holder.h
@@ -42,6 +42,9 @@
   void onFailure(const std::string &Server);
 
   std::size_t inFlight(const std::string &Server) const;
+  /// Requests are in flight, or the shard holder has not been told of a
+  /// failure or of a lost connection.
+  bool isActive(const std::string &Server) const;
   /// Request ID of the grant in use; 0 if none.
   std::uint64_t appliedRequest(const std::string &Server) const;
 
