--- a/servers/measurement/routing_scenarios.cpp
+++ b/servers/measurement/routing_scenarios.cpp
@@ -1,5 +1,6 @@
 #include "servers/measurement/scenario.h"
 
+#include "servers/measurement/control_cost.h"
 #include "servers/measurement/decision_cost.h"
 #include "servers/measurement/fleet_run.h"
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr double FirstTokenObjective = 0.83;
+constexpr double FirstTokenObjective = FleetFigures::FirstTokenObjective;
 constexpr double PerTokenObjective = 0.029;
 constexpr double MostMisdirected = 0.004;
 constexpr double MostNoise = 1.2;
@@ -31,7 +32,12 @@
           {"first_token_p95_s", Figures.m_FirstTokenP95},
           {"first_token_p99_s", Figures.m_FirstTokenP99},
           {"per_token_p95_s", Figures.m_PerTokenP95},
-          {"cache_hit_share", Figures.m_HitShare}};
+          {"cache_hit_share", Figures.m_HitShare},
+          {"late", Figures.m_Late},
+          {"late_misses", Figures.m_LateMisses},
+          {"late_at_node_s", Figures.m_LateAtNode},
+          {"late_for_place_s", Figures.m_LateForPlace},
+          {"late_for_read_s", Figures.m_LateForRead}};
 }
 
 bool meetsObjective(const FleetFigures &Figures) {
@@ -176,6 +182,7 @@
       {"cold-start", "10 servers join cold", runColdStart},
       {"cold-again", "10 warm servers turn cold without warning", runColdAgain},
       {"decision-cost", "time and memory of one decision", runDecisionCost},
+      {"control-cost", "time and memory of control work", runControlCost},
   };
   return Table;
 }
