Treat an engine that stays in loading as failed and test the engine orders

Cause: nothing ended a load that hangs, so its group stayed down for ever. Change: LoadTimer marks an engine that loads for more than 4 reload times; the member counts as missing and its engine is ordered to unload.

--- a/servers/groups/domain_controller.cpp
+++ b/servers/groups/domain_controller.cpp
@@ -17,12 +17,14 @@
 
 bool isPresent(const std::string &Vm,
                const std::map<std::string, ListedVm> &Listed,
-               const EngineReports &Reports, Duration MaxAge,
+               const EngineReports &Reports,
+               const std::set<std::string> &Overdue, Duration MaxAge,
                MonotonicTime Now) {
   const auto Report = Reports.find(Vm);
   return Listed.count(Vm) != 0 && Report != Reports.end() &&
          Report->second.m_Reachable && Now - Report->second.m_At <= MaxAge &&
-         Report->second.m_State != EngineState::Failed;
+         Report->second.m_State != EngineState::Failed &&
+         Overdue.count(Vm) == 0;
 }
 
 FailureKind kindOf(const std::string &Vm,
@@ -54,6 +56,7 @@
   m_HasStored = false;
   m_Reconciler.reset();
   m_Transitions = GroupTransitions();
+  m_LoadTimer = LoadTimer();
 }
 
 bool DomainController::isTakenOver() const {
@@ -70,15 +73,17 @@
   if (m_HasStored)
     for (const auto &[Name, Vm] : m_Stored.m_Vms)
       Names.insert(Name);
-  std::size_t Missing = 0;
+  m_LoadTimer.observe(Reports, m_Settings, Now);
+  std::set<std::string> Present;
   for (const std::string &Name : Names)
-    if (!isPresent(Name, Listed, Reports, m_Settings.m_ReportAge, Now))
-      ++Missing;
+    if (isPresent(Name, Listed, Reports, m_LoadTimer.overdue(),
+                  m_Settings.m_ReportAge, Now))
+      Present.insert(Name);
+  const std::size_t Missing = Names.size() - Present.size();
   const bool Dark = Names.size() >= DarkDomainVms && Missing * 2 > Names.size();
   for (const std::string &Name : Names)
-    m_Health.observe(
-        Name, isPresent(Name, Listed, Reports, m_Settings.m_ReportAge, Now),
-        kindOf(Name, Listed, Reports, Dark), Now);
+    m_Health.observe(Name, Present.count(Name) != 0,
+                     kindOf(Name, Listed, Reports, Dark), Now);
 }
 
 std::optional<StoreAction> DomainController::nextCall(DomainView &View,
--- a/servers/groups/domain_controller.h
+++ b/servers/groups/domain_controller.h
@@ -5,8 +5,10 @@
 #include "servers/groups/assignment.h"
 #include "servers/groups/engine_reconciler.h"
 #include "servers/groups/group_transitions.h"
+#include "servers/groups/load_timer.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,9 @@
     return m_HasStored ? &m_Stored : nullptr;
   }
   const MemberHealth &health() const { return m_Health; }
+  const std::set<std::string> &overdueLoads() const {
+    return m_LoadTimer.overdue();
+  }
   /// True if a conditional update of this epoch made the assignment ours, so
   /// that orders of earlier holders carry a lower token.
   bool isTakenOver() const;
@@ -72,6 +77,7 @@
   MonotonicTime m_NextCallAt = MonotonicTime::min();
   Duration m_Backoff{};
   MemberHealth m_Health;
+  LoadTimer m_LoadTimer;
   GroupTransitions m_Transitions;
   EngineReconciler m_Reconciler;
 };
--- a/servers/groups/domain_view.h
+++ b/servers/groups/domain_view.h
@@ -35,6 +35,8 @@
   /// VMs whose engine accepted an unload order of this holder in its current
   /// start and has reported empty after that.
   std::set<std::string> m_FencedEmpty;
+  /// VMs whose engine loads for too long.
+  std::set<std::string> m_OverdueLoads;
   /// Placement change of this domain, by deployment.
   std::map<std::string, int> m_Placement;
   std::vector<LoadCandidate> m_Loads;
--- a/servers/groups/engine_reconciler.cpp
+++ b/servers/groups/engine_reconciler.cpp
@@ -42,7 +42,7 @@
     if (Report == View.m_Reports.end() || !Report->second.m_Reachable)
       continue;
     std::optional<EngineOrder> Order =
-        wanted(Stored, Name, Report->second, Fenced);
+        wanted(Stored, Name, Report->second, Fenced, View);
     if (!Order)
       continue;
     Order->m_Vm = Name;
@@ -66,7 +66,8 @@
 std::optional<EngineOrder>
 EngineReconciler::wanted(const Assignment &Stored, const std::string &Name,
                          const EngineReport &Report,
-                         const std::set<std::string> &Fenced) const {
+                         const std::set<std::string> &Fenced,
+                         const DomainView &View) const {
   const VmEntry &Vm = Stored.m_Vms.at(Name);
   if (Vm.m_State != VmState::Assigned) {
     if (Fenced.count(Name) != 0)
@@ -91,6 +92,12 @@
     // A failed engine is missing until it loads again.
     if (Report.m_State == EngineState::Failed)
       return Order;
+    // The same load order again would change nothing, so an engine that loads
+    // for too long is emptied first.
+    if (View.m_OverdueLoads.count(Name) != 0) {
+      Order.m_Order = OrderKind::Unload;
+      return Order;
+    }
     return std::nullopt;
   case GroupState::Draining:
     if (!runs(Report, Vm.m_Group, Group))
--- a/servers/groups/engine_reconciler.h
+++ b/servers/groups/engine_reconciler.h
@@ -47,7 +47,8 @@
   std::optional<EngineOrder> wanted(const Assignment &Stored,
                                     const std::string &Name,
                                     const EngineReport &Report,
-                                    const std::set<std::string> &Fenced) const;
+                                    const std::set<std::string> &Fenced,
+                                    const DomainView &View) const;
   static bool isDue(const Track &Last, const EngineOrder &Order,
                     const EngineReport &Report, bool ChecksFencing,
                     const DomainView &View);
--- a/servers/groups/group_controller.cpp
+++ b/servers/groups/group_controller.cpp
@@ -49,11 +49,17 @@
     Controller.observe(m_Listed[Domain], m_Reports, Now);
     if (Lease == Held.end())
       continue;
-    DomainView View{m_Settings, m_Specs,
-                    *m_Policy,  Controller.health(),
-                    m_Reports,  m_Listed[Domain],
-                    {},         placementChange(m_Specs, Summaries, Domain),
-                    Loads,      Now,
+    DomainView View{m_Settings,
+                    m_Specs,
+                    *m_Policy,
+                    Controller.health(),
+                    m_Reports,
+                    m_Listed[Domain],
+                    {},
+                    Controller.overdueLoads(),
+                    placementChange(m_Specs, Summaries, Domain),
+                    Loads,
+                    Now,
                     1};
     if (auto Call = Controller.nextCall(View, m_NextId)) {
       m_InFlight[m_NextId++] = Domain;
--- a/servers/groups/group_settings.h
+++ b/servers/groups/group_settings.h
@@ -43,6 +43,10 @@
   /// Older reports count as missing; reports reach the holder by way of the
   /// monitors, so this is more than the age for serving views.
   Duration m_ReportAge = std::chrono::seconds(2);
+  /// An engine that loads for more than this multiple of the reload time is
+  /// treated as failed. The weight store is shared, so one reload time alone
+  /// is often exceeded.
+  int m_LoadTimeFactor = 4;
   Duration m_OrderRepeat = std::chrono::seconds(1);
   Duration m_StoreRetry = std::chrono::milliseconds(500);
   Duration m_StoreRetryMax = std::chrono::seconds(4);
--- a/tests/servers/configuration/test_distribution.cpp
+++ b/tests/servers/configuration/test_distribution.cpp
@@ -17,6 +17,10 @@
   CPPUNIT_TEST(delayedAnswerDoesNotLookFresh);
   CPPUNIT_TEST(ageCountsFromThePing);
   CPPUNIT_TEST(reachableReportRefutesAnOutage);
+  CPPUNIT_TEST(watchAgeCountsFromTheCall);
+  CPPUNIT_TEST(oneZoneCannotOutvoteTheOthers);
+  CPPUNIT_TEST(forgottenPeersStayInTheCount);
+  CPPUNIT_TEST(newerRevisionOfAPeerIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
 
   static AcceptRequest zoneOut(const std::string &Zone) {
@@ -216,6 +220,87 @@
     Unknown[3] = No("n9", "z2");
     CPPUNIT_ASSERT(StateWith(Unknown) == Freshness::Partitioned);
   }
+
+  /// Guards against a watcher whose age counts from the answer to its watch
+  /// call, so that a slow answer makes the configuration look newer.
+  void watchAgeCountsFromTheCall() {
+    const MonotonicTime Start{std::chrono::seconds(100)};
+    ReplicaOptions Options;
+    Options.m_Node = "n";
+    Options.m_Zone = "z";
+    ConfigurationReplica Replica(Options, Start);
+    const auto Listing = Replica.onPeers({}, {}, Start);
+    const auto Next = Replica.onList(
+        {std::get<ListHead>(Listing.at(0)).m_Id, StoreOutcome::Applied, 10, 0},
+        Start);
+    const StoreCallId Id = std::get<WatchHead>(Next.at(0)).m_Id;
+    const MonotonicTime Answered = Start + std::chrono::seconds(2);
+    Replica.onWatch({Id, StoreOutcome::Applied, 10, 0}, Answered);
+    CPPUNIT_ASSERT(Replica.freshness().age(Answered) ==
+                   Duration(std::chrono::seconds(2)));
+    CPPUNIT_ASSERT(!Replica.freshness().mayAcceptNewWork(
+        Answered + std::chrono::seconds(1)));
+  }
+
+  /// Guards against an outage declared by many reports of few zones: in a
+  /// large fleet each zone has two places, known or not.
+  void oneZoneCannotOutvoteTheOthers() {
+    const MonotonicTime Now{std::chrono::seconds(100)};
+    FreshnessOptions Options{"n0", "z0"};
+    Options.m_MaxReportingNodes = 2;
+    Options.m_ExpectedZones = 4;
+    FreshnessTracker Tracker(Options);
+    Tracker.onRevision(1);
+    std::vector<ConfigurationPeer> Peers{{"n1", "z1", true},
+                                         {"n2", "z2", true}};
+    std::vector<StoreReport> Reports{{"n2", "z2", false, Duration(0)}};
+    for (int Index = 3; Index < 9; ++Index) {
+      const std::string Name = "n" + std::to_string(Index);
+      Peers.push_back({Name, "z1", true});
+      Reports.push_back({Name, "z1", false, Duration(0)});
+    }
+    Tracker.onPeers(Peers, Now);
+    // Three places of seven, since z0 and z2 have one node each and the
+    // fourth zone, which nobody here knows, has two places.
+    Tracker.onAnswer({1, std::nullopt, Reports, 9}, Now);
+    CPPUNIT_ASSERT(Tracker.state(Now) == Freshness::Partitioned);
+    // The own report makes it four of six places without the fourth zone.
+    Tracker.onStoreReport(false, Now);
+    CPPUNIT_ASSERT(Tracker.state(Now) == Freshness::OutageForAll);
+  }
+
+  /// Guards against nodes of a partition that look like a majority to each
+  /// other once membership has forgotten the lost ones.
+  void forgottenPeersStayInTheCount() {
+    MonotonicTime Now{std::chrono::seconds(100)};
+    FreshnessTracker Tracker(FreshnessOptions{"n0", "z0"});
+    Tracker.onRevision(1);
+    std::vector<ConfigurationPeer> Peers{{"n1", "z1", true}};
+    for (int Index = 2; Index < 6; ++Index)
+      Peers.push_back({"n" + std::to_string(Index), "z2", false});
+    Tracker.onPeers(Peers, Now);
+    Peers.resize(1);
+    Now += std::chrono::minutes(20);
+    Tracker.onPeers(Peers, Now);
+    Tracker.onAnswer({1, std::nullopt, {{"n1", "z1", false, Duration(0)}}, 2},
+                     Now);
+    Tracker.onStoreReport(false, Now);
+    CPPUNIT_ASSERT(Tracker.state(Now) == Freshness::Partitioned);
+  }
+
+  /// Guards against a change that never arrives because its one push was
+  /// lost: a ping that tells a newer revision leads to a question.
+  void newerRevisionOfAPeerIsAskedFor() {
+    const MonotonicTime Now{std::chrono::seconds(100)};
+    ReplicaOptions Options;
+    Options.m_Node = "n";
+    ConfigurationReplica Replica(Options, Now);
+    const auto Asked = Replica.onAnswer("p", {3, Duration(0), {}, 2}, Now, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), std::get<AskPeer>(Asked[0]).m_Peer);
+    CPPUNIT_ASSERT_EQUAL(ConfigurationRevision(0),
+                         std::get<AskPeer>(Asked[0]).m_Have);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DistributionTest);
--- a/tests/servers/configuration/test_writer.cpp
+++ b/tests/servers/configuration/test_writer.cpp
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(laggingReadIsNotAConflict);
   CPPUNIT_TEST(compactionRacesAChange);
   CPPUNIT_TEST(oldPlanAndLargeConfigurationAreRefused);
+  CPPUNIT_TEST(removedEntryStillConflicts);
   CPPUNIT_TEST_SUITE_END();
 
   std::mt19937_64 m_Random{1};
@@ -139,6 +140,8 @@
     m_Store.m_LostAnswerProbability = 1;
     SteppedWriter Writer(m_Store, zoneRequest("p1", "a"));
     Writer.run();
+    CPPUNIT_ASSERT_MESSAGE(Writer.result().status().ToString(),
+                           Writer.result().ok());
     CPPUNIT_ASSERT_EQUAL(ConfigurationRevision(1), *Writer.result());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_Store.history().size());
   }
@@ -242,6 +245,26 @@
     Old.run();
     CPPUNIT_ASSERT(errorKind(Old.result().status()) == ErrorKind::KeyExpired);
   }
+
+  /// Guards against a plan that recreates an entry which another operator
+  /// removed meanwhile, also after the removal has moved to a snapshot.
+  void removedEntryStillConflicts() {
+    SteppedWriter(m_Store, zoneRequest("p1", "a")).run();
+    AcceptRequest Removal = zoneRequest("p2", "a", 1, 1);
+    Removal.m_Entries[0].m_Text.clear();
+    SteppedWriter(m_Store, Removal).run();
+    for (const ConfigurationRevision Base : {0, 1}) {
+      SteppedWriter(m_Store,
+                    zoneRequest("q" + std::to_string(Base),
+                                "b" + std::to_string(Base), 2),
+                    10)
+          .run();
+      SteppedWriter Stale(
+          m_Store, zoneRequest("s" + std::to_string(Base), "a", Base, Base));
+      Stale.run();
+      CPPUNIT_ASSERT(errorKind(Stale.result().status()) == ErrorKind::Conflict);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WriterTest);
--- a/tests/servers/groups/test_group_failures.cpp
+++ b/tests/servers/groups/test_group_failures.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(drainFinishesWork);
   CPPUNIT_TEST(preemptsLowerPriority);
   CPPUNIT_TEST(lostAnswers);
+  CPPUNIT_TEST(stuckLoadIsRepeated);
+  CPPUNIT_TEST(enginesThatNeverLoadAreReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   static DeploymentSpec spec(const std::string &Name, std::size_t Vms,
@@ -56,11 +58,15 @@
   void memberDiesBeforeDispatch() {
     GroupWorld World(settings({5}));
     World.setSpecs({{"a", spec("a", 3, 1, 0)}});
-    while (World.stored().count("d0") == 0 ||
-           World.stored().at("d0").m_Groups.empty()) {
+    // Bounded, so that a controller that never writes fails and doesn't hang.
+    for (int Step = 0; Step < 600 && (World.stored().count("d0") == 0 ||
+                                      World.stored().at("d0").m_Groups.empty());
+         ++Step) {
       World.step();
       assertNoViolation(World);
     }
+    CPPUNIT_ASSERT(World.stored().count("d0") != 0 &&
+                   !World.stored().at("d0").m_Groups.empty());
     const std::string Dead = onlyGroup(World).m_Members[1].m_Vm;
     World.crash(Dead, 3600, false);
     World.run(60);
@@ -224,6 +230,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, World.servingGroups("a"));
     assertNoViolation(World);
   }
+
+  static void stickLoading(FakeEngine &Engine) {
+    if (Engine.m_State == EngineState::Loading)
+      Engine.m_BytesLeft = 1e18;
+  }
+
+  /// Guards against a group that waits for ever for an engine that stays in
+  /// loading, when there is no spare VM.
+  void stuckLoadIsRepeated() {
+    GroupWorld World(settings({3}));
+    World.setSpecs({{"a", spec("a", 3, 1, 0)}});
+    FakeEngine &Engine = World.engine("d0-vm01");
+    for (int Step = 0; Step < 600 && Engine.m_State != EngineState::Loading;
+         ++Step)
+      World.step();
+    CPPUNIT_ASSERT(Engine.m_State == EngineState::Loading);
+    stickLoading(Engine);
+    World.run(15);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, World.servingGroups("a"));
+    World.run(45);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, World.servingGroups("a"));
+    assertNoViolation(World);
+  }
+
+  /// Guards against repeating the load for ever on a VM that never finishes
+  /// it while a spare VM is idle.
+  void enginesThatNeverLoadAreReplaced() {
+    GroupWorld World(settings({4}));
+    World.setSpecs({{"a", spec("a", 3, 1, 0)}});
+    FakeEngine &Engine = World.engine("d0-vm01");
+    for (int Step = 0; Step < 4000 && World.servingGroups("a") == 0; ++Step) {
+      World.step();
+      stickLoading(Engine);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, World.servingGroups("a"));
+    CPPUNIT_ASSERT(World.stored().at("d0").m_Vms.at("d0-vm01").m_State !=
+                   VmState::Assigned);
+    assertNoViolation(World);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupFailuresTest);
--- a/tests/servers/planning/test_planning.cpp
+++ b/tests/servers/planning/test_planning.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(planNamesDifferenceAndEffects);
   CPPUNIT_TEST(wrongIntentNamesThePath);
   CPPUNIT_TEST(planIsStoredOnceAndConfirmedOnce);
+  CPPUNIT_TEST(repeatedConfirmKeepsTheBase);
   CPPUNIT_TEST(progressNamesNodesThatLag);
   CPPUNIT_TEST_SUITE_END();
 
@@ -164,6 +165,36 @@
                    ErrorKind::NotFound);
   }
 
+  /// Guards against a confirm that takes the present revision of an entry for
+  /// the base of the plan, so that it replaces a change that the operator was
+  /// not shown. It is repeated, since a retry must not take a new base either.
+  void repeatedConfirmKeepsTheBase() {
+    FakeConfigurationStore Store;
+    MonotonicTime Now;
+    const auto Made =
+        planOf(R"({"entries":[{"kind":"zone","name":"a","inService":false}]})",
+               *ConfigurationView::empty());
+    PlanRecorder Recorder(*Made, 1);
+    run(Recorder, Recorder.start(), Store, Now);
+    ConfigurationWriter Other(
+        {}, {"p2", "ana", 0, 0, {{{EntryKind::Zone, "a"}, 0, "{}"}}}, nullptr);
+    auto Actions = Other.start(Now);
+    while (!Other.result())
+      if (const auto *Get = std::get_if<GetObject>(&Actions.at(0)))
+        Actions = Other.onGet(Store.get(*Get, m_Random), Now, m_Random);
+      else
+        Actions = Other.onPut(
+            Store.put(std::get<PutObject>(Actions[0]), Now, m_Random), Now,
+            m_Random);
+    for (int Round = 0; Round < 2; ++Round) {
+      PlanConfirmation Confirm({}, {"p1", "bea", 5}, Other.view());
+      run(Confirm, Confirm.start(Now), Store, Now);
+      CPPUNIT_ASSERT(errorKind(Confirm.result()->status()) ==
+                     ErrorKind::Conflict);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.history().size());
+  }
+
   /// Guards against a node without the change being shown as done.
   void progressNamesNodesThatLag() {
     const PlanProgress Progress =
