--- a/servers/idempotency/claim_registry.cpp
+++ b/servers/idempotency/claim_registry.cpp
@@ -164,13 +164,13 @@
 }
 
 bool ClaimRegistry::isDrained() const {
-  return m_Dropped->isEmpty() &&
-         std::all_of(m_Shards.begin(), m_Shards.end(), [](const Shard &Owner) {
-           const std::lock_guard<std::mutex> Lock(Owner.m_Mutex);
-           return std::all_of(
-               Owner.m_Batchers.begin(), Owner.m_Batchers.end(),
-               [](const auto &Entry) { return Entry.second->isIdle(); });
-         });
+  // A dropped grant keeps its batcher busy until it is settled.
+  return std::all_of(m_Shards.begin(), m_Shards.end(), [](const Shard &Owner) {
+    const std::lock_guard<std::mutex> Lock(Owner.m_Mutex);
+    return std::all_of(
+        Owner.m_Batchers.begin(), Owner.m_Batchers.end(),
+        [](const auto &Entry) { return Entry.second->isIdle(); });
+  });
 }
 
 void ClaimRegistry::collectGarbage(const std::vector<ListedClaimBucket> &Listed,
--- a/servers/idempotency/dispatch_token.h
+++ b/servers/idempotency/dispatch_token.h
@@ -50,13 +50,9 @@
     const std::lock_guard<std::mutex> Lock(m_Mutex);
     return std::exchange(m_Grants, {});
   }
-  bool isEmpty() const {
-    const std::lock_guard<std::mutex> Lock(m_Mutex);
-    return m_Grants.empty();
-  }
 
 private:
-  mutable std::mutex m_Mutex;
+  std::mutex m_Mutex;
   std::vector<ClaimGrant> m_Grants;
 };
 
