Add fulmarwinch-bench random

Cause: the randomised tests each cover one subsystem; nothing ran the decision code of several nodes together (design, section 7). Change: the library randomised/ joins the group and configuration worlds, moved out of tests/support, with streams, slots, poison requests and payouts. fulmarwinch-bench random runs it with faults from a seed and asserts I1 to I10.

--- a/main/fulmarwinch-bench/main.cpp
+++ b/main/fulmarwinch-bench/main.cpp
@@ -1,3 +1,4 @@
+#include "main/fulmarwinch-bench/random_command.h"
 #include "servers/measurement/scenario.h"
 #include "servers/routing/selection_strategy.h"
 
@@ -19,12 +20,16 @@
 Usage:
   fulmarwinch-bench list
   fulmarwinch-bench run <scenario> [--seed=N] [--policy=NAME] [--duration=S] [--json]
+  fulmarwinch-bench random [--seed=N] --steps=N [--seeds=M] [--faults=LIST]
   fulmarwinch-bench --help
 
 Options:
   --seed=N       Seed of the run [default: 1].
   --policy=NAME  affinity, round-robin or least-request [default: affinity].
   --duration=S   Seconds of simulated time, warm-up included [default: 40].
+  --steps=N      Steps of each random run; one step is 50 ms simulated.
+  --seeds=M      Number of random runs, from the seed on [default: 1].
+  --faults=LIST  Kinds of faults, with commas, or none [default: all].
   --json         Print only the line with the result.
 
 Exit codes: 0 requirements met, 1 requirements not met, 2 usage.
@@ -97,5 +102,9 @@
   } catch (const std::exception &) {
     return fail("wrong arguments; see --help");
   }
+  if (Arguments["random"].asBool())
+    return runRandom(
+        Arguments["--seed"].asString(), Arguments["--steps"].asString(),
+        Arguments["--seeds"].asString(), Arguments["--faults"].asString());
   return Arguments["list"].asBool() ? listScenarios() : runScenario(Arguments);
 }
--- a/tests/support/configuration_cluster.cpp
+++ b/randomised/configuration_cluster.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/configuration_cluster.h"
+#include "randomised/configuration_cluster.h"
 
 #include "fmt/format.h"
 #include "xxhash.h"
--- a/tests/support/configuration_cluster.h
+++ b/randomised/configuration_cluster.h
@@ -1,9 +1,9 @@
-#ifndef FULMARWINCH_TESTS_SUPPORT_CONFIGURATION_CLUSTER_H
-#define FULMARWINCH_TESTS_SUPPORT_CONFIGURATION_CLUSTER_H
+#ifndef FULMARWINCH_RANDOMISED_CONFIGURATION_CLUSTER_H
+#define FULMARWINCH_RANDOMISED_CONFIGURATION_CLUSTER_H
 
+#include "randomised/fake_configuration_store.h"
 #include "servers/configuration/configuration_replica.h"
 #include "servers/configuration/configuration_writer.h"
-#include "tests/support/fake_configuration_store.h"
 
 #include <cstdint>
 #include <functional>
@@ -149,4 +149,4 @@
 
 } // namespace fulmarwinch
 
-#endif // FULMARWINCH_TESTS_SUPPORT_CONFIGURATION_CLUSTER_H
+#endif // FULMARWINCH_RANDOMISED_CONFIGURATION_CLUSTER_H
--- a/tests/support/fake_configuration_store.cpp
+++ b/randomised/fake_configuration_store.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/fake_configuration_store.h"
+#include "randomised/fake_configuration_store.h"
 
 #include "xxhash.h"
 
--- a/tests/support/fake_store.cpp
+++ b/randomised/fake_store.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/fake_store.h"
+#include "randomised/fake_store.h"
 
 namespace fulmarwinch {
 
--- a/tests/support/group_world.h
+++ b/randomised/group_world.h
@@ -1,11 +1,11 @@
-#ifndef FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
-#define FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
+#ifndef FULMARWINCH_RANDOMISED_GROUP_WORLD_H
+#define FULMARWINCH_RANDOMISED_GROUP_WORLD_H
 
+#include "randomised/fake_store.h"
 #include "servers/groups/assignment_codec.h"
 #include "servers/groups/group_controller.h"
 #include "servers/groups/serving_view.h"
 #include "servers/lease/lease_manager.h"
-#include "tests/support/fake_store.h"
 
 #include <functional>
 #include <map>
@@ -29,6 +29,10 @@
   std::uint64_t m_Generation = 0;
   double m_BytesLeft = 0;
   std::uint64_t m_Running = 0;
+  /// Set by a Role order: the engine refuses new requests as not run.
+  bool m_DrainingRole = false;
+  /// When it last became ready.
+  std::int64_t m_LoadedAt = 0;
   /// When it was last ready and reachable, by group and generation.
   std::map<std::pair<std::string, std::uint64_t>, std::int64_t> m_ReadyAt;
 };
@@ -89,6 +93,40 @@
   std::size_t ordersRefused() const { return m_OrdersRefused; }
   WorldSettings m_Settings;
 
+  std::size_t nodeCount() const { return m_Nodes.size(); }
+  bool isAwake(std::size_t Node) const {
+    return m_Nodes[Node].m_PausedUntil <= m_Now;
+  }
+  int starts(std::size_t Node) const { return m_Nodes[Node].m_Starts; }
+  MonotonicTime nodeTime(std::size_t Node) const {
+    return timeOf(m_Nodes[Node]);
+  }
+  LeaseManager &leases(std::size_t Node) { return *m_Nodes[Node].m_Leases; }
+  GroupController &controller(std::size_t Node) {
+    return *m_Nodes[Node].m_Controller;
+  }
+  const FakeStore &store() const { return m_Store; }
+  /// Carries out a store call of another subsystem of \p Index. The answer
+  /// waits while the node is paused and is dropped when it has restarted.
+  void callStore(std::size_t Index, const StoreAction &Action,
+                 const std::function<void(const StoreAnswer &)> &Answered);
+  void whenAwake(std::size_t Index, int Starts, std::function<void()> Action);
+  /// What the monitor published about one group.
+  struct View {
+    ServingView m_View;
+    std::vector<std::string> m_Members;
+    std::int64_t m_PublishedAt = -1000000;
+  };
+  const std::map<std::string, View> &views() const { return m_Views; }
+  /// Whether \p Vm is drained by the configuration of a node; without it the
+  /// VM list decides.
+  std::function<bool(std::size_t Node, const ListedVm &Vm)> m_IsDrained;
+  /// Whether a node reaches the object store; without it every node does.
+  std::function<bool(std::size_t Node)> m_IsStoreReachable;
+  /// Called before an order with \p Fence ends the work of an engine.
+  std::function<void(const std::string &Vm, std::uint64_t Fence)>
+      m_OnEngineStop;
+
 private:
   struct Node {
     std::unique_ptr<LeaseManager> m_Leases;
@@ -98,16 +136,10 @@
     double m_Rate = 1.0;
     std::int64_t m_Offset = 0;
   };
-  struct View {
-    ServingView m_View;
-    std::vector<std::string> m_Members;
-    std::int64_t m_PublishedAt = -1000000;
-  };
 
   MonotonicTime timeOf(const Node &Of) const;
   void startNode(std::size_t Index);
   void tickNode(std::size_t Index);
-  void whenAwake(std::size_t Index, int Starts, std::function<void()> Action);
   void callStore(std::size_t Index, const StoreAction &Action, bool ForLeases);
   void answer(std::size_t Index, const StoreAnswer &Answer, bool ForLeases);
   void sendOrder(std::size_t Index, const EngineOrder &Order);
@@ -149,4 +181,4 @@
 
 } // namespace fulmarwinch
 
-#endif // FULMARWINCH_TESTS_SUPPORT_GROUP_WORLD_H
+#endif // FULMARWINCH_RANDOMISED_GROUP_WORLD_H
--- /dev/null
+++ b/randomised/payout_world.h
@@ -0,0 +1,60 @@
+#ifndef FULMARWINCH_RANDOMISED_PAYOUT_WORLD_H
+#define FULMARWINCH_RANDOMISED_PAYOUT_WORLD_H
+
+#include "randomised/run_state.h"
+#include "servers/idempotency/claim_registry.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// Payouts that clients send to several nodes, the claim registries of the
+/// nodes, and a service that counts the executions of each key.
+class PayoutWorld {
+public:
+  explicit PayoutWorld(RunState &State);
+  void step();
+  bool isIdle(std::size_t Node) const;
+  void beginShutdown(std::size_t Node);
+  std::uint64_t executions() const { return m_Executions; }
+
+private:
+  struct Node {
+    std::unique_ptr<ClaimRegistry> m_Registry;
+    int m_Starts = 0;
+    /// Payout and attempt of each claim under way.
+    std::map<ClaimId, std::pair<std::size_t, std::uint64_t>> m_Claims;
+    std::map<std::uint64_t, DispatchedClaim> m_Dispatched;
+  };
+  struct Payout {
+    std::string m_Key;
+    int m_Executions = 0;
+    int m_Sent = 0;
+    bool m_Answered = false;
+  };
+
+  void restart(std::size_t Node);
+  void send(std::size_t Payout, std::size_t Node);
+  void apply(std::size_t Node, ClaimEffects &Effects);
+  void takeResult(std::size_t Node, ClaimResult &Result);
+  void dispatch(std::size_t Node, std::size_t Payout, std::uint64_t Attempt,
+                DispatchToken &Token);
+  void execute(std::size_t Payout, std::uint64_t Attempt);
+  void refused(std::uint64_t Attempt, const char *Why);
+
+  RunState &m_State;
+  std::vector<Node> m_Nodes;
+  std::vector<Payout> m_Payouts;
+  std::uint64_t m_LastAttempt = 0;
+  std::uint64_t m_Executions = 0;
+  std::set<std::uint64_t> m_ExecutedAttempts;
+  std::set<std::uint64_t> m_RefusedAttempts;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_RANDOMISED_PAYOUT_WORLD_H
--- a/tests/servers/audit/test_audit_trail.cpp
+++ b/tests/servers/audit/test_audit_trail.cpp
@@ -1,5 +1,5 @@
 #include "servers/audit/audit_trail.h"
-#include "tests/support/fake_configuration_store.h"
+#include "randomised/fake_configuration_store.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
--- a/tests/servers/configuration/test_randomised.cpp
+++ b/tests/servers/configuration/test_randomised.cpp
@@ -1,5 +1,5 @@
 #include "core/error.h"
-#include "tests/support/configuration_cluster.h"
+#include "randomised/configuration_cluster.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 #include "fmt/format.h"
--- a/tests/servers/groups/test_take_over.cpp
+++ b/tests/servers/groups/test_take_over.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/group_world.h"
+#include "randomised/group_world.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
--- a/tests/servers/planning/test_planning.cpp
+++ b/tests/servers/planning/test_planning.cpp
@@ -3,7 +3,7 @@
 #include "servers/planning/plan_progress.h"
 #include "servers/planning/plan_recorder.h"
 #include "servers/planning/planner.h"
-#include "tests/support/fake_configuration_store.h"
+#include "randomised/fake_configuration_store.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
--- a/tests/support/policy_figures.h
+++ b/tests/support/policy_figures.h
@@ -1,7 +1,7 @@
 #ifndef FULMARWINCH_TESTS_SUPPORT_POLICY_FIGURES_H
 #define FULMARWINCH_TESTS_SUPPORT_POLICY_FIGURES_H
 
-#include "tests/support/group_world.h"
+#include "randomised/group_world.h"
 
 #include <functional>
 #include <string>
