Let engines end attempts whose connection closed in the random run

The fake engine went on with attempts that their node had replaced, and the check for I9 counted such attempts and lost polls as planned stops. Conclusion: an engine that keeps running a replaced attempt is not covered.

--- a/randomised/random_run.cpp
+++ b/randomised/random_run.cpp
@@ -216,6 +216,9 @@
     });
   }
   if (Kind == "messages") {
+    // Lost polls look like missing members.
+    for (const std::string &Vm : m_World.vmNames())
+      m_State.m_FaultAt[Vm] = m_World.now() + Length;
     m_State.m_MaxDelayMs = 200;
     m_State.m_MessageLoss = 0.05;
     m_World.m_Settings.m_OrderLoss = 0.1;
@@ -267,8 +270,9 @@
   m_Plans.push_back(Request);
   m_Log.add("change", fmt::format("{} {} at n{}", toText(Id), Text, Node));
   m_Cluster.confirm(Node, Request);
-  if (m_State.pick(3) == 0)
-    m_Cluster.confirm((Node + 1) % NodeCount, Request);
+  const std::size_t Other = (Node + 1) % NodeCount;
+  if (m_State.pick(3) == 0 && m_State.isRunning(Other))
+    m_Cluster.confirm(Other, Request);
 }
 
 void RandomRun::followHistory() {
--- a/randomised/stream_world.cpp
+++ b/randomised/stream_world.cpp
@@ -114,7 +114,10 @@
     return false;
   }
   if (!Each.m_Group.empty() && Now - Each.m_ProgressAt > StallMs) {
-    Each.m_MayHaveRun = true;
+    // The request left the node and no response came.
+    AttemptFacts Facts;
+    Facts.m_BytesSent = 100;
+    Each.m_MayHaveRun |= classifyAttempt(Facts) != Outcome::NotRun;
     endAttempt(Each, true);
   }
   if (!Each.m_Group.empty())
@@ -293,11 +296,23 @@
   }
   Node.m_Gate.end(Each.m_Group, Each.m_UsesSlot, std::nullopt);
   Node.m_Poison.onEnded(Each.m_Hash, Each.m_Group);
+  closeConnection(Each);
   m_State.m_Log.add("attempt ended",
                     fmt::format("{} at {}", Each.m_Id, Each.m_Group));
   Each.m_Group.clear();
 }
 
+/// The engine ends an attempt whose connection closes. An engine that is cut
+/// off does not notice.
+void StreamWorld::closeConnection(const Stream &Each) {
+  const auto Key = std::make_pair(Each.m_Id, Each.m_Splicer->attempt());
+  m_State.m_World.after(m_State.delay(), [this, Key] {
+    for (auto &[Vm, Head] : m_Heads)
+      if (!m_State.m_World.engine(Vm).m_Partitioned && !Head.isStalled())
+        Head.m_InFlight.erase(Key);
+  });
+}
+
 void StreamWorld::finish(Stream &Each, bool IsComplete) {
   RequestNode &Node = *m_Nodes[Each.m_Node];
   const MonotonicTime Now = m_State.m_World.nodeTime(Each.m_Node);
--- a/randomised/stream_world.h
+++ b/randomised/stream_world.h
@@ -57,6 +57,7 @@
   void produceToken(const std::string &Vm, EngineRequest &Request, bool Final);
   void onChunk(std::uint64_t Id, int Starts, const StreamChunk &Chunk,
                const std::string &StartId);
+  void closeConnection(const Stream &Each);
   void endAttempt(Stream &Each, bool IsBroken);
   void finish(Stream &Each, bool IsComplete);
   void crashPoisoned();
