Count attempts that a node gave up before new slots are granted

Cause: after a lost connection a node no longer counts its attempts, and the granter left the node's own work out of the bound. Change: a newly told lost connection of a backend server in its ramp makes the granter count the in-flight work from the next report before it grants again. The new test gets 4 slots instead of 0 without the change.

--- a/servers/admission/slot_granter.cpp
+++ b/servers/admission/slot_granter.cpp
@@ -138,6 +138,12 @@
   if (Request.m_LostConnections > Lost) {
     Lost = Request.m_LostConnections;
     State.m_LossTold = Now;
+    // The backend server may go on with the attempts that the node has given
+    // up, and the node no longer counts them. A warm one needs no slots.
+    if (!State.m_MayBeWarm) {
+      State.m_Counted = false;
+      State.m_CountFrom = std::max(State.m_CountFrom, Now);
+    }
   }
   if (const auto Refusal = checkRequest(State, Request, Now))
     return *Refusal;
@@ -165,12 +171,12 @@
 std::optional<SlotRefusal> SlotGranter::checkRequest(ServerState &State,
                                                      const SlotRequest &Request,
                                                      MonotonicTime Now) const {
+  if (State.m_LossTold && State.m_ReportRequestedAt <= *State.m_LossTold)
+    return SlotRefusal::ReportTooOld;
   if (!State.m_Counted)
     return SlotRefusal::InFlightNotCounted;
   if (Now - State.m_ReportRequestedAt > m_Settings.m_OldestReport)
     return SlotRefusal::ReportTooOld;
-  if (State.m_LossTold && State.m_ReportRequestedAt <= *State.m_LossTold)
-    return SlotRefusal::ReportTooOld;
   if (Request.m_StartId.empty() ||
       Request.m_StartId == State.m_Report.m_StartId)
     return std::nullopt;
--- a/tests/servers/admission/test_slots.cpp
+++ b/tests/servers/admission/test_slots.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(nodesShareSlots);
   CPPUNIT_TEST(staleStartIdDoesNotBlockForEver);
   CPPUNIT_TEST(lostConnectionNeedsANewerReport);
+  CPPUNIT_TEST(abandonedWorkOfTheNodeIsCounted);
   CPPUNIT_TEST(slotCountsFromBeforeTheRequest);
   CPPUNIT_TEST(changedStartIdDropsSlotsAndAnswersUnderWay);
   CPPUNIT_TEST_SUITE_END();
@@ -225,6 +226,32 @@
         slots(Granter.onRequest(Request, Start + milliseconds(2300))));
   }
 
+  /// Guards against new slots on top of attempts that the node gave up and
+  /// the stalled backend server still runs (random run, seed 10, step 1953).
+  void abandonedWorkOfTheNodeIsCounted() {
+    SlotGranter Granter = countedGranter(0);
+    SlotRequest Request = request("n1", 1, 4);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(4),
+        slots(Granter.onRequest(Request, Start + milliseconds(2010))));
+    Request.m_LastAnsweredId = 1;
+    Request.m_RequestId = 2;
+    Request.m_LostConnections = 1;
+    const MonotonicTime Told = Start + milliseconds(2100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                         slots(Granter.onRequest(Request, Told)));
+    report(Granter, 4, milliseconds(2200), true);
+    Request.m_RequestId = 3;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(0),
+        slots(Granter.onRequest(Request, Start + milliseconds(2210))));
+    report(Granter, 1, milliseconds(2300), true);
+    Request.m_RequestId = 4;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(3),
+        slots(Granter.onRequest(Request, Start + milliseconds(2310))));
+  }
+
   /// Guards against a slow answer that prolongs a slot.
   void slotCountsFromBeforeTheRequest() {
     SlotHolder Holder("a");
