--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -17,6 +17,9 @@
 step "membership with 200 nodes in the release build"
 ctest --test-dir build/release --output-on-failure -R '^servers_membership$'
 
+step "randomised run"
+build/release/fulmarwinch-bench random --seed 1 --seeds 6 --steps 4000
+
 step "linter"
 bash scripts/lint.sh
 
