--- a/servers/groups/group_controller.cpp
+++ b/servers/groups/group_controller.cpp
@@ -53,19 +53,19 @@
     if (Lease == Held.end())
       continue;
     const auto Change = Placement.find(Domain);
-    DomainView View{
-        m_Settings,
-        m_Specs,
-        *m_Policy,
-        Controller.health(),
-        m_Reports,
-        m_Listed[Domain],
-        {},
-        Controller.overdueLoads(),
-        Change == Placement.end() ? PlacementChange() : Change->second,
-        Loads,
-        Now,
-        1};
+    DomainView View{m_Settings,
+                    m_Specs,
+                    *m_Policy,
+                    Controller.health(),
+                    m_Reports,
+                    m_Listed[Domain],
+                    {},
+                    Controller.overdueLoads(),
+                    Change == Placement.end() ? PlacementChange()
+                                              : Change->second,
+                    Loads,
+                    Now,
+                    1};
     if (auto Call = Controller.nextCall(View, m_NextId)) {
       m_InFlight[m_NextId++] = Domain;
       Actions.m_StoreActions.push_back(std::move(*Call));
--- a/tests/servers/audit/test_audit_trail.cpp
+++ b/tests/servers/audit/test_audit_trail.cpp
@@ -1,5 +1,5 @@
-#include "servers/audit/audit_trail.h"
 #include "randomised/fake_configuration_store.h"
+#include "servers/audit/audit_trail.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
--- a/tests/servers/lease/test_shard_lease.cpp
+++ b/tests/servers/lease/test_shard_lease.cpp
@@ -1,5 +1,5 @@
-#include "servers/lease/lease_manager.h"
 #include "randomised/fake_store.h"
+#include "servers/lease/lease_manager.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
--- a/tests/servers/planning/test_planning.cpp
+++ b/tests/servers/planning/test_planning.cpp
@@ -1,9 +1,9 @@
 #include "core/error.h"
+#include "randomised/fake_configuration_store.h"
 #include "servers/planning/plan_confirmation.h"
 #include "servers/planning/plan_progress.h"
 #include "servers/planning/plan_recorder.h"
 #include "servers/planning/planner.h"
-#include "randomised/fake_configuration_store.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
