--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -37,6 +37,7 @@
 
   /// Called by RESTinio for each change of a connection.
   void
+  // RESTinio requires this name. NOLINTNEXTLINE(readability-identifier-naming)
   state_changed(const restinio::connection_state::notice_t &Notice) noexcept {
     const std::lock_guard<std::mutex> Guard(m_Mutex);
     const restinio::connection_id_t Id = Notice.connection_id();
