Keep the rendezvous weight in one place

Cause: leases, routing, membership and claims each computed the same weight. Change: core/rendezvous; the other places call it. Orders stay as they were, since the formula is the same. Conclusion: checked by the tests of the four parts.

--- a/servers/lease/rendezvous.cpp
+++ b/core/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "servers/lease/rendezvous.h"
+#include "core/rendezvous.h"
 
 #include "xxhash.h"
 
--- a/servers/lease/rendezvous.h
+++ b/core/rendezvous.h
@@ -1,5 +1,5 @@
-#ifndef FULMARWINCH_SERVERS_LEASE_RENDEZVOUS_H
-#define FULMARWINCH_SERVERS_LEASE_RENDEZVOUS_H
+#ifndef FULMARWINCH_CORE_RENDEZVOUS_H
+#define FULMARWINCH_CORE_RENDEZVOUS_H
 
 #include <cstddef>
 #include <cstdint>
@@ -19,4 +19,4 @@
 
 } // namespace fulmarwinch
 
-#endif // FULMARWINCH_SERVERS_LEASE_RENDEZVOUS_H
+#endif // FULMARWINCH_CORE_RENDEZVOUS_H
--- a/node/group_control.cpp
+++ b/node/group_control.cpp
@@ -1,8 +1,8 @@
 #include "node/group_control.h"
 
 #include "core/log.h"
+#include "core/rendezvous.h"
 #include "node/slot_codec.h"
-#include "servers/lease/rendezvous.h"
 
 #include "fmt/format.h"
 
--- a/node/group_monitor.cpp
+++ b/node/group_monitor.cpp
@@ -1,6 +1,6 @@
 #include "node/group_monitor.h"
 
-#include "servers/lease/rendezvous.h"
+#include "core/rendezvous.h"
 
 #include <iterator>
 #include <set>
--- a/servers/groups/placement.cpp
+++ b/servers/groups/placement.cpp
@@ -1,5 +1,5 @@
 #include "servers/groups/placement.h"
-#include "servers/lease/rendezvous.h"
+#include "core/rendezvous.h"
 
 #include <algorithm>
 #include <tuple>
--- a/servers/idempotency/claim_layout.cpp
+++ b/servers/idempotency/claim_layout.cpp
@@ -1,7 +1,8 @@
 #include "servers/idempotency/claim_layout.h"
 
+#include "core/rendezvous.h"
+
 #include "fmt/format.h"
-#include "xxhash.h"
 
 #include <charconv>
 
@@ -43,11 +44,9 @@
 std::string ClaimLayout::ownerOf(std::string_view ObjectKey,
                                  const std::vector<std::string> &Nodes) {
   std::string Owner;
-  XXH64_hash_t Best = 0;
-  const XXH64_hash_t Seed = XXH3_64bits(ObjectKey.data(), ObjectKey.size());
+  std::uint64_t Best = 0;
   for (const std::string &Node : Nodes) {
-    const XXH64_hash_t Weight =
-        XXH3_64bits_withSeed(Node.data(), Node.size(), Seed);
+    const std::uint64_t Weight = rendezvousWeight(ObjectKey, Node);
     if (!Owner.empty() && Weight <= Best)
       continue;
     Owner = Node;
--- a/servers/lease/lease_manager.cpp
+++ b/servers/lease/lease_manager.cpp
@@ -1,5 +1,5 @@
 #include "servers/lease/lease_manager.h"
-#include "servers/lease/rendezvous.h"
+#include "core/rendezvous.h"
 
 #include "fmt/format.h"
 #include "xxhash.h"
--- a/servers/membership/neighbour_selector.cpp
+++ b/servers/membership/neighbour_selector.cpp
@@ -1,6 +1,6 @@
 #include "servers/membership/neighbour_selector.h"
 
-#include "xxhash.h"
+#include "core/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,12 +28,10 @@
 
 std::vector<std::string> NeighbourSelector::select(const MemberTable &Table) {
   const MemberRecord &Self = Table.self();
-  const std::uint64_t Seed = XXH3_64bits(Self.m_Id.data(), Self.m_Id.size());
   std::vector<Candidate> Candidates;
   for (const auto &[Id, Record] : Table.members())
     if (Id != Self.m_Id && Record.isReachable())
-      Candidates.emplace_back(XXH3_64bits_withSeed(Id.data(), Id.size(), Seed),
-                              &Record);
+      Candidates.emplace_back(rendezvousWeight(Self.m_Id, Id), &Record);
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
               return std::tie(Left.first, Left.second->m_Id) >
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -1,9 +1,9 @@
 #include "servers/routing/router.h"
 
 #include "core/error.h"
+#include "core/rendezvous.h"
 
 #include "fmt/format.h"
-#include "xxhash.h"
 
 #include <algorithm>
 #include <utility>
@@ -158,10 +158,8 @@
                                       std::size_t Count) {
   std::vector<std::pair<std::uint64_t, std::string>> Order;
   Order.reserve(Groups.size());
-  const std::uint64_t Seed = XXH3_64bits(Node.data(), Node.size());
   for (const std::string &Group : Groups)
-    Order.emplace_back(XXH3_64bits_withSeed(Group.data(), Group.size(), Seed),
-                       Group);
+    Order.emplace_back(rendezvousWeight(Node, Group), Group);
   const std::size_t Length = std::min(Count, Order.size());
   std::partial_sort(Order.begin(), Order.begin() + static_cast<long>(Length),
                     Order.end(), std::greater<>());
