--- a/tests/servers/idempotency/test_claims.cpp
+++ b/tests/servers/idempotency/test_claims.cpp
@@ -267,8 +267,8 @@
     // 20 ms batch delay and 5 ms for one update.
     CPPUNIT_ASSERT(Layout.m_BucketsPerSlice * 1000 / 25 <= 300);
     // 3,300 records of one bucket within 900 KB.
-    CPPUNIT_ASSERT(Layout.m_BucketsPerSlice * 3300 / Layout.m_SliceSeconds >=
-                   2300);
+    const UnixSeconds Records = UnixSeconds(Layout.m_BucketsPerSlice) * 3300;
+    CPPUNIT_ASSERT(Records / Layout.m_SliceSeconds >= 2300);
   }
 };
 
