Hand store answers to claim batchers in one place

Cause: ClaimRegistry::onGet and onPut were the same but for the member that they call. Change: handle() with a member pointer serves both; behaviour stays as it is. Conclusion: one piece of code instead of two.

--- a/servers/idempotency/claim_registry.cpp
+++ b/servers/idempotency/claim_registry.cpp
@@ -94,21 +94,18 @@
 
 void ClaimRegistry::onGet(const GetCompleted &Event, MonotonicTime Now,
                           ClaimEffects &Effects) {
-  const std::size_t Index = Event.m_Id % ShardCount;
-  const std::lock_guard<std::mutex> Lock(m_Shards[Index].m_Mutex);
-  const auto Call = m_Shards[Index].m_Calls.find(Event.m_Id);
-  const std::string BucketKey =
-      Call == m_Shards[Index].m_Calls.end() ? "" : Call->second;
-  ClaimBatcher *Batcher = takeCall(m_Shards[Index], Event.m_Id);
-  if (!Batcher)
-    return;
-  const std::size_t First = Effects.m_Actions.size();
-  Batcher->onGet(Event, Now, Effects);
-  numberActions(Index, BucketKey, First, Effects);
+  handle(Event, &ClaimBatcher::onGet, Now, Effects);
 }
 
 void ClaimRegistry::onPut(const PutCompleted &Event, MonotonicTime Now,
                           ClaimEffects &Effects) {
+  handle(Event, &ClaimBatcher::onPut, Now, Effects);
+}
+
+template <typename EventType>
+void ClaimRegistry::handle(const EventType &Event,
+                           BatcherHandler<EventType> Handler, MonotonicTime Now,
+                           ClaimEffects &Effects) {
   const std::size_t Index = Event.m_Id % ShardCount;
   const std::lock_guard<std::mutex> Lock(m_Shards[Index].m_Mutex);
   const auto Call = m_Shards[Index].m_Calls.find(Event.m_Id);
@@ -118,7 +115,7 @@
   if (!Batcher)
     return;
   const std::size_t First = Effects.m_Actions.size();
-  Batcher->onPut(Event, Now, Effects);
+  (Batcher->*Handler)(Event, Now, Effects);
   numberActions(Index, BucketKey, First, Effects);
 }
 
--- a/servers/idempotency/claim_registry.h
+++ b/servers/idempotency/claim_registry.h
@@ -91,6 +91,13 @@
   ClaimBatcher &batcherOf(Shard &Owner, const std::string &BucketKey);
   void settle(const ClaimGrant &Grant, ClaimState State, ClaimOutcome Outcome,
               MonotonicTime Now, ClaimEffects &Effects);
+  template <typename EventType>
+  using BatcherHandler = void (ClaimBatcher::*)(const EventType &,
+                                                MonotonicTime, ClaimEffects &);
+  /// Hands the answer to a store call to the batcher that made the call.
+  template <typename EventType>
+  void handle(const EventType &Event, BatcherHandler<EventType> Handler,
+              MonotonicTime Now, ClaimEffects &Effects);
   ClaimBatcher *takeCall(Shard &Owner, StoreCallId Id);
   /// Numbers the actions that were added since \p First.
   void numberActions(std::size_t ShardIndex, const std::string &BucketKey,
