--- /dev/null
+++ b/proxy/front_node.cpp
@@ -0,0 +1,411 @@
+#include "proxy/front_node.h"
+#include "core/text.h"
+#include "proxy/group_duty.h"
+#include "proxy/http_listener.h"
+#include "proxy/kind_watcher.h"
+#include "proxy/peer_exchange.h"
+
+#include "asio.hpp"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Resolution of time limits and of the watch for silent streams.
+constexpr Duration TickPeriod = milliseconds(20);
+constexpr Duration FlushPeriod = milliseconds(100);
+/// The balancer needs two missed questions, a second apart, to stop sending
+/// new connections; idle ones are closed only then.
+constexpr Duration BalancerLag = milliseconds(2600);
+/// Part of the grace period that is left for the process to end.
+constexpr Duration ExitMargin = milliseconds(350);
+/// Nodes list themselves under this kind of the platform's store.
+constexpr const char *NodeKind = "fulmarwinch-nodes";
+constexpr Duration RegisterRetry = milliseconds(700);
+/// Share of the platform's bound on repeats that is used. The rest covers the
+/// difference between the nodes' windows and the bound's.
+constexpr double BudgetUse = 0.75;
+
+std::int64_t inMs(Duration Length) {
+  return std::chrono::duration_cast<milliseconds>(Length).count();
+}
+
+} // namespace
+
+struct FrontNode::Impl {
+  Impl(asio::io_context &Loop, EventLog &Log, const FrontSettings &Settings,
+       const PlatformBinding &Platform)
+      : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Platform(Platform),
+        m_Tick(Loop), m_Flush(Loop), m_Register(Loop),
+        m_Context(Loop, Log, m_Figures, Platform.m_Dialect, m_Fleet, m_Selector,
+                  m_Stalls),
+        m_Peers(Loop, Log, m_Selector, Settings.m_Node,
+                {Settings.m_Ip, Settings.m_PeerPort}),
+        m_Incarnation(concat(Settings.m_Node, "-", std::random_device()(), "-",
+                             unixNow())),
+        m_Duty(m_Context, Platform, Settings, m_Incarnation),
+        m_Servers(Loop, *Platform.m_Feed, Log, Platform.m_ServerKind,
+                  serverHandlers()),
+        m_Configurations(Loop, *Platform.m_Feed, Log,
+                         Platform.m_ConfigurationKind, configurationHandlers()),
+        m_Evacuations(Loop, *Platform.m_Feed, Log, Platform.m_EvacuationKind,
+                      evacuationHandlers()),
+        m_Nodes(Loop, *Platform.m_Feed, Log, NodeKind, nodeHandlers()) {
+    setBudget(1);
+    m_Context.m_OnStalled = [this](const ChosenServer &Server) {
+      if (!Server.m_Group)
+        return;
+      const StallNotice Notice{Server.m_Id, *Server.m_Group};
+      m_Log.write("group_stalled", {{"head", Server.m_Id},
+                                    {"group", Server.m_Group->m_Name},
+                                    {"seen_by", "self"}});
+      m_Peers.announce(Notice);
+      m_Duty.onStalled(Notice);
+    };
+  }
+
+  // --- beliefs -----------------------------------------------------------
+
+  KindWatcher::Handlers serverHandlers() {
+    KindWatcher::Handlers Result;
+    Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
+      std::vector<BackendServer> Servers;
+      for (const StoredObject &Object : Objects)
+        if (auto Server = readServer(Object))
+          Servers.push_back(std::move(*Server));
+      for (const std::string &Id :
+           m_Fleet.replaceAll(std::move(Servers), monotonicNow()))
+        logServer(Id);
+    };
+    Result.m_OnChange = [this](const ObjectChange &Change) {
+      const StoredObject &Object = Change.m_Object;
+      auto Server = Change.m_Deleted ? std::nullopt : readServer(Object);
+      // An entry that cannot be read names no server to use.
+      const bool Changed =
+          Server ? m_Fleet.update(std::move(*Server), monotonicNow())
+                 : m_Fleet.remove(Object.m_Name, Object.m_Revision);
+      if (Changed)
+        logServer(Object.m_Name);
+    };
+    Result.m_OnSettled = [] {};
+    return Result;
+  }
+
+  std::optional<BackendServer> readServer(const StoredObject &Object) {
+    auto Server = m_Platform.m_DecodeServer(Object);
+    if (Server.ok())
+      return std::move(*Server);
+    m_Log.write("entry_unreadable",
+                {{"name", Object.m_Name},
+                 {"revision", static_cast<std::int64_t>(Object.m_Revision)},
+                 {"problem", toView(Server.status().message())}});
+    return std::nullopt;
+  }
+
+  void logServer(const std::string &Id) {
+    const BackendServer *Server = m_Fleet.find(Id);
+    if (!Server) {
+      m_Log.write("server_gone", {{"server", Id}});
+      return;
+    }
+    const auto &Place = Server->m_Membership;
+    m_Log.write("server",
+                {{"server", Id},
+                 {"revision", static_cast<std::int64_t>(Server->m_Revision)},
+                 {"born", Server->m_StartedAtMs},
+                 {"service", Server->m_Service},
+                 {"domain", Server->m_Domain},
+                 {"zone", Server->m_Zone},
+                 {"draining", Server->m_Draining},
+                 {"cold_ms", inMs(Server->m_ColdFor)},
+                 {"staged", Server->m_StagedModels.empty()
+                                ? std::string_view()
+                                : Server->m_StagedModels.front()},
+                 {"group", Place ? std::string_view(Place->m_Group.m_Name)
+                                 : std::string_view()},
+                 {"rank", Place ? std::int64_t{Place->m_Rank} : -1},
+                 {"state", Place ? nameOf(MemberStateNames, Place->m_State)
+                                 : std::string_view()}});
+  }
+
+  KindWatcher::Handlers configurationHandlers() {
+    KindWatcher::Handlers Result;
+    Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
+      for (const StoredObject &Object : Objects)
+        readConfiguration(Object);
+    };
+    Result.m_OnChange = [this](const ObjectChange &Change) {
+      if (!Change.m_Deleted)
+        readConfiguration(Change.m_Object);
+    };
+    Result.m_OnSettled = [] {};
+    return Result;
+  }
+
+  void readConfiguration(const StoredObject &Object) {
+    if (Object.m_Name != m_Platform.m_ConfigurationName)
+      return;
+    auto Content = m_Platform.m_DecodeConfiguration(Object);
+    if (!Content.ok()) {
+      m_Log.write("configuration_unreadable",
+                  {{"revision", static_cast<std::int64_t>(Object.m_Revision)},
+                   {"problem", toView(Content.status().message())}});
+      return;
+    }
+    if (Object.m_Revision <= m_ConfigurationRevision)
+      return;
+    m_ConfigurationRevision = Object.m_Revision;
+    m_Context.m_Table = std::make_shared<RouteTable>(std::move(*Content));
+    const TrafficConfiguration &Now = m_Context.m_Table->configuration();
+    m_Log.write("configuration",
+                {{"version", static_cast<std::int64_t>(Now.m_Version)},
+                 {"revision", static_cast<std::int64_t>(Object.m_Revision)},
+                 {"routes", static_cast<std::int64_t>(Now.m_Routes.size())}});
+  }
+
+  KindWatcher::Handlers evacuationHandlers() {
+    KindWatcher::Handlers Result;
+    Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
+      m_EvacuatedZones.clear();
+      for (const StoredObject &Object : Objects)
+        m_EvacuatedZones.insert(Object.m_Name);
+    };
+    Result.m_OnChange = [this](const ObjectChange &Change) {
+      if (Change.m_Deleted)
+        m_EvacuatedZones.erase(Change.m_Object.m_Name);
+      else
+        m_EvacuatedZones.insert(Change.m_Object.m_Name);
+      m_Log.write("evacuation", {{"zone", Change.m_Object.m_Name},
+                                 {"in_force", !Change.m_Deleted}});
+    };
+    Result.m_OnSettled = [this] {
+      m_Fleet.setEvacuatedZones(m_EvacuatedZones);
+    };
+    return Result;
+  }
+
+  KindWatcher::Handlers nodeHandlers() {
+    KindWatcher::Handlers Result;
+    Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
+      m_NodeAddresses.clear();
+      for (const StoredObject &Object : Objects)
+        readNode(Object);
+    };
+    Result.m_OnChange = [this](const ObjectChange &Change) {
+      if (Change.m_Deleted)
+        m_NodeAddresses.erase(Change.m_Object.m_Name);
+      else
+        readNode(Change.m_Object);
+    };
+    Result.m_OnSettled = [this] {
+      m_Peers.setPeers(m_NodeAddresses);
+      const std::size_t Count =
+          std::max<std::size_t>(1, m_NodeAddresses.size());
+      m_Selector.setNodeCount(Count);
+      setBudget(Count);
+    };
+    return Result;
+  }
+
+  void readNode(const StoredObject &Object) {
+    if (const auto Address =
+            parseEndpoint(memberOr(Object.m_Content, "address", std::string())))
+      m_NodeAddresses[Object.m_Name] = *Address;
+  }
+
+  void setBudget(std::size_t NodeCount) {
+    RetryBudgetSettings &Budget = m_Context.m_BudgetSettings;
+    Budget.m_ShareOfSuccesses = m_Settings.m_RetryRatio * BudgetUse;
+    Budget.m_FloorPerSecond = 0.0;
+    Budget.m_Burst =
+        m_Settings.m_RetrySlack * BudgetUse / static_cast<double>(NodeCount);
+    Budget.m_Initial = Budget.m_Burst;
+  }
+
+  /// Lists this node under its name, so that its peers find it.
+  void registerNode() {
+    const std::string Key = concat(NodeKind, "/", m_Settings.m_Node);
+    const Json Content{
+        {"address", concat(m_Settings.m_Ip, ":", m_Settings.m_PeerPort)},
+        {"incarnation", m_Incarnation}};
+    m_Platform.m_StartStoreCall(
+        PutObject{0, Key, m_NodeVersion, Content.dump()},
+        [this](const StoreCompletion &Result) {
+          const auto &Put = std::get<PutCompleted>(Result);
+          if (Put.m_Outcome == StoreOutcome::Applied) {
+            m_NodeVersion = Put.m_Version;
+            return;
+          }
+          if (Put.m_Outcome == StoreOutcome::Conflict)
+            m_NodeVersion = Put.m_Version;
+          m_Register.expires_after(RegisterRetry);
+          m_Register.async_wait([this](const asio::error_code &Error) {
+            if (!Error && !m_Draining)
+              registerNode();
+          });
+        });
+  }
+
+  // --- service -----------------------------------------------------------
+
+  bool isReady() const {
+    return !m_Draining && m_Context.m_Table && m_Servers.isKnown();
+  }
+
+  ConnectionHooks clientHooks() {
+    ConnectionHooks Hooks;
+    Hooks.m_Limits = [this] {
+      return m_Context.m_Table ? m_Context.m_Table->configuration().m_Limits
+                               : ClientLimits();
+    };
+    Hooks.m_IsDraining = [this] { return m_Draining; };
+    Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
+                               ClientRequest Request) {
+      std::make_shared<RequestRelay>(m_Context, std::move(Client),
+                                     std::move(Request))
+          ->start();
+    };
+    return Hooks;
+  }
+
+  ConnectionHooks readinessHooks() {
+    ConnectionHooks Hooks;
+    Hooks.m_Limits = [] { return ClientLimits(); };
+    Hooks.m_IsDraining = [] { return false; };
+    Hooks.m_OnRequest = [this](const std::shared_ptr<ClientConnection> &Client,
+                               const ClientRequest &Request) {
+      if (Request.m_Head.m_Target != m_Platform.m_ReadyPath)
+        Client->respond(404, "Not Found", {}, "");
+      else if (isReady())
+        Client->respond(200, "OK", {}, "");
+      else
+        Client->respond(503, "Service Unavailable", {}, "");
+    };
+    return Hooks;
+  }
+
+  void armTick() {
+    m_Tick.expires_after(TickPeriod);
+    m_Tick.async_wait([this](const asio::error_code &Error) {
+      if (Error)
+        return;
+      tick(monotonicNow());
+      armTick();
+    });
+  }
+
+  void tick(MonotonicTime Now) {
+    const std::vector<std::shared_ptr<RequestRelay>> Active(
+        m_Context.m_Active.begin(), m_Context.m_Active.end());
+    for (const std::shared_ptr<RequestRelay> &Relay : Active)
+      Relay->tick(Now);
+    m_Duty.tick(Now, m_Peers.liveNodes(Now));
+    if (m_Draining)
+      continueDrain(Now);
+  }
+
+  void armFlush() {
+    m_Flush.expires_after(FlushPeriod);
+    m_Flush.async_wait([this](const asio::error_code &Error) {
+      m_Log.flush();
+      if (!Error)
+        armFlush();
+    });
+  }
+
+  // --- shutdown ----------------------------------------------------------
+
+  void drain() {
+    if (m_Draining)
+      return;
+    m_Draining = true;
+    m_DrainingSince = monotonicNow();
+    m_Duty.stop();
+    m_Log.write("draining", {{"in_progress", static_cast<std::int64_t>(
+                                                 m_Context.m_Active.size())}});
+  }
+
+  void continueDrain(MonotonicTime Now) {
+    const Duration Elapsed = Now - m_DrainingSince;
+    if (Elapsed < BalancerLag)
+      return;
+    m_Clients->stopAccepting();
+    m_Clients->closeIdle();
+    if (m_Context.m_Active.empty() && m_Clients->isEmpty()) {
+      finish("drained");
+      return;
+    }
+    if (Elapsed >= m_Settings.m_GracePeriod - ExitMargin)
+      finish("grace_over");
+  }
+
+  void finish(std::string_view Cause) {
+    m_Log.write("stopped", {{"cause", Cause},
+                            {"in_progress", static_cast<std::int64_t>(
+                                                m_Context.m_Active.size())}});
+    m_Log.flush();
+    m_Loop.stop();
+  }
+
+  asio::io_context &m_Loop;
+  EventLog &m_Log;
+  FrontSettings m_Settings;
+  const PlatformBinding &m_Platform;
+  asio::steady_timer m_Tick;
+  asio::steady_timer m_Flush;
+  asio::steady_timer m_Register;
+  Metrics m_Figures;
+  FleetView m_Fleet;
+  ServerSelector m_Selector;
+  StallDetector m_Stalls;
+  RelayContext m_Context;
+  PeerExchange m_Peers;
+  std::string m_Incarnation;
+  GroupDuty m_Duty;
+  KindWatcher m_Servers;
+  KindWatcher m_Configurations;
+  KindWatcher m_Evacuations;
+  KindWatcher m_Nodes;
+  std::unique_ptr<HttpListener> m_Clients;
+  std::unique_ptr<HttpListener> m_Readiness;
+  std::set<std::string> m_EvacuatedZones;
+  std::map<std::string, Endpoint> m_NodeAddresses;
+  std::uint64_t m_ConfigurationRevision = 0;
+  ObjectVersion m_NodeVersion = 0;
+  bool m_Draining = false;
+  MonotonicTime m_DrainingSince{};
+};
+
+FrontNode::FrontNode(asio::io_context &Loop, EventLog &Log,
+                     const FrontSettings &Settings,
+                     const PlatformBinding &Platform)
+    : m_Impl(std::make_unique<Impl>(Loop, Log, Settings, Platform)) {}
+
+FrontNode::~FrontNode() = default;
+
+void FrontNode::start() {
+  Impl &Self = *m_Impl;
+  Self.m_Clients = std::make_unique<HttpListener>(
+      Self.m_Loop, Self.m_Settings.m_Clients, Self.clientHooks());
+  Self.m_Readiness = std::make_unique<HttpListener>(
+      Self.m_Loop, Self.m_Settings.m_Readiness, Self.readinessHooks());
+  Self.m_Peers.start([&Self](const StallNotice &Notice) {
+    Self.m_Selector.onSuspected(Notice.m_Head, Notice.m_Group, monotonicNow());
+    Self.m_Duty.onStalled(Notice);
+  });
+  Self.registerNode();
+  Self.m_Servers.start();
+  Self.m_Configurations.start();
+  Self.m_Evacuations.start();
+  Self.m_Nodes.start();
+  Self.armTick();
+  Self.armFlush();
+}
+
+void FrontNode::drain() { m_Impl->drain(); }
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/proxy/group_duty.cpp
@@ -0,0 +1,179 @@
+#include "proxy/group_duty.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration OrderTimeout = milliseconds(800);
+/// A live server answers a probe within a few milliseconds.
+constexpr Duration ProbeTimeout = milliseconds(250);
+constexpr Duration PlanPeriod = milliseconds(60);
+constexpr int Ok = 200;
+constexpr int Accepted = 202;
+
+/// Formation stands still while the lease changes hands, so it is short; a
+/// renewal is one write a second.
+LeaseSettings leaseSettings() {
+  LeaseSettings Settings;
+  Settings.m_LeaseDuration = milliseconds(2400);
+  Settings.m_RenewPeriod = milliseconds(800);
+  Settings.m_RetryPeriod = milliseconds(200);
+  Settings.m_FirstPollPeriod = milliseconds(800);
+  Settings.m_BackupPollPeriod = milliseconds(2000);
+  Settings.m_WaitPerRank = milliseconds(400);
+  return Settings;
+}
+
+} // namespace
+
+GroupDuty::GroupDuty(RelayContext &Context, const PlatformBinding &Platform,
+                     const FrontSettings &Settings, std::string Incarnation)
+    : m_Context(Context), m_Platform(Platform), m_Settings(Settings),
+      m_Lease(leaseSettings(), "groups", std::move(Incarnation)) {}
+
+void GroupDuty::tick(MonotonicTime Now,
+                     const std::vector<std::string> &LiveNodes) {
+  const auto Own =
+      std::find(LiveNodes.begin(), LiveNodes.end(), m_Settings.m_Node);
+  m_Lease.setRank(static_cast<std::size_t>(Own - LiveNodes.begin()),
+                  LiveNodes.size());
+  stepLease(Now);
+  const bool Held = m_Lease.isHeld(Now);
+  if (Held != m_WasHeld || (Held && m_Lease.epoch() != m_Epoch)) {
+    m_WasHeld = Held;
+    m_Epoch = m_Lease.epoch();
+    m_Planners.clear();
+    m_Context.m_Log.write(
+        Held ? "lease_taken" : "lease_lost",
+        {{"lease", "groups"}, {"epoch", static_cast<std::int64_t>(m_Epoch)}});
+  }
+  if (Held && Now >= m_NextPlan) {
+    m_NextPlan = Now + PlanPeriod;
+    planAll(Now);
+  }
+}
+
+void GroupDuty::stepLease(MonotonicTime Now) {
+  const auto Action = m_Lease.nextCall(Now, m_NextCall);
+  if (!Action)
+    return;
+  ++m_NextCall;
+  m_Platform.m_StartStoreCall(*Action, [this](const StoreCompletion &Result) {
+    const MonotonicTime Later = monotonicNow();
+    if (const auto *Get = std::get_if<GetCompleted>(&Result))
+      m_Lease.onGetCompleted(*Get, Later);
+    else
+      m_Lease.onPutCompleted(std::get<PutCompleted>(Result), Later);
+  });
+}
+
+void GroupDuty::planAll(MonotonicTime Now) {
+  if (!m_Context.m_Table)
+    return;
+  for (auto Entry = m_Unreachable.begin(); Entry != m_Unreachable.end();) {
+    const BackendServer *Server = m_Context.m_Fleet.find(Entry->first);
+    Entry = !Server || Server->m_Revision != Entry->second
+                ? m_Unreachable.erase(Entry)
+                : std::next(Entry);
+  }
+  for (const ServiceSpec &Service :
+       m_Context.m_Table->configuration().m_Services) {
+    if (!Service.hasGroups())
+      continue;
+    ReplicaPlannerSettings Settings;
+    Settings.m_StallTime = m_Settings.m_StallTime;
+    ReplicaPlanner &Planner =
+        m_Planners
+            .try_emplace(Service.m_Name, Settings, m_Epoch, m_Epoch == 1, Now)
+            .first->second;
+    ReplicaPlannerInput Input;
+    Input.m_Fleet = &m_Context.m_Fleet;
+    Input.m_Service = &Service;
+    Input.m_Now = Now;
+    Input.m_TrafficSeen = m_Context.m_TrafficSeen;
+    for (const auto &[Server, Revision] : m_Unreachable)
+      Input.m_Unreachable.insert(Server);
+    for (const auto &[Model, Running] : m_Context.m_RunningByModel)
+      if (!Model.empty())
+        Input.m_Demand[Model] = Running;
+    for (const MemberOrder &Order : Planner.plan(Input))
+      send(Order);
+  }
+}
+
+void GroupDuty::send(const MemberOrder &Order) {
+  const BackendServer *Server = m_Context.m_Fleet.find(Order.m_Server);
+  if (!Server)
+    return;
+  const std::int64_t Born = Server->m_StartedAtMs;
+  const HttpHeaders Headers{
+      {"Content-Type", "application/json"},
+      {m_Platform.m_Dialect.m_ExpectedServer, Order.m_Server}};
+  startSmallCall(
+      m_Context.m_Loop, Server->m_Endpoint,
+      formatRequest("POST", m_Platform.m_OrderPath, Server->m_Endpoint, Headers,
+                    m_Platform.m_EncodeOrder(Order)),
+      OrderTimeout, [this, Order, Born](const SmallResponse &Response) {
+        onOrderEnd(Order, Born, Response.m_End, Response.m_Status);
+      });
+}
+
+void GroupDuty::onOrderEnd(const MemberOrder &Order, std::int64_t Born,
+                           CallEnd How, int Status) {
+  m_Context.m_Log.write(
+      "order", {{"kind", nameOf(OrderKindNames, Order.m_Kind)},
+                {"server", Order.m_Server},
+                {"born", Born},
+                {"group", Order.m_Group.m_Name},
+                {"epoch", static_cast<std::int64_t>(Order.m_Group.m_Epoch)},
+                {"model", Order.m_Model},
+                {"end", nameOf(CallEndNames, How)},
+                {"status", std::int64_t{Status}}});
+  const bool Taken =
+      How == CallEnd::Complete && (Status == Ok || Status == Accepted);
+  if (Taken || Order.m_Kind != OrderKind::Join)
+    return;
+  for (auto &[Service, Planner] : m_Planners)
+    Planner.onJoinFailed(Order, monotonicNow());
+}
+
+void GroupDuty::onStalled(const StallNotice &Notice) {
+  if (!m_WasHeld)
+    return;
+  const auto Groups = m_Context.m_Fleet.groups();
+  const auto Group = Groups.find(Notice.m_Group);
+  if (Group == Groups.end())
+    return;
+  for (const std::string &Member : Group->second.m_Members)
+    if (!Member.empty())
+      probe(Member);
+}
+
+void GroupDuty::probe(const std::string &Server) {
+  const BackendServer *Entry = m_Context.m_Fleet.find(Server);
+  if (!Entry || !m_Probing.insert(Server).second)
+    return;
+  startSmallCall(
+      m_Context.m_Loop, Entry->m_Endpoint,
+      formatRequest("GET", m_Platform.m_ReportPath, Entry->m_Endpoint,
+                    {{m_Platform.m_Dialect.m_ExpectedServer, Server}}, ""),
+      ProbeTimeout,
+      [this, Server,
+       Revision = Entry->m_Revision](const SmallResponse &Answer) {
+        m_Probing.erase(Server);
+        const bool Alive =
+            Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok;
+        m_Context.m_Log.write("probe",
+                              {{"server", Server},
+                               {"alive", Alive},
+                               {"end", nameOf(CallEndNames, Answer.m_End)}});
+        if (!Alive)
+          m_Unreachable[Server] = Revision;
+      });
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/proxy/group_duty.h
@@ -0,0 +1,57 @@
+#ifndef FULMARWINCH_PROXY_GROUP_DUTY_H
+#define FULMARWINCH_PROXY_GROUP_DUTY_H
+
+#include "proxy/backend_call.h"
+#include "proxy/front_settings.h"
+#include "proxy/peer_exchange.h"
+#include "proxy/platform_binding.h"
+#include "proxy/request_relay.h"
+#include "servers/lease/shard_lease.h"
+#include "servers/replicas/replica_planner.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// Holds, or waits for, the lease on group formation, and carries out what the
+/// planner decides while it is held. A node that wrongly believes to hold the
+/// lease does no harm: epochs and names of groups keep its orders apart.
+class GroupDuty {
+public:
+  GroupDuty(RelayContext &Context, const PlatformBinding &Platform,
+            const FrontSettings &Settings, std::string Incarnation);
+
+  void tick(MonotonicTime Now, const std::vector<std::string> &LiveNodes);
+  /// Probes the members of a group that seems to stand still.
+  void onStalled(const StallNotice &Notice);
+  void stop() { m_Lease.stop(); }
+  bool isHeld() const { return m_WasHeld; }
+
+private:
+  void stepLease(MonotonicTime Now);
+  void planAll(MonotonicTime Now);
+  void send(const MemberOrder &Order);
+  void onOrderEnd(const MemberOrder &Order, std::int64_t Born, CallEnd How,
+                  int Status);
+  void probe(const std::string &Server);
+
+  RelayContext &m_Context;
+  const PlatformBinding &m_Platform;
+  FrontSettings m_Settings;
+  ShardLease m_Lease;
+  StoreCallId m_NextCall = 1;
+  bool m_WasHeld = false;
+  std::uint64_t m_Epoch = 0;
+  std::map<std::string, ReplicaPlanner> m_Planners;
+  /// Servers that did not answer a probe, until their entry changes or goes.
+  std::map<std::string, std::uint64_t> m_Unreachable;
+  std::set<std::string> m_Probing;
+  MonotonicTime m_NextPlan{};
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_PROXY_GROUP_DUTY_H
--- /dev/null
+++ b/proxy/http_listener.h
@@ -0,0 +1,38 @@
+#ifndef FULMARWINCH_PROXY_HTTP_LISTENER_H
+#define FULMARWINCH_PROXY_HTTP_LISTENER_H
+
+#include "proxy/client_connection.h"
+#include "servers/fleet/backend_server.h"
+
+#include "asio/io_context.hpp"
+#include "asio/ip/tcp.hpp"
+#include "asio/steady_timer.hpp"
+
+#include <map>
+#include <memory>
+
+namespace fulmarwinch {
+
+/// Accepts connections at one address and keeps track of them.
+class HttpListener {
+public:
+  HttpListener(asio::io_context &Loop, const Endpoint &Address,
+               ConnectionHooks Hooks);
+
+  void stopAccepting();
+  void closeIdle();
+  bool isEmpty() const { return m_Connections.empty(); }
+
+private:
+  void accept();
+
+  asio::ip::tcp::acceptor m_Acceptor;
+  asio::steady_timer m_RetryTimer;
+  ConnectionHooks m_Hooks;
+  std::map<const ClientConnection *, std::weak_ptr<ClientConnection>>
+      m_Connections;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_PROXY_HTTP_LISTENER_H
--- /dev/null
+++ b/proxy/peer_exchange.cpp
@@ -0,0 +1,178 @@
+#include "proxy/peer_exchange.h"
+#include "core/json.h"
+
+#include "asio.hpp"
+
+#include <array>
+
+namespace fulmarwinch {
+
+namespace {
+
+constexpr std::size_t MaxDatagramBytes = 8192;
+/// Number of peers that one period serves.
+constexpr std::size_t PeersPerPeriod = 10;
+
+} // namespace
+
+struct PeerExchange::Impl {
+  Impl(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector)
+      : m_Socket(Loop), m_Timer(Loop), m_Log(Log), m_Selector(Selector) {}
+
+  struct Peer {
+    Endpoint m_Endpoint;
+    MonotonicTime m_HeardAt{};
+    bool m_Alive = false;
+  };
+
+  Duration period() const {
+    return m_Settings.m_Period *
+           static_cast<std::int64_t>(1 + m_Peers.size() / PeersPerPeriod);
+  }
+
+  void arm() {
+    m_Timer.expires_after(period());
+    m_Timer.async_wait([this](const asio::error_code &Error) {
+      if (Error)
+        return;
+      sendLoad();
+      arm();
+    });
+  }
+
+  void sendLoad() {
+    const MonotonicTime Now = monotonicNow();
+    Json Load = Json::object();
+    for (const auto &[Server, Count] : m_Selector.ownLoads())
+      Load[Server] = Count;
+    broadcast(Json{{"node", m_Node}, {"load", std::move(Load)}});
+    for (auto &[Name, Each] : m_Peers) {
+      if (Each.m_Alive &&
+          Now - Each.m_HeardAt > period() * m_Settings.m_SilentPeriods) {
+        Each.m_Alive = false;
+        m_Selector.forgetPeer(Name);
+        m_Log.write("peer_lost", {{"peer", Name}});
+      }
+    }
+  }
+
+  void broadcast(const Json &Message) {
+    const std::vector<std::uint8_t> Bytes = Json::to_cbor(Message);
+    for (const auto &[Name, Each] : m_Peers) {
+      asio::error_code Error;
+      const asio::ip::address Address =
+          asio::ip::make_address(Each.m_Endpoint.m_Ip, Error);
+      // A datagram may be lost anyway; the next one repeats what it said.
+      if (!Error)
+        m_Socket.send_to(
+            asio::buffer(Bytes),
+            asio::ip::udp::endpoint(Address, Each.m_Endpoint.m_Port), 0, Error);
+    }
+  }
+
+  void receive() {
+    m_Socket.async_receive_from(
+        asio::buffer(m_Buffer), m_Sender,
+        [this](const asio::error_code &Error, std::size_t Size) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          if (!Error)
+            onDatagram(Size);
+          receive();
+        });
+  }
+
+  void onDatagram(std::size_t Size) {
+    const Json Message =
+        Json::from_cbor(m_Buffer.begin(), m_Buffer.begin() + Size, true, false);
+    const std::string Name = memberOr(Message, "node", std::string());
+    const auto Known = m_Peers.find(Name);
+    if (Known == m_Peers.end())
+      return;
+    Peer &From = Known->second;
+    if (!From.m_Alive)
+      m_Log.write("peer_heard", {{"peer", Name}});
+    From.m_Alive = true;
+    From.m_HeardAt = monotonicNow();
+    if (Message.contains("load"))
+      m_Selector.setPeerLoad(
+          Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("stalled"))
+      m_OnNotice({memberOr(Message, "stalled", std::string()),
+                  {memberOr(Message, "group", std::string()),
+                   memberOr(Message, "epoch", std::uint64_t{0})}});
+  }
+
+  asio::ip::udp::socket m_Socket;
+  asio::steady_timer m_Timer;
+  EventLog &m_Log;
+  ServerSelector &m_Selector;
+  std::string m_Node;
+  Endpoint m_Own;
+  PeerExchangeSettings m_Settings;
+  NoticeHandler m_OnNotice;
+  std::map<std::string, Peer> m_Peers;
+  asio::ip::udp::endpoint m_Sender;
+  std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
+};
+
+PeerExchange::PeerExchange(asio::io_context &Loop, EventLog &Log,
+                           ServerSelector &Selector, std::string Node,
+                           const Endpoint &Own,
+                           const PeerExchangeSettings &Settings)
+    : m_Impl(std::make_unique<Impl>(Loop, Log, Selector)) {
+  m_Impl->m_Node = std::move(Node);
+  m_Impl->m_Own = Own;
+  m_Impl->m_Settings = Settings;
+}
+
+PeerExchange::~PeerExchange() = default;
+
+void PeerExchange::start(NoticeHandler OnNotice) {
+  m_Impl->m_OnNotice = std::move(OnNotice);
+  const asio::ip::udp::endpoint Own(asio::ip::make_address(m_Impl->m_Own.m_Ip),
+                                    m_Impl->m_Own.m_Port);
+  m_Impl->m_Socket.open(asio::ip::udp::v4());
+  m_Impl->m_Socket.bind(Own);
+  m_Impl->m_Socket.non_blocking(true);
+  m_Impl->receive();
+  m_Impl->arm();
+}
+
+void PeerExchange::setPeers(std::map<std::string, Endpoint> Peers) {
+  std::map<std::string, Impl::Peer> Old;
+  Old.swap(m_Impl->m_Peers);
+  for (auto &[Name, Address] : Peers) {
+    if (Name == m_Impl->m_Node)
+      continue;
+    const auto Known = Old.find(Name);
+    Impl::Peer Entry;
+    if (Known != Old.end() && Known->second.m_Endpoint == Address)
+      Entry = Known->second;
+    Entry.m_Endpoint = Address;
+    m_Impl->m_Peers[Name] = Entry;
+  }
+  for (const auto &[Name, Entry] : Old)
+    if (m_Impl->m_Peers.count(Name) == 0)
+      m_Impl->m_Selector.forgetPeer(Name);
+}
+
+void PeerExchange::announce(const StallNotice &Notice) {
+  m_Impl->broadcast(Json{{"node", m_Impl->m_Node},
+                         {"stalled", Notice.m_Head},
+                         {"group", Notice.m_Group.m_Name},
+                         {"epoch", Notice.m_Group.m_Epoch}});
+}
+
+std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
+  std::vector<std::string> Names{m_Impl->m_Node};
+  for (const auto &[Name, Entry] : m_Impl->m_Peers)
+    if (Entry.m_Alive &&
+        Now - Entry.m_HeardAt <=
+            m_Impl->period() * m_Impl->m_Settings.m_SilentPeriods)
+      Names.push_back(Name);
+  std::sort(Names.begin(), Names.end());
+  return Names;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/proxy/peer_exchange.h
@@ -0,0 +1,62 @@
+#ifndef FULMARWINCH_PROXY_PEER_EXCHANGE_H
+#define FULMARWINCH_PROXY_PEER_EXCHANGE_H
+
+#include "core/event_log.h"
+#include "servers/dispatch/server_selector.h"
+
+#include "asio/io_context.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// A group that a node found standing still.
+struct StallNotice {
+  std::string m_Head;
+  GroupKey m_Group;
+};
+
+/// Times of the exchange between nodes.
+struct PeerExchangeSettings {
+  /// Period of load messages among ten nodes. It grows with the number of
+  /// nodes, so that a node's messages per second do not.
+  Duration m_Period = std::chrono::milliseconds(100);
+  /// A peer that is not heard from for this many periods is not counted.
+  unsigned m_SilentPeriods = 8;
+};
+
+/// Tells the other nodes over UDP what this one has in progress and which
+/// groups it found standing still. What peers say is a hint: it only changes
+/// which server is tried first.
+class PeerExchange {
+public:
+  /// Called when a peer reports a stalled group.
+  using NoticeHandler = std::function<void(const StallNotice &)>;
+
+  PeerExchange(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector,
+               std::string Node, const Endpoint &Own,
+               const PeerExchangeSettings &Settings = {});
+  ~PeerExchange();
+  PeerExchange(const PeerExchange &) = delete;
+  PeerExchange &operator=(const PeerExchange &) = delete;
+
+  void start(NoticeHandler OnNotice);
+  /// Addresses of the other nodes by name.
+  void setPeers(std::map<std::string, Endpoint> Peers);
+  void announce(const StallNotice &Notice);
+  /// Names of the nodes that were heard from lately, this one included.
+  std::vector<std::string> liveNodes(MonotonicTime Now) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_PROXY_PEER_EXCHANGE_H
--- /dev/null
+++ b/servers/dispatch/server_selector.cpp
@@ -0,0 +1,189 @@
+#include "servers/dispatch/server_selector.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+ServerSelector::ServerSelector(const SelectorSettings &Settings)
+    : m_Settings(Settings) {}
+
+std::optional<ChosenServer> ServerSelector::choose(const FleetView &Fleet,
+                                                   const ServerQuery &Query) {
+  const std::map<GroupKey, ReplicaGroup> Groups =
+      Query.m_Service->hasGroups() ? Fleet.groups()
+                                   : std::map<GroupKey, ReplicaGroup>();
+  std::vector<Rating> Rated;
+  m_Reason = NoServerReason::NoneAlive;
+  for (const auto &[Id, Server] : Fleet.servers()) {
+    if (!fits(Fleet, Query, Server, Groups))
+      continue;
+    const auto Paused = m_PausedUntil.find(Id);
+    const double Fill = fill(Server, *Query.m_Service);
+    if (Fill >= m_Settings.m_MaxFill ||
+        (Paused != m_PausedUntil.end() && Paused->second > Query.m_Now)) {
+      m_Reason = NoServerReason::AllFull;
+      continue;
+    }
+    if (!mayTakeCold(Fleet, Query, Server)) {
+      m_Reason = NoServerReason::AllCold;
+      continue;
+    }
+    Rated.push_back({&Server, Fill});
+  }
+  if (Rated.empty())
+    return std::nullopt;
+  m_Reason = NoServerReason::None;
+  // The better one of two random candidates: nodes whose views agree would
+  // otherwise all send to the same server until their views are renewed.
+  const std::size_t Count = Rated.size();
+  const auto First = static_cast<std::size_t>(Query.m_Draw * Count) % Count;
+  const double Rest =
+      Query.m_Draw * static_cast<double>(Count) - static_cast<double>(First);
+  const std::size_t Second =
+      Count == 1
+          ? First
+          : (First + 1 +
+             static_cast<std::size_t>(Rest * static_cast<double>(Count - 1)) %
+                 (Count - 1)) %
+                Count;
+  const BackendServer &Best = Rated[First].m_Fill <= Rated[Second].m_Fill
+                                  ? *Rated[First].m_Server
+                                  : *Rated[Second].m_Server;
+  ChosenServer Result{Best.m_Id, Best.m_StartedAtMs, Best.m_Endpoint,
+                      Best.m_Zone, std::nullopt};
+  if (Best.m_Membership)
+    Result.m_Group = Best.m_Membership->m_Group;
+  return Result;
+}
+
+bool ServerSelector::fits(
+    const FleetView &Fleet, const ServerQuery &Query,
+    const BackendServer &Server,
+    const std::map<GroupKey, ReplicaGroup> &Groups) const {
+  if (Server.m_Service != Query.m_Service->m_Name ||
+      Query.m_Tried.count(Server.m_Id) != 0 || !Fleet.takesWork(Server) ||
+      isSuspected(Server, Query.m_Now))
+    return false;
+  if (!Query.m_Service->hasGroups())
+    return true;
+  if (!Server.m_Membership || Server.m_Membership->m_Rank != 0 ||
+      Server.m_Membership->m_State != MemberState::Open)
+    return false;
+  const ReplicaGroup &Group = Groups.at(Server.m_Membership->m_Group);
+  if (Group.m_Model != Query.m_Model)
+    return false;
+  // A head goes on accepting requests when a member has gone, and stalls.
+  std::size_t Size = 0;
+  for (const ModelSpec &Model : Query.m_Service->m_Engine.m_Models)
+    if (Model.m_Name == Group.m_Model)
+      Size = Model.m_GroupSize;
+  return Group.m_Members.size() == Size &&
+         std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
+                     [&](const std::string &Id) {
+                       const BackendServer *Member = Fleet.find(Id);
+                       return Member && !Member->m_Draining;
+                     });
+}
+
+double ServerSelector::fill(const BackendServer &Server,
+                            const ServiceSpec &Service) const {
+  const unsigned Slots = Service.hasGroups() ? Service.m_Engine.m_Slots
+                                             : std::max(1U, Server.m_Slots);
+  const double Own = ownLoad(Server.m_Id);
+  double Others = 0.0;
+  for (const auto &[Peer, Load] : m_PeerLoads) {
+    const auto Entry = Load.find(Server.m_Id);
+    Others += Entry == Load.end() ? 0.0 : Entry->second;
+  }
+  // Nodes that were not heard from are taken to have as much as this one.
+  const double Unheard =
+      static_cast<double>(m_NodeCount) -
+      static_cast<double>(std::min(m_NodeCount, m_PeerLoads.size() + 1));
+  return (Own * (1.0 + Unheard) + Others) / Slots;
+}
+
+bool ServerSelector::mayTakeCold(const FleetView &Fleet,
+                                 const ServerQuery &Query,
+                                 const BackendServer &Server) const {
+  if (Query.m_Service->m_ColdRequestsPerSecond <= 0.0 ||
+      Fleet.coldFor(Server.m_Id, Query.m_Now) == Duration::zero())
+    return true;
+  const auto Last = m_LastDispatch.find(Server.m_Id);
+  if (Last == m_LastDispatch.end())
+    return true;
+  // Each node keeps to its share, so that the sum holds without messages.
+  const double PerNode = Query.m_Service->m_ColdRequestsPerSecond *
+                         m_Settings.m_ColdOverage /
+                         static_cast<double>(m_NodeCount);
+  const auto Spacing = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1.0 / PerNode));
+  return Query.m_Now - Last->second >= Spacing;
+}
+
+void ServerSelector::onDispatched(const std::string &Server,
+                                  MonotonicTime Now) {
+  ++m_Own[Server];
+  m_LastDispatch[Server] = Now;
+}
+
+void ServerSelector::onEnded(const std::string &Server) {
+  const auto Load = m_Own.find(Server);
+  if (Load == m_Own.end())
+    return;
+  if (--Load->second == 0)
+    m_Own.erase(Load);
+}
+
+void ServerSelector::onFull(const std::string &Server, MonotonicTime Now) {
+  m_PausedUntil[Server] = Now + m_Settings.m_FullPause;
+}
+
+void ServerSelector::onUnreachable(const std::string &Server,
+                                   MonotonicTime Now) {
+  constexpr unsigned MaxDoublings = 4;
+  const unsigned Failures = std::min(MaxDoublings, m_ConnectFailures[Server]++);
+  m_PausedUntil[Server] =
+      Now + m_Settings.m_UnreachablePause * (1U << Failures);
+}
+
+void ServerSelector::onSuspected(const std::string &Server,
+                                 const std::optional<GroupKey> &Group,
+                                 MonotonicTime Now) {
+  m_Suspicions[Server] = {Group, Now + m_Settings.m_SuspectPause};
+}
+
+void ServerSelector::onAnswered(const std::string &Server) {
+  m_ConnectFailures.erase(Server);
+  m_Suspicions.erase(Server);
+}
+
+void ServerSelector::setPeerLoad(const std::string &Peer,
+                                 std::map<std::string, unsigned> Load) {
+  m_PeerLoads[Peer] = std::move(Load);
+}
+
+void ServerSelector::forgetPeer(const std::string &Peer) {
+  m_PeerLoads.erase(Peer);
+}
+
+void ServerSelector::setNodeCount(std::size_t Count) {
+  m_NodeCount = std::max<std::size_t>(1, Count);
+}
+
+bool ServerSelector::isSuspected(const BackendServer &Server,
+                                 MonotonicTime Now) const {
+  const auto Entry = m_Suspicions.find(Server.m_Id);
+  if (Entry == m_Suspicions.end() || Entry->second.m_Until <= Now)
+    return false;
+  // A new formation under the same head is not the one that stalled.
+  const std::optional<GroupKey> &Suspect = Entry->second.m_Group;
+  return !Suspect || !Server.m_Membership ||
+         Server.m_Membership->m_Group == *Suspect;
+}
+
+unsigned ServerSelector::ownLoad(const std::string &Server) const {
+  const auto Load = m_Own.find(Server);
+  return Load == m_Own.end() ? 0 : Load->second;
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/dispatch/stall_detector.cpp
@@ -0,0 +1,31 @@
+#include "servers/dispatch/stall_detector.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+Duration StallDetector::silence(const std::string &Server, MonotonicTime Since,
+                                MonotonicTime Now) const {
+  const auto Last = m_LastEvent.find(Server);
+  const MonotonicTime From =
+      Last == m_LastEvent.end() ? Since : std::max(Since, Last->second);
+  return Now - From;
+}
+
+Duration StallDetector::threshold(const ServiceSpec &Service,
+                                  const std::string &Model) const {
+  double Pace = 1.0;
+  for (const ModelSpec &Spec : Service.m_Engine.m_Models)
+    if (Spec.m_Name == Model)
+      Pace = Spec.m_Pace;
+  const EngineSpec &Engine = Service.m_Engine;
+  const double EventMs =
+      (Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots) * Pace *
+      Engine.m_StepsPerPass;
+  return std::max(m_Settings.m_LeastSilence,
+                  std::chrono::duration_cast<Duration>(
+                      std::chrono::duration<double, std::milli>(
+                          EventMs * m_Settings.m_Events)));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/fleet/backend_server.cpp
@@ -0,0 +1,17 @@
+#include "servers/fleet/backend_server.h"
+#include "core/text.h"
+
+namespace fulmarwinch {
+
+std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos || Colon == 0)
+    return std::nullopt;
+  std::uint32_t Port = 0;
+  constexpr std::uint32_t MaxPort = 65535;
+  if (!parseNumber(Text.substr(Colon + 1), Port) || Port == 0 || Port > MaxPort)
+    return std::nullopt;
+  return Endpoint{Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/fleet/fleet_view.cpp
@@ -0,0 +1,105 @@
+#include "servers/fleet/fleet_view.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+std::vector<std::string>
+FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now) {
+  std::map<std::string, BackendServer> Old;
+  Old.swap(m_Servers);
+  std::vector<std::string> Changed;
+  for (BackendServer &Server : Servers) {
+    const auto Known = Old.find(Server.m_Id);
+    const std::string Id = Server.m_Id;
+    if (Known != Old.end()) {
+      // The remaining cold time of an unchanged entry counts from when it was
+      // first seen.
+      if (Known->second.m_Revision >= Server.m_Revision) {
+        m_Servers.insert(std::move(*Known));
+        Old.erase(Known);
+        continue;
+      }
+      Old.erase(Known);
+    }
+    Changed.push_back(Id);
+    update(std::move(Server), Now);
+  }
+  for (const auto &[Id, Server] : Old) {
+    m_ColdUntil.erase(Id);
+    Changed.push_back(Id);
+  }
+  return Changed;
+}
+
+bool FleetView::update(BackendServer Server, MonotonicTime Now) {
+  const auto Known = m_Servers.find(Server.m_Id);
+  if (Known != m_Servers.end() && Known->second.m_Revision >= Server.m_Revision)
+    return false;
+  if (Server.m_ColdFor > Duration::zero())
+    m_ColdUntil[Server.m_Id] = Now + Server.m_ColdFor;
+  else
+    m_ColdUntil.erase(Server.m_Id);
+  m_Servers[Server.m_Id] = std::move(Server);
+  return true;
+}
+
+bool FleetView::remove(const std::string &Id, std::uint64_t Revision) {
+  const auto Known = m_Servers.find(Id);
+  if (Known == m_Servers.end() || Known->second.m_Revision > Revision)
+    return false;
+  m_Servers.erase(Known);
+  m_ColdUntil.erase(Id);
+  return true;
+}
+
+void FleetView::setEvacuatedZones(std::set<std::string> Zones) {
+  m_EvacuatedZones = std::move(Zones);
+}
+
+bool FleetView::isEvacuated(const std::string &Zone) const {
+  return m_EvacuatedZones.count(Zone) != 0;
+}
+
+const BackendServer *FleetView::find(const std::string &Id) const {
+  const auto Known = m_Servers.find(Id);
+  return Known == m_Servers.end() ? nullptr : &Known->second;
+}
+
+bool FleetView::takesWork(const BackendServer &Server) const {
+  return !Server.m_Draining && !isEvacuated(Server.m_Zone);
+}
+
+Duration FleetView::coldFor(const std::string &Id, MonotonicTime Now) const {
+  const auto Cold = m_ColdUntil.find(Id);
+  if (Cold == m_ColdUntil.end() || Cold->second <= Now)
+    return Duration::zero();
+  return Cold->second - Now;
+}
+
+std::map<GroupKey, ReplicaGroup> FleetView::groups() const {
+  std::map<GroupKey, ReplicaGroup> Groups;
+  for (const auto &[Id, Server] : m_Servers) {
+    if (!Server.m_Membership)
+      continue;
+    const GroupMembership &Place = *Server.m_Membership;
+    ReplicaGroup &Group = Groups[Place.m_Group];
+    if (Group.m_Key.m_Name.empty()) {
+      Group.m_Key = Place.m_Group;
+      Group.m_Model = modelOfGroup(Place.m_Group.m_Name);
+      Group.m_Domain = Server.m_Domain;
+    }
+    if (Group.m_Members.size() <= Place.m_Rank)
+      Group.m_Members.resize(Place.m_Rank + 1);
+    Group.m_Members[Place.m_Rank] = Id;
+    if (Place.m_Rank == 0)
+      Group.m_Head = &Server;
+  }
+  return Groups;
+}
+
+std::string modelOfGroup(const std::string &GroupName) {
+  return GroupName.substr(0, GroupName.find('.'));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/fleet/fleet_view.h
@@ -0,0 +1,65 @@
+#ifndef FULMARWINCH_SERVERS_FLEET_FLEET_VIEW_H
+#define FULMARWINCH_SERVERS_FLEET_FLEET_VIEW_H
+
+#include "servers/fleet/backend_server.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarwinch {
+
+/// One replica group, put together from what its members report.
+struct ReplicaGroup {
+  GroupKey m_Key;
+  std::string m_Model;
+  std::string m_Domain;
+  /// IDs by rank; a rank that no server reports has an empty ID.
+  std::vector<std::string> m_Members;
+  const BackendServer *m_Head = nullptr;
+};
+
+/// What a node believes about the backend servers. The caller serialises
+/// access and feeds it the entries of the platform's store.
+class FleetView {
+public:
+  /// Replaces everything by the result of a list call. Returns the IDs whose
+  /// entry is new, changed or gone.
+  std::vector<std::string> replaceAll(std::vector<BackendServer> Servers,
+                                      MonotonicTime Now);
+  /// Takes one new or changed entry. An older revision is ignored.
+  bool update(BackendServer Server, MonotonicTime Now);
+  /// Forgets a server whose entry was deleted at \p Revision.
+  bool remove(const std::string &Id, std::uint64_t Revision);
+
+  void setEvacuatedZones(std::set<std::string> Zones);
+  bool isEvacuated(const std::string &Zone) const;
+
+  const BackendServer *find(const std::string &Id) const;
+  const std::map<std::string, BackendServer> &servers() const {
+    return m_Servers;
+  }
+
+  /// True if new work may go to \p Server at all.
+  bool takesWork(const BackendServer &Server) const;
+  /// Time for which \p Server stays cold after \p Now.
+  Duration coldFor(const std::string &Id, MonotonicTime Now) const;
+
+  /// Groups that at least one server reports, ordered by key.
+  std::map<GroupKey, ReplicaGroup> groups() const;
+
+private:
+  std::map<std::string, BackendServer> m_Servers;
+  std::map<std::string, MonotonicTime> m_ColdUntil;
+  std::set<std::string> m_EvacuatedZones;
+};
+
+/// Returns the model that the name of a group carries. Group names have the
+/// form "<model>.<epoch>.<number>".
+std::string modelOfGroup(const std::string &GroupName);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_SERVERS_FLEET_FLEET_VIEW_H
--- /dev/null
+++ b/servers/replicas/replica_planner.cpp
@@ -0,0 +1,451 @@
+#include "servers/replicas/replica_planner.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// Formations of one holder before its epochs would reach the next holder's.
+constexpr std::uint64_t EpochsPerHolder = 100000;
+
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+/// The server can join a group of \p Model without the weight store.
+bool hasWeights(const BackendServer &Server, const std::string &Model) {
+  return contains(Server.m_StagedModels, Model);
+}
+
+const ModelSpec *findModel(const ServiceSpec &Service,
+                           const std::string &Name) {
+  for (const ModelSpec &Model : Service.m_Engine.m_Models)
+    if (Model.m_Name == Name)
+      return &Model;
+  return nullptr;
+}
+
+} // namespace
+
+ReplicaPlanner::ReplicaPlanner(const ReplicaPlannerSettings &Settings,
+                               std::uint64_t LeaseEpoch, bool FirstHolder,
+                               MonotonicTime StartedAt)
+    : m_Settings(Settings), m_LeaseEpoch(LeaseEpoch),
+      m_FirstHolder(FirstHolder), m_StartedAt(StartedAt) {}
+
+std::vector<MemberOrder>
+ReplicaPlanner::plan(const ReplicaPlannerInput &Input) {
+  m_Orders.clear();
+  m_Groups = Input.m_Fleet->groups();
+  forgetGone(Input);
+  for (const auto &[Id, Server] : Input.m_Fleet->servers())
+    if (Server.m_Membership)
+      m_LastGroup[Id] = Server.m_Membership->m_Group;
+  for (const auto &[Key, Group] : m_Groups)
+    reviewGroup(Input, Group);
+  formGroups(Input);
+  stageSpares(Input);
+  return std::move(m_Orders);
+}
+
+void ReplicaPlanner::forgetGone(const ReplicaPlannerInput &Input) {
+  const auto IsPast = [&](const auto &Entry) {
+    return Entry.second <= Input.m_Now;
+  };
+  for (auto Entry = m_QuarantinedUntil.begin();
+       Entry != m_QuarantinedUntil.end();)
+    Entry = IsPast(*Entry) ? m_QuarantinedUntil.erase(Entry) : std::next(Entry);
+  for (auto Entry = m_Staging.begin(); Entry != m_Staging.end();) {
+    const BackendServer *Server = Input.m_Fleet->find(Entry->first);
+    const bool Done = !Server || Entry->second.second <= Input.m_Now ||
+                      contains(Server->m_StagedModels, Entry->second.first);
+    Entry = Done ? m_Staging.erase(Entry) : std::next(Entry);
+  }
+  for (auto Entry = m_FirstSeen.begin(); Entry != m_FirstSeen.end();)
+    Entry = m_Groups.count(Entry->first) == 0 ? m_FirstSeen.erase(Entry)
+                                              : std::next(Entry);
+  for (auto Entry = m_Formations.begin(); Entry != m_Formations.end();)
+    Entry = m_Groups.count(Entry->first) == 0 &&
+                    Entry->second.m_GiveUpAt <= Input.m_Now
+                ? m_Formations.erase(Entry)
+                : std::next(Entry);
+  for (auto Entry = m_Pending.begin(); Entry != m_Pending.end();)
+    Entry = Entry->second.m_RepeatAt <= Input.m_Now ? m_Pending.erase(Entry)
+                                                    : std::next(Entry);
+}
+
+bool ReplicaPlanner::isComplete(const ReplicaPlannerInput &Input,
+                                const ReplicaGroup &Group,
+                                const ModelSpec &Model) const {
+  if (Group.m_Members.size() != Model.m_GroupSize)
+    return false;
+  return std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
+                     [&](const std::string &Id) {
+                       const BackendServer *Server = Input.m_Fleet->find(Id);
+                       return Server && !Server->m_Draining &&
+                              Input.m_Unreachable.count(Id) == 0;
+                     });
+}
+
+bool ReplicaPlanner::losesOnlyToDrain(const ReplicaPlannerInput &Input,
+                                      const ReplicaGroup &Group,
+                                      const ModelSpec &Model) const {
+  if (Group.m_Members.size() != Model.m_GroupSize)
+    return false;
+  return std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
+                     [&](const std::string &Id) {
+                       return Input.m_Fleet->find(Id) &&
+                              Input.m_Unreachable.count(Id) == 0;
+                     });
+}
+
+void ReplicaPlanner::reviewGroup(const ReplicaPlannerInput &Input,
+                                 const ReplicaGroup &Group) {
+  m_FirstSeen.emplace(Group.m_Key, Input.m_Now);
+  const ModelSpec *Model = findModel(*Input.m_Service, Group.m_Model);
+  if (!Group.m_Head) {
+    // The entries of the members may arrive before that of the head.
+    const bool Settled =
+        Input.m_Now - m_FirstSeen[Group.m_Key] > m_Settings.m_JoinAnswerWait;
+    if (Settled)
+      disband(Input, Group, true);
+    return;
+  }
+  switch (Group.m_Head->m_Membership->m_State) {
+  case MemberState::Broken:
+    disband(Input, Group, false);
+    return;
+  case MemberState::Joining:
+  case MemberState::Ready:
+    if (Model)
+      reviewUnopened(Input, Group, *Model);
+    else
+      disband(Input, Group, false);
+    return;
+  case MemberState::Open:
+    if (!Model || !isComplete(Input, Group, *Model)) {
+      MemberOrder Close;
+      Close.m_Kind = OrderKind::Close;
+      Close.m_Server = Group.m_Head->m_Id;
+      Close.m_Group = Group.m_Key;
+      Close.m_CloseMode = Model && losesOnlyToDrain(Input, Group, *Model)
+                              ? CloseMode::FinishWork
+                              : CloseMode::PreemptWork;
+      order(Input, std::move(Close));
+    }
+    return;
+  case MemberState::Closing:
+    return;
+  }
+}
+
+void ReplicaPlanner::reviewUnopened(const ReplicaPlannerInput &Input,
+                                    const ReplicaGroup &Group,
+                                    const ModelSpec &Model) {
+  const auto Formed = m_Formations.find(Group.m_Key);
+  const MonotonicTime GiveUpAt = Formed != m_Formations.end()
+                                     ? Formed->second.m_GiveUpAt
+                                     : m_FirstSeen[Group.m_Key] +
+                                           Model.m_LoadTime +
+                                           m_Settings.m_ReportMargin;
+  const bool Complete = isComplete(Input, Group, Model);
+  const bool AllReady =
+      Complete &&
+      std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
+                  [&](const std::string &Id) {
+                    return Input.m_Fleet->find(Id)->m_Membership->m_State ==
+                           MemberState::Ready;
+                  });
+  if (AllReady) {
+    MemberOrder Open;
+    Open.m_Kind = OrderKind::Open;
+    Open.m_Server = Group.m_Head->m_Id;
+    Open.m_Group = Group.m_Key;
+    order(Input, std::move(Open));
+    return;
+  }
+  // Members report one after the other, so a short formation may still grow.
+  const bool StillJoining =
+      !Complete &&
+      Input.m_Now - m_FirstSeen[Group.m_Key] <= m_Settings.m_ReportMargin &&
+      losesOnlyToDrain(Input, Group, Model) == Complete;
+  if (StillJoining || (Complete && Input.m_Now < GiveUpAt))
+    return;
+  disband(Input, Group, false);
+}
+
+void ReplicaPlanner::disband(const ReplicaPlannerInput &Input,
+                             const ReplicaGroup &Group, bool HeadUnknown) {
+  for (const std::string &Id : Group.m_Members) {
+    if (Id.empty())
+      continue;
+    if (HeadUnknown)
+      m_QuarantinedUntil[Id] =
+          Input.m_Now + m_Settings.m_StallTime + m_Settings.m_ReportMargin;
+    MemberOrder Leave;
+    Leave.m_Kind = OrderKind::Leave;
+    Leave.m_Server = Id;
+    Leave.m_Group = Group.m_Key;
+    order(Input, std::move(Leave));
+  }
+}
+
+void ReplicaPlanner::order(const ReplicaPlannerInput &Input,
+                           MemberOrder Order) {
+  Pending &Last = m_Pending[Order.m_Server];
+  if (Last.m_RepeatAt > Input.m_Now && Last.m_Kind == Order.m_Kind &&
+      Last.m_Group == Order.m_Group)
+    return;
+  Last = {Order.m_Kind, Order.m_Group, Input.m_Now + m_Settings.m_OrderRepeat};
+  m_Orders.push_back(std::move(Order));
+}
+
+bool ReplicaPlanner::isFree(const ReplicaPlannerInput &Input,
+                            const BackendServer &Server) const {
+  const std::string &Id = Server.m_Id;
+  if (Server.m_Service != Input.m_Service->m_Name || Server.m_Membership ||
+      Server.m_Domain.empty() || !Input.m_Fleet->takesWork(Server) ||
+      Input.m_Unreachable.count(Id) != 0 || m_QuarantinedUntil.count(Id) != 0)
+    return false;
+  // A holder that took over does not know which servers left a group whose
+  // head is out of sight.
+  if (!m_FirstHolder && m_LastGroup.count(Id) == 0 &&
+      Input.m_Now <
+          m_StartedAt + m_Settings.m_StallTime + m_Settings.m_ReportMargin)
+    return false;
+  const auto LastOrder = m_Pending.find(Id);
+  if (LastOrder != m_Pending.end() &&
+      LastOrder->second.m_RepeatAt > Input.m_Now &&
+      LastOrder->second.m_Kind == OrderKind::Join)
+    return false;
+  const auto Last = m_LastGroup.find(Id);
+  if (Last == m_LastGroup.end())
+    return true;
+  // The head of the last group may still serve in the name of this server.
+  const auto Group = m_Groups.find(Last->second);
+  if (Group == m_Groups.end() || !Group->second.m_Head)
+    return true;
+  const MemberState State = Group->second.m_Head->m_Membership->m_State;
+  return State != MemberState::Open && State != MemberState::Closing;
+}
+
+std::map<std::string, std::vector<const BackendServer *>>
+ReplicaPlanner::freeByDomain(const ReplicaPlannerInput &Input) const {
+  std::map<std::string, std::vector<const BackendServer *>> Free;
+  for (const auto &[Id, Server] : Input.m_Fleet->servers())
+    if (isFree(Input, Server))
+      Free[Server.m_Domain].push_back(&Server);
+  return Free;
+}
+
+std::vector<const ModelSpec *>
+ReplicaPlanner::modelsByNeed(const ReplicaPlannerInput &Input) const {
+  std::map<std::string, double> Supply;
+  for (const auto &[Key, Group] : m_Groups)
+    if (Group.m_Head &&
+        Group.m_Head->m_Membership->m_State != MemberState::Broken &&
+        Group.m_Head->m_Membership->m_State != MemberState::Closing)
+      Supply[Group.m_Model] += 1.0;
+  for (const auto &[Key, Formed] : m_Formations)
+    if (m_Groups.count(Key) == 0)
+      Supply[Formed.m_Model] += 1.0;
+  double TotalDemand = 0.0;
+  for (const auto &[Model, Amount] : Input.m_Demand)
+    TotalDemand += Amount;
+  const std::size_t Count = Input.m_Service->m_Engine.m_Models.size();
+  std::vector<std::pair<double, const ModelSpec *>> Rated;
+  for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models) {
+    // Half of the weight is even, so that a model that is in little use keeps
+    // groups in more than one domain.
+    double Weight = 1.0 / static_cast<double>(Count);
+    const auto Amount = Input.m_Demand.find(Model.m_Name);
+    if (TotalDemand > 0.0)
+      Weight = (Weight + (Amount == Input.m_Demand.end()
+                              ? 0.0
+                              : Amount->second / TotalDemand)) /
+               2.0;
+    Rated.push_back({Supply[Model.m_Name] / Weight, &Model});
+  }
+  std::stable_sort(Rated.begin(), Rated.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  std::vector<const ModelSpec *> Result;
+  for (const auto &[Rate, Model] : Rated)
+    Result.push_back(Model);
+  return Result;
+}
+
+ReplicaPlanner::Candidate ReplicaPlanner::candidateFor(
+    const ModelSpec &Model,
+    const std::vector<const BackendServer *> &Free) const {
+  Candidate Result;
+  if (Free.size() < Model.m_GroupSize)
+    return Result;
+  Result.m_Model = &Model;
+  Result.m_Members = Free;
+  std::stable_sort(Result.m_Members.begin(), Result.m_Members.end(),
+                   [&](const BackendServer *Left, const BackendServer *Right) {
+                     return hasWeights(*Left, Model.m_Name) >
+                            hasWeights(*Right, Model.m_Name);
+                   });
+  Result.m_Members.resize(Model.m_GroupSize);
+  for (const BackendServer *Member : Result.m_Members)
+    Result.m_Loads += hasWeights(*Member, Model.m_Name) ? 0 : 1;
+  return Result;
+}
+
+std::size_t
+ReplicaPlanner::loadsInProgress(const ReplicaPlannerInput &Input) const {
+  std::size_t Count = m_Staging.size();
+  for (const auto &[Id, Server] : Input.m_Fleet->servers())
+    if (Server.m_Membership &&
+        Server.m_Membership->m_State == MemberState::Joining &&
+        !hasWeights(Server, modelOfGroup(Server.m_Membership->m_Group.m_Name)))
+      ++Count;
+  for (const auto &[Key, Formed] : m_Formations)
+    if (m_Groups.count(Key) == 0)
+      Count += Formed.m_Members.size();
+  return Count;
+}
+
+void ReplicaPlanner::formGroups(const ReplicaPlannerInput &Input) {
+  while (formOne(Input)) {
+  }
+}
+
+bool ReplicaPlanner::formOne(const ReplicaPlannerInput &Input) {
+  const auto Free = freeByDomain(Input);
+  std::map<std::string, std::size_t> GroupsInDomain;
+  for (const ModelSpec *Model : modelsByNeed(Input)) {
+    Candidate Best;
+    std::size_t BestGroups = 0;
+    for (const auto &[Domain, Servers] : Free) {
+      const Candidate Found = candidateFor(*Model, Servers);
+      if (!Found.m_Model)
+        continue;
+      // After the first request a load takes longer than any other way to
+      // replace a group, so only staged servers join.
+      if (Input.m_TrafficSeen && Found.m_Loads > 0)
+        continue;
+      if (Found.m_Loads > 0 &&
+          loadsInProgress(Input) >= Input.m_Service->m_Engine.m_ConcurrentLoads)
+        continue;
+      std::size_t Same = 0;
+      for (const auto &[Key, Group] : m_Groups)
+        Same += Group.m_Domain == Domain && Group.m_Model == Model->m_Name;
+      for (const auto &[Key, Formed] : m_Formations)
+        if (m_Groups.count(Key) == 0 && Formed.m_Model == Model->m_Name)
+          Same +=
+              Input.m_Fleet->find(Formed.m_Members.front()) &&
+              Input.m_Fleet->find(Formed.m_Members.front())->m_Domain == Domain;
+      // Groups of one model are spread over the domains.
+      if (!Best.m_Model || Same < BestGroups ||
+          (Same == BestGroups && Found.m_Loads < Best.m_Loads)) {
+        Best = Found;
+        BestGroups = Same;
+      }
+    }
+    if (Best.m_Model) {
+      form(Input, Best);
+      return true;
+    }
+  }
+  return false;
+}
+
+void ReplicaPlanner::form(const ReplicaPlannerInput &Input,
+                          const Candidate &Chosen) {
+  const std::uint64_t Number = m_NextNumber++;
+  MemberOrder Join;
+  Join.m_Kind = OrderKind::Join;
+  Join.m_Model = Chosen.m_Model->m_Name;
+  Join.m_Group.m_Epoch = m_LeaseEpoch * EpochsPerHolder + Number;
+  Join.m_Group.m_Name = concat(Join.m_Model, ".", m_LeaseEpoch, ".", Number);
+  for (const BackendServer *Member : Chosen.m_Members)
+    Join.m_Members.push_back(Member->m_Id);
+  const Duration Expected = Chosen.m_Loads > 0 ? Chosen.m_Model->m_LoadTime
+                                               : Chosen.m_Model->m_WarmLoadTime;
+  m_Formations[Join.m_Group] = {Join.m_Model, Join.m_Members,
+                                Input.m_Now + Expected * 2 +
+                                    m_Settings.m_ReportMargin};
+  for (const BackendServer *Member : Chosen.m_Members) {
+    Join.m_Server = Member->m_Id;
+    order(Input, Join);
+  }
+}
+
+void ReplicaPlanner::onJoinFailed(const MemberOrder &Order, MonotonicTime Now) {
+  const auto Formed = m_Formations.find(Order.m_Group);
+  if (Formed != m_Formations.end())
+    Formed->second.m_GiveUpAt = Now;
+  m_Pending[Order.m_Server] = {OrderKind::Join, Order.m_Group,
+                               Now + m_Settings.m_JoinAnswerWait};
+}
+
+void ReplicaPlanner::stageSpares(const ReplicaPlannerInput &Input) {
+  for (const auto &[Domain, Servers] : freeByDomain(Input))
+    stageDomain(Input, Servers);
+}
+
+void ReplicaPlanner::stageDomain(
+    const ReplicaPlannerInput &Input,
+    const std::vector<const BackendServer *> &Free) {
+  const std::vector<const ModelSpec *> Models = modelsByNeed(Input);
+  const auto Weights = [&](const BackendServer &Server,
+                           const ModelSpec &Model) {
+    const auto Staging = m_Staging.find(Server.m_Id);
+    return Staging != m_Staging.end() ? Staging->second.first == Model.m_Name
+                                      : hasWeights(Server, Model.m_Name);
+  };
+  const auto CountOf = [&](const ModelSpec &Model) {
+    return std::count_if(
+        Free.begin(), Free.end(),
+        [&](const BackendServer *Server) { return Weights(*Server, Model); });
+  };
+  // Enough servers for a group, but not with the same weights.
+  for (const ModelSpec *Model : Models) {
+    if (Free.size() < Model->m_GroupSize)
+      continue;
+    std::size_t Missing =
+        Model->m_GroupSize -
+        std::min<std::size_t>(Model->m_GroupSize,
+                              static_cast<std::size_t>(CountOf(*Model)));
+    for (const BackendServer *Server : Free)
+      if (Missing > 0 && !Weights(*Server, *Model) &&
+          m_Staging.count(Server->m_Id) == 0) {
+        stage(Input, *Server, *Model);
+        --Missing;
+      }
+    return;
+  }
+  // Spares hold different models, so that one of them fits a broken group.
+  for (const BackendServer *Server : Free) {
+    if (!Server->m_StagedModels.empty() || m_Staging.count(Server->m_Id) != 0)
+      continue;
+    const ModelSpec *Rarest = nullptr;
+    for (const ModelSpec *Model : Models)
+      if (!Rarest || CountOf(*Model) < CountOf(*Rarest))
+        Rarest = Model;
+    if (Rarest)
+      stage(Input, *Server, *Rarest);
+  }
+}
+
+void ReplicaPlanner::stage(const ReplicaPlannerInput &Input,
+                           const BackendServer &Server,
+                           const ModelSpec &Model) {
+  if (loadsInProgress(Input) >= Input.m_Service->m_Engine.m_ConcurrentLoads)
+    return;
+  MemberOrder Stage;
+  Stage.m_Kind = OrderKind::Stage;
+  Stage.m_Server = Server.m_Id;
+  Stage.m_Model = Model.m_Name;
+  m_Staging[Server.m_Id] = {Model.m_Name, Input.m_Now + Model.m_LoadTime * 2};
+  order(Input, std::move(Stage));
+}
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/servers/routes/route_table.cpp
@@ -0,0 +1,71 @@
+#include "servers/routes/route_table.h"
+#include "core/text.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+template <typename ItemType>
+const ItemType *
+lookUp(const absl::flat_hash_map<std::string, std::size_t> &Index,
+       const std::vector<ItemType> &Items, std::string_view Key) {
+  const auto Found = Index.find(asAbsl(Key));
+  return Found == Index.end() ? nullptr : &Items[Found->second];
+}
+
+} // namespace
+
+RouteTable::RouteTable(TrafficConfiguration Configuration)
+    : m_Configuration(std::move(Configuration)) {
+  const TrafficConfiguration &Content = m_Configuration;
+  for (std::size_t I = 0; I < Content.m_Routes.size(); ++I) {
+    const Route &Entry = Content.m_Routes[I];
+    m_Routes[concat(toLower(Entry.m_Host), Entry.m_PathPrefix)] = I;
+  }
+  for (std::size_t I = 0; I < Content.m_Services.size(); ++I)
+    m_Services[Content.m_Services[I].m_Name] = I;
+  for (std::size_t I = 0; I < Content.m_Organisations.size(); ++I)
+    for (const std::string &Key : Content.m_Organisations[I].m_Keys)
+      m_Keys[Key] = I;
+}
+
+const Route *RouteTable::findRoute(std::string_view Host,
+                                   std::string_view Path) const {
+  const std::string_view Name = Host.substr(0, Host.find(':'));
+  const std::string_view PathOnly = Path.substr(0, Path.find('?'));
+  std::string Key = concat(toLower(Name), PathOnly);
+  // Every prefix ends with a slash, so only the slashes of the path matter.
+  for (std::size_t Slash = Key.rfind('/');
+       Slash != std::string::npos && Slash >= Name.size();
+       Slash = Key.rfind('/')) {
+    Key.resize(Slash + 1);
+    if (const Route *Found = lookUp(m_Routes, m_Configuration.m_Routes, Key))
+      return Found;
+    Key.resize(Slash);
+  }
+  return nullptr;
+}
+
+const ServiceSpec *RouteTable::findService(std::string_view Name) const {
+  return lookUp(m_Services, m_Configuration.m_Services, Name);
+}
+
+const OrganisationSpec *
+RouteTable::findOrganisation(std::string_view Key) const {
+  return lookUp(m_Keys, m_Configuration.m_Organisations, Key);
+}
+
+const std::string &chooseService(const Route &On, double Draw) {
+  unsigned Total = 0;
+  for (const ServiceWeight &Share : On.m_Services)
+    Total += Share.m_Weight;
+  double Point = Draw * Total;
+  for (const ServiceWeight &Share : On.m_Services) {
+    Point -= Share.m_Weight;
+    if (Point < 0)
+      return Share.m_Service;
+  }
+  return On.m_Services.back().m_Service;
+}
+
+} // namespace fulmarwinch
