Record quarantined servers before they leave a group whose head is lost

Change: the quarantine is an object in the platform's store, written before the servers are told to leave; loads that begin before the first request are started early; requests that no server can take are refused after an eighth of their objective.

--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -1,5 +1,7 @@
 #include "proxy/group_duty.h"
 
+#include "core/json.h"
+
 #include <algorithm>
 
 namespace fulmarwinch {
@@ -12,6 +14,8 @@
 /// A live server answers a probe within a few milliseconds.
 constexpr Duration ProbeTimeout = milliseconds(250);
 constexpr Duration PlanPeriod = milliseconds(60);
+/// Object that holds the servers in quarantine.
+constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
 constexpr int Ok = 200;
 constexpr int Accepted = 202;
 
@@ -47,11 +51,15 @@
     m_WasHeld = Held;
     m_Epoch = m_Lease.epoch();
     m_Planners.clear();
+    m_RecordKnown = false;
+    m_Awaiting.clear();
     m_Context.m_Log.write(
         Held ? "lease_taken" : "lease_lost",
         {{"lease", "groups"}, {"epoch", static_cast<std::int64_t>(m_Epoch)}});
   }
-  if (Held && Now >= m_NextPlan) {
+  if (Held && !m_RecordKnown)
+    readRecord();
+  if (Held && m_RecordKnown && Now >= m_NextPlan) {
     m_NextPlan = Now + PlanPeriod;
     planAll(Now);
   }
@@ -88,7 +96,7 @@
     Settings.m_StallTime = m_Settings.m_StallTime;
     ReplicaPlanner &Planner =
         m_Planners
-            .try_emplace(Service.m_Name, Settings, m_Epoch, m_Epoch == 1, Now)
+            .try_emplace(Service.m_Name, Settings, m_Epoch, m_Recorded, Now)
             .first->second;
     ReplicaPlannerInput Input;
     Input.m_Fleet = &m_Context.m_Fleet;
@@ -100,9 +108,71 @@
     for (const auto &[Model, Running] : m_Context.m_RunningByModel)
       if (!Model.empty())
         Input.m_Demand[Model] = Running;
-    for (const MemberOrder &Order : Planner.plan(Input))
-      send(Order);
+    for (MemberOrder &Order : Planner.plan(Input)) {
+      if (Order.m_HeadLost && m_Recorded.count(Order.m_Server) == 0)
+        m_Awaiting.push_back(std::move(Order));
+      else
+        send(Order);
+    }
   }
+  if (!m_Awaiting.empty())
+    writeRecord();
+}
+
+void GroupDuty::readRecord() {
+  if (m_RecordBusy)
+    return;
+  m_RecordBusy = true;
+  m_Platform.m_StartStoreCall(
+      GetObject{0, QuarantineKey}, [this](const StoreCompletion &Result) {
+        m_RecordBusy = false;
+        const auto &Read = std::get<GetCompleted>(Result);
+        if (Read.m_Outcome != StoreOutcome::Applied &&
+            Read.m_Outcome != StoreOutcome::NotFound)
+          return; // asked again at the next tick
+        m_RecordKnown = true;
+        m_RecordVersion = Read.m_Version;
+        m_Recorded.clear();
+        if (Read.m_Outcome == StoreOutcome::NotFound)
+          return;
+        const auto Content = parseJson(Read.m_Value, "quarantine record");
+        if (Content.ok())
+          for (const std::string &Server :
+               memberOr(*Content, "servers", std::vector<std::string>()))
+            m_Recorded.insert(Server);
+      });
+}
+
+void GroupDuty::writeRecord() {
+  if (m_RecordBusy)
+    return;
+  m_RecordBusy = true;
+  std::set<std::string> Servers;
+  for (const auto &[Service, Planner] : m_Planners)
+    for (const std::string &Server : Planner.quarantined())
+      Servers.insert(Server);
+  m_Platform.m_StartStoreCall(
+      PutObject{0, QuarantineKey, m_RecordVersion,
+                Json{{"servers", Servers}}.dump()},
+      [this, Servers, Epoch = m_Epoch](const StoreCompletion &Result) {
+        m_RecordBusy = false;
+        const auto &Written = std::get<PutCompleted>(Result);
+        if (Written.m_Outcome != StoreOutcome::Applied) {
+          // Another writer, or an outcome that is not known: read it again.
+          m_RecordKnown = false;
+          m_Awaiting.clear();
+          return;
+        }
+        m_RecordVersion = Written.m_Version;
+        m_Recorded = Servers;
+        if (!m_WasHeld || Epoch != m_Epoch)
+          return;
+        std::vector<MemberOrder> Orders;
+        Orders.swap(m_Awaiting);
+        for (const MemberOrder &Order : Orders)
+          if (m_Recorded.count(Order.m_Server) != 0)
+            send(Order);
+      });
 }
 
 void GroupDuty::send(const MemberOrder &Order) {
--- a/proxy/group_duty.h
+++ b/proxy/group_duty.h
@@ -33,6 +33,8 @@
 private:
   void stepLease(MonotonicTime Now);
   void planAll(MonotonicTime Now);
+  void readRecord();
+  void writeRecord();
   void send(const MemberOrder &Order);
   void onOrderEnd(const MemberOrder &Order, std::int64_t Born, CallEnd How,
                   int Status);
@@ -50,6 +52,13 @@
   std::map<std::string, std::uint64_t> m_Unreachable;
   std::set<std::string> m_Probing;
   MonotonicTime m_NextPlan{};
+  /// The quarantine as the platform's store has it, read once per lease.
+  bool m_RecordKnown = false;
+  bool m_RecordBusy = false;
+  ObjectVersion m_RecordVersion = 0;
+  std::set<std::string> m_Recorded;
+  /// Orders that wait until the quarantine is recorded.
+  std::vector<MemberOrder> m_Awaiting;
 };
 
 } // namespace fulmarwinch
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -18,6 +18,9 @@
 /// Told to callers when there is no better figure: about the time in which a
 /// broken group is replaced by staged servers.
 constexpr double DefaultRetryAfterSeconds = 0.6;
+/// A request that no server can take is refused after this part of its latency
+/// objective, so that the caller can still be served in time elsewhere.
+constexpr int RefusalShare = 8;
 /// A response that is not a stream is passed on whole.
 constexpr std::size_t MaxWholeResponseBytes = 16U * 1024U * 1024U;
 /// Admission order of a stream that goes on elsewhere: its client has waited
@@ -133,7 +136,6 @@
     if (parseNumber(header(m_Context.m_Dialect.m_LastEventId), Given))
       LastId = Given;
     m_Sequence = EventSequence(LastId);
-    m_Context.m_TrafficSeen = true;
     ++m_Context.m_RunningByModel[m_Model];
     m_Counted = true;
     m_WaitSince = monotonicNow();
@@ -201,7 +203,7 @@
   Duration longestWait() const {
     if (m_Sequence.delivered() > 0)
       return LongestPause;
-    return m_Route->m_LatencyObjective / 2;
+    return m_Route->m_LatencyObjective / RefusalShare;
   }
 
   void send(const ChosenServer &Chosen, MonotonicTime Now) {
@@ -213,6 +215,8 @@
     m_Body.clear();
     m_Cutter = EventCutter();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    if (m_Service->hasGroups())
+      m_Context.m_TrafficSeen = true;
     m_Context.m_Log.write(
         "sent",
         {{"id", m_Id},
--- a/servers/replicas/member_order.h
+++ b/servers/replicas/member_order.h
@@ -33,6 +33,10 @@
   /// Members of a join; the first one is the head.
   std::vector<std::string> m_Members;
   CloseMode m_CloseMode = CloseMode::FinishWork;
+  /// The server leaves a group whose head may still serve out of sight. That
+  /// it must not join another one yet has to be recorded first, since nothing
+  /// in its entry shows it afterwards.
+  bool m_HeadLost = false;
 };
 
 } // namespace fulmarwinch
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -31,10 +31,21 @@
 } // namespace
 
 ReplicaPlanner::ReplicaPlanner(const ReplicaPlannerSettings &Settings,
-                               std::uint64_t LeaseEpoch, bool FirstHolder,
+                               std::uint64_t LeaseEpoch,
+                               const std::set<std::string> &Quarantined,
                                MonotonicTime StartedAt)
-    : m_Settings(Settings), m_LeaseEpoch(LeaseEpoch),
-      m_FirstHolder(FirstHolder), m_StartedAt(StartedAt) {}
+    : m_Settings(Settings), m_LeaseEpoch(LeaseEpoch), m_StartedAt(StartedAt) {
+  for (const std::string &Server : Quarantined)
+    m_QuarantinedUntil[Server] =
+        StartedAt + m_Settings.m_StallTime + m_Settings.m_ReportMargin;
+}
+
+std::set<std::string> ReplicaPlanner::quarantined() const {
+  std::set<std::string> Servers;
+  for (const auto &[Server, Until] : m_QuarantinedUntil)
+    Servers.insert(Server);
+  return Servers;
+}
 
 std::vector<MemberOrder>
 ReplicaPlanner::plan(const ReplicaPlannerInput &Input) {
@@ -114,7 +125,14 @@
       disband(Input, Group, true);
     return;
   }
-  switch (Group.m_Head->m_Membership->m_State) {
+  const MemberState State = Group.m_Head->m_Membership->m_State;
+  // A head that answers nobody may be cut off and go on serving.
+  if (Input.m_Unreachable.count(Group.m_Head->m_Id) != 0 &&
+      State != MemberState::Broken) {
+    disband(Input, Group, true);
+    return;
+  }
+  switch (State) {
   case MemberState::Broken:
     disband(Input, Group, false);
     return;
@@ -180,12 +198,13 @@
 void ReplicaPlanner::disband(const ReplicaPlannerInput &Input,
                              const ReplicaGroup &Group, bool HeadUnknown) {
   for (const std::string &Id : Group.m_Members) {
-    if (Id.empty())
+    if (Id.empty() || Input.m_Unreachable.count(Id) != 0)
       continue;
     if (HeadUnknown)
       m_QuarantinedUntil[Id] =
           Input.m_Now + m_Settings.m_StallTime + m_Settings.m_ReportMargin;
     MemberOrder Leave;
+    Leave.m_HeadLost = HeadUnknown;
     Leave.m_Kind = OrderKind::Leave;
     Leave.m_Server = Id;
     Leave.m_Group = Group.m_Key;
@@ -210,12 +229,6 @@
       Server.m_Domain.empty() || !Input.m_Fleet->takesWork(Server) ||
       Input.m_Unreachable.count(Id) != 0 || m_QuarantinedUntil.count(Id) != 0)
     return false;
-  // A holder that took over does not know which servers left a group whose
-  // head is out of sight.
-  if (!m_FirstHolder && m_LastGroup.count(Id) == 0 &&
-      Input.m_Now <
-          m_StartedAt + m_Settings.m_StallTime + m_Settings.m_ReportMargin)
-    return false;
   const auto LastOrder = m_Pending.find(Id);
   if (LastOrder != m_Pending.end() &&
       LastOrder->second.m_RepeatAt > Input.m_Now &&
@@ -312,6 +325,13 @@
   return Count;
 }
 
+bool ReplicaPlanner::mayLoad(const ReplicaPlannerInput &Input) const {
+  const std::size_t AtFullSpeed = Input.m_Service->m_Engine.m_ConcurrentLoads;
+  return loadsInProgress(Input) <
+         (Input.m_TrafficSeen ? AtFullSpeed
+                              : AtFullSpeed * m_Settings.m_EarlyLoadFactor);
+}
+
 void ReplicaPlanner::formGroups(const ReplicaPlannerInput &Input) {
   while (formOne(Input)) {
   }
@@ -387,6 +407,9 @@
 }
 
 void ReplicaPlanner::stageSpares(const ReplicaPlannerInput &Input) {
+  if (!Input.m_TrafficSeen &&
+      Input.m_Now < m_StartedAt + m_Settings.m_SettleTime)
+    return;
   for (const auto &[Domain, Servers] : freeByDomain(Input))
     stageDomain(Input, Servers);
 }
@@ -410,6 +433,9 @@
   for (const ModelSpec *Model : Models) {
     if (Free.size() < Model->m_GroupSize)
       continue;
+    // Before the first request they join without being staged.
+    if (!Input.m_TrafficSeen)
+      return;
     std::size_t Missing =
         Model->m_GroupSize -
         std::min<std::size_t>(Model->m_GroupSize,
@@ -438,7 +464,7 @@
 void ReplicaPlanner::stage(const ReplicaPlannerInput &Input,
                            const BackendServer &Server,
                            const ModelSpec &Model) {
-  if (loadsInProgress(Input) >= Input.m_Service->m_Engine.m_ConcurrentLoads)
+  if (!mayLoad(Input))
     return;
   MemberOrder Stage;
   Stage.m_Kind = OrderKind::Stage;
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -26,6 +26,13 @@
   /// A server that did not answer a join gets no other one for this time,
   /// since the first may be carried out yet; epochs make it harmless then.
   Duration m_JoinAnswerWait = std::chrono::milliseconds(400);
+  /// Loads in progress before the first request, as a multiple of what the
+  /// weight store carries at full speed. Loads that begin before the first
+  /// request cost a tenth, so as many as possible begin then.
+  std::size_t m_EarlyLoadFactor = 4;
+  /// Servers of one deployment start within about two seconds of each other.
+  /// Spares are only chosen afterwards.
+  Duration m_SettleTime = std::chrono::milliseconds(2500);
 };
 
 /// What the planner decides on.
@@ -47,13 +54,18 @@
 class ReplicaPlanner {
 public:
   /// \p LeaseEpoch grows with each holder and is part of every group's epoch.
-  /// \p FirstHolder is true if no earlier holder can have formed groups.
+  /// \p Quarantined holds what the holder before recorded.
   ReplicaPlanner(const ReplicaPlannerSettings &Settings,
-                 std::uint64_t LeaseEpoch, bool FirstHolder,
+                 std::uint64_t LeaseEpoch,
+                 const std::set<std::string> &Quarantined,
                  MonotonicTime StartedAt);
 
   std::vector<MemberOrder> plan(const ReplicaPlannerInput &Input);
 
+  /// Servers that may still belong to a head that is out of sight. They join
+  /// no group until that head must have broken.
+  std::set<std::string> quarantined() const;
+
   /// Tells the planner that a join was refused or not answered.
   void onJoinFailed(const MemberOrder &Order, MonotonicTime Now);
 
@@ -104,16 +116,15 @@
   void stage(const ReplicaPlannerInput &Input, const BackendServer &Server,
              const ModelSpec &Model);
   std::size_t loadsInProgress(const ReplicaPlannerInput &Input) const;
+  bool mayLoad(const ReplicaPlannerInput &Input) const;
 
   ReplicaPlannerSettings m_Settings;
   std::uint64_t m_LeaseEpoch;
-  bool m_FirstHolder;
   MonotonicTime m_StartedAt;
   std::uint64_t m_NextNumber = 1;
   std::map<GroupKey, Formation> m_Formations;
   std::map<GroupKey, MonotonicTime> m_FirstSeen;
   std::map<std::string, Pending> m_Pending;
-  /// Servers that may still belong to a head that is out of sight.
   std::map<std::string, MonotonicTime> m_QuarantinedUntil;
   std::map<std::string, std::pair<std::string, MonotonicTime>> m_Staging;
   /// Group that each server was last seen in.
