--- a/core/time.h
+++ b/core/time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace fulmarwinch {
 
@@ -35,11 +36,16 @@
   return Length + Length * ClockRateErrorPpm / 1000000;
 }
 
-/// Returns the current time of the monotonic clock. Decision code does not
-/// call this; it is handed the time.
+/// Returns the current time of the monotonic clock. It counts the time in
+/// which the machine was suspended, so that a lease or a grant that lapsed
+/// meanwhile is seen to have lapsed. Decision code does not call this; it is
+/// handed the time.
 inline MonotonicTime monotonicNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Now.tv_sec) +
+      std::chrono::nanoseconds(Now.tv_nsec)));
 }
 
 /// Returns the current time of the system clock.
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -5,6 +5,9 @@
 cd "$(dirname "$0")/.."
 bash scripts/install_packages.sh
 
+# Objects are reused between checkouts in different folders.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1 CCACHE_MAXSIZE=10G
+
 step() { printf '\n== %s\n' "$*"; }
 
 step "format"
--- /dev/null
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -0,0 +1,150 @@
+#include "servers/dispatch/server_selector.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Choice of a server among groups that fill, stall, drain or are cold.
+class ServerSelectorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerSelectorTest);
+  CPPUNIT_TEST(incompleteGroupGetsNothing);
+  CPPUNIT_TEST(leavingServersGetNothing);
+  CPPUNIT_TEST(stalledFormationIsAvoidedAndItsSuccessorIsNot);
+  CPPUNIT_TEST(peersLoadCounts);
+  CPPUNIT_TEST(coldServerGetsItsShare);
+  CPPUNIT_TEST(triedServersAreLeftOut);
+  CPPUNIT_TEST_SUITE_END();
+
+  FleetView m_Fleet;
+  ServiceSpec m_Service;
+  MonotonicTime m_Now{seconds(1000)};
+  std::uint64_t m_Revision = 1;
+
+public:
+  void setUp() override {
+    m_Service.m_Name = "llm";
+    m_Service.m_Engine.m_Slots = 10;
+    m_Service.m_Engine.m_Models = {
+        {"m", 2, 1.0, 1.0, seconds(16), milliseconds(1600)}};
+  }
+
+private:
+  void putMember(const std::string &Id, const std::string &Group,
+                 std::uint64_t Epoch, unsigned Rank, MemberState State,
+                 bool Draining = false) {
+    BackendServer Server;
+    Server.m_Id = Id;
+    Server.m_Service = "llm";
+    Server.m_Zone = "a";
+    Server.m_Domain = "d";
+    Server.m_Draining = Draining;
+    Server.m_Membership = GroupMembership{{Group, Epoch}, Rank, State};
+    Server.m_Revision = ++m_Revision;
+    m_Fleet.update(std::move(Server), m_Now);
+  }
+
+  void putGroup(const std::string &Head, const std::string &Member,
+                const std::string &Group, std::uint64_t Epoch) {
+    putMember(Head, Group, Epoch, 0, MemberState::Open);
+    putMember(Member, Group, Epoch, 1, MemberState::Ready);
+  }
+
+  std::string choose(ServerSelector &Selector, double Draw = 0.0,
+                     const std::set<std::string> &Tried = {}) {
+    ServerQuery Query;
+    Query.m_Service = &m_Service;
+    Query.m_Model = "m";
+    Query.m_Tried = Tried;
+    Query.m_Draw = Draw;
+    Query.m_Now = m_Now;
+    const auto Chosen = Selector.choose(m_Fleet, Query);
+    return Chosen ? Chosen->m_Id : "";
+  }
+
+  /// Guards against requests to a head that will stall: it goes on accepting
+  /// after a member has gone.
+  void incompleteGroupGetsNothing() {
+    ServerSelector Selector;
+    putMember("h", "m.1.1", 1, 0, MemberState::Open);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    CPPUNIT_ASSERT(Selector.reason() == NoServerReason::NoneAlive);
+    putMember("w", "m.1.1", 1, 1, MemberState::Ready);
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
+    m_Fleet.remove("w", ++m_Revision);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+  }
+
+  /// Guards against new work for a server or zone that is being emptied.
+  void leavingServersGetNothing() {
+    ServerSelector Selector;
+    putGroup("h", "w", "m.1.1", 1);
+    m_Fleet.setEvacuatedZones({"a"});
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    m_Fleet.setEvacuatedZones({});
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
+    putMember("w", "m.1.1", 1, 1, MemberState::Ready, true);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+  }
+
+  /// Guards against a suspicion that outlives the formation it was about.
+  void stalledFormationIsAvoidedAndItsSuccessorIsNot() {
+    ServerSelector Selector;
+    putGroup("h", "w", "m.1.1", 1);
+    Selector.onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    putGroup("h", "w", "m.1.2", 2);
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
+  }
+
+  /// Guards against all nodes filling the same group.
+  void peersLoadCounts() {
+    ServerSelector Selector;
+    Selector.setNodeCount(2);
+    putGroup("h1", "w1", "m.1.1", 1);
+    putGroup("h2", "w2", "m.1.2", 2);
+    Selector.setPeerLoad("n2", {{"h1", 12}});
+    for (double Draw : {0.0, 0.3, 0.6, 0.9})
+      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
+    for (int I = 0; I < 12; ++I)
+      Selector.onDispatched("h2", m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    CPPUNIT_ASSERT(Selector.reason() == NoServerReason::AllFull);
+  }
+
+  /// Guards against a cold server that the nodes overload together.
+  void coldServerGetsItsShare() {
+    ServerSelector Selector;
+    Selector.setNodeCount(9);
+    m_Service.m_ColdRequestsPerSecond = 36.0;
+    putGroup("h", "w", "m.1.1", 1);
+    BackendServer Cold = *m_Fleet.find("h");
+    Cold.m_ColdFor = seconds(3);
+    Cold.m_Revision = ++m_Revision;
+    m_Fleet.update(Cold, m_Now);
+    int Sent = 0;
+    for (int Ms = 0; Ms < 1000; Ms += 10) {
+      m_Now += milliseconds(10);
+      if (choose(Selector).empty())
+        continue;
+      Selector.onDispatched("h", m_Now);
+      Selector.onEnded("h");
+      ++Sent;
+    }
+    CPPUNIT_ASSERT(Sent >= 3 && Sent <= 4);
+  }
+
+  void triedServersAreLeftOut() {
+    ServerSelector Selector;
+    putGroup("h1", "w1", "m.1.1", 1);
+    putGroup("h2", "w2", "m.1.2", 2);
+    CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, 0.0, {"h1"}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector, 0.0, {"h1", "h2"}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerSelectorTest);
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -0,0 +1,286 @@
+#include "servers/replicas/replica_planner.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <algorithm>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Formation, opening and repair of replica groups in one fabric domain of
+/// nine servers. The fixture plays the backend servers: it carries out orders
+/// at once and reports their effect.
+class ReplicaPlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaPlannerTest);
+  CPPUNIT_TEST(opensOnlyWhenEveryMemberIsReady);
+  CPPUNIT_TEST(deadMemberIsReplacedByAStagedSpare);
+  CPPUNIT_TEST(membersOfALostHeadWaitUntilItHasBroken);
+  CPPUNIT_TEST(nextHolderKeepsTheQuarantine);
+  CPPUNIT_TEST(brokenGroupIsFreedAtOnce);
+  CPPUNIT_TEST(refusedJoinEndsTheFormation);
+  CPPUNIT_TEST(laterHolderHasHigherEpochsAndOtherNames);
+  CPPUNIT_TEST(loadsStayWithinTheWeightStore);
+  CPPUNIT_TEST(drainingMemberLetsWorkFinish);
+  CPPUNIT_TEST_SUITE_END();
+
+  FleetView m_Fleet;
+  ServiceSpec m_Service;
+  MonotonicTime m_Now{seconds(1000)};
+  std::uint64_t m_Revision = 1;
+  bool m_TrafficSeen = false;
+  std::set<std::string> m_Unreachable;
+
+public:
+  void setUp() override {
+    m_Service.m_Name = "llm";
+    m_Service.m_Engine.m_ConcurrentLoads = 6;
+    m_Service.m_Engine.m_Models = {
+        {"big", 4, 1.0, 0.5, seconds(16), milliseconds(1600)},
+        {"small", 3, 0.6, 0.5, seconds(12), milliseconds(1100)}};
+  }
+
+private:
+  static std::string id(int Index) { return "s" + std::to_string(Index); }
+
+  void put(BackendServer Server) {
+    Server.m_Revision = ++m_Revision;
+    m_Fleet.update(std::move(Server), m_Now);
+  }
+
+  void addServers(int From, int To, const std::string &Staged = "") {
+    for (int I = From; I <= To; ++I) {
+      BackendServer Server;
+      Server.m_Id = id(I);
+      Server.m_Service = "llm";
+      Server.m_Zone = "a";
+      Server.m_Domain = "d1";
+      if (!Staged.empty())
+        Server.m_StagedModels = {Staged};
+      put(Server);
+    }
+  }
+
+  void remove(const std::string &Id) { m_Fleet.remove(Id, ++m_Revision); }
+
+  void setState(const std::string &Id, MemberState State) {
+    BackendServer Server = *m_Fleet.find(Id);
+    Server.m_Membership->m_State = State;
+    put(Server);
+  }
+
+  /// Plays the effect of \p Order on its server.
+  void carryOut(const MemberOrder &Order) {
+    if (!m_Fleet.find(Order.m_Server))
+      return;
+    BackendServer Server = *m_Fleet.find(Order.m_Server);
+    switch (Order.m_Kind) {
+    case OrderKind::Join: {
+      const auto Place = std::find(Order.m_Members.begin(),
+                                   Order.m_Members.end(), Order.m_Server);
+      Server.m_Membership = GroupMembership{
+          Order.m_Group,
+          static_cast<unsigned>(Place - Order.m_Members.begin()),
+          MemberState::Ready};
+      Server.m_StagedModels = {Order.m_Model};
+      break;
+    }
+    case OrderKind::Open:
+      Server.m_Membership->m_State = MemberState::Open;
+      break;
+    case OrderKind::Close:
+      Server.m_Membership->m_State = MemberState::Ready;
+      break;
+    case OrderKind::Leave:
+      Server.m_Membership.reset();
+      break;
+    case OrderKind::Stage:
+      Server.m_StagedModels = {Order.m_Model};
+      break;
+    }
+    put(Server);
+  }
+
+  std::vector<MemberOrder> plan(ReplicaPlanner &Planner) {
+    ReplicaPlannerInput Input;
+    Input.m_Fleet = &m_Fleet;
+    Input.m_Service = &m_Service;
+    Input.m_Now = m_Now;
+    Input.m_TrafficSeen = m_TrafficSeen;
+    Input.m_Unreachable = m_Unreachable;
+    return Planner.plan(Input);
+  }
+
+  /// Plans and carries out orders until none is left.
+  void settle(ReplicaPlanner &Planner) {
+    for (int I = 0; I < 20; ++I) {
+      m_Now += milliseconds(100);
+      const std::vector<MemberOrder> Orders = plan(Planner);
+      for (const MemberOrder &Order : Orders)
+        carryOut(Order);
+    }
+  }
+
+  std::size_t openGroups() const {
+    std::size_t Count = 0;
+    for (const auto &[Key, Group] : m_Fleet.groups())
+      Count += Group.m_Head &&
+               Group.m_Head->m_Membership->m_State == MemberState::Open;
+    return Count;
+  }
+
+  ReplicaPlanner newPlanner(std::uint64_t Epoch = 1,
+                            const std::set<std::string> &Quarantined = {}) {
+    return {ReplicaPlannerSettings(), Epoch, Quarantined, m_Now};
+  }
+
+  static std::size_t count(const std::vector<MemberOrder> &Orders,
+                           OrderKind Kind) {
+    return static_cast<std::size_t>(std::count_if(
+        Orders.begin(), Orders.end(),
+        [&](const MemberOrder &Each) { return Each.m_Kind == Kind; }));
+  }
+
+  /// Guards against a group that serves before a member has its weights.
+  void opensOnlyWhenEveryMemberIsReady() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    for (const MemberOrder &Order : plan(Planner))
+      carryOut(Order);
+    setState(id(2), MemberState::Joining);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         count(plan(Planner), OrderKind::Open));
+    setState(id(2), MemberState::Ready);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         count(plan(Planner), OrderKind::Open));
+  }
+
+  /// Guards against a group that stays broken while a spare is idle.
+  void deadMemberIsReplacedByAStagedSpare() {
+    addServers(1, 9);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, openGroups());
+    m_TrafficSeen = true;
+    const auto Groups = m_Fleet.groups();
+    remove(Groups.begin()->second.m_Members.back());
+    settle(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, openGroups());
+  }
+
+  /// Guards against a server in two groups at once: a head that lost sight of
+  /// the store may still serve with the members that it had.
+  void membersOfALostHeadWaitUntilItHasBroken() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
+    m_TrafficSeen = true;
+    addServers(4, 4, "small");
+    const std::string Head = m_Fleet.groups().begin()->second.m_Members.front();
+    remove(Head);
+    const MonotonicTime LostAt = m_Now;
+    std::size_t Joins = 0;
+    while (m_Now < LostAt + seconds(5)) {
+      m_Now += milliseconds(100);
+      for (const MemberOrder &Order : plan(Planner)) {
+        Joins += Order.m_Kind == OrderKind::Join;
+        CPPUNIT_ASSERT(Order.m_Kind != OrderKind::Leave || Order.m_HeadLost);
+        carryOut(Order);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Joins);
+    m_Now += seconds(3);
+    settle(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
+  }
+
+  /// Guards against a take-over that forgets which servers may belong to a
+  /// head out of sight, and against one that forms nothing for seconds.
+  void nextHolderKeepsTheQuarantine() {
+    addServers(1, 6, "small");
+    m_TrafficSeen = true;
+    ReplicaPlanner Planner = newPlanner(2, {id(1), id(2)});
+    const std::vector<MemberOrder> Orders = plan(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, count(Orders, OrderKind::Join));
+    for (const MemberOrder &Order : Orders)
+      CPPUNIT_ASSERT(Order.m_Server != id(1) && Order.m_Server != id(2));
+    m_Now += seconds(7);
+    addServers(7, 7, "small");
+    CPPUNIT_ASSERT(count(plan(Planner), OrderKind::Join) > 0);
+  }
+
+  /// Guards against members that wait for a head that says it is broken.
+  void brokenGroupIsFreedAtOnce() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    const std::string Head = m_Fleet.groups().begin()->second.m_Members.front();
+    setState(Head, MemberState::Broken);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         count(plan(Planner), OrderKind::Leave));
+  }
+
+  /// Guards against waiting for a load time after a member refused to join.
+  void refusedJoinEndsTheFormation() {
+    addServers(1, 3, "small");
+    m_TrafficSeen = true;
+    ReplicaPlanner Planner = newPlanner();
+    const std::vector<MemberOrder> Orders = plan(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, count(Orders, OrderKind::Join));
+    carryOut(Orders[0]);
+    carryOut(Orders[1]);
+    Planner.onJoinFailed(Orders[2], m_Now);
+    m_Now += seconds(2);
+    CPPUNIT_ASSERT(count(plan(Planner), OrderKind::Leave) > 0);
+  }
+
+  /// Guards against an order of an earlier holder that fits a later group.
+  void laterHolderHasHigherEpochsAndOtherNames() {
+    addServers(1, 3, "small");
+    ReplicaPlanner First = newPlanner(7);
+    ReplicaPlanner Second = newPlanner(8);
+    const MemberOrder Early = plan(First).front();
+    const MemberOrder Late = plan(Second).front();
+    CPPUNIT_ASSERT(Early.m_Group.m_Epoch < Late.m_Group.m_Epoch);
+    CPPUNIT_ASSERT(Early.m_Group.m_Name != Late.m_Group.m_Name);
+    CPPUNIT_ASSERT_EQUAL(std::string("small"),
+                         modelOfGroup(Late.m_Group.m_Name));
+  }
+
+  /// Guards against more loads at once than the weight store carries.
+  void loadsStayWithinTheWeightStore() {
+    addServers(1, 9);
+    m_TrafficSeen = true;
+    ReplicaPlanner Planner = newPlanner();
+    std::size_t Loads = 0;
+    for (int I = 0; I < 10; ++I) {
+      m_Now += milliseconds(100);
+      Loads += count(plan(Planner), OrderKind::Stage);
+    }
+    CPPUNIT_ASSERT(Loads > 0 && Loads <= 6);
+  }
+
+  /// Guards against a planned stop of a member that cuts streams.
+  void drainingMemberLetsWorkFinish() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    BackendServer Leaving =
+        *m_Fleet.find(m_Fleet.groups().begin()->second.m_Members.back());
+    Leaving.m_Draining = true;
+    put(Leaving);
+    m_Now += milliseconds(100);
+    const std::vector<MemberOrder> Orders = plan(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count(Orders, OrderKind::Close));
+    CPPUNIT_ASSERT(Orders.front().m_CloseMode == CloseMode::FinishWork);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaPlannerTest);
+
+} // namespace fulmarwinch
