Refuse requests that crash servers; count requests; test the relay on loopback

Cause: a request that crashes each server that runs it was sent on at any node. Change: CrashWatch blames a request when the server's entry shows a crash after its connection was lost; nodes exchange blame; content that crashed three servers is refused. Metrics are served on the metrics address. The request path is tested against scripted servers, the adapter against damaged input.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -36,6 +36,7 @@
 constexpr Duration BalancerLag = milliseconds(2600);
 /// Part of the grace period that is left for the process to end.
 constexpr Duration ExitMargin = milliseconds(350);
+constexpr const char *MetricsPath = "/metrics";
 /// Nodes list themselves under this kind of the platform's store.
 constexpr const char *NodeKind = "fulmarwinch-nodes";
 constexpr Duration RegisterRetry = milliseconds(700);
@@ -120,8 +121,16 @@
     return std::nullopt;
   }
 
+  /// Tells peers about requests that were found to crash servers.
+  void checkCrash(const std::string &Id, std::int64_t StartedAtMs) {
+    const MonotonicTime Now = monotonicNow();
+    if (m_Context.m_Crashes.onServerChanged(Id, StartedAtMs, Now))
+      m_Peers.announce(m_Context.m_Poison.records(Now));
+  }
+
   void logServer(const std::string &Id) {
     const BackendServer *Server = m_Fleet.find(Id);
+    checkCrash(Id, Server ? Server->m_StartedAtMs : 0);
     if (!Server) {
       m_Log.write("server_gone", {{"server", Id}});
       return;
@@ -303,6 +312,50 @@
     return Hooks;
   }
 
+  ConnectionHooks metricsHooks() {
+    ConnectionHooks Hooks;
+    Hooks.m_Limits = [] { return ClientLimits(); };
+    Hooks.m_IsDraining = [] { return false; };
+    Hooks.m_OnRequest = [this](const std::shared_ptr<ClientConnection> &Client,
+                               const ClientRequest &Request) {
+      if (Request.m_Head.m_Target != MetricsPath) {
+        Client->respond(404, "Not Found", {}, "");
+        return;
+      }
+      setGauges();
+      Client->respond(200, "OK", {{"Content-Type", "text/plain"}},
+                      m_Figures.prometheusText());
+    };
+    return Hooks;
+  }
+
+  void setGauges() {
+    const auto Set = [this](const char *Name, double Value) {
+      m_Figures.setGauge(Name, Value);
+    };
+    const auto Age = [](const KindWatcher &Watcher) {
+      return std::chrono::duration<double>(Watcher.age()).count();
+    };
+    Set("requests_in_progress", static_cast<double>(m_Context.m_Active.size()));
+    Set("belief_age_seconds{kind=\"servers\"}", Age(m_Servers));
+    Set("belief_age_seconds{kind=\"configuration\"}", Age(m_Configurations));
+    Set("belief_age_seconds{kind=\"evacuations\"}", Age(m_Evacuations));
+    Set("servers_known", static_cast<double>(m_Fleet.servers().size()));
+    Set("nodes_known", static_cast<double>(m_NodeAddresses.size()));
+    Set("lease_held", m_Duty.isHeld() ? 1.0 : 0.0);
+    Set("log_lines_dropped", static_cast<double>(m_Log.droppedLines()));
+    std::map<std::string, double> Open;
+    for (const auto &[Key, Group] : m_Fleet.groups())
+      if (Group.m_Head &&
+          Group.m_Head->m_Membership->m_State == MemberState::Open)
+        Open[Group.m_Model] += 1.0;
+    for (const auto &[Model, Count] : Open)
+      m_Figures.setGauge(concat("groups_open{model=\"", Model, "\"}"), Count);
+    for (auto &[Service, Budget] : m_Context.m_Budgets)
+      m_Figures.setGauge(concat("repeats_left{service=\"", Service, "\"}"),
+                         Budget.available(monotonicNow()));
+  }
+
   void armTick() {
     m_Tick.expires_after(TickPeriod);
     m_Tick.async_wait([this](const asio::error_code &Error) {
@@ -320,6 +373,7 @@
       Relay->tick(Now);
     m_Duty.tick(Now, m_Peers.liveNodes(Now));
     m_Servers.setPause(m_Duty.isHeld() ? HolderPause : followerPause());
+    m_Context.m_Crashes.removeExpired(Now);
     if (m_Draining)
       continueDrain(Now);
   }
@@ -395,6 +449,7 @@
   KindWatcher m_Nodes;
   std::unique_ptr<HttpListener> m_Clients;
   std::unique_ptr<HttpListener> m_Readiness;
+  std::unique_ptr<HttpListener> m_Metrics;
   std::set<std::string> m_EvacuatedZones;
   std::map<std::string, Endpoint> m_NodeAddresses;
   std::uint64_t m_ConfigurationRevision = 0;
@@ -416,10 +471,19 @@
       Self.m_Loop, Self.m_Settings.m_Clients, Self.clientHooks());
   Self.m_Readiness = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_Readiness, Self.readinessHooks());
-  Self.m_Peers.start([&Self](const StallNotice &Notice) {
-    Self.m_Selector.onSuspected(Notice.m_Head, Notice.m_Group, monotonicNow());
-    Self.m_Duty.onStalled(Notice);
-  });
+  Self.m_Metrics = std::make_unique<HttpListener>(
+      Self.m_Loop,
+      Endpoint{Self.m_Settings.m_Ip, Self.m_Settings.m_MetricsPort},
+      Self.metricsHooks());
+  Self.m_Peers.start(
+      [&Self](const StallNotice &Notice) {
+        Self.m_Selector.onSuspected(Notice.m_Head, Notice.m_Group,
+                                    monotonicNow());
+        Self.m_Duty.onStalled(Notice);
+      },
+      [&Self](const std::vector<PoisonRecord> &Records) {
+        Self.m_Context.m_Poison.merge(Records, monotonicNow());
+      });
   Self.registerNode();
   Self.m_Servers.start();
   Self.m_Configurations.start();
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -18,9 +18,10 @@
   Endpoint m_Clients;
   Endpoint m_Readiness;
   Endpoint m_Store;
-  /// UDP port for peers and TCP port for metrics, the same on all nodes.
+  /// UDP port for peers, the same on all nodes.
   std::uint16_t m_PeerPort = 0;
-  std::uint16_t m_MetricsPort = 0;
+  /// TCP port for metrics, as deploy/system.toml names it.
+  std::uint16_t m_MetricsPort = 9464;
   /// Time from SIGTERM until the process is killed.
   Duration m_GracePeriod = std::chrono::seconds(8);
   /// A group whose member is gone breaks by itself after this time.
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -10,9 +10,29 @@
 namespace {
 
 constexpr std::size_t MaxDatagramBytes = 8192;
+/// Records in one datagram; each takes about 150 bytes.
+constexpr std::size_t MaxBlameRecords = 40;
 /// Number of peers that one period serves.
 constexpr std::size_t PeersPerPeriod = 10;
 
+std::vector<PoisonRecord> decodeBlame(const Json &List) {
+  std::vector<PoisonRecord> Records;
+  if (!List.is_array())
+    return Records;
+  for (const Json &Entry : List) {
+    PoisonRecord Record;
+    Record.m_Hash = memberOr(Entry, "hash", ContentHash{0});
+    Record.m_Generation = memberOr(Entry, "generation", std::uint64_t{0});
+    Record.m_BlamedServers =
+        memberOr(Entry, "servers", std::set<std::string>());
+    Record.m_Refused = memberOr(Entry, "refused", false);
+    Record.m_Age =
+        std::chrono::milliseconds(memberOr(Entry, "age_ms", std::int64_t{0}));
+    Records.push_back(std::move(Record));
+  }
+  return Records;
+}
+
 } // namespace
 
 struct PeerExchange::Impl {
@@ -97,6 +117,8 @@
     if (Message.contains("load"))
       m_Selector.setPeerLoad(
           Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("blame"))
+      m_OnBlame(decodeBlame(Message["blame"]));
     if (Message.contains("stalled"))
       m_OnNotice({memberOr(Message, "stalled", std::string()),
                   {memberOr(Message, "group", std::string()),
@@ -111,6 +133,7 @@
   Endpoint m_Own;
   PeerExchangeSettings m_Settings;
   NoticeHandler m_OnNotice;
+  BlameHandler m_OnBlame;
   std::map<std::string, Peer> m_Peers;
   asio::ip::udp::endpoint m_Sender;
   std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
@@ -128,8 +151,9 @@
 
 PeerExchange::~PeerExchange() = default;
 
-void PeerExchange::start(NoticeHandler OnNotice) {
+void PeerExchange::start(NoticeHandler OnNotice, BlameHandler OnBlame) {
   m_Impl->m_OnNotice = std::move(OnNotice);
+  m_Impl->m_OnBlame = std::move(OnBlame);
   const asio::ip::udp::endpoint Own(asio::ip::make_address(m_Impl->m_Own.m_Ip),
                                     m_Impl->m_Own.m_Port);
   m_Impl->m_Socket.open(asio::ip::udp::v4());
@@ -164,6 +188,22 @@
                          {"epoch", Notice.m_Group.m_Epoch}});
 }
 
+void PeerExchange::announce(const std::vector<PoisonRecord> &Records) {
+  Json List = Json::array();
+  for (const PoisonRecord &Each : Records) {
+    if (List.size() == MaxBlameRecords)
+      break;
+    const auto AgeMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Each.m_Age);
+    List.push_back(Json{{"hash", Each.m_Hash},
+                        {"generation", Each.m_Generation},
+                        {"servers", Each.m_BlamedServers},
+                        {"refused", Each.m_Refused},
+                        {"age_ms", AgeMs.count()}});
+  }
+  m_Impl->broadcast(Json{{"node", m_Impl->m_Node}, {"blame", List}});
+}
+
 std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
   std::vector<std::string> Names{m_Impl->m_Node};
   for (const auto &[Name, Entry] : m_Impl->m_Peers)
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/event_log.h"
 #include "servers/dispatch/server_selector.h"
+#include "servers/retry/poison_detector.h"
 
 #include "asio/io_context.hpp"
 
@@ -37,6 +38,8 @@
 public:
   /// Called when a peer reports a stalled group.
   using NoticeHandler = std::function<void(const StallNotice &)>;
+  /// Called with what a peer knows of requests that crash servers.
+  using BlameHandler = std::function<void(const std::vector<PoisonRecord> &)>;
 
   PeerExchange(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector,
                std::string Node, const Endpoint &Own,
@@ -45,10 +48,11 @@
   PeerExchange(const PeerExchange &) = delete;
   PeerExchange &operator=(const PeerExchange &) = delete;
 
-  void start(NoticeHandler OnNotice);
+  void start(NoticeHandler OnNotice, BlameHandler OnBlame);
   /// Addresses of the other nodes by name.
   void setPeers(std::map<std::string, Endpoint> Peers);
   void announce(const StallNotice &Notice);
+  void announce(const std::vector<PoisonRecord> &Records);
   /// Names of the nodes that were heard from lately, this one included.
   std::vector<std::string> liveNodes(MonotonicTime Now) const;
 
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -1,8 +1,11 @@
 #include "proxy/request_relay.h"
 #include "core/text.h"
 #include "proxy/backend_call.h"
+#include "proxy/request_figures.h"
 #include "servers/retry/event_cutter.h"
 
+#include "xxhash.h"
+
 #include <algorithm>
 
 namespace fulmarwinch {
@@ -129,6 +132,12 @@
       return;
     }
     setDeadline();
+    m_Hash = contentHash();
+    if (m_Context.m_Poison.verdict(m_Hash, monotonicNow()) !=
+        PoisonVerdict::Run) {
+      refuse(Unavailable, "crashes_servers");
+      return;
+    }
     if (m_Service->hasGroups())
       m_Model = header(m_Context.m_Dialect.m_Model);
     std::optional<std::uint64_t> LastId;
@@ -158,6 +167,18 @@
     return false;
   }
 
+  /// The same request sent again has the same hash, at any node.
+  ContentHash contentHash() const {
+    return XXH64(m_Request.m_Body.data(), m_Request.m_Body.size(),
+                 XXH64(m_Request.m_Head.m_Target.data(),
+                       m_Request.m_Head.m_Target.size(),
+                       XXH64(m_Organisation.data(), m_Organisation.size(), 0)));
+  }
+
+  std::string serverLife() const {
+    return CrashWatch::life(m_Server.m_Id, m_Server.m_StartedAtMs);
+  }
+
   void setDeadline() {
     Duration Left = m_Route->m_Timeout;
     std::int64_t GivenMs = 0;
@@ -215,6 +236,7 @@
     m_Body.clear();
     m_Cutter = EventCutter();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    m_Context.m_Poison.onDispatch(m_Hash, serverLife());
     if (m_Service->hasGroups())
       m_Context.m_TrafficSeen = true;
     m_Context.m_Log.write(
@@ -345,6 +367,11 @@
       return;
     }
     ++m_Arrivals;
+    if (How == CallEnd::Reset || How == CallEnd::Truncated) {
+      m_Context.m_Crashes.onConnectionLost(
+          m_Hash, m_Server.m_Id, m_Server.m_StartedAtMs, monotonicNow());
+      m_LeftToCrashWatch = true;
+    }
     if (How != CallEnd::Complete || m_IsForeign) {
       attemptFailed(
           m_IsForeign ? "foreign_response" : nameOf(CallEndNames, How), true);
@@ -378,6 +405,7 @@
       return;
     }
     m_Context.m_Selector.onAnswered(m_Server.m_Id);
+    m_Context.m_Poison.onCompleted(m_Hash, serverLife(), monotonicNow());
     passWhole(m_Head, m_Body);
   }
 
@@ -400,6 +428,7 @@
 
   void finishStream() {
     m_Context.m_Selector.onAnswered(m_Server.m_Id);
+    m_Context.m_Poison.onCompleted(m_Hash, serverLife(), monotonicNow());
     releaseServer();
     if (!m_ResponseStarted) {
       m_ResponseStarted = true;
@@ -509,6 +538,9 @@
     if (!holdsServer())
       return;
     m_Context.m_Selector.onEnded(m_Server.m_Id);
+    if (!m_LeftToCrashWatch)
+      m_Context.m_Poison.onEnded(m_Hash, serverLife());
+    m_LeftToCrashWatch = false;
     m_Call = nullptr;
   }
 
@@ -536,6 +568,16 @@
                           : std::int64_t{-1}},
          {"gap_ms", inMs(m_LongestGap)},
          {"total_ms", inMs(Now - m_Request.m_ReceivedAt)}});
+    RequestEnd Summary;
+    Summary.m_Kind =
+        m_Route ? nameOf(RequestKindNames, m_Route->m_Kind) : "none";
+    Summary.m_Outcome = Cause;
+    Summary.m_Status = Status;
+    Summary.m_Total = Now - m_Request.m_ReceivedAt;
+    if (m_FirstEventAt)
+      Summary.m_FirstEvent = *m_FirstEventAt - m_Request.m_ReceivedAt;
+    Summary.m_LongestPause = m_LongestGap;
+    countRequest(m_Context.m_Figures, Summary);
     if (m_Counted)
       --m_Context.m_RunningByModel[m_Model];
     m_Context.m_Active.erase(m_Owner.lock());
@@ -626,6 +668,8 @@
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
   bool m_Counted = false;
+  bool m_LeftToCrashWatch = false;
+  ContentHash m_Hash = 0;
 };
 
 RequestRelay::RequestRelay(RelayContext &Context,
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -7,6 +7,8 @@
 #include "proxy/request_dialect.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
+#include "servers/retry/crash_watch.h"
+#include "servers/retry/poison_detector.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/routes/route_table.h"
 
@@ -43,6 +45,9 @@
   std::map<std::string, RetryBudget> m_Budgets;
   RetryBudgetSettings m_BudgetSettings;
   std::minstd_rand m_Random{std::random_device()()};
+  /// Requests that crashed this many servers are not sent on.
+  PoisonDetector m_Poison{{3, std::chrono::minutes(1), 4096}};
+  CrashWatch m_Crashes{m_Poison};
   /// Running requests by model.
   std::map<std::string, unsigned> m_RunningByModel;
   bool m_TrafficSeen = false;
--- /dev/null
+++ b/tests/platform/test_decoders.cpp
@@ -0,0 +1,173 @@
+#include "platform/decoders.h"
+#include "platform/settings_reader.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+namespace fulmarwinch {
+
+/// What the adapter makes of the platform's texts, also of damaged ones.
+class PlatformDecodersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformDecodersTest);
+  CPPUNIT_TEST(serverEntry);
+  CPPUNIT_TEST(foreignServerEntriesAreRefused);
+  CPPUNIT_TEST(configuration);
+  CPPUNIT_TEST(damagedConfigurationIsRefused);
+  CPPUNIT_TEST(orders);
+  CPPUNIT_TEST(settings);
+  CPPUNIT_TEST(settingsWithoutAnAddressAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  static StoredObject object(const char *Name, const char *Content) {
+    return {Name, 7, Json::parse(Content)};
+  }
+
+  static StoredObject serverObject() {
+    return object("i-1", R"({"service":"llm","address":"10.0.0.1:80",
+      "zone":"a","version":"v1","slots":26,"state":"ready","born":1700000000123,
+      "cold_remaining_ms":1500,"domain":"d0","staged":["m0"],"seq_no":4,
+      "models":[{"name":"m0","version":1,"adapters":[]}],
+      "group":{"name":"m0.3.9","epoch":300009,"rank":2,"state":"open"}})");
+  }
+
+  void serverEntry() {
+    const auto Server = platform::decodeServer(serverObject());
+    CPPUNIT_ASSERT(Server.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), Server->m_Id);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1700000000123}, Server->m_StartedAtMs);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{80}, Server->m_Endpoint.m_Port);
+    CPPUNIT_ASSERT(Server->m_ColdFor == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT(!Server->m_Draining);
+    CPPUNIT_ASSERT_EQUAL(2U, Server->m_Membership->m_Rank);
+    CPPUNIT_ASSERT(Server->m_Membership->m_State == MemberState::Open);
+    CPPUNIT_ASSERT_EQUAL(std::string("m0"), Server->m_StagedModels.front());
+  }
+
+  /// Guards against requests to an address that another writer stored, and
+  /// against a crash on fields of another type.
+  void foreignServerEntriesAreRefused() {
+    for (const char *Field : {"service", "address", "zone", "state"}) {
+      StoredObject Lacking = serverObject();
+      Lacking.m_Content.erase(Field);
+      CPPUNIT_ASSERT(!platform::decodeServer(Lacking).ok());
+      for (const Json &Value :
+           {Json(nullptr), Json(7), Json::array(), Json("?"), Json(true)}) {
+        if (Value.is_string() && std::string(Field) != "state" &&
+            std::string(Field) != "address")
+          continue;
+        StoredObject Damaged = serverObject();
+        Damaged.m_Content[Field] = Value;
+        CPPUNIT_ASSERT(!platform::decodeServer(Damaged).ok());
+      }
+    }
+    for (const char *Text : {"null", "[]", "7", "\"x\"", "{}"})
+      CPPUNIT_ASSERT(!platform::decodeServer(object("i-2", Text)).ok());
+    for (const char *Field :
+         {"born", "slots", "group", "models", "staged", "domain"}) {
+      StoredObject Odd = serverObject();
+      Odd.m_Content[Field] = Json{{"x", Json::array({1, "y"})}};
+      platform::decodeServer(Odd).IgnoreError();
+    }
+  }
+
+  static StoredObject configurationObject() {
+    return object("main", R"({"version":7,"routes":[
+      {"name":"r1","host":"h.example","path_prefix":"/a/","kind":"streaming",
+       "timeout_ms":8000,"slo_ms":300,"priority":1,"max_attempts":2,
+       "traffic_split":[{"service":"llm","weight":90},
+                        {"service":"two","weight":10}],
+       "public":false,"sticky_sessions":true,"resumable":true,
+       "gap_aim_ms":300},
+      {"name":"r2","host":"h.example","path_prefix":"/b/",
+       "kind":"non_idempotent","service":"two","timeout_ms":800}],
+      "services":[{"name":"llm","health_path":"/health","max_conns":474,
+        "cold_start_s":3.0,"cold_per_s":36.0,"engine":{"slots":26,
+        "step_ms":5.95,"read_per_s":50700.0,"stride":7,"loads_per_s":4.5,
+        "loads_at_once":6,"models":[{"name":"m0","size":4,"share":0.57,
+        "pace":1.0,"load_s":16.0,"warm_s":1.6}]}},{"name":"two"}],
+      "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+        "header_timeout_ms":3000,"idle_timeout_ms":15000},
+      "tenants":[{"name":"t","api_keys":["k"],"priority":1}]})");
+  }
+
+  void configuration() {
+    const auto Content = platform::decodeConfiguration(configurationObject());
+    CPPUNIT_ASSERT(Content.ok());
+    const Route &Stream = Content->m_Routes[0];
+    CPPUNIT_ASSERT(Stream.m_Kind == RequestKind::Streaming);
+    CPPUNIT_ASSERT(Stream.mayRepeat());
+    CPPUNIT_ASSERT(Stream.m_PauseObjective == std::chrono::milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Stream.m_Services.size());
+    CPPUNIT_ASSERT(!Content->m_Routes[1].mayRepeat());
+    CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                         Content->m_Routes[1].m_Services[0].m_Service);
+    const ServiceSpec &Models = Content->m_Services[0];
+    CPPUNIT_ASSERT(Models.hasGroups());
+    CPPUNIT_ASSERT_EQUAL(4U, Models.m_Engine.m_Models[0].m_GroupSize);
+    CPPUNIT_ASSERT(!Content->m_Services[1].hasGroups());
+    CPPUNIT_ASSERT(Content->m_Limits.m_IdleTimeout == std::chrono::seconds(15));
+  }
+
+  /// Guards against a configuration without routes after an unreadable one.
+  void damagedConfigurationIsRefused() {
+    StoredObject Damaged = configurationObject();
+    Damaged.m_Content["routes"][0]["kind"] = "sideways";
+    CPPUNIT_ASSERT(!platform::decodeConfiguration(Damaged).ok());
+    for (const char *Text : {"null", "[]", "{}", "{\"version\":\"x\"}"})
+      CPPUNIT_ASSERT(!platform::decodeConfiguration(object("main", Text)).ok());
+  }
+
+  void orders() {
+    MemberOrder Order;
+    Order.m_Kind = OrderKind::Join;
+    Order.m_Group = {"m0.1.2", 100002};
+    Order.m_Model = "m0";
+    Order.m_Members = {"i-1", "i-2"};
+    const Json Join = Json::parse(platform::encodeOrder(Order));
+    CPPUNIT_ASSERT_EQUAL(std::string("join"), Join["op"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(100002, Join["epoch"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Join["members"].size());
+    Order.m_Kind = OrderKind::Close;
+    Order.m_CloseMode = CloseMode::PreemptWork;
+    const Json Close = Json::parse(platform::encodeOrder(Order));
+    CPPUNIT_ASSERT_EQUAL(std::string("preempt"),
+                         Close["close_mode"].get<std::string>());
+    Order.m_Kind = OrderKind::Stage;
+    const Json Stage = Json::parse(platform::encodeOrder(Order));
+    CPPUNIT_ASSERT(!Stage.contains("group"));
+  }
+
+  static constexpr const char *Settings =
+      "node=n1\nzone=a\nip=10.1.0.40\nlisten.front=10.1.0.40:8227\n"
+      "listen.ready_address=10.1.0.40:8220\nport_range=7340,7355\n"
+      "platform.address=10.200.1.7:8223\nbounds.grace_s=8\n"
+      "bounds.stall_ms=5000\nbounds.budget_slack=136\nunknown=x\n";
+
+  void settings() {
+    const auto Read = platform::parseSettings(Settings);
+    CPPUNIT_ASSERT(Read.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("n1"), Read->m_Node);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{7340}, Read->m_PeerPort);
+    CPPUNIT_ASSERT(Read->m_StallTime == std::chrono::seconds(5));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(136.0, Read->m_RetrySlack, 0.001);
+  }
+
+  void settingsWithoutAnAddressAreRefused() {
+    const std::string Text = Settings;
+    for (const char *Name : {"node=", "ip=", "listen.front=", "port_range=",
+                             "platform.address="}) {
+      std::string Lacking = Text;
+      Lacking.replace(Lacking.find(std::string("\n") + Name) ==
+                              std::string::npos
+                          ? 0
+                          : Lacking.find(std::string("\n") + Name) + 1,
+                      std::string(Name).size(), "other=");
+      CPPUNIT_ASSERT(!platform::parseSettings(Lacking).ok());
+    }
+    CPPUNIT_ASSERT(!platform::parseSettings("").ok());
+    CPPUNIT_ASSERT(!platform::parseSettings(Text + "bounds.stall_ms=x\n").ok());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDecodersTest);
+
+} // namespace fulmarwinch
--- /dev/null
+++ b/tests/proxy/relay_world.cpp
@@ -0,0 +1,224 @@
+#include "tests/proxy/relay_world.h"
+#include "tests/support/free_port.h"
+
+#include <array>
+#include <fcntl.h>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+
+struct ScriptedServer::Session : std::enable_shared_from_this<Session> {
+  Session(asio::ip::tcp::socket Socket, ScriptedServer &Owner)
+      : m_Socket(std::move(Socket)), m_Owner(Owner) {}
+
+  void read() {
+    m_Socket.async_read_some(
+        asio::buffer(m_Buffer),
+        [this, Self = shared_from_this()](const asio::error_code &Error,
+                                          std::size_t Size) {
+          if (Error) {
+            m_Owner.m_Abandoned += m_Answered ? 1 : 0;
+            return;
+          }
+          m_Text.append(m_Buffer.data(), Size);
+          if (!m_Answered && isWhole())
+            answer();
+          read();
+        });
+  }
+
+  bool isWhole() const {
+    const std::size_t End = m_Text.find("\r\n\r\n");
+    if (End == std::string::npos)
+      return false;
+    const std::size_t Field = m_Text.find("Content-Length: ");
+    const std::size_t Length =
+        Field == std::string::npos ? 0 : std::stoul(m_Text.substr(Field + 16));
+    return m_Text.size() >= End + 4 + Length;
+  }
+
+  void answer() {
+    m_Answered = true;
+    m_Owner.m_Requests.push_back(m_Text);
+    if (m_Owner.m_Answers.empty())
+      return;
+    m_Answer = m_Owner.m_Answers.front();
+    m_Owner.m_Answers.pop_front();
+    asio::async_write(m_Socket, asio::buffer(m_Answer.m_Bytes),
+                      [this, Self = shared_from_this()](
+                          const asio::error_code &, std::size_t) { finish(); });
+  }
+
+  void finish() {
+    if (m_Answer.m_Then == Answer::Then::Hold)
+      return;
+    if (m_Answer.m_Then == Answer::Then::Reset)
+      m_Socket.set_option(asio::socket_base::linger(true, 0));
+    m_Answered = false;
+    m_Socket.close();
+  }
+
+  asio::ip::tcp::socket m_Socket;
+  ScriptedServer &m_Owner;
+  std::array<char, 4096> m_Buffer{};
+  std::string m_Text;
+  Answer m_Answer;
+  bool m_Answered = false;
+};
+
+ScriptedServer::ScriptedServer(asio::io_context &Loop, std::uint16_t Port)
+    : m_Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), Port}) {
+  accept();
+}
+
+void ScriptedServer::accept() {
+  m_Acceptor.async_accept(
+      [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
+        if (Error)
+          return;
+        std::make_shared<Session>(std::move(Socket), *this)->read();
+        accept();
+      });
+}
+
+namespace {
+
+RequestDialect dialect() {
+  RequestDialect Names;
+  Names.m_RequestId = "X-Id";
+  Names.m_TimeLeftMs = "X-Left";
+  Names.m_Key = "X-Key";
+  Names.m_Organisation = "X-Org";
+  Names.m_Model = "X-Model";
+  Names.m_TokenCounts = "X-Tokens";
+  Names.m_ExpectedServer = "X-Server";
+  Names.m_LastEventId = "Last-Event-Id";
+  Names.m_NotRun = "X-Not-Run";
+  Names.m_ServerAtFault = "X-At";
+  Names.m_ResponseDigest = "X-Digest";
+  Names.m_Urgency = "X-Urgency";
+  return Names;
+}
+
+} // namespace
+
+RelayWorld::RelayWorld()
+    : m_Log(open("/dev/null", O_WRONLY)),
+      m_Context(m_Loop, m_Log, m_Figures, dialect(), m_Fleet, m_Selector,
+                m_Stalls) {
+  m_Context.m_BudgetSettings = {0.2, 0.0, 20.0, 20.0};
+  ConnectionHooks Hooks;
+  Hooks.m_Limits = [] { return ClientLimits(); };
+  Hooks.m_IsDraining = [] { return false; };
+  Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
+                             ClientRequest Request) {
+    std::make_shared<RequestRelay>(m_Context, std::move(Client),
+                                   std::move(Request))
+        ->start();
+  };
+  m_Port = freePort();
+  m_Listener = std::make_unique<HttpListener>(
+      m_Loop, Endpoint{"127.0.0.1", m_Port}, Hooks);
+  const std::array<std::unique_ptr<ScriptedServer> *, 2> Servers{&m_First,
+                                                                 &m_Second};
+  for (std::size_t I = 0; I < Servers.size(); ++I) {
+    BackendServer Server;
+    Server.m_Id = "s" + std::to_string(I + 1);
+    Server.m_Service = "plain";
+    Server.m_Zone = "a";
+    Server.m_Slots = 8;
+    Server.m_Endpoint = {"127.0.0.1", freePort()};
+    Server.m_Revision = ++m_Revision;
+    *Servers[I] =
+        std::make_unique<ScriptedServer>(m_Loop, Server.m_Endpoint.m_Port);
+    m_SecondPort = Server.m_Endpoint.m_Port;
+    m_Fleet.update(Server, monotonicNow());
+  }
+}
+
+void RelayWorld::configure(RequestKind Kind, unsigned MaxAttempts,
+                           bool Resumable) {
+  TrafficConfiguration Content;
+  Content.m_Version = 1;
+  Route On;
+  On.m_Name = "r";
+  On.m_Host = "h";
+  On.m_PathPrefix = "/";
+  On.m_Kind = Kind;
+  On.m_Services = {{"plain", 1}};
+  On.m_Timeout = milliseconds(700);
+  On.m_LatencyObjective = milliseconds(200);
+  On.m_MaxAttempts = MaxAttempts;
+  On.m_Resumable = Resumable;
+  Content.m_Routes = {On};
+  ServiceSpec Plain;
+  Plain.m_Name = "plain";
+  Content.m_Services = {Plain};
+  Content.m_Organisations = {{"org", {"key"}, 0}};
+  m_Context.m_Table = std::make_shared<RouteTable>(std::move(Content));
+}
+
+std::string RelayWorld::head(const std::string &ExtraHeaders,
+                             const std::string &Body) const {
+  return "POST /a%2Fb?q=1 HTTP/1.1\r\nHost: h\r\nX-Id: 77\r\nX-Left: 2000\r\n"
+         "X-Key: key\r\nX-Org: forged\r\nConnection: close\r\n" +
+         ExtraHeaders + "Content-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+void RelayWorld::tickUntil(MonotonicTime Until,
+                           const std::function<bool()> &Done) {
+  while (monotonicNow() < Until && !Done()) {
+    m_Loop.restart();
+    m_Loop.run_for(milliseconds(5));
+    const std::vector<std::shared_ptr<RequestRelay>> Active(
+        m_Context.m_Active.begin(), m_Context.m_Active.end());
+    for (const auto &Each : Active)
+      Each->tick(monotonicNow());
+  }
+}
+
+std::string RelayWorld::request(const std::string &ExtraHeaders,
+                                const std::string &Body) {
+  asio::ip::tcp::socket Client(m_Loop);
+  Client.connect({asio::ip::make_address("127.0.0.1"), m_Port});
+  const std::string Text = head(ExtraHeaders, Body);
+  asio::write(Client, asio::buffer(Text));
+  std::string Received;
+  std::array<char, 4096> Buffer{};
+  bool Ended = false;
+  std::function<void()> Read = [&] {
+    Client.async_read_some(
+        asio::buffer(Buffer),
+        [&](const asio::error_code &Error, std::size_t Size) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          Received.append(Buffer.data(), Size);
+          Ended = static_cast<bool>(Error);
+          if (!Error)
+            Read();
+        });
+  };
+  Read();
+  tickUntil(monotonicNow() + std::chrono::seconds(10), [&] { return Ended; });
+  Client.close();
+  runFor(milliseconds(20));
+  return Received;
+}
+
+void RelayWorld::requestAndLeave(Duration Stay) {
+  asio::ip::tcp::socket Client(m_Loop);
+  Client.connect({asio::ip::make_address("127.0.0.1"), m_Port});
+  const std::string Text = head("", "");
+  asio::write(Client, asio::buffer(Text));
+  runFor(Stay);
+  Client.close();
+  runFor(milliseconds(100));
+}
+
+void RelayWorld::runFor(Duration Length) {
+  tickUntil(monotonicNow() + Length, [] { return false; });
+}
+
+} // namespace fulmarwinch
