Weigh models by the group time of their traffic, and forget formations that ended

Change: a formation that was seen and is gone is forgotten; the group that lacks fewest loads is completed first; models are weighed by prompt and output tokens instead of running requests.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -24,7 +24,7 @@
   /// node serves a few dozen requests a second with up to four lines each.
   std::size_t m_MaxLinesPerSecond = 200;
   /// Bytes that wait for a reader that is behind.
-  std::size_t m_MaxBufferedBytes = 256U * 1024U;
+  std::size_t m_MaxBufferedBytes = std::size_t{256} * 1024;
 };
 
 /// Writes structured log lines, one JSON object each, to a file descriptor.
--- a/proxy/backend_call.cpp
+++ b/proxy/backend_call.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /// Head of a response; larger ones are not the servers' own.
-constexpr std::size_t MaxResponseHeadBytes = 64U * 1024U;
-constexpr std::size_t ReadBufferBytes = 16U * 1024U;
+constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
+constexpr std::size_t ReadBufferBytes = std::size_t{16} * 1024;
 
 } // namespace
 
--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 8U * 1024U;
+constexpr std::size_t ReadBufferBytes = std::size_t{8} * 1024;
 /// Bytes of following requests that are kept while one is in progress.
-constexpr std::size_t MaxPipelinedBytes = 64U * 1024U;
+constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
 /// A client that reads this far behind is cut off, to bound the memory.
-constexpr std::size_t MaxOutgoingBytes = 1024U * 1024U;
+constexpr std::size_t MaxOutgoingBytes = std::size_t{1024} * 1024;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -105,9 +105,7 @@
     Input.m_TrafficSeen = m_Context.m_TrafficSeen;
     for (const auto &[Server, Revision] : m_Unreachable)
       Input.m_Unreachable.insert(Server);
-    for (const auto &[Model, Running] : m_Context.m_RunningByModel)
-      if (!Model.empty())
-        Input.m_Demand[Model] = Running;
+    Input.m_Demand = m_Context.m_Demand.demand(Now);
     for (MemberOrder &Order : Planner.plan(Input)) {
       if (Order.m_HeadLost && m_Recorded.count(Order.m_Server) == 0)
         m_Awaiting.push_back(std::move(Order));
--- a/proxy/request_dialect.h
+++ b/proxy/request_dialect.h
@@ -19,6 +19,8 @@
   std::string m_Model;
   /// Prompt tokens and the bound on output tokens, separated by a comma.
   std::string m_TokenCounts;
+  /// The client's estimate of the output tokens.
+  std::string m_LengthHint;
   /// ID of the backend server that a request is meant for.
   std::string m_ExpectedServer;
   std::string m_LastEventId;
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -25,7 +25,7 @@
 /// objective, so that the caller can still be served in time elsewhere.
 constexpr int RefusalShare = 8;
 /// A response that is not a stream is passed on whole.
-constexpr std::size_t MaxWholeResponseBytes = 16U * 1024U * 1024U;
+constexpr std::size_t MaxWholeResponseBytes = std::size_t{16} * 1024 * 1024;
 /// Admission order of a stream that goes on elsewhere: its client has waited
 /// once already.
 constexpr const char *ResumedUrgency = "1";
@@ -138,15 +138,15 @@
       refuse(Unavailable, "crashes_servers");
       return;
     }
-    if (m_Service->hasGroups())
+    if (m_Service->hasGroups()) {
       m_Model = header(m_Context.m_Dialect.m_Model);
+      m_Context.m_Demand.onRequest(*m_Service, m_Model, size(), monotonicNow());
+    }
     std::optional<std::uint64_t> LastId;
     std::uint64_t Given = 0;
     if (parseNumber(header(m_Context.m_Dialect.m_LastEventId), Given))
       LastId = Given;
     m_Sequence = EventSequence(LastId);
-    ++m_Context.m_RunningByModel[m_Model];
-    m_Counted = true;
     m_WaitSince = monotonicNow();
     m_Client->setOnGone([this, Weak = std::weak_ptr<RequestRelay>(Owner)] {
       if (const auto Self = Weak.lock())
@@ -179,6 +179,19 @@
     return CrashWatch::life(m_Server.m_Id, m_Server.m_StartedAtMs);
   }
 
+  RequestSize size() const {
+    RequestSize Result;
+    const std::string Counts = header(m_Context.m_Dialect.m_TokenCounts);
+    const std::size_t Comma = Counts.find(',');
+    parseNumber(Counts.substr(0, Comma), Result.m_PromptTokens);
+    // The client's estimate is nearer to the truth than its bound.
+    if (!parseNumber(header(m_Context.m_Dialect.m_LengthHint),
+                     Result.m_OutputTokens) &&
+        Comma != std::string::npos)
+      parseNumber(Counts.substr(Comma + 1), Result.m_OutputTokens);
+    return Result;
+  }
+
   void setDeadline() {
     Duration Left = m_Route->m_Timeout;
     std::int64_t GivenMs = 0;
@@ -578,8 +591,6 @@
       Summary.m_FirstEvent = *m_FirstEventAt - m_Request.m_ReceivedAt;
     Summary.m_LongestPause = m_LongestGap;
     countRequest(m_Context.m_Figures, Summary);
-    if (m_Counted)
-      --m_Context.m_RunningByModel[m_Model];
     m_Context.m_Active.erase(m_Owner.lock());
   }
 
@@ -667,7 +678,6 @@
   bool m_IsForeign = false;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
-  bool m_Counted = false;
   bool m_LeftToCrashWatch = false;
   ContentHash m_Hash = 0;
 };
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -7,6 +7,7 @@
 #include "proxy/request_dialect.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
+#include "servers/replicas/demand_estimator.h"
 #include "servers/retry/crash_watch.h"
 #include "servers/retry/poison_detector.h"
 #include "servers/retry/retry_budget.h"
@@ -48,8 +49,7 @@
   /// Requests that crashed this many servers are not sent on.
   PoisonDetector m_Poison{{3, std::chrono::minutes(1), 4096}};
   CrashWatch m_Crashes{m_Poison};
-  /// Running requests by model.
-  std::map<std::string, unsigned> m_RunningByModel;
+  DemandEstimator m_Demand;
   bool m_TrafficSeen = false;
   /// Called when a group led by a server seems to stand still.
   std::function<void(const ChosenServer &)> m_OnStalled;
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -2,6 +2,7 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 namespace fulmarwinch {
@@ -11,6 +12,11 @@
 /// Formations of one holder before its epochs would reach the next holder's.
 constexpr std::uint64_t EpochsPerHolder = 100000;
 
+/// Part of the operator's expectation in the weight of a model once there is
+/// traffic, and the least share that a model is taken to have.
+constexpr double ExpectedShareWeight = 0.25;
+constexpr double MinExpectedShare = 0.02;
+
 bool contains(const std::vector<std::string> &Names, const std::string &Name) {
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
@@ -78,11 +84,15 @@
   for (auto Entry = m_FirstSeen.begin(); Entry != m_FirstSeen.end();)
     Entry = m_Groups.count(Entry->first) == 0 ? m_FirstSeen.erase(Entry)
                                               : std::next(Entry);
-  for (auto Entry = m_Formations.begin(); Entry != m_Formations.end();)
-    Entry = m_Groups.count(Entry->first) == 0 &&
-                    Entry->second.m_GiveUpAt <= Input.m_Now
-                ? m_Formations.erase(Entry)
-                : std::next(Entry);
+  for (auto Entry = m_Formations.begin(); Entry != m_Formations.end();) {
+    Formation &Formed = Entry->second;
+    const bool IsThere = m_Groups.count(Entry->first) != 0;
+    Formed.m_WasSeen = Formed.m_WasSeen || IsThere;
+    // A group that was seen and is gone again loads nothing any more.
+    const bool Ended =
+        !IsThere && (Formed.m_WasSeen || Formed.m_GiveUpAt <= Input.m_Now);
+    Entry = Ended ? m_Formations.erase(Entry) : std::next(Entry);
+  }
   for (auto Entry = m_Pending.begin(); Entry != m_Pending.end();)
     Entry = Entry->second.m_RepeatAt <= Input.m_Now ? m_Pending.erase(Entry)
                                                     : std::next(Entry);
@@ -268,18 +278,18 @@
   double TotalDemand = 0.0;
   for (const auto &[Model, Amount] : Input.m_Demand)
     TotalDemand += Amount;
-  const std::size_t Count = Input.m_Service->m_Engine.m_Models.size();
   std::vector<std::pair<double, const ModelSpec *>> Rated;
   for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models) {
-    // Half of the weight is even, so that a model that is in little use keeps
-    // groups in more than one domain.
-    double Weight = 1.0 / static_cast<double>(Count);
+    // The operator's figure counts for a quarter, so that a model that is in
+    // little use for a moment keeps its groups.
+    double Weight = std::max(MinExpectedShare, Model.m_ExpectedShare);
     const auto Amount = Input.m_Demand.find(Model.m_Name);
     if (TotalDemand > 0.0)
-      Weight = (Weight + (Amount == Input.m_Demand.end()
-                              ? 0.0
-                              : Amount->second / TotalDemand)) /
-               2.0;
+      Weight =
+          ExpectedShareWeight * Weight +
+          (1.0 - ExpectedShareWeight) * (Amount == Input.m_Demand.end()
+                                             ? 0.0
+                                             : Amount->second / TotalDemand);
     Rated.push_back({Supply[Model.m_Name] / Weight, &Model});
   }
   std::stable_sort(Rated.begin(), Rated.end(),
@@ -410,44 +420,78 @@
   if (!Input.m_TrafficSeen &&
       Input.m_Now < m_StartedAt + m_Settings.m_SettleTime)
     return;
-  for (const auto &[Domain, Servers] : freeByDomain(Input))
-    stageDomain(Input, Servers);
+  const std::vector<const ModelSpec *> Models = modelsByNeed(Input);
+  const auto Free = freeByDomain(Input);
+  std::vector<std::pair<Completion, const std::vector<const BackendServer *> *>>
+      Domains;
+  for (const auto &[Domain, Servers] : Free)
+    Domains.push_back({completionOf(Models, Servers), &Servers});
+  // The weight store is the bottleneck, so the groups that lack fewest loads
+  // are completed first, one after the other.
+  std::stable_sort(
+      Domains.begin(), Domains.end(), [](const auto &Left, const auto &Right) {
+        const auto Loads = [](const Completion &Of) {
+          return Of.m_Model ? Of.m_ToStage.size()
+                            : std::numeric_limits<std::size_t>::max();
+        };
+        return Loads(Left.first) < Loads(Right.first);
+      });
+  for (const auto &[Lacking, Servers] : Domains) {
+    if (!Lacking.m_Model) {
+      stageRest(Input, Models, *Servers);
+      continue;
+    }
+    // Before the first request they join without being staged.
+    if (!Input.m_TrafficSeen)
+      continue;
+    for (const BackendServer *Server : Lacking.m_ToStage)
+      stage(Input, *Server, *Lacking.m_Model);
+  }
 }
 
-void ReplicaPlanner::stageDomain(
-    const ReplicaPlannerInput &Input,
-    const std::vector<const BackendServer *> &Free) {
-  const std::vector<const ModelSpec *> Models = modelsByNeed(Input);
-  const auto Weights = [&](const BackendServer &Server,
-                           const ModelSpec &Model) {
-    const auto Staging = m_Staging.find(Server.m_Id);
-    return Staging != m_Staging.end() ? Staging->second.first == Model.m_Name
-                                      : hasWeights(Server, Model.m_Name);
-  };
-  const auto CountOf = [&](const ModelSpec &Model) {
-    return std::count_if(
-        Free.begin(), Free.end(),
-        [&](const BackendServer *Server) { return Weights(*Server, Model); });
-  };
-  // Enough servers for a group, but not with the same weights.
+bool ReplicaPlanner::hasOrStages(const BackendServer &Server,
+                                 const ModelSpec &Model) const {
+  const auto Staging = m_Staging.find(Server.m_Id);
+  return Staging != m_Staging.end() ? Staging->second.first == Model.m_Name
+                                    : hasWeights(Server, Model.m_Name);
+}
+
+ReplicaPlanner::Completion ReplicaPlanner::completionOf(
+    const std::vector<const ModelSpec *> &Models,
+    const std::vector<const BackendServer *> &Free) const {
   for (const ModelSpec *Model : Models) {
     if (Free.size() < Model->m_GroupSize)
       continue;
-    // Before the first request they join without being staged.
-    if (!Input.m_TrafficSeen)
-      return;
-    std::size_t Missing =
-        Model->m_GroupSize -
-        std::min<std::size_t>(Model->m_GroupSize,
-                              static_cast<std::size_t>(CountOf(*Model)));
+    Completion Result;
+    Result.m_Model = Model;
+    std::size_t Missing = Model->m_GroupSize;
     for (const BackendServer *Server : Free)
-      if (Missing > 0 && !Weights(*Server, *Model) &&
-          m_Staging.count(Server->m_Id) == 0) {
-        stage(Input, *Server, *Model);
-        --Missing;
-      }
-    return;
+      Missing -= Missing > 0 && hasOrStages(*Server, *Model) ? 1 : 0;
+    // Servers without weights first: nothing is lost with them.
+    std::vector<const BackendServer *> Others = Free;
+    std::stable_sort(Others.begin(), Others.end(),
+                     [](const BackendServer *Left, const BackendServer *Right) {
+                       return Left->m_StagedModels.empty() >
+                              Right->m_StagedModels.empty();
+                     });
+    for (const BackendServer *Server : Others)
+      if (Result.m_ToStage.size() < Missing && !hasOrStages(*Server, *Model) &&
+          m_Staging.count(Server->m_Id) == 0)
+        Result.m_ToStage.push_back(Server);
+    return Result;
   }
+  return {};
+}
+
+void ReplicaPlanner::stageRest(const ReplicaPlannerInput &Input,
+                               const std::vector<const ModelSpec *> &Models,
+                               const std::vector<const BackendServer *> &Free) {
+  const auto CountOf = [&](const ModelSpec &Model) {
+    return std::count_if(Free.begin(), Free.end(),
+                         [&](const BackendServer *Server) {
+                           return hasOrStages(*Server, Model);
+                         });
+  };
   // Spares hold different models, so that one of them fits a broken group.
   for (const BackendServer *Server : Free) {
     if (!Server->m_StagedModels.empty() || m_Staging.count(Server->m_Id) != 0)
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -44,7 +44,7 @@
   bool m_TrafficSeen = false;
   /// Servers that do not answer though their entry is still there.
   std::set<std::string> m_Unreachable;
-  /// Running and waiting requests by model, in any common unit.
+  /// Groups that the traffic keeps busy, by model, in any common unit.
   std::map<std::string, double> m_Demand;
 };
 
@@ -74,6 +74,8 @@
     std::string m_Model;
     std::vector<std::string> m_Members;
     MonotonicTime m_GiveUpAt{};
+    /// A member has reported the group.
+    bool m_WasSeen = false;
   };
   struct Pending {
     OrderKind m_Kind = OrderKind::Join;
@@ -111,8 +113,18 @@
                          const std::vector<const BackendServer *> &Free) const;
   void form(const ReplicaPlannerInput &Input, const Candidate &Chosen);
   void stageSpares(const ReplicaPlannerInput &Input);
-  void stageDomain(const ReplicaPlannerInput &Input,
-                   const std::vector<const BackendServer *> &Free);
+  /// Loads that a group in this domain lacks.
+  struct Completion {
+    const ModelSpec *m_Model = nullptr;
+    std::vector<const BackendServer *> m_ToStage;
+  };
+
+  bool hasOrStages(const BackendServer &Server, const ModelSpec &Model) const;
+  Completion completionOf(const std::vector<const ModelSpec *> &Models,
+                          const std::vector<const BackendServer *> &Free) const;
+  void stageRest(const ReplicaPlannerInput &Input,
+                 const std::vector<const ModelSpec *> &Models,
+                 const std::vector<const BackendServer *> &Free);
   void stage(const ReplicaPlannerInput &Input, const BackendServer &Server,
              const ModelSpec &Model);
   std::size_t loadsInProgress(const ReplicaPlannerInput &Input) const;
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(refusedJoinEndsTheFormation);
   CPPUNIT_TEST(laterHolderHasHigherEpochsAndOtherNames);
   CPPUNIT_TEST(loadsStayWithinTheWeightStore);
+  CPPUNIT_TEST(groupsThatEndedDoNotOccupyTheWeightStore);
+  CPPUNIT_TEST(groupThatLacksFewestLoadsIsCompletedFirst);
   CPPUNIT_TEST(drainingMemberLetsWorkFinish);
   CPPUNIT_TEST_SUITE_END();
 
@@ -263,6 +265,42 @@
     CPPUNIT_ASSERT(Loads > 0 && Loads <= 6);
   }
 
+  /// Pattern: groups that were loaded before the first request break one after
+  /// the other. Guards against counting their loads for as long as a load may
+  /// take, which kept empty servers unstaged for half a minute.
+  void groupsThatEndedDoNotOccupyTheWeightStore() {
+    addServers(1, 7);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    m_TrafficSeen = true;
+    for (int I = 1; I <= 7; ++I)
+      remove(id(I));
+    addServers(8, 8);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         count(plan(Planner), OrderKind::Stage));
+  }
+
+  /// Pattern: the weight store is the bottleneck after a series of losses.
+  /// Guards against loads that are spread so that no group becomes whole.
+  void groupThatLacksFewestLoadsIsCompletedFirst() {
+    m_Service.m_Engine.m_ConcurrentLoads = 2;
+    m_TrafficSeen = true;
+    addServers(1, 3);
+    for (int I = 11; I <= 13; ++I) {
+      BackendServer Server = *m_Fleet.find(id(1));
+      Server.m_Id = id(I);
+      Server.m_Domain = "d2";
+      if (I != 13)
+        Server.m_StagedModels = {"small"};
+      put(Server);
+    }
+    ReplicaPlanner Planner = newPlanner();
+    const std::vector<MemberOrder> Orders = plan(Planner);
+    CPPUNIT_ASSERT(!Orders.empty());
+    CPPUNIT_ASSERT_EQUAL(id(13), Orders.front().m_Server);
+  }
+
   /// Guards against a planned stop of a member that cuts streams.
   void drainingMemberLetsWorkFinish() {
     addServers(1, 3);
