Let a repeat wait for a place until its latency objective

Change: a request that has reached a server waits up to its objective for another one. The test failed before (1 arrival instead of 2).

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -237,6 +237,9 @@
   Duration longestWait() const {
     if (m_Sequence.delivered() > 0)
       return LongestPause;
+    // A server has spent work on it, and its client may not send it again.
+    if (m_Arrivals > 0)
+      return m_Route->m_LatencyObjective;
     return m_Route->m_LatencyObjective / RefusalShare;
   }
 
--- a/tests/proxy/relay_world.cpp
+++ b/tests/proxy/relay_world.cpp
@@ -41,6 +41,7 @@
   void answer() {
     m_Answered = true;
     m_Owner.m_Requests.push_back(m_Text);
+    m_Owner.m_OnRequest();
     if (m_Owner.m_Answers.empty())
       return;
     m_Answer = m_Owner.m_Answers.front();
--- a/tests/proxy/relay_world.h
+++ b/tests/proxy/relay_world.h
@@ -27,6 +27,7 @@
   ScriptedServer(asio::io_context &Loop, std::uint16_t Port);
 
   void push(Answer Next) { m_Answers.push_back(std::move(Next)); }
+  void onRequest(std::function<void()> Hook) { m_OnRequest = std::move(Hook); }
   /// Requests as they arrived, head and body.
   const std::vector<std::string> &requests() const { return m_Requests; }
   /// Connections that the peer closed while an answer was held.
@@ -38,6 +39,7 @@
 
   asio::ip::tcp::acceptor m_Acceptor;
   std::deque<Answer> m_Answers;
+  std::function<void()> m_OnRequest = [] {};
   std::vector<std::string> m_Requests;
   int m_Abandoned = 0;
 };
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(streamThatCannotGoOnDoesNotLookComplete);
   CPPUNIT_TEST(timeoutIsAnsweredAtOnce);
   CPPUNIT_TEST(clientThatLeavesEndsTheServersWork);
+  CPPUNIT_TEST(repeatWaitsForAPlace);
   CPPUNIT_TEST(retriesStopWithTheBudget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -222,6 +223,21 @@
     CPPUNIT_ASSERT(World.m_Context.m_Active.empty());
   }
 
+  /// Guards against giving up a request at once because the other servers are
+  /// full at the moment at which its own server fails.
+  void repeatWaitsForAPlace() {
+    RelayWorld World;
+    World.configure(RequestKind::Idempotent, 2, false);
+    both(World, {"", Then::Reset});
+    both(World, {whole("second"), Then::Close});
+    // The other server counts as full for a while when the first one fails.
+    ServerSelector &Selector = World.m_Selector;
+    World.m_First->onRequest([&] { Selector.onFull("s2", monotonicNow()); });
+    World.m_Second->onRequest([&] { Selector.onFull("s1", monotonicNow()); });
+    World.request();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, arrivals(World));
+  }
+
   /// Guards against repeats that multiply the load of failing servers.
   void retriesStopWithTheBudget() {
     RelayWorld World;
