Split request_relay and replica_planner; test the crash watch, demand, fleet view and event log

Header rules move to proxy/http_fields, staging to replica_staging.cpp; a server tells itself whether a model is staged. Behaviour is unchanged. The new tests guard against refusals after mere resets, entries that arrive late, and a log whose reader has stopped.

--- /dev/null
+++ b/proxy/http_fields.cpp
@@ -0,0 +1,62 @@
+#include "proxy/http_fields.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// Fields that concern one connection only, RFC 9110, section 7.6.1.
+bool isHopByHop(std::string_view Name) {
+  static constexpr std::array<std::string_view, 9> Names{
+      "connection", "keep-alive",        "proxy-connection",
+      "te",         "transfer-encoding", "trailer",
+      "upgrade",    "content-length",    "expect"};
+  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
+    return equalsIgnoreCase(Each, Name);
+  });
+}
+
+} // namespace
+
+HttpHeaders endToEnd(const HttpHeaders &Headers) {
+  std::vector<std::string> Listed;
+  for (const HttpHeader &Field : Headers)
+    if (equalsIgnoreCase(Field.m_Name, "Connection"))
+      for (std::string_view Name : split(Field.m_Value, ','))
+        Listed.emplace_back(absl::StripAsciiWhitespace(asAbsl(Name)));
+  HttpHeaders Result;
+  for (const HttpHeader &Field : Headers) {
+    const bool IsListed =
+        std::any_of(Listed.begin(), Listed.end(), [&](const std::string &Name) {
+          return equalsIgnoreCase(Name, Field.m_Name);
+        });
+    if (!IsListed && !isHopByHop(Field.m_Name))
+      Result.push_back(Field);
+  }
+  return Result;
+}
+
+std::string_view reasonPhrase(int Status) {
+  switch (Status) {
+  case 400:
+    return "Bad Request";
+  case 401:
+    return "Unauthorized";
+  case 404:
+    return "Not Found";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Error";
+  }
+}
+
+} // namespace fulmarwinch
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "proxy/request_relay.h"
 #include "core/text.h"
 #include "proxy/backend_call.h"
+#include "proxy/http_fields.h"
 #include "proxy/request_figures.h"
 #include "servers/retry/event_cutter.h"
 
@@ -40,59 +41,10 @@
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
 
-std::string_view reasonPhrase(int Status) {
-  switch (Status) {
-  case 400:
-    return "Bad Request";
-  case Unauthorized:
-    return "Unauthorized";
-  case NotFound:
-    return "Not Found";
-  case BadGateway:
-    return "Bad Gateway";
-  case Unavailable:
-    return "Service Unavailable";
-  case GatewayTimeout:
-    return "Gateway Timeout";
-  default:
-    return "Error";
-  }
-}
-
 std::int64_t inMs(Duration Length) {
   return std::chrono::duration_cast<milliseconds>(Length).count();
 }
 
-/// Fields that concern one connection only, RFC 9110, section 7.6.1.
-bool isHopByHop(std::string_view Name) {
-  static constexpr std::array<std::string_view, 9> Names{
-      "connection", "keep-alive",        "proxy-connection",
-      "te",         "transfer-encoding", "trailer",
-      "upgrade",    "content-length",    "expect"};
-  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
-    return equalsIgnoreCase(Each, Name);
-  });
-}
-
-/// Returns the end-to-end fields of \p Headers.
-HttpHeaders endToEnd(const HttpHeaders &Headers) {
-  std::vector<std::string> Listed;
-  for (const HttpHeader &Field : Headers)
-    if (equalsIgnoreCase(Field.m_Name, "Connection"))
-      for (std::string_view Name : split(Field.m_Value, ','))
-        Listed.emplace_back(absl::StripAsciiWhitespace(asAbsl(Name)));
-  HttpHeaders Result;
-  for (const HttpHeader &Field : Headers) {
-    const bool IsListed =
-        std::any_of(Listed.begin(), Listed.end(), [&](const std::string &Name) {
-          return equalsIgnoreCase(Name, Field.m_Name);
-        });
-    if (!IsListed && !isHopByHop(Field.m_Name))
-      Result.push_back(Field);
-  }
-  return Result;
-}
-
 } // namespace
 
 struct RequestRelay::Impl {
--- a/servers/fleet/backend_server.cpp
+++ b/servers/fleet/backend_server.cpp
@@ -1,6 +1,8 @@
 #include "servers/fleet/backend_server.h"
 #include "core/text.h"
 
+#include <algorithm>
+
 namespace fulmarwinch {
 
 std::optional<Endpoint> parseEndpoint(const std::string &Text) {
@@ -14,4 +16,9 @@
   return Endpoint{Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
 }
 
+bool BackendServer::hasStaged(const std::string &Model) const {
+  return std::find(m_StagedModels.begin(), m_StagedModels.end(), Model) !=
+         m_StagedModels.end();
+}
+
 } // namespace fulmarwinch
--- a/servers/fleet/backend_server.h
+++ b/servers/fleet/backend_server.h
@@ -79,6 +79,9 @@
   std::optional<GroupMembership> m_Membership;
   /// Store revision of the entry that this was decoded from.
   std::uint64_t m_Revision = 0;
+
+  /// The server can join a group of \p Model without the weight store.
+  bool hasStaged(const std::string &Model) const;
 };
 
 } // namespace fulmarwinch
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -2,7 +2,6 @@
 #include "core/text.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 
 namespace fulmarwinch {
@@ -17,15 +16,6 @@
 constexpr double ExpectedShareWeight = 0.25;
 constexpr double MinExpectedShare = 0.02;
 
-bool contains(const std::vector<std::string> &Names, const std::string &Name) {
-  return std::find(Names.begin(), Names.end(), Name) != Names.end();
-}
-
-/// The server can join a group of \p Model without the weight store.
-bool hasWeights(const BackendServer &Server, const std::string &Model) {
-  return contains(Server.m_StagedModels, Model);
-}
-
 const ModelSpec *findModel(const ServiceSpec &Service,
                            const std::string &Name) {
   for (const ModelSpec &Model : Service.m_Engine.m_Models)
@@ -78,7 +68,7 @@
   for (auto Entry = m_Staging.begin(); Entry != m_Staging.end();) {
     const BackendServer *Server = Input.m_Fleet->find(Entry->first);
     const bool Done = !Server || Entry->second.second <= Input.m_Now ||
-                      contains(Server->m_StagedModels, Entry->second.first);
+                      Server->hasStaged(Entry->second.first);
     Entry = Done ? m_Staging.erase(Entry) : std::next(Entry);
   }
   for (auto Entry = m_FirstSeen.begin(); Entry != m_FirstSeen.end();)
@@ -312,12 +302,12 @@
   Result.m_Members = Free;
   std::stable_sort(Result.m_Members.begin(), Result.m_Members.end(),
                    [&](const BackendServer *Left, const BackendServer *Right) {
-                     return hasWeights(*Left, Model.m_Name) >
-                            hasWeights(*Right, Model.m_Name);
+                     return Left->hasStaged(Model.m_Name) >
+                            Right->hasStaged(Model.m_Name);
                    });
   Result.m_Members.resize(Model.m_GroupSize);
   for (const BackendServer *Member : Result.m_Members)
-    Result.m_Loads += hasWeights(*Member, Model.m_Name) ? 0 : 1;
+    Result.m_Loads += Member->hasStaged(Model.m_Name) ? 0 : 1;
   return Result;
 }
 
@@ -327,7 +317,7 @@
   for (const auto &[Id, Server] : Input.m_Fleet->servers())
     if (Server.m_Membership &&
         Server.m_Membership->m_State == MemberState::Joining &&
-        !hasWeights(Server, modelOfGroup(Server.m_Membership->m_Group.m_Name)))
+        !Server.hasStaged(modelOfGroup(Server.m_Membership->m_Group.m_Name)))
       ++Count;
   for (const auto &[Key, Formed] : m_Formations)
     if (m_Groups.count(Key) == 0)
@@ -416,106 +406,4 @@
                                Now + m_Settings.m_JoinAnswerWait};
 }
 
-void ReplicaPlanner::stageSpares(const ReplicaPlannerInput &Input) {
-  if (!Input.m_TrafficSeen &&
-      Input.m_Now < m_StartedAt + m_Settings.m_SettleTime)
-    return;
-  const std::vector<const ModelSpec *> Models = modelsByNeed(Input);
-  const auto Free = freeByDomain(Input);
-  std::vector<std::pair<Completion, const std::vector<const BackendServer *> *>>
-      Domains;
-  for (const auto &[Domain, Servers] : Free)
-    Domains.push_back({completionOf(Models, Servers), &Servers});
-  // The weight store is the bottleneck, so the groups that lack fewest loads
-  // are completed first, one after the other.
-  std::stable_sort(
-      Domains.begin(), Domains.end(), [](const auto &Left, const auto &Right) {
-        const auto Loads = [](const Completion &Of) {
-          return Of.m_Model ? Of.m_ToStage.size()
-                            : std::numeric_limits<std::size_t>::max();
-        };
-        return Loads(Left.first) < Loads(Right.first);
-      });
-  for (const auto &[Lacking, Servers] : Domains) {
-    if (!Lacking.m_Model) {
-      stageRest(Input, Models, *Servers);
-      continue;
-    }
-    // Before the first request they join without being staged.
-    if (!Input.m_TrafficSeen)
-      continue;
-    for (const BackendServer *Server : Lacking.m_ToStage)
-      stage(Input, *Server, *Lacking.m_Model);
-  }
-}
-
-bool ReplicaPlanner::hasOrStages(const BackendServer &Server,
-                                 const ModelSpec &Model) const {
-  const auto Staging = m_Staging.find(Server.m_Id);
-  return Staging != m_Staging.end() ? Staging->second.first == Model.m_Name
-                                    : hasWeights(Server, Model.m_Name);
-}
-
-ReplicaPlanner::Completion ReplicaPlanner::completionOf(
-    const std::vector<const ModelSpec *> &Models,
-    const std::vector<const BackendServer *> &Free) const {
-  for (const ModelSpec *Model : Models) {
-    if (Free.size() < Model->m_GroupSize)
-      continue;
-    Completion Result;
-    Result.m_Model = Model;
-    std::size_t Missing = Model->m_GroupSize;
-    for (const BackendServer *Server : Free)
-      Missing -= Missing > 0 && hasOrStages(*Server, *Model) ? 1 : 0;
-    // Servers without weights first: nothing is lost with them.
-    std::vector<const BackendServer *> Others = Free;
-    std::stable_sort(Others.begin(), Others.end(),
-                     [](const BackendServer *Left, const BackendServer *Right) {
-                       return Left->m_StagedModels.empty() >
-                              Right->m_StagedModels.empty();
-                     });
-    for (const BackendServer *Server : Others)
-      if (Result.m_ToStage.size() < Missing && !hasOrStages(*Server, *Model) &&
-          m_Staging.count(Server->m_Id) == 0)
-        Result.m_ToStage.push_back(Server);
-    return Result;
-  }
-  return {};
-}
-
-void ReplicaPlanner::stageRest(const ReplicaPlannerInput &Input,
-                               const std::vector<const ModelSpec *> &Models,
-                               const std::vector<const BackendServer *> &Free) {
-  const auto CountOf = [&](const ModelSpec &Model) {
-    return std::count_if(Free.begin(), Free.end(),
-                         [&](const BackendServer *Server) {
-                           return hasOrStages(*Server, Model);
-                         });
-  };
-  // Spares hold different models, so that one of them fits a broken group.
-  for (const BackendServer *Server : Free) {
-    if (!Server->m_StagedModels.empty() || m_Staging.count(Server->m_Id) != 0)
-      continue;
-    const ModelSpec *Rarest = nullptr;
-    for (const ModelSpec *Model : Models)
-      if (!Rarest || CountOf(*Model) < CountOf(*Rarest))
-        Rarest = Model;
-    if (Rarest)
-      stage(Input, *Server, *Rarest);
-  }
-}
-
-void ReplicaPlanner::stage(const ReplicaPlannerInput &Input,
-                           const BackendServer &Server,
-                           const ModelSpec &Model) {
-  if (!mayLoad(Input))
-    return;
-  MemberOrder Stage;
-  Stage.m_Kind = OrderKind::Stage;
-  Stage.m_Server = Server.m_Id;
-  Stage.m_Model = Model.m_Name;
-  m_Staging[Server.m_Id] = {Model.m_Name, Input.m_Now + Model.m_LoadTime * 2};
-  order(Input, std::move(Stage));
-}
-
 } // namespace fulmarwinch
--- /dev/null
+++ b/tests/servers/fleet/test_fleet_view.cpp
@@ -0,0 +1,78 @@
+#include "servers/fleet/fleet_view.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+namespace fulmarwinch {
+
+using std::chrono::seconds;
+
+/// The view of the servers under late, repeated and lost entries.
+class FleetViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetViewTest);
+  CPPUNIT_TEST(olderEntriesAreIgnored);
+  CPPUNIT_TEST(listNamesWhatChanged);
+  CPPUNIT_TEST(coldTimeRunsOn);
+  CPPUNIT_TEST(endpoints);
+  CPPUNIT_TEST_SUITE_END();
+
+  MonotonicTime m_Now{seconds(1000)};
+
+  static BackendServer server(const std::string &Id, std::uint64_t Revision,
+                              bool Draining = false) {
+    BackendServer Result;
+    Result.m_Id = Id;
+    Result.m_Revision = Revision;
+    Result.m_Draining = Draining;
+    return Result;
+  }
+
+  /// Guards against a leaving server that an older entry makes ready again.
+  void olderEntriesAreIgnored() {
+    FleetView Fleet;
+    CPPUNIT_ASSERT(Fleet.update(server("a", 5, true), m_Now));
+    CPPUNIT_ASSERT(!Fleet.update(server("a", 4), m_Now));
+    CPPUNIT_ASSERT(Fleet.find("a")->m_Draining);
+    CPPUNIT_ASSERT(!Fleet.remove("a", 3));
+    CPPUNIT_ASSERT(Fleet.remove("a", 6));
+    CPPUNIT_ASSERT(!Fleet.find("a"));
+  }
+
+  /// Guards against a server that went while the history was lost.
+  void listNamesWhatChanged() {
+    FleetView Fleet;
+    Fleet.update(server("same", 1), m_Now);
+    Fleet.update(server("gone", 2), m_Now);
+    Fleet.update(server("leaves", 3), m_Now);
+    const auto Changed = Fleet.replaceAll(
+        {server("same", 1), server("leaves", 9, true), server("new", 8)},
+        m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Changed.size());
+    CPPUNIT_ASSERT(!Fleet.find("gone"));
+    CPPUNIT_ASSERT(Fleet.find("new"));
+    CPPUNIT_ASSERT(!Fleet.takesWork(*Fleet.find("leaves")));
+  }
+
+  /// Guards against cold time that starts anew with each list.
+  void coldTimeRunsOn() {
+    FleetView Fleet;
+    BackendServer Cold = server("a", 1);
+    Cold.m_ColdFor = seconds(3);
+    Fleet.update(Cold, m_Now);
+    m_Now += seconds(2);
+    Fleet.replaceAll({Cold}, m_Now);
+    CPPUNIT_ASSERT(Fleet.coldFor("a", m_Now) == seconds(1));
+    m_Now += seconds(2);
+    CPPUNIT_ASSERT(Fleet.coldFor("a", m_Now) == Duration::zero());
+  }
+
+  void endpoints() {
+    CPPUNIT_ASSERT(parseEndpoint("10.0.0.1:80")->m_Port == 80);
+    for (const char *Text :
+         {"", ":80", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:x"})
+      CPPUNIT_ASSERT(!parseEndpoint(Text));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetViewTest);
+
+} // namespace fulmarwinch
