--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -83,8 +83,6 @@
     };
   }
 
-  // --- beliefs -----------------------------------------------------------
-
   KindWatcher::Handlers serverHandlers() {
     KindWatcher::Handlers Result;
     Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
@@ -274,8 +272,6 @@
         });
   }
 
-  // --- service -----------------------------------------------------------
-
   bool isReady() const {
     return !m_Draining && m_Context.m_Table && m_Servers.isKnown();
   }
@@ -394,8 +390,6 @@
     });
   }
 
-  // --- shutdown ----------------------------------------------------------
-
   void drain() {
     if (m_Draining)
       return;
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -55,8 +55,6 @@
       : m_Context(Context), m_Client(std::move(Client)),
         m_Request(std::move(Request)) {}
 
-  // --- admission ---------------------------------------------------------
-
   std::string header(const std::string &Name) const {
     return findHeader(m_Request.m_Head.m_Headers, Name).value_or("");
   }
@@ -153,8 +151,6 @@
     m_Deadline = m_Request.m_ReceivedAt + Left;
   }
 
-  // --- dispatch ----------------------------------------------------------
-
   RetryBudget &budget() {
     return m_Context.m_Budgets
         .try_emplace(m_Service->m_Name, m_Context.m_BudgetSettings)
@@ -270,8 +266,6 @@
   /// The next attempt goes on after events that the client already has.
   bool resumes() const { return m_Sequence.delivered() > 0; }
 
-  // --- response ----------------------------------------------------------
-
   void onHead(HttpHead Head) {
     m_Head = std::move(Head);
 
@@ -418,8 +412,6 @@
                       Body);
   }
 
-  // --- failures ----------------------------------------------------------
-
   bool mayRepeat() const { return m_Route->mayRepeat(); }
 
   /// The attempt ended without a response that can be passed on.
@@ -436,7 +428,6 @@
   }
 
   void retryOrEnd(std::string_view Cause, bool MayHaveRun) {
-    m_Cause = std::string(Cause);
     if (MayHaveRun) {
       ++m_Runs;
       m_MayHaveRun = true;
@@ -549,8 +540,6 @@
     m_Context.m_Active.erase(m_Owner.lock());
   }
 
-  // --- time --------------------------------------------------------------
-
   void tick(MonotonicTime Now) {
     if (m_Phase == Phase::Ended)
       return;
@@ -622,7 +611,6 @@
   EventSequence m_Sequence{std::nullopt};
   std::optional<HttpHead> m_LastFailure;
   std::string m_LastFailureBody;
-  std::string m_Cause;
   std::optional<MonotonicTime> m_FirstEventAt;
   std::optional<MonotonicTime> m_LastEventAt;
   Duration m_LongestGap{0};
