--- a/proxy/backend_call.cpp
+++ b/proxy/backend_call.cpp
@@ -71,13 +71,10 @@
 
   void write(const std::shared_ptr<BackendCall> &Owner) {
     m_Sent = true;
-    asio::async_write(
-        m_Socket, asio::buffer(m_Request),
-        [this, Owner](const asio::error_code &Error, std::size_t) {
-          // A server may answer and close before it has read
-          // the whole body, so the read decides.
-          m_WriteFailed = static_cast<bool>(Error);
-        });
+    // A server may answer and close before it has read the whole body, so a
+    // failed write decides nothing; the read does.
+    asio::async_write(m_Socket, asio::buffer(m_Request),
+                      [Owner](const asio::error_code &, std::size_t) {});
   }
 
   void read(const std::shared_ptr<BackendCall> &Owner) {
@@ -138,7 +135,6 @@
   std::array<char, ReadBufferBytes> m_Buffer{};
   bool m_Connected = false;
   bool m_Sent = false;
-  bool m_WriteFailed = false;
   bool m_Ended = false;
 };
 
--- a/proxy/backend_call.h
+++ b/proxy/backend_call.h
@@ -13,7 +13,7 @@
 
 namespace asio {
 class io_context;
-}
+} // namespace asio
 
 namespace fulmarwinch {
 
