Serve repeated logic from one place: model lookup, groups, blame codec, relay queries

Cause: reading the change again found the same search for a model in four files, a second codec of blame records beside node/poison_exchange, the group table rebuilt at each dispatch and each tick of a waiting request, a query built twice, and flags that follow from other state. Change: EngineSpec::findModel and paceOf; servers/retry/poison_codec for both programs; FleetView puts groups together once per change and cannot be copied; RequestRelay derives mayHaveRun from its runs.

--- a/node/poison_exchange.h
+++ b/node/poison_exchange.h
@@ -1,19 +1,15 @@
 #ifndef FULMARWINCH_NODE_POISON_EXCHANGE_H
 #define FULMARWINCH_NODE_POISON_EXCHANGE_H
 
-#include "core/json.h"
 #include "node/data_path.h"
 #include "node/peer_service.h"
+#include "servers/retry/poison_codec.h"
 
 #include <map>
 #include <vector>
 
 namespace fulmarwinch {
 
-Json toJson(const std::vector<PoisonRecord> &Records);
-/// Rows that are not well formed are left out.
-std::vector<PoisonRecord> parsePoisonRecords(const Json &Message);
-
 /// Returns the records of \p Found that are new since the last call with the
 /// same \p Told, the newest first and at most \p Limit, and notes them there.
 std::vector<PoisonRecord>
--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -212,7 +212,7 @@
 void GroupDuty::onStalled(const StallNotice &Notice) {
   if (!m_WasHeld)
     return;
-  const auto Groups = m_Context.m_Fleet.groups();
+  const auto &Groups = m_Context.m_Fleet.groups();
   const auto Group = Groups.find(Notice.m_Group);
   if (Group == Groups.end())
     return;
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -1,5 +1,5 @@
 #include "proxy/peer_exchange.h"
-#include "core/json.h"
+#include "servers/retry/poison_codec.h"
 
 #include "asio.hpp"
 
@@ -15,24 +15,6 @@
 /// Number of peers that one period serves.
 constexpr std::size_t PeersPerPeriod = 10;
 
-std::vector<PoisonRecord> decodeBlame(const Json &List) {
-  std::vector<PoisonRecord> Records;
-  if (!List.is_array())
-    return Records;
-  for (const Json &Entry : List) {
-    PoisonRecord Record;
-    Record.m_Hash = memberOr(Entry, "hash", ContentHash{0});
-    Record.m_Generation = memberOr(Entry, "generation", std::uint64_t{0});
-    Record.m_BlamedServers =
-        memberOr(Entry, "servers", std::set<std::string>());
-    Record.m_Refused = memberOr(Entry, "refused", false);
-    Record.m_Age =
-        std::chrono::milliseconds(memberOr(Entry, "age_ms", std::int64_t{0}));
-    Records.push_back(std::move(Record));
-  }
-  return Records;
-}
-
 } // namespace
 
 struct PeerExchange::Impl {
@@ -118,7 +100,7 @@
       m_Selector.setPeerLoad(
           Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
     if (Message.contains("blame"))
-      m_OnBlame(decodeBlame(Message["blame"]));
+      m_OnBlame(parsePoisonRecords(Message["blame"]));
     if (Message.contains("stalled"))
       m_OnNotice({memberOr(Message, "stalled", std::string()),
                   {memberOr(Message, "group", std::string()),
@@ -188,20 +170,10 @@
                          {"epoch", Notice.m_Group.m_Epoch}});
 }
 
-void PeerExchange::announce(const std::vector<PoisonRecord> &Records) {
-  Json List = Json::array();
-  for (const PoisonRecord &Each : Records) {
-    if (List.size() == MaxBlameRecords)
-      break;
-    const auto AgeMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(Each.m_Age);
-    List.push_back(Json{{"hash", Each.m_Hash},
-                        {"generation", Each.m_Generation},
-                        {"servers", Each.m_BlamedServers},
-                        {"refused", Each.m_Refused},
-                        {"age_ms", AgeMs.count()}});
-  }
-  m_Impl->broadcast(Json{{"node", m_Impl->m_Node}, {"blame", List}});
+void PeerExchange::announce(std::vector<PoisonRecord> Records) {
+  if (Records.size() > MaxBlameRecords)
+    Records.resize(MaxBlameRecords);
+  m_Impl->broadcast(Json{{"node", m_Impl->m_Node}, {"blame", toJson(Records)}});
 }
 
 std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -52,7 +52,7 @@
   /// Addresses of the other nodes by name.
   void setPeers(std::map<std::string, Endpoint> Peers);
   void announce(const StallNotice &Notice);
-  void announce(const std::vector<PoisonRecord> &Records);
+  void announce(std::vector<PoisonRecord> Records);
   /// Names of the nodes that were heard from lately, this one included.
   std::vector<std::string> liveNodes(MonotonicTime Now) const;
 
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -63,7 +63,7 @@
     m_Id = header(m_Context.m_Dialect.m_RequestId);
     m_Table = m_Context.m_Table;
     if (!m_Table) {
-      refuse(Unavailable, "no_configuration");
+      refuse("no_configuration");
       return;
     }
     const HttpHead &Head = m_Request.m_Head;
@@ -78,14 +78,14 @@
     m_Service =
         m_Table->findService(chooseService(*m_Route, Draw(m_Context.m_Random)));
     if (!m_Service) {
-      refuse(Unavailable, "no_service");
+      refuse("no_service");
       return;
     }
     setDeadline();
     m_Hash = contentHash();
     if (m_Context.m_Poison.verdict(m_Hash, monotonicNow()) !=
         PoisonVerdict::Run) {
-      refuse(Unavailable, "crashes_servers");
+      refuse("crashes_servers");
       return;
     }
     if (m_Service->hasGroups()) {
@@ -157,14 +157,19 @@
         .first->second;
   }
 
-  void dispatch() {
-    m_Phase = Phase::Waiting;
-    const MonotonicTime Now = monotonicNow();
+  ServerQuery query(MonotonicTime Now) const {
     ServerQuery Query;
     Query.m_Service = m_Service;
     Query.m_Model = m_Model;
     Query.m_Tried = m_Tried;
     Query.m_Now = Now;
+    return Query;
+  }
+
+  void dispatch() {
+    m_Phase = Phase::Waiting;
+    const MonotonicTime Now = monotonicNow();
+    ServerQuery Query = query(Now);
     std::uniform_real_distribution<double> Draw(0.0, 1.0);
     Query.m_Draw = Draw(m_Context.m_Random);
     const auto Chosen = m_Context.m_Selector.choose(m_Context.m_Fleet, Query);
@@ -196,7 +201,6 @@
     m_Server = Chosen;
     m_Tried.insert(Chosen.m_Id);
     m_SentAt = Now;
-
     m_Body.clear();
     m_Cutter = EventCutter();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
@@ -268,7 +272,6 @@
 
   void onHead(HttpHead Head) {
     m_Head = std::move(Head);
-
     const std::string Echo =
         findHeader(m_Head.m_Headers, m_Context.m_Dialect.m_RequestId)
             .value_or(m_Id);
@@ -301,7 +304,7 @@
     case EventSequence::Verdict::Gap:
       m_Call->cancel();
       ++m_Arrivals;
-      attemptFailed("event_gap", true);
+      attemptFailed("event_gap");
       return false;
     case EventSequence::Verdict::Deliver:
       break;
@@ -335,8 +338,8 @@
       m_LeftToCrashWatch = true;
     }
     if (How != CallEnd::Complete || m_IsForeign) {
-      attemptFailed(
-          m_IsForeign ? "foreign_response" : nameOf(CallEndNames, How), true);
+      attemptFailed(m_IsForeign ? "foreign_response"
+                                : nameOf(CallEndNames, How));
       return;
     }
     onComplete();
@@ -363,7 +366,7 @@
     }
     if (m_Sequence.delivered() > 0) {
       // A run that should go on answered with something else.
-      attemptFailed("no_stream", true);
+      attemptFailed("no_stream");
       return;
     }
     m_Context.m_Selector.onAnswered(m_Server.m_Id);
@@ -412,10 +415,11 @@
                       Body);
   }
 
+  bool mayHaveRun() const { return m_Runs > 0; }
   bool mayRepeat() const { return m_Route->mayRepeat(); }
 
-  /// The attempt ended without a response that can be passed on.
-  void attemptFailed(std::string_view Cause, bool MayHaveRun) {
+  /// The attempt may have run, and ended without a response to pass on.
+  void attemptFailed(std::string_view Cause) {
     releaseServer();
     m_Context.m_Log.write(
         "attempt_failed",
@@ -424,17 +428,14 @@
          {"cause", Cause},
          {"events", static_cast<std::int64_t>(m_Sequence.delivered())},
          {"after_ms", inMs(monotonicNow() - m_SentAt)}});
-    retryOrEnd(Cause, MayHaveRun);
+    retryOrEnd(Cause, true);
   }
 
   void retryOrEnd(std::string_view Cause, bool MayHaveRun) {
-    if (MayHaveRun) {
-      ++m_Runs;
-      m_MayHaveRun = true;
-    }
+    m_Runs += MayHaveRun ? 1 : 0;
     const bool Resumable = m_Sequence.delivered() == 0 ||
                            (m_Route->m_Resumable && m_Sequence.canResume());
-    if ((m_MayHaveRun && !mayRepeat()) || !Resumable ||
+    if ((mayHaveRun() && !mayRepeat()) || !Resumable ||
         m_Runs >= m_Route->m_MaxAttempts || monotonicNow() >= m_Deadline) {
       giveUp(Cause);
       return;
@@ -455,15 +456,15 @@
       passWhole(Head, m_LastFailureBody);
       return;
     }
-    if (!m_MayHaveRun)
-      refuse(Unavailable, Cause);
+    if (!mayHaveRun())
+      refuse(Cause);
     else
       answer(monotonicNow() >= m_Deadline ? GatewayTimeout : BadGateway, Cause);
   }
 
   /// Answers a request that no server has run or will run.
-  void refuse(int Status, std::string_view Cause) {
-    respondWith(Status, Cause,
+  void refuse(std::string_view Cause) {
+    respondWith(Unavailable, Cause,
                 {{"Retry-After", concat(DefaultRetryAfterSeconds)}});
   }
 
@@ -494,7 +495,7 @@
   }
 
   void releaseServer() {
-    if (!holdsServer())
+    if (!m_Call)
       return;
     m_Context.m_Selector.onEnded(m_Server.m_Id);
     if (!m_LeftToCrashWatch)
@@ -503,8 +504,6 @@
     m_Call = nullptr;
   }
 
-  bool holdsServer() const { return m_Call != nullptr; }
-
   void end(std::string_view Cause, int Status) {
     if (m_Phase == Phase::Ended)
       return;
@@ -520,7 +519,7 @@
          {"outcome", Cause},
          {"status", std::int64_t{Status}},
          {"arrivals", static_cast<std::int64_t>(m_Arrivals)},
-         {"may_have_run", m_MayHaveRun},
+         {"may_have_run", mayHaveRun()},
          {"events", static_cast<std::int64_t>(m_Sequence.delivered())},
          {"first_ms", m_FirstEventAt
                           ? inMs(*m_FirstEventAt - m_Request.m_ReceivedAt)
@@ -545,7 +544,7 @@
       return;
     if (Now >= m_Deadline) {
       if (m_Call && m_Call->hasSent()) {
-        m_MayHaveRun = true;
+        ++m_Runs;
         ++m_Arrivals;
       }
       cancelCall();
@@ -572,12 +571,7 @@
     if (m_Runs + 1 >= m_Route->m_MaxAttempts)
       return;
     // Moving only helps if there is another group.
-    ServerQuery Query;
-    Query.m_Service = m_Service;
-    Query.m_Model = m_Model;
-    Query.m_Tried = m_Tried;
-    Query.m_Now = Now;
-    if (!m_Context.m_Selector.choose(m_Context.m_Fleet, Query) ||
+    if (!m_Context.m_Selector.choose(m_Context.m_Fleet, query(Now)) ||
         budget().available(Now) < 1.0)
       return;
     m_Context.m_Selector.onSuspected(m_Server.m_Id, m_Server.m_Group, Now);
@@ -585,7 +579,7 @@
       m_Context.m_OnStalled(m_Server);
     m_Call->cancel();
     ++m_Arrivals;
-    attemptFailed("silent", true);
+    attemptFailed("silent");
   }
 
   RelayContext &m_Context;
@@ -617,7 +611,6 @@
   /// Attempts that reached a server, and those that may have run there.
   unsigned m_Arrivals = 0;
   unsigned m_Runs = 0;
-  bool m_MayHaveRun = false;
   bool m_IsForeign = false;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -10,13 +10,10 @@
 
 std::optional<ChosenServer> ServerSelector::choose(const FleetView &Fleet,
                                                    const ServerQuery &Query) {
-  const std::map<GroupKey, ReplicaGroup> Groups =
-      Query.m_Service->hasGroups() ? Fleet.groups()
-                                   : std::map<GroupKey, ReplicaGroup>();
   std::vector<Rating> Rated;
   m_Reason = NoServerReason::NoneAlive;
   for (const auto &[Id, Server] : Fleet.servers()) {
-    if (!fits(Fleet, Query, Server, Groups))
+    if (!fits(Fleet, Query, Server))
       continue;
     const auto Paused = m_PausedUntil.find(Id);
     const double Fill = fill(Server, *Query.m_Service);
@@ -57,10 +54,8 @@
   return Result;
 }
 
-bool ServerSelector::fits(
-    const FleetView &Fleet, const ServerQuery &Query,
-    const BackendServer &Server,
-    const std::map<GroupKey, ReplicaGroup> &Groups) const {
+bool ServerSelector::fits(const FleetView &Fleet, const ServerQuery &Query,
+                          const BackendServer &Server) const {
   if (Server.m_Service != Query.m_Service->m_Name ||
       Query.m_Tried.count(Server.m_Id) != 0 || !Fleet.takesWork(Server) ||
       isSuspected(Server, Query.m_Now))
@@ -70,15 +65,12 @@
   if (!Server.m_Membership || Server.m_Membership->m_Rank != 0 ||
       Server.m_Membership->m_State != MemberState::Open)
     return false;
-  const ReplicaGroup &Group = Groups.at(Server.m_Membership->m_Group);
+  const ReplicaGroup &Group = Fleet.groups().at(Server.m_Membership->m_Group);
   if (Group.m_Model != Query.m_Model)
     return false;
   // A head goes on accepting requests when a member has gone, and stalls.
-  std::size_t Size = 0;
-  for (const ModelSpec &Model : Query.m_Service->m_Engine.m_Models)
-    if (Model.m_Name == Group.m_Model)
-      Size = Model.m_GroupSize;
-  return Group.m_Members.size() == Size &&
+  const ModelSpec *Model = Query.m_Service->m_Engine.findModel(Group.m_Model);
+  return Model && Group.m_Members.size() == Model->m_GroupSize &&
          std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
                      [&](const std::string &Id) {
                        const BackendServer *Member = Fleet.find(Id);
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -108,8 +108,7 @@
   };
 
   bool fits(const FleetView &Fleet, const ServerQuery &Query,
-            const BackendServer &Server,
-            const std::map<GroupKey, ReplicaGroup> &Groups) const;
+            const BackendServer &Server) const;
   double fill(const BackendServer &Server, const ServiceSpec &Service) const;
   bool mayTakeCold(const FleetView &Fleet, const ServerQuery &Query,
                    const BackendServer &Server) const;
--- a/servers/dispatch/stall_detector.cpp
+++ b/servers/dispatch/stall_detector.cpp
@@ -14,14 +14,10 @@
 
 Duration StallDetector::threshold(const ServiceSpec &Service,
                                   const std::string &Model) const {
-  double Pace = 1.0;
-  for (const ModelSpec &Spec : Service.m_Engine.m_Models)
-    if (Spec.m_Name == Model)
-      Pace = Spec.m_Pace;
   const EngineSpec &Engine = Service.m_Engine;
   const double EventMs =
-      (Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots) * Pace *
-      Engine.m_StepsPerPass;
+      (Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots) *
+      Engine.paceOf(Model) * Engine.m_StepsPerPass;
   return std::max(m_Settings.m_LeastSilence,
                   std::chrono::duration_cast<Duration>(
                       std::chrono::duration<double, std::milli>(
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -6,6 +6,7 @@
 
 std::vector<std::string>
 FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now) {
+  m_GroupsAreCurrent = false;
   std::map<std::string, BackendServer> Old;
   Old.swap(m_Servers);
   std::vector<std::string> Changed;
@@ -36,6 +37,7 @@
   const auto Known = m_Servers.find(Server.m_Id);
   if (Known != m_Servers.end() && Known->second.m_Revision >= Server.m_Revision)
     return false;
+  m_GroupsAreCurrent = false;
   if (Server.m_ColdFor > Duration::zero())
     m_ColdUntil[Server.m_Id] = Now + Server.m_ColdFor;
   else
@@ -48,6 +50,7 @@
   const auto Known = m_Servers.find(Id);
   if (Known == m_Servers.end() || Known->second.m_Revision > Revision)
     return false;
+  m_GroupsAreCurrent = false;
   m_Servers.erase(Known);
   m_ColdUntil.erase(Id);
   return true;
@@ -77,13 +80,15 @@
   return Cold->second - Now;
 }
 
-std::map<GroupKey, ReplicaGroup> FleetView::groups() const {
-  std::map<GroupKey, ReplicaGroup> Groups;
+const std::map<GroupKey, ReplicaGroup> &FleetView::groups() const {
+  if (m_GroupsAreCurrent)
+    return m_Groups;
+  m_Groups.clear();
   for (const auto &[Id, Server] : m_Servers) {
     if (!Server.m_Membership)
       continue;
     const GroupMembership &Place = *Server.m_Membership;
-    ReplicaGroup &Group = Groups[Place.m_Group];
+    ReplicaGroup &Group = m_Groups[Place.m_Group];
     if (Group.m_Key.m_Name.empty()) {
       Group.m_Key = Place.m_Group;
       Group.m_Model = modelOfGroup(Place.m_Group.m_Name);
@@ -95,7 +100,8 @@
     if (Place.m_Rank == 0)
       Group.m_Head = &Server;
   }
-  return Groups;
+  m_GroupsAreCurrent = true;
+  return m_Groups;
 }
 
 std::string modelOfGroup(const std::string &GroupName) {
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -25,6 +25,10 @@
 /// access and feeds it the entries of the platform's store.
 class FleetView {
 public:
+  FleetView() = default;
+  FleetView(const FleetView &) = delete;
+  FleetView &operator=(const FleetView &) = delete;
+
   /// Replaces everything by the result of a list call. Returns the IDs whose
   /// entry is new, changed or gone.
   std::vector<std::string> replaceAll(std::vector<BackendServer> Servers,
@@ -47,13 +51,17 @@
   /// Time for which \p Server stays cold after \p Now.
   Duration coldFor(const std::string &Id, MonotonicTime Now) const;
 
-  /// Groups that at least one server reports, ordered by key.
-  std::map<GroupKey, ReplicaGroup> groups() const;
+  /// Groups that at least one server reports, ordered by key. Valid until the
+  /// next change. They are put together once per change, since every dispatch
+  /// asks for them.
+  const std::map<GroupKey, ReplicaGroup> &groups() const;
 
 private:
   std::map<std::string, BackendServer> m_Servers;
   std::map<std::string, MonotonicTime> m_ColdUntil;
   std::set<std::string> m_EvacuatedZones;
+  mutable std::map<GroupKey, ReplicaGroup> m_Groups;
+  mutable bool m_GroupsAreCurrent = false;
 };
 
 /// Returns the model that the name of a group carries. Group names have the
--- a/servers/replicas/demand_estimator.cpp
+++ b/servers/replicas/demand_estimator.cpp
@@ -11,17 +11,13 @@
 double groupSeconds(const ServiceSpec &Service, const std::string &Model,
                     const RequestSize &Size) {
   const EngineSpec &Engine = Service.m_Engine;
-  double Pace = 1.0;
-  for (const ModelSpec &Each : Engine.m_Models)
-    if (Each.m_Name == Model)
-      Pace = Each.m_Pace;
   const double StepMs =
       Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots;
   const double Ms =
       static_cast<double>(Size.m_PromptTokens) / Engine.m_PrefillTokensPerMs +
       static_cast<double>(Size.m_OutputTokens) * StepMs / Engine.m_Slots;
   constexpr double MsPerSecond = 1000.0;
-  return Ms * Pace / MsPerSecond;
+  return Ms * Engine.paceOf(Model) / MsPerSecond;
 }
 
 } // namespace
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -16,14 +16,6 @@
 constexpr double ExpectedShareWeight = 0.25;
 constexpr double MinExpectedShare = 0.02;
 
-const ModelSpec *findModel(const ServiceSpec &Service,
-                           const std::string &Name) {
-  for (const ModelSpec &Model : Service.m_Engine.m_Models)
-    if (Model.m_Name == Name)
-      return &Model;
-  return nullptr;
-}
-
 } // namespace
 
 ReplicaPlanner::ReplicaPlanner(const ReplicaPlannerSettings &Settings,
@@ -116,7 +108,7 @@
 void ReplicaPlanner::reviewGroup(const ReplicaPlannerInput &Input,
                                  const ReplicaGroup &Group) {
   m_FirstSeen.emplace(Group.m_Key, Input.m_Now);
-  const ModelSpec *Model = findModel(*Input.m_Service, Group.m_Model);
+  const ModelSpec *Model = Input.m_Service->m_Engine.findModel(Group.m_Model);
   if (!Group.m_Head) {
     // The entries of the members may arrive before that of the head.
     const bool Settled =
@@ -339,7 +331,6 @@
 
 bool ReplicaPlanner::formOne(const ReplicaPlannerInput &Input) {
   const auto Free = freeByDomain(Input);
-  std::map<std::string, std::size_t> GroupsInDomain;
   for (const ModelSpec *Model : modelsByNeed(Input)) {
     Candidate Best;
     std::size_t BestGroups = 0;
--- /dev/null
+++ b/servers/retry/poison_codec.cpp
@@ -0,0 +1,35 @@
+#include "servers/retry/poison_codec.h"
+
+namespace fulmarwinch {
+
+Json toJson(const std::vector<PoisonRecord> &Records) {
+  Json Rows = Json::array();
+  for (const PoisonRecord &Record : Records)
+    Rows.push_back({{"h", Record.m_Hash},
+                    {"g", Record.m_Generation},
+                    {"s", Record.m_BlamedServers},
+                    {"r", Record.m_Refused},
+                    {"a", Record.m_Age.count()}});
+  return {{"r", Rows}};
+}
+
+std::vector<PoisonRecord> parsePoisonRecords(const Json &Message) {
+  std::vector<PoisonRecord> Records;
+  const Json Rows = memberOr(Message, "r", Json::array());
+  if (!Rows.is_array())
+    return Records;
+  for (const Json &Row : Rows) {
+    if (!Row.is_object() || !Row.contains("h"))
+      continue;
+    PoisonRecord Record;
+    Record.m_Hash = memberOr(Row, "h", ContentHash{0});
+    Record.m_Generation = memberOr(Row, "g", std::uint64_t{0});
+    Record.m_BlamedServers = memberOr(Row, "s", std::set<std::string>());
+    Record.m_Refused = memberOr(Row, "r", false);
+    Record.m_Age = Duration(memberOr(Row, "a", std::int64_t{0}));
+    Records.push_back(std::move(Record));
+  }
+  return Records;
+}
+
+} // namespace fulmarwinch
--- a/servers/routes/traffic_configuration.h
+++ b/servers/routes/traffic_configuration.h
@@ -90,6 +90,19 @@
   /// Delay of an open order until the group serves.
   Duration m_OpenDelay{0};
   std::vector<ModelSpec> m_Models;
+
+  /// Returns the model that is called \p Name, or null.
+  const ModelSpec *findModel(const std::string &Name) const {
+    for (const ModelSpec &Model : m_Models)
+      if (Model.m_Name == Name)
+        return &Model;
+    return nullptr;
+  }
+  /// Factor on all times of a group that runs the model \p Name.
+  double paceOf(const std::string &Name) const {
+    const ModelSpec *Model = findModel(Name);
+    return Model ? Model->m_Pace : 1.0;
+  }
 };
 
 /// A pool of like backend servers.
