Give each fabric domain one model, and ask a head out of sight to leave

Domains held both models, so 14 staged servers stood in rests too small for a group, five servers were still empty after the first request, and survivors of a head that was only cut off from the store waited 6.5 s. Change: domains are laid out with one model each where there are two domains a model or more; loads run in order until 0.6 of the servers have weights and all at once after; needs are compared in servers, not groups; a head whose entry is gone is told to leave, and its members are free once it says so or restarted. Tests: domainsOfOneModelStrandNoServer, headThatStillAnswersFreesItsMembers, restartedHeadFreesItsMembers, spareOfAnAmpleModelHelpsAScarceOne, DomainLayoutTest. newPlanner of the fixture starts in the past, since a planner now expects more domains for 2.5 s; membersOfALostHeadWaitUntilItHasBroken allows the order to the head itself and nothing else.

--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -175,19 +175,20 @@
 
 void GroupDuty::send(const MemberOrder &Order) {
   const BackendServer *Server = m_Context.m_Fleet.find(Order.m_Server);
-  if (!Server)
+  if (!Server && !Order.m_LastEndpoint)
     return;
-  const std::int64_t Born = Server->m_StartedAtMs;
+  const std::int64_t Born = Server ? Server->m_StartedAtMs : 0;
+  const Endpoint Peer = Server ? Server->m_Endpoint : *Order.m_LastEndpoint;
   const HttpHeaders Headers{
       {"Content-Type", "application/json"},
       {m_Platform.m_Dialect.m_ExpectedServer, Order.m_Server}};
-  startSmallCall(
-      m_Context.m_Loop, Server->m_Endpoint,
-      formatRequest("POST", m_Platform.m_OrderPath, Server->m_Endpoint, Headers,
-                    m_Platform.m_EncodeOrder(Order)),
-      OrderTimeout, [this, Order, Born](const SmallResponse &Response) {
-        onOrderEnd(Order, Born, Response.m_End, Response.m_Status);
-      });
+  startSmallCall(m_Context.m_Loop, Peer,
+                 formatRequest("POST", m_Platform.m_OrderPath, Peer, Headers,
+                               m_Platform.m_EncodeOrder(Order)),
+                 OrderTimeout,
+                 [this, Order, Born](const SmallResponse &Response) {
+                   onOrderEnd(Order, Born, Response.m_End, Response.m_Status);
+                 });
 }
 
 void GroupDuty::onOrderEnd(const MemberOrder &Order, std::int64_t Born,
@@ -203,10 +204,12 @@
                 {"status", std::int64_t{Status}}});
   const bool Taken =
       How == CallEnd::Complete && (Status == Ok || Status == Accepted);
-  if (Taken || Order.m_Kind != OrderKind::Join)
-    return;
-  for (auto &[Service, Planner] : m_Planners)
-    Planner.onJoinFailed(Order, monotonicNow());
+  for (auto &[Service, Planner] : m_Planners) {
+    if (Taken && Order.m_Kind == OrderKind::Leave)
+      Planner.onLeft(Order);
+    if (!Taken && Order.m_Kind == OrderKind::Join)
+      Planner.onJoinFailed(Order, monotonicNow());
+  }
 }
 
 void GroupDuty::onStalled(const StallNotice &Notice) {
--- a/servers/replicas/member_order.h
+++ b/servers/replicas/member_order.h
@@ -5,6 +5,7 @@
 #include "servers/fleet/backend_server.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   /// it must not join another one yet has to be recorded first, since nothing
   /// in its entry shows it afterwards.
   bool m_HeadLost = false;
+  /// Where the server was last seen, if its entry is gone.
+  std::optional<Endpoint> m_LastEndpoint;
 };
 
 } // namespace fulmarwinch
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -1,5 +1,6 @@
 #include "servers/replicas/replica_planner.h"
 #include "core/text.h"
+#include "servers/replicas/domain_layout.h"
 
 #include <algorithm>
 #include <optional>
@@ -45,6 +46,7 @@
       m_LastGroup[Id] = Server.m_Membership->m_Group;
   for (const auto &[Key, Group] : m_Groups)
     reviewGroup(Input, Group);
+  layOut(Input);
   formGroups(Input);
   stageSpares(Input);
   return std::move(m_Orders);
@@ -63,9 +65,17 @@
                       Server->hasStaged(Entry->second.first);
     Entry = Done ? m_Staging.erase(Entry) : std::next(Entry);
   }
-  for (auto Entry = m_FirstSeen.begin(); Entry != m_FirstSeen.end();)
-    Entry = m_Groups.count(Entry->first) == 0 ? m_FirstSeen.erase(Entry)
-                                              : std::next(Entry);
+  const auto ForgetEnded = [&](auto &ByGroup) {
+    for (auto Entry = ByGroup.begin(); Entry != ByGroup.end();)
+      Entry = m_Groups.count(Entry->first) == 0 ? ByGroup.erase(Entry)
+                                                : std::next(Entry);
+  };
+  ForgetEnded(m_FirstSeen);
+  ForgetEnded(m_LastHeads);
+  ForgetEnded(m_HeadMissingSince);
+  for (auto Entry = m_ReleasedHeads.begin(); Entry != m_ReleasedHeads.end();)
+    Entry = m_Groups.count(*Entry) == 0 ? m_ReleasedHeads.erase(Entry)
+                                        : std::next(Entry);
   for (auto Entry = m_Formations.begin(); Entry != m_Formations.end();) {
     Formation &Formed = Entry->second;
     const bool IsThere = m_Groups.count(Entry->first) != 0;
@@ -110,13 +120,10 @@
   m_FirstSeen.emplace(Group.m_Key, Input.m_Now);
   const ModelSpec *Model = Input.m_Service->m_Engine.findModel(Group.m_Model);
   if (!Group.m_Head) {
-    // The entries of the members may arrive before that of the head.
-    const bool Settled =
-        Input.m_Now - m_FirstSeen[Group.m_Key] > m_Settings.m_JoinAnswerWait;
-    if (Settled)
-      disband(Input, Group, true);
+    reviewHeadless(Input, Group);
     return;
   }
+  m_LastHeads.insert_or_assign(Group.m_Key, *Group.m_Head);
   const MemberState State = Group.m_Head->m_Membership->m_State;
   // A head that answers nobody may be cut off and go on serving.
   if (Input.m_Unreachable.count(Group.m_Head->m_Id) != 0 &&
@@ -152,6 +159,43 @@
   }
 }
 
+void ReplicaPlanner::reviewHeadless(const ReplicaPlannerInput &Input,
+                                    const ReplicaGroup &Group) {
+  const auto Last = m_LastHeads.find(Group.m_Key);
+  if (Last != m_LastHeads.end()) {
+    // A head that is listed outside the group, or said that it left, does not
+    // serve for it any more.
+    const bool HasLeft = Input.m_Fleet->find(Last->second.m_Id) ||
+                         m_ReleasedHeads.count(Group.m_Key) != 0;
+    if (HasLeft) {
+      disband(Input, Group, false);
+      return;
+    }
+    MemberOrder Leave;
+    Leave.m_Kind = OrderKind::Leave;
+    Leave.m_Server = Last->second.m_Id;
+    Leave.m_Group = Group.m_Key;
+    Leave.m_LastEndpoint = Last->second.m_Endpoint;
+    order(Input, std::move(Leave));
+  }
+  // The entries of the members may arrive before that of the head, and a head
+  // that was only cut off from the store may still answer.
+  const MonotonicTime Since =
+      m_HeadMissingSince.emplace(Group.m_Key, Input.m_Now).first->second;
+  if (Input.m_Now - Since > m_Settings.m_JoinAnswerWait)
+    disband(Input, Group, true);
+}
+
+void ReplicaPlanner::onLeft(const MemberOrder &Order) {
+  const auto Head = m_LastHeads.find(Order.m_Group);
+  if (Head == m_LastHeads.end() || Head->second.m_Id != Order.m_Server)
+    return;
+  m_ReleasedHeads.insert(Order.m_Group);
+  for (const auto &[Server, Last] : m_LastGroup)
+    if (Last == Order.m_Group)
+      m_QuarantinedUntil.erase(Server);
+}
+
 void ReplicaPlanner::reviewUnopened(const ReplicaPlannerInput &Input,
                                     const ReplicaGroup &Group,
                                     const ModelSpec &Model) {
@@ -246,8 +290,37 @@
   return Free;
 }
 
-std::vector<const ModelSpec *>
-ReplicaPlanner::modelsByNeed(const ReplicaPlannerInput &Input) const {
+std::map<std::string, double>
+ReplicaPlanner::serverShares(const ReplicaPlannerInput &Input) const {
+  std::map<std::string, double> Shares;
+  const std::vector<ModelSpec> &Models = Input.m_Service->m_Engine.m_Models;
+  double DemandedServers = 0.0;
+  for (const ModelSpec &Model : Models)
+    if (const auto Groups = Input.m_Demand.find(Model.m_Name);
+        Groups != Input.m_Demand.end())
+      DemandedServers += Groups->second * Model.m_GroupSize;
+  double Total = 0.0;
+  for (const ModelSpec &Model : Models) {
+    // The operator's figure counts for a quarter, so that a model that is in
+    // little use for a moment keeps its groups.
+    double Share = std::max(MinExpectedShare, Model.m_ExpectedShare);
+    const auto Groups = Input.m_Demand.find(Model.m_Name);
+    if (DemandedServers > 0.0)
+      Share = ExpectedShareWeight * Share +
+              (1.0 - ExpectedShareWeight) *
+                  (Groups == Input.m_Demand.end()
+                       ? 0.0
+                       : Groups->second * Model.m_GroupSize / DemandedServers);
+    Shares[Model.m_Name] = Share;
+    Total += Share;
+  }
+  for (auto &[Model, Share] : Shares)
+    Share /= Total;
+  return Shares;
+}
+
+std::map<std::string, double>
+ReplicaPlanner::supplyByModel(const ReplicaPlannerInput &Input) const {
   std::map<std::string, double> Supply;
   for (const auto &[Key, Group] : m_Groups)
     if (Group.m_Head &&
@@ -257,33 +330,75 @@
   for (const auto &[Key, Formed] : m_Formations)
     if (m_Groups.count(Key) == 0)
       Supply[Formed.m_Model] += 1.0;
-  double TotalDemand = 0.0;
-  for (const auto &[Model, Amount] : Input.m_Demand)
-    TotalDemand += Amount;
-  std::vector<std::pair<double, const ModelSpec *>> Rated;
-  for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models) {
-    // The operator's figure counts for a quarter, so that a model that is in
-    // little use for a moment keeps its groups.
-    double Weight = std::max(MinExpectedShare, Model.m_ExpectedShare);
-    const auto Amount = Input.m_Demand.find(Model.m_Name);
-    if (TotalDemand > 0.0)
-      Weight =
-          ExpectedShareWeight * Weight +
-          (1.0 - ExpectedShareWeight) * (Amount == Input.m_Demand.end()
-                                             ? 0.0
-                                             : Amount->second / TotalDemand);
-    Rated.push_back({Supply[Model.m_Name] / Weight, &Model});
-  }
-  std::stable_sort(Rated.begin(), Rated.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return Left.first < Right.first;
-                   });
+  const std::map<std::string, double> Shares = serverShares(Input);
+  std::map<std::string, double> Result;
+  for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models)
+    Result[Model.m_Name] =
+        Supply[Model.m_Name] * Model.m_GroupSize / Shares.at(Model.m_Name);
+  return Result;
+}
+
+std::vector<const ModelSpec *>
+ReplicaPlanner::modelsByNeed(const ReplicaPlannerInput &Input) const {
+  const std::map<std::string, double> Supply = supplyByModel(Input);
   std::vector<const ModelSpec *> Result;
-  for (const auto &[Rate, Model] : Rated)
-    Result.push_back(Model);
+  for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models)
+    Result.push_back(&Model);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [&](const ModelSpec *Left, const ModelSpec *Right) {
+                     return Supply.at(Left->m_Name) < Supply.at(Right->m_Name);
+                   });
   return Result;
 }
 
+std::string ReplicaPlanner::modelHeldBy(const BackendServer &Server) const {
+  if (Server.m_Membership)
+    return modelOfGroup(Server.m_Membership->m_Group.m_Name);
+  const auto Staging = m_Staging.find(Server.m_Id);
+  if (Staging != m_Staging.end())
+    return Staging->second.first;
+  for (const auto &[Key, Formed] : m_Formations)
+    if (m_Groups.count(Key) == 0 &&
+        std::find(Formed.m_Members.begin(), Formed.m_Members.end(),
+                  Server.m_Id) != Formed.m_Members.end())
+      return Formed.m_Model;
+  return Server.m_StagedModels.empty() ? std::string()
+                                       : Server.m_StagedModels.back();
+}
+
+void ReplicaPlanner::layOut(const ReplicaPlannerInput &Input) {
+  std::map<std::string, DomainStock> Domains;
+  std::size_t Servers = 0;
+  std::size_t Holding = 0;
+  for (const auto &[Id, Server] : Input.m_Fleet->servers()) {
+    if (Server.m_Service != Input.m_Service->m_Name ||
+        Server.m_Domain.empty() || Server.m_Draining)
+      continue;
+    DomainStock &Stock = Domains[Server.m_Domain];
+    Stock.m_Zone = Server.m_Zone;
+    ++Stock.m_Servers;
+    ++Servers;
+    const std::string Model = modelHeldBy(Server);
+    if (Model.empty())
+      continue;
+    ++Stock.m_Holding[Model];
+    ++Holding;
+  }
+  m_Layout =
+      layOutDomains(Domains, serverShares(Input),
+                    !Input.m_TrafficSeen &&
+                        Input.m_Now < m_StartedAt + m_Settings.m_SettleTime);
+  m_HoldingShare = Servers == 0 ? 0.0
+                                : static_cast<double>(Holding) /
+                                      static_cast<double>(Servers);
+}
+
+bool ReplicaPlanner::mayLoadFor(const ModelSpec &Model,
+                                const std::string &Domain) const {
+  const auto Planned = m_Layout.find(Domain);
+  return Planned == m_Layout.end() || Planned->second == Model.m_Name;
+}
+
 ReplicaPlanner::Candidate ReplicaPlanner::candidateFor(
     const ModelSpec &Model,
     const std::vector<const BackendServer *> &Free) const {
@@ -318,10 +433,9 @@
 }
 
 bool ReplicaPlanner::mayLoad(const ReplicaPlannerInput &Input) const {
-  const std::size_t AtFullSpeed = Input.m_Service->m_Engine.m_ConcurrentLoads;
-  return loadsInProgress(Input) <
-         (Input.m_TrafficSeen ? AtFullSpeed
-                              : AtFullSpeed * m_Settings.m_EarlyLoadFactor);
+  if (!Input.m_TrafficSeen && m_HoldingShare >= m_Settings.m_OrderlyLoadShare)
+    return true;
+  return loadsInProgress(Input) < Input.m_Service->m_Engine.m_ConcurrentLoads;
 }
 
 void ReplicaPlanner::formGroups(const ReplicaPlannerInput &Input) {
@@ -342,8 +456,7 @@
       // replace a group, so only staged servers join.
       if (Input.m_TrafficSeen && Found.m_Loads > 0)
         continue;
-      if (Found.m_Loads > 0 &&
-          loadsInProgress(Input) >= Input.m_Service->m_Engine.m_ConcurrentLoads)
+      if (Found.m_Loads > 0 && (!mayLoad(Input) || !mayLoadFor(*Model, Domain)))
         continue;
       std::size_t Same = 0;
       for (const auto &[Key, Group] : m_Groups)
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,10 +27,17 @@
   /// A server that did not answer a join gets no other one for this time,
   /// since the first may be carried out yet; epochs make it harmless then.
   Duration m_JoinAnswerWait = std::chrono::milliseconds(400);
-  /// Loads in progress before the first request, as a multiple of what the
-  /// weight store carries at full speed. Loads that begin before the first
-  /// request cost a tenth, so as many as possible begin then.
-  std::size_t m_EarlyLoadFactor = 4;
+  /// Part of the servers that must hold or load weights before the rest begin
+  /// to load at once. Until then groups load one after the other, since loads
+  /// that share the weight store all end late. The rest still begins before
+  /// the first request if it can, since a load costs a tenth then.
+  double m_OrderlyLoadShare = 0.6;
+  /// A spare server loads the weights of another model if that model's supply
+  /// is below this part of its own model's, each in relation to its need.
+  double m_RestageBelow = 0.5;
+  /// Cost of such a load beside that of a server without weights: the spare is
+  /// missing where it was.
+  double m_RestageCost = 1.5;
   /// Servers of one deployment start within about two seconds of each other.
   /// Spares are only chosen afterwards.
   Duration m_SettleTime = std::chrono::milliseconds(2500);
@@ -68,6 +76,9 @@
 
   /// Tells the planner that a join was refused or not answered.
   void onJoinFailed(const MemberOrder &Order, MonotonicTime Now);
+  /// Tells the planner that a server said that it is not in the group that it
+  /// was ordered to leave.
+  void onLeft(const MemberOrder &Order);
 
 private:
   struct Formation {
@@ -90,6 +101,8 @@
 
   void forgetGone(const ReplicaPlannerInput &Input);
   void reviewGroup(const ReplicaPlannerInput &Input, const ReplicaGroup &Group);
+  void reviewHeadless(const ReplicaPlannerInput &Input,
+                      const ReplicaGroup &Group);
   void reviewUnopened(const ReplicaPlannerInput &Input,
                       const ReplicaGroup &Group, const ModelSpec &Model);
   bool isComplete(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
@@ -105,25 +118,44 @@
   freeByDomain(const ReplicaPlannerInput &Input) const;
   bool isFree(const ReplicaPlannerInput &Input,
               const BackendServer &Server) const;
+  /// Part of the service's servers that each model needs; adds up to 1.
+  std::map<std::string, double>
+  serverShares(const ReplicaPlannerInput &Input) const;
+  /// Servers in groups of each model in relation to what it needs.
+  std::map<std::string, double>
+  supplyByModel(const ReplicaPlannerInput &Input) const;
   std::vector<const ModelSpec *>
   modelsByNeed(const ReplicaPlannerInput &Input) const;
+  /// Renews m_Layout and m_HoldingShare from what the servers hold and load.
+  void layOut(const ReplicaPlannerInput &Input);
+  /// Model whose weights \p Server holds or loads, or nothing.
+  std::string modelHeldBy(const BackendServer &Server) const;
+  bool mayLoadFor(const ModelSpec &Model, const std::string &Domain) const;
   void formGroups(const ReplicaPlannerInput &Input);
   bool formOne(const ReplicaPlannerInput &Input);
   Candidate candidateFor(const ModelSpec &Model,
                          const std::vector<const BackendServer *> &Free) const;
   void form(const ReplicaPlannerInput &Input, const Candidate &Chosen);
   void stageSpares(const ReplicaPlannerInput &Input);
-  /// Loads that a group in this domain lacks.
+  /// Loads that a group in one domain lacks.
   struct Completion {
     const ModelSpec *m_Model = nullptr;
     std::vector<const BackendServer *> m_ToStage;
+    /// Loads in relation to how well the model is supplied; the least goes
+    /// first.
+    double m_Cost = 0.0;
   };
 
   bool hasOrStages(const BackendServer &Server, const ModelSpec &Model) const;
-  Completion completionOf(const std::vector<const ModelSpec *> &Models,
-                          const std::vector<const BackendServer *> &Free) const;
-  void stageRest(const ReplicaPlannerInput &Input,
-                 const std::vector<const ModelSpec *> &Models,
+  std::optional<Completion>
+  completionOf(const ModelSpec &Model,
+               const std::vector<const BackendServer *> &Free,
+               const std::map<std::string, double> &Supply) const;
+  Completion bestCompletion(const ReplicaPlannerInput &Input,
+                            const std::string &Domain,
+                            const std::vector<const BackendServer *> &Free,
+                            const std::map<std::string, double> &Supply) const;
+  void stageRest(const ReplicaPlannerInput &Input, const std::string &Domain,
                  const std::vector<const BackendServer *> &Free);
   void stage(const ReplicaPlannerInput &Input, const BackendServer &Server,
              const ModelSpec &Model);
@@ -136,12 +168,21 @@
   std::uint64_t m_NextNumber = 1;
   std::map<GroupKey, Formation> m_Formations;
   std::map<GroupKey, MonotonicTime> m_FirstSeen;
+  /// What the head of each group last said.
+  std::map<GroupKey, BackendServer> m_LastHeads;
+  std::map<GroupKey, MonotonicTime> m_HeadMissingSince;
+  /// Groups whose head is out of sight and has left them.
+  std::set<GroupKey> m_ReleasedHeads;
   std::map<std::string, Pending> m_Pending;
   std::map<std::string, MonotonicTime> m_QuarantinedUntil;
   std::map<std::string, std::pair<std::string, MonotonicTime>> m_Staging;
   /// Group that each server was last seen in.
   std::map<std::string, GroupKey> m_LastGroup;
   std::map<GroupKey, ReplicaGroup> m_Groups;
+  /// Model of each domain; empty if domains mix.
+  std::map<std::string, std::string> m_Layout;
+  /// Part of the servers that hold or load weights.
+  double m_HoldingShare = 0.0;
   std::vector<MemberOrder> m_Orders;
 };
 
