Probe silent groups before streams move, and bound retries in a sliding window

Change: a silent group is announced as silent only; the lease holder probes its members, twice, and a member that does not answer confirms the stall. A stream moves alone after four times the suspicious silence. The retry budget counts requests and retries of the last window; its slack grows over one window after a start and follows the number of nodes.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -42,7 +42,9 @@
 constexpr Duration RegisterRetry = milliseconds(700);
 /// Share of the platform's bound on repeats that is used. The rest covers the
 /// difference between the nodes' windows and the bound's.
-constexpr double BudgetUse = 0.75;
+constexpr double BudgetUse = 0.85;
+/// Pause between two notices of this node about one silent group.
+constexpr Duration AnnouncePause = milliseconds(150);
 
 std::int64_t inMs(Duration Length) {
   return std::chrono::duration_cast<milliseconds>(Length).count();
@@ -74,13 +76,37 @@
     m_Context.m_OnStalled = [this](const ChosenServer &Server) {
       if (!Server.m_Group)
         return;
-      const StallNotice Notice{Server.m_Id, *Server.m_Group};
-      m_Log.write("group_stalled", {{"head", Server.m_Id},
-                                    {"group", Server.m_Group->m_Name},
-                                    {"seen_by", "self"}});
+      const StallNotice Notice{Server.m_Id, *Server.m_Group, false};
+      if (!mayAnnounce(Notice.m_Group))
+        return;
+      m_Log.write("group_silent",
+                  {{"head", Server.m_Id}, {"group", Server.m_Group->m_Name}});
       m_Peers.announce(Notice);
       m_Duty.onStalled(Notice);
     };
+    m_Duty.setOnConfirmed([this](const StallNotice &Notice) {
+      m_Peers.announce(Notice);
+      onStallNotice(Notice);
+    });
+  }
+
+  /// Every stream of a silent group notices; one notice is enough.
+  bool mayAnnounce(const GroupKey &Group) {
+    const MonotonicTime Now = monotonicNow();
+    for (auto Entry = m_AnnouncedAt.begin(); Entry != m_AnnouncedAt.end();)
+      Entry = Now - Entry->second >= AnnouncePause ? m_AnnouncedAt.erase(Entry)
+                                                   : std::next(Entry);
+    return m_AnnouncedAt.emplace(Group, Now).second;
+  }
+
+  void onStallNotice(const StallNotice &Notice) {
+    if (!Notice.m_Confirmed) {
+      m_Duty.onStalled(Notice);
+      return;
+    }
+    m_Log.write("group_stalled",
+                {{"head", Notice.m_Head}, {"group", Notice.m_Group.m_Name}});
+    m_Selector.onSuspected(Notice.m_Head, Notice.m_Group, monotonicNow());
   }
 
   KindWatcher::Handlers serverHandlers() {
@@ -240,12 +266,14 @@
   }
 
   void setBudget(std::size_t NodeCount) {
-    RetryBudgetSettings &Budget = m_Context.m_BudgetSettings;
-    Budget.m_ShareOfSuccesses = m_Settings.m_RetryRatio * BudgetUse;
-    Budget.m_FloorPerSecond = 0.0;
-    Budget.m_Burst =
+    WindowedRetryBudgetSettings &Budget = m_Context.m_BudgetSettings;
+    Budget.m_ShareOfRequests = m_Settings.m_RetryRatio * BudgetUse;
+    Budget.m_Slack =
         m_Settings.m_RetrySlack * BudgetUse / static_cast<double>(NodeCount);
-    Budget.m_Initial = Budget.m_Burst;
+    Budget.m_Window = m_Settings.m_RetryWindow;
+    Budget.m_StartedAt = m_StartedAt;
+    for (auto &[Service, Each] : m_Context.m_Budgets)
+      Each.setSlack(Budget.m_Slack);
   }
 
   /// Lists this node under its name, so that its peers find it.
@@ -446,6 +474,8 @@
   std::unique_ptr<HttpListener> m_Metrics;
   std::set<std::string> m_EvacuatedZones;
   std::map<std::string, Endpoint> m_NodeAddresses;
+  std::map<GroupKey, MonotonicTime> m_AnnouncedAt;
+  const MonotonicTime m_StartedAt = monotonicNow();
   std::uint64_t m_ConfigurationRevision = 0;
   ObjectVersion m_NodeVersion = 0;
   bool m_Draining = false;
@@ -470,11 +500,7 @@
       Endpoint{Self.m_Settings.m_Ip, Self.m_Settings.m_MetricsPort},
       Self.metricsHooks());
   Self.m_Peers.start(
-      [&Self](const StallNotice &Notice) {
-        Self.m_Selector.onSuspected(Notice.m_Head, Notice.m_Group,
-                                    monotonicNow());
-        Self.m_Duty.onStalled(Notice);
-      },
+      [&Self](const StallNotice &Notice) { Self.onStallNotice(Notice); },
       [&Self](const std::vector<PoisonRecord> &Records) {
         Self.m_Context.m_Poison.merge(Records, monotonicNow());
       });
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -26,10 +26,10 @@
   Duration m_GracePeriod = std::chrono::seconds(8);
   /// A group whose member is gone breaks by itself after this time.
   Duration m_StallTime = std::chrono::seconds(5);
-  /// Repeats of all nodes together, per request and besides, in a window of
-  /// ten seconds.
+  /// Repeats of all nodes together, per request and besides, in each window.
   double m_RetryRatio = 0.2;
   double m_RetrySlack = 50.0;
+  Duration m_RetryWindow = std::chrono::seconds(10);
 };
 
 } // namespace fulmarwinch
--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -11,8 +11,13 @@
 using std::chrono::milliseconds;
 
 constexpr Duration OrderTimeout = milliseconds(800);
-/// A live server answers a probe within a few milliseconds.
-constexpr Duration ProbeTimeout = milliseconds(250);
+/// A live server answers a probe within a few milliseconds. A lost packet is
+/// sent again only after some 200 ms, so a second probe follows the first one.
+constexpr Duration ProbeTimeout = milliseconds(90);
+constexpr unsigned ProbeAttempts = 2;
+/// Pause between two rounds of probes of one group, so that the notices of
+/// many nodes cost one round.
+constexpr Duration ProbePause = milliseconds(400);
 constexpr Duration PlanPeriod = milliseconds(60);
 /// Object that holds the servers in quarantine.
 constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
@@ -213,37 +218,55 @@
 }
 
 void GroupDuty::onStalled(const StallNotice &Notice) {
-  if (!m_WasHeld)
+  if (!m_WasHeld || Notice.m_Confirmed)
     return;
   const auto &Groups = m_Context.m_Fleet.groups();
   const auto Group = Groups.find(Notice.m_Group);
   if (Group == Groups.end())
     return;
+  const MonotonicTime Now = monotonicNow();
+  for (auto Entry = m_ProbedAt.begin(); Entry != m_ProbedAt.end();)
+    Entry = Now - Entry->second >= ProbePause ? m_ProbedAt.erase(Entry)
+                                              : std::next(Entry);
+  if (!m_ProbedAt.emplace(Notice.m_Group, Now).second)
+    return;
   for (const std::string &Member : Group->second.m_Members)
-    if (!Member.empty())
-      probe(Member);
+    if (!Member.empty() && m_Probing.insert(Member).second)
+      probe(Member, Notice, 1);
 }
 
-void GroupDuty::probe(const std::string &Server) {
+void GroupDuty::probe(const std::string &Server, const StallNotice &Notice,
+                      unsigned Attempt) {
   const BackendServer *Entry = m_Context.m_Fleet.find(Server);
-  if (!Entry || !m_Probing.insert(Server).second)
+  if (!Entry) {
+    m_Probing.erase(Server);
     return;
+  }
   startSmallCall(
       m_Context.m_Loop, Entry->m_Endpoint,
       formatRequest("GET", m_Platform.m_ReportPath, Entry->m_Endpoint,
                     {{m_Platform.m_Dialect.m_ExpectedServer, Server}}, ""),
       ProbeTimeout,
-      [this, Server,
+      [this, Server, Notice, Attempt,
        Revision = Entry->m_Revision](const SmallResponse &Answer) {
-        m_Probing.erase(Server);
         const bool Alive =
             Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok;
+        if (!Alive && Attempt < ProbeAttempts) {
+          probe(Server, Notice, Attempt + 1);
+          return;
+        }
+        m_Probing.erase(Server);
         m_Context.m_Log.write("probe",
                               {{"server", Server},
+                               {"group", Notice.m_Group.m_Name},
                                {"alive", Alive},
                                {"end", nameOf(CallEndNames, Answer.m_End)}});
-        if (!Alive)
-          m_Unreachable[Server] = Revision;
+        if (Alive)
+          return;
+        m_Unreachable[Server] = Revision;
+        m_NextPlan = {};
+        if (m_OnConfirmed)
+          m_OnConfirmed({Notice.m_Head, Notice.m_Group, true});
       });
 }
 
--- a/proxy/group_duty.h
+++ b/proxy/group_duty.h
@@ -27,6 +27,10 @@
   void tick(MonotonicTime Now, const std::vector<std::string> &LiveNodes);
   /// Probes the members of a group that seems to stand still.
   void onStalled(const StallNotice &Notice);
+  /// Sets what is called once a member did not answer.
+  void setOnConfirmed(std::function<void(const StallNotice &)> OnConfirmed) {
+    m_OnConfirmed = std::move(OnConfirmed);
+  }
   void stop() { m_Lease.stop(); }
   bool isHeld() const { return m_WasHeld; }
 
@@ -38,7 +42,8 @@
   void send(const MemberOrder &Order);
   void onOrderEnd(const MemberOrder &Order, std::int64_t Born, CallEnd How,
                   int Status);
-  void probe(const std::string &Server);
+  void probe(const std::string &Server, const StallNotice &Notice,
+             unsigned Attempt);
 
   RelayContext &m_Context;
   const PlatformBinding &m_Platform;
@@ -51,6 +56,8 @@
   /// Servers that did not answer a probe, until their entry changes or goes.
   std::map<std::string, std::uint64_t> m_Unreachable;
   std::set<std::string> m_Probing;
+  std::map<GroupKey, MonotonicTime> m_ProbedAt;
+  std::function<void(const StallNotice &)> m_OnConfirmed;
   MonotonicTime m_NextPlan{};
   /// The quarantine as the platform's store has it, read once per lease.
   bool m_RecordKnown = false;
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -104,7 +104,8 @@
     if (Message.contains("stalled"))
       m_OnNotice({memberOr(Message, "stalled", std::string()),
                   {memberOr(Message, "group", std::string()),
-                   memberOr(Message, "epoch", std::uint64_t{0})}});
+                   memberOr(Message, "epoch", std::uint64_t{0})},
+                  memberOr(Message, "confirmed", false)});
   }
 
   asio::ip::udp::socket m_Socket;
@@ -167,7 +168,8 @@
   m_Impl->broadcast(Json{{"node", m_Impl->m_Node},
                          {"stalled", Notice.m_Head},
                          {"group", Notice.m_Group.m_Name},
-                         {"epoch", Notice.m_Group.m_Epoch}});
+                         {"epoch", Notice.m_Group.m_Epoch},
+                         {"confirmed", Notice.m_Confirmed}});
 }
 
 void PeerExchange::announce(std::vector<PoisonRecord> Records) {
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -16,10 +16,13 @@
 
 namespace fulmarwinch {
 
-/// A group that a node found standing still.
+/// A group that seems to stand still.
 struct StallNotice {
   std::string m_Head;
   GroupKey m_Group;
+  /// A member did not answer a probe. Otherwise only the group's streams are
+  /// silent, as they are too while long prompts are read.
+  bool m_Confirmed = false;
 };
 
 /// Times of the exchange between nodes.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -25,6 +25,9 @@
 /// A request that no server can take is refused after this part of its latency
 /// objective, so that the caller can still be served in time elsewhere.
 constexpr int RefusalShare = 8;
+/// Multiple of the suspicious silence after which a stream moves without a
+/// confirmation: the node that probes may be gone.
+constexpr int UnconfirmedSilence = 4;
 /// A response that is not a stream is passed on whole.
 constexpr std::size_t MaxWholeResponseBytes = std::size_t{16} * 1024 * 1024;
 /// Admission order of a stream that goes on elsewhere: its client has waited
@@ -32,7 +35,6 @@
 constexpr const char *ResumedUrgency = "1";
 
 constexpr int Ok = 200;
-constexpr int FirstError = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int Misdirected = 421;
@@ -83,6 +85,7 @@
     }
     setDeadline();
     m_Hash = contentHash();
+    budget().onRequest(monotonicNow());
     if (m_Context.m_Poison.verdict(m_Hash, monotonicNow()) !=
         PoisonVerdict::Run) {
       refuse("crashes_servers");
@@ -151,7 +154,7 @@
     m_Deadline = m_Request.m_ReceivedAt + Left;
   }
 
-  RetryBudget &budget() {
+  WindowedRetryBudget &budget() {
     return m_Context.m_Budgets
         .try_emplace(m_Service->m_Name, m_Context.m_BudgetSettings)
         .first->second;
@@ -401,15 +404,12 @@
                             endToEnd(m_Head.m_Headers));
     }
     m_Client->sendChunk(m_Cutter.rest());
-    budget().onSuccess();
     end("complete", m_Head.m_Status);
     m_Client->endStream();
   }
 
   void passWhole(const HttpHead &Head, const std::string &Body) {
     releaseServer();
-    if (Head.m_Status < FirstError)
-      budget().onSuccess();
     end("complete", Head.m_Status);
     m_Client->respond(Head.m_Status, Head.m_Reason, endToEnd(Head.m_Headers),
                       Body);
@@ -566,8 +566,18 @@
     // The first event has to wait for the prompt, maybe in a queue.
     if (Since == m_SentAt)
       Limit = std::max(Limit, m_Route->m_LatencyObjective * 3 / 4);
-    if (m_Context.m_Stalls.silence(m_Server.m_Id, Since, Now) < Limit)
+    const Duration Silence =
+        m_Context.m_Stalls.silence(m_Server.m_Id, Since, Now);
+    if (Silence < Limit)
       return;
+    // Long prompts keep a batch silent as well, so a member must have failed
+    // to answer a probe, or the silence be far beyond that.
+    if (!m_Context.m_Selector.isSuspected(m_Server, Now)) {
+      if (m_Context.m_OnStalled)
+        m_Context.m_OnStalled(m_Server);
+      if (Silence < Limit * UnconfirmedSilence)
+        return;
+    }
     if (m_Runs + 1 >= m_Route->m_MaxAttempts)
       return;
     // Moving only helps if there is another group.
@@ -575,8 +585,6 @@
         budget().available(Now) < 1.0)
       return;
     m_Context.m_Selector.onSuspected(m_Server.m_Id, m_Server.m_Group, Now);
-    if (m_Context.m_OnStalled)
-      m_Context.m_OnStalled(m_Server);
     m_Call->cancel();
     ++m_Arrivals;
     attemptFailed("silent");
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -10,7 +10,7 @@
 #include "servers/replicas/demand_estimator.h"
 #include "servers/retry/crash_watch.h"
 #include "servers/retry/poison_detector.h"
-#include "servers/retry/retry_budget.h"
+#include "servers/retry/windowed_retry_budget.h"
 #include "servers/routes/route_table.h"
 
 #include <functional>
@@ -43,15 +43,15 @@
   /// Null until a configuration was read.
   std::shared_ptr<const RouteTable> m_Table;
   /// Repeats of this node by service; its share of the platform's bound.
-  std::map<std::string, RetryBudget> m_Budgets;
-  RetryBudgetSettings m_BudgetSettings;
+  std::map<std::string, WindowedRetryBudget> m_Budgets;
+  WindowedRetryBudgetSettings m_BudgetSettings;
   std::minstd_rand m_Random{std::random_device()()};
   /// Requests that crashed this many servers are not sent on.
   PoisonDetector m_Poison{{3, std::chrono::minutes(1), 4096}};
   CrashWatch m_Crashes{m_Poison};
   DemandEstimator m_Demand;
   bool m_TrafficSeen = false;
-  /// Called when a group led by a server seems to stand still.
+  /// Called while a group led by a server seems to stand still.
   std::function<void(const ChosenServer &)> m_OnStalled;
   /// Requests whose response has not ended.
   std::set<std::shared_ptr<RequestRelay>> m_Active;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -173,13 +173,27 @@
 
 bool ServerSelector::isSuspected(const BackendServer &Server,
                                  MonotonicTime Now) const {
-  const auto Entry = m_Suspicions.find(Server.m_Id);
+  return isSuspected(Server.m_Id,
+                     Server.m_Membership
+                         ? std::optional<GroupKey>(Server.m_Membership->m_Group)
+                         : std::nullopt,
+                     Now);
+}
+
+bool ServerSelector::isSuspected(const ChosenServer &Server,
+                                 MonotonicTime Now) const {
+  return isSuspected(Server.m_Id, Server.m_Group, Now);
+}
+
+bool ServerSelector::isSuspected(const std::string &Server,
+                                 const std::optional<GroupKey> &Group,
+                                 MonotonicTime Now) const {
+  const auto Entry = m_Suspicions.find(Server);
   if (Entry == m_Suspicions.end() || Entry->second.m_Until <= Now)
     return false;
   // A new formation under the same head is not the one that stalled.
   const std::optional<GroupKey> &Suspect = Entry->second.m_Group;
-  return !Suspect || !Server.m_Membership ||
-         Server.m_Membership->m_Group == *Suspect;
+  return !Suspect || !Group || *Group == *Suspect;
 }
 
 unsigned ServerSelector::ownLoad(const std::string &Server) const {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -94,6 +94,8 @@
   void setNodes(std::string Own, std::vector<std::string> All);
 
   bool isSuspected(const BackendServer &Server, MonotonicTime Now) const;
+  /// The same for the formation that \p Server led when it was chosen.
+  bool isSuspected(const ChosenServer &Server, MonotonicTime Now) const;
   unsigned ownLoad(const std::string &Server) const;
   const std::map<std::string, unsigned> &ownLoads() const { return m_Own; }
 
@@ -107,6 +109,9 @@
     double m_Fill = 0.0;
   };
 
+  bool isSuspected(const std::string &Server,
+                   const std::optional<GroupKey> &Group,
+                   MonotonicTime Now) const;
   bool fits(const FleetView &Fleet, const ServerQuery &Query,
             const BackendServer &Server) const;
   double fill(const BackendServer &Server, const ServiceSpec &Service) const;
--- a/tests/proxy/relay_world.cpp
+++ b/tests/proxy/relay_world.cpp
@@ -108,7 +108,7 @@
     : m_Log(open("/dev/null", O_WRONLY)),
       m_Context(m_Loop, m_Log, m_Figures, dialect(), m_Fleet, m_Selector,
                 m_Stalls) {
-  m_Context.m_BudgetSettings = {0.2, 0.0, 20.0, 20.0};
+  m_Context.m_BudgetSettings = {0.2, 20.0, std::chrono::seconds(10), {}};
   ConnectionHooks Hooks;
   Hooks.m_Limits = [] { return ClientLimits(); };
   Hooks.m_IsDraining = [] { return false; };
@@ -160,6 +160,24 @@
   m_Context.m_Table = std::make_shared<RouteTable>(std::move(Content));
 }
 
+void RelayWorld::configureGroups() {
+  configure(RequestKind::Streaming, 2, true);
+  TrafficConfiguration Content = m_Context.m_Table->configuration();
+  EngineSpec &Engine = Content.m_Services.front().m_Engine;
+  Engine.m_Slots = 8;
+  Engine.m_StepMs = 30.0;
+  Engine.m_Models = {
+      {"m", 1, 1.0, 1.0, std::chrono::seconds(16), std::chrono::seconds(1)}};
+  m_Context.m_Table = std::make_shared<RouteTable>(std::move(Content));
+  for (const std::string Id : {"s1", "s2"}) {
+    BackendServer Server = *m_Fleet.find(Id);
+    Server.m_Membership =
+        GroupMembership{{"m.1." + Id, 1}, 0, MemberState::Open};
+    Server.m_Revision = ++m_Revision;
+    m_Fleet.update(Server, monotonicNow());
+  }
+}
+
 std::string RelayWorld::head(const std::string &ExtraHeaders,
                              const std::string &Body) const {
   return "POST /a%2Fb?q=1 HTTP/1.1\r\nHost: h\r\nX-Id: 77\r\nX-Left: 2000\r\n"
@@ -208,10 +226,11 @@
   return Received;
 }
 
-void RelayWorld::requestAndLeave(Duration Stay) {
+void RelayWorld::requestAndLeave(Duration Stay,
+                                 const std::string &ExtraHeaders) {
   asio::ip::tcp::socket Client(m_Loop);
   Client.connect({asio::ip::make_address("127.0.0.1"), m_Port});
-  const std::string Text = head("", "");
+  const std::string Text = head(ExtraHeaders, "");
   asio::write(Client, asio::buffer(Text));
   runFor(Stay);
   Client.close();
--- a/tests/proxy/relay_world.h
+++ b/tests/proxy/relay_world.h
@@ -51,11 +51,14 @@
 
   /// Replaces the routes; two servers `s1` and `s2` belong to the service.
   void configure(RequestKind Kind, unsigned MaxAttempts, bool Resumable);
+  /// Makes each server an open group of one member that runs a model with
+  /// events of 30 ms.
+  void configureGroups();
   /// Sends a request and returns the bytes that the client got.
   std::string request(const std::string &ExtraHeaders = "",
                       const std::string &Body = "");
   /// Sends a request and leaves after \p Stay.
-  void requestAndLeave(Duration Stay);
+  void requestAndLeave(Duration Stay, const std::string &ExtraHeaders = "");
   void runFor(Duration Length);
 
   asio::io_context m_Loop;
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(clientThatLeavesEndsTheServersWork);
   CPPUNIT_TEST(repeatWaitsForAPlace);
   CPPUNIT_TEST(retriesStopWithTheBudget);
+  CPPUNIT_TEST(silenceAloneDoesNotMoveAStream);
   CPPUNIT_TEST_SUITE_END();
 
   using Then = ScriptedServer::Answer::Then;
@@ -241,7 +242,7 @@
   /// Guards against repeats that multiply the load of failing servers.
   void retriesStopWithTheBudget() {
     RelayWorld World;
-    World.m_Context.m_BudgetSettings = {0.0, 0.0, 2.0, 2.0};
+    World.m_Context.m_BudgetSettings = {0.0, 2.0, std::chrono::seconds(10), {}};
     World.configure(RequestKind::Idempotent, 2, false);
     for (int I = 0; I < 12; ++I)
       both(World, {"", Then::Reset});
@@ -249,6 +250,28 @@
       World.request();
     CPPUNIT_ASSERT_EQUAL(std::size_t{8}, arrivals(World));
   }
+
+  /// Pattern: a batch is silent for several events' time while long prompts
+  /// are read. Guards against streams that move away from a group that works,
+  /// and against streams that stay with one whose member was found dead.
+  void silenceAloneDoesNotMoveAStream() {
+    RelayWorld World;
+    World.configureGroups();
+    both(World, {streamHead() + chunk(event(1)), Then::Hold});
+    constexpr int NoticesBeforeConfirmation = 10;
+    int Notices = 0;
+    std::size_t ArrivalsBefore = 0;
+    World.m_Context.m_OnStalled = [&](const ChosenServer &Server) {
+      if (++Notices != NoticesBeforeConfirmation)
+        return;
+      ArrivalsBefore = arrivals(World);
+      World.m_Selector.onSuspected(Server.m_Id, Server.m_Group, monotonicNow());
+    };
+    World.requestAndLeave(std::chrono::milliseconds(400), "X-Model: m\r\n");
+    CPPUNIT_ASSERT(Notices >= NoticesBeforeConfirmation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ArrivalsBefore);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, arrivals(World));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestRelayTest);
