Let one node of each zone ask the store for changes and pass them on

Change: the node that ranks first in its zone watches and sends changes and, each 200 ms, a vouch (last change of the kind, revision, age) to its zone over UDP. A node relies on it only while the belief is younger than 1.3 s and without a gap; otherwise it asks the store itself. The lease holder always asks itself. Waiters pause up to 1.2 s after a failed call. What is left are config storms, whose objects of 60 KB are not passed on, and outages.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -1,5 +1,6 @@
 #include "proxy/front_node.h"
 #include "core/text.h"
+#include "proxy/feed_relay.h"
 #include "proxy/group_duty.h"
 #include "proxy/http_listener.h"
 #include "proxy/kind_watcher.h"
@@ -20,15 +21,17 @@
 constexpr Duration FlushPeriod = milliseconds(100);
 /// The holder of the group lease acts on changes of servers.
 constexpr Duration HolderPause = milliseconds(80);
-/// Changes of servers reach a node late by this at most. It leaves half of the
-/// time in which a leaving server has to be avoided.
-constexpr Duration LongestPause = milliseconds(900);
-constexpr Duration PausePerNode = milliseconds(16);
+/// Pause of the other nodes that ask the store, one of each zone as a rule.
+constexpr Duration ChangePause = milliseconds(150);
+/// Pause between two checks of who passes changes on, and of its silence.
+constexpr Duration RolesPeriod = milliseconds(60);
 /// Nodes come and go rarely, and nothing but speed depends on knowing them.
 KindWatcherSettings nodeWatch() {
   KindWatcherSettings Settings;
   Settings.m_Wait = std::chrono::seconds(10);
   Settings.m_Pause = milliseconds(700);
+  Settings.m_RelayWait = std::chrono::seconds(5);
+  Settings.m_FollowLimit = std::chrono::seconds(8);
   return Settings;
 }
 /// The balancer needs two missed questions, a second apart, to stop sending
@@ -60,7 +63,8 @@
         m_Context(Loop, Log, m_Figures, Platform.m_Dialect, m_Fleet, m_Selector,
                   m_Stalls),
         m_Peers(Loop, Log, m_Selector, Settings.m_Node,
-                {Settings.m_Ip, Settings.m_PeerPort}),
+                {{Settings.m_Ip, Settings.m_PeerPort}, Settings.m_Zone}),
+        m_Relay(Log, m_Peers, Settings.m_Node, Settings.m_Zone),
         m_Incarnation(concat(Settings.m_Node, "-", std::random_device()(), "-",
                              unixNow())),
         m_Duty(m_Context, Platform, Settings, m_Incarnation),
@@ -73,6 +77,9 @@
         m_Nodes(Loop, *Platform.m_Feed, Log, NodeKind, nodeHandlers(),
                 nodeWatch()) {
     setBudget(1);
+    for (KindWatcher *Watcher :
+         {&m_Servers, &m_Configurations, &m_Evacuations, &m_Nodes})
+      m_Relay.add(*Watcher);
     m_Context.m_OnStalled = [this](const ChosenServer &Server) {
       if (!Server.m_Group)
         return;
@@ -262,7 +269,8 @@
   void readNode(const StoredObject &Object) {
     if (const auto Address =
             parseEndpoint(memberOr(Object.m_Content, "address", std::string())))
-      m_NodeAddresses[Object.m_Name] = *Address;
+      m_NodeAddresses[Object.m_Name] = {
+          *Address, memberOr(Object.m_Content, "zone", std::string())};
   }
 
   void setBudget(std::size_t NodeCount) {
@@ -281,6 +289,7 @@
     const std::string Key = concat(NodeKind, "/", m_Settings.m_Node);
     const Json Content{
         {"address", concat(m_Settings.m_Ip, ":", m_Settings.m_PeerPort)},
+        {"zone", m_Settings.m_Zone},
         {"incarnation", m_Incarnation}};
     m_Platform.m_StartStoreCall(
         PutObject{0, Key, m_NodeVersion, Content.dump()},
@@ -396,19 +405,16 @@
     for (const std::shared_ptr<RequestRelay> &Relay : Active)
       Relay->tick(Now);
     m_Duty.tick(Now, m_Peers.liveNodes(Now));
-    m_Servers.setPause(m_Duty.isHeld() ? HolderPause : followerPause());
+    m_Servers.setPause(m_Duty.isHeld() ? HolderPause : ChangePause);
+    if (Now >= m_NextRoles) {
+      m_NextRoles = Now + RolesPeriod;
+      m_Relay.tick(Now, m_Peers.liveZoneNodes(Now), m_Duty.isHeld());
+    }
     m_Context.m_Crashes.removeExpired(Now);
     if (m_Draining)
       continueDrain(Now);
   }
 
-  /// Grows with the nodes, so that the store's calls for changes of servers
-  /// grow less than the nodes do.
-  Duration followerPause() const {
-    return std::min(LongestPause, PausePerNode * static_cast<std::int64_t>(
-                                                     m_NodeAddresses.size()));
-  }
-
   void armFlush() {
     m_Flush.expires_after(FlushPeriod);
     m_Flush.async_wait([this](const asio::error_code &Error) {
@@ -463,6 +469,7 @@
   StallDetector m_Stalls;
   RelayContext m_Context;
   PeerExchange m_Peers;
+  FeedRelay m_Relay;
   std::string m_Incarnation;
   GroupDuty m_Duty;
   KindWatcher m_Servers;
@@ -473,7 +480,8 @@
   std::unique_ptr<HttpListener> m_Readiness;
   std::unique_ptr<HttpListener> m_Metrics;
   std::set<std::string> m_EvacuatedZones;
-  std::map<std::string, Endpoint> m_NodeAddresses;
+  std::map<std::string, PeerAddress> m_NodeAddresses;
+  MonotonicTime m_NextRoles{};
   std::map<GroupKey, MonotonicTime> m_AnnouncedAt;
   const MonotonicTime m_StartedAt = monotonicNow();
   std::uint64_t m_ConfigurationRevision = 0;
@@ -503,7 +511,8 @@
       [&Self](const StallNotice &Notice) { Self.onStallNotice(Notice); },
       [&Self](const std::vector<PoisonRecord> &Records) {
         Self.m_Context.m_Poison.merge(Records, monotonicNow());
-      });
+      },
+      [&Self](const Json &Message) { Self.m_Relay.onMessage(Message); });
   Self.registerNode();
   Self.m_Servers.start();
   Self.m_Configurations.start();
--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -19,6 +19,9 @@
 /// many nodes cost one round.
 constexpr Duration ProbePause = milliseconds(400);
 constexpr Duration PlanPeriod = milliseconds(60);
+/// Longest pause of a node that waits for the lease after a failed call. All
+/// nodes would otherwise ask five times a second during an outage.
+constexpr Duration WaiterRetry = milliseconds(1200);
 /// Object that holds the servers in quarantine.
 constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
 constexpr int Ok = 200;
@@ -71,16 +74,28 @@
 }
 
 void GroupDuty::stepLease(MonotonicTime Now) {
+  if (!m_WasHeld && Now < m_LeasePausedUntil)
+    return;
   const auto Action = m_Lease.nextCall(Now, m_NextCall);
   if (!Action)
     return;
   ++m_NextCall;
   m_Platform.m_StartStoreCall(*Action, [this](const StoreCompletion &Result) {
     const MonotonicTime Later = monotonicNow();
-    if (const auto *Get = std::get_if<GetCompleted>(&Result))
+    StoreOutcome Outcome = StoreOutcome::Unavailable;
+    if (const auto *Get = std::get_if<GetCompleted>(&Result)) {
+      Outcome = Get->m_Outcome;
       m_Lease.onGetCompleted(*Get, Later);
-    else
-      m_Lease.onPutCompleted(std::get<PutCompleted>(Result), Later);
+    } else {
+      const auto &Put = std::get<PutCompleted>(Result);
+      Outcome = Put.m_Outcome;
+      m_Lease.onPutCompleted(Put, Later);
+    }
+    if (Outcome == StoreOutcome::Unavailable) {
+      std::uniform_real_distribution<double> Draw(0.5, 1.0);
+      m_LeasePausedUntil = Later + std::chrono::duration_cast<Duration>(
+                                       WaiterRetry * Draw(m_Context.m_Random));
+    }
   });
 }
 
--- a/proxy/group_duty.h
+++ b/proxy/group_duty.h
@@ -59,6 +59,8 @@
   std::map<GroupKey, MonotonicTime> m_ProbedAt;
   std::function<void(const StallNotice &)> m_OnConfirmed;
   MonotonicTime m_NextPlan{};
+  /// Nodes that only wait for the lease ask less often while the store fails.
+  MonotonicTime m_LeasePausedUntil{};
   /// The quarantine as the platform's store has it, read once per lease.
   bool m_RecordKnown = false;
   bool m_RecordBusy = false;
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -22,7 +22,7 @@
       : m_Socket(Loop), m_Timer(Loop), m_Log(Log), m_Selector(Selector) {}
 
   struct Peer {
-    Endpoint m_Endpoint;
+    PeerAddress m_Address;
     MonotonicTime m_HeardAt{};
     bool m_Alive = false;
   };
@@ -58,18 +58,38 @@
     }
   }
 
+  void send(const std::vector<std::uint8_t> &Bytes, const Peer &To) {
+    const Endpoint &Place = To.m_Address.m_Endpoint;
+    asio::error_code Error;
+    const asio::ip::address Address = asio::ip::make_address(Place.m_Ip, Error);
+    // A datagram may be lost anyway; the next one repeats what it said.
+    if (!Error)
+      m_Socket.send_to(asio::buffer(Bytes),
+                       asio::ip::udp::endpoint(Address, Place.m_Port), 0,
+                       Error);
+  }
+
   void broadcast(const Json &Message) {
     const std::vector<std::uint8_t> Bytes = Json::to_cbor(Message);
-    for (const auto &[Name, Each] : m_Peers) {
-      asio::error_code Error;
-      const asio::ip::address Address =
-          asio::ip::make_address(Each.m_Endpoint.m_Ip, Error);
-      // A datagram may be lost anyway; the next one repeats what it said.
-      if (!Error)
-        m_Socket.send_to(
-            asio::buffer(Bytes),
-            asio::ip::udp::endpoint(Address, Each.m_Endpoint.m_Port), 0, Error);
-    }
+    for (const auto &[Name, Each] : m_Peers)
+      send(Bytes, Each);
+  }
+
+  bool isLive(const Peer &Each, MonotonicTime Now) const {
+    return Each.m_Alive &&
+           Now - Each.m_HeardAt <= period() * m_Settings.m_SilentPeriods;
+  }
+
+  /// Names of the own node and of the live peers that \p Matches.
+  template <typename Predicate>
+  std::vector<std::string> liveNames(MonotonicTime Now,
+                                     const Predicate &Matches) const {
+    std::vector<std::string> Names{m_Node};
+    for (const auto &[Name, Each] : m_Peers)
+      if (isLive(Each, Now) && Matches(Each))
+        Names.push_back(Name);
+    std::sort(Names.begin(), Names.end());
+    return Names;
   }
 
   void receive() {
@@ -99,6 +119,8 @@
     if (Message.contains("load"))
       m_Selector.setPeerLoad(
           Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("feed"))
+      m_OnFeed(Message["feed"]);
     if (Message.contains("blame"))
       m_OnBlame(parsePoisonRecords(Message["blame"]));
     if (Message.contains("stalled"))
@@ -113,10 +135,11 @@
   EventLog &m_Log;
   ServerSelector &m_Selector;
   std::string m_Node;
-  Endpoint m_Own;
+  PeerAddress m_Own;
   PeerExchangeSettings m_Settings;
   NoticeHandler m_OnNotice;
   BlameHandler m_OnBlame;
+  FeedHandler m_OnFeed;
   std::map<std::string, Peer> m_Peers;
   asio::ip::udp::endpoint m_Sender;
   std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
@@ -124,7 +147,7 @@
 
 PeerExchange::PeerExchange(asio::io_context &Loop, EventLog &Log,
                            ServerSelector &Selector, std::string Node,
-                           const Endpoint &Own,
+                           const PeerAddress &Own,
                            const PeerExchangeSettings &Settings)
     : m_Impl(std::make_unique<Impl>(Loop, Log, Selector)) {
   m_Impl->m_Node = std::move(Node);
@@ -134,11 +157,14 @@
 
 PeerExchange::~PeerExchange() = default;
 
-void PeerExchange::start(NoticeHandler OnNotice, BlameHandler OnBlame) {
+void PeerExchange::start(NoticeHandler OnNotice, BlameHandler OnBlame,
+                         FeedHandler OnFeed) {
   m_Impl->m_OnNotice = std::move(OnNotice);
   m_Impl->m_OnBlame = std::move(OnBlame);
-  const asio::ip::udp::endpoint Own(asio::ip::make_address(m_Impl->m_Own.m_Ip),
-                                    m_Impl->m_Own.m_Port);
+  m_Impl->m_OnFeed = std::move(OnFeed);
+  const Endpoint &Place = m_Impl->m_Own.m_Endpoint;
+  const asio::ip::udp::endpoint Own(asio::ip::make_address(Place.m_Ip),
+                                    Place.m_Port);
   m_Impl->m_Socket.open(asio::ip::udp::v4());
   m_Impl->m_Socket.bind(Own);
   m_Impl->m_Socket.non_blocking(true);
@@ -146,7 +172,7 @@
   m_Impl->arm();
 }
 
-void PeerExchange::setPeers(std::map<std::string, Endpoint> Peers) {
+void PeerExchange::setPeers(std::map<std::string, PeerAddress> Peers) {
   std::map<std::string, Impl::Peer> Old;
   Old.swap(m_Impl->m_Peers);
   for (auto &[Name, Address] : Peers) {
@@ -154,9 +180,10 @@
       continue;
     const auto Known = Old.find(Name);
     Impl::Peer Entry;
-    if (Known != Old.end() && Known->second.m_Endpoint == Address)
+    if (Known != Old.end() &&
+        Known->second.m_Address.m_Endpoint == Address.m_Endpoint)
       Entry = Known->second;
-    Entry.m_Endpoint = Address;
+    Entry.m_Address = Address;
     m_Impl->m_Peers[Name] = Entry;
   }
   for (const auto &[Name, Entry] : Old)
@@ -178,15 +205,22 @@
   m_Impl->broadcast(Json{{"node", m_Impl->m_Node}, {"blame", toJson(Records)}});
 }
 
+void PeerExchange::sendToZone(const Json &Feed) {
+  const std::vector<std::uint8_t> Bytes =
+      Json::to_cbor(Json{{"node", m_Impl->m_Node}, {"feed", Feed}});
+  for (const auto &[Name, Each] : m_Impl->m_Peers)
+    if (Each.m_Address.m_Zone == m_Impl->m_Own.m_Zone)
+      m_Impl->send(Bytes, Each);
+}
+
 std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
-  std::vector<std::string> Names{m_Impl->m_Node};
-  for (const auto &[Name, Entry] : m_Impl->m_Peers)
-    if (Entry.m_Alive &&
-        Now - Entry.m_HeardAt <=
-            m_Impl->period() * m_Impl->m_Settings.m_SilentPeriods)
-      Names.push_back(Name);
-  std::sort(Names.begin(), Names.end());
-  return Names;
+  return m_Impl->liveNames(Now, [](const Impl::Peer &) { return true; });
+}
+
+std::vector<std::string> PeerExchange::liveZoneNodes(MonotonicTime Now) const {
+  return m_Impl->liveNames(Now, [this](const Impl::Peer &Each) {
+    return Each.m_Address.m_Zone == m_Impl->m_Own.m_Zone;
+  });
 }
 
 } // namespace fulmarwinch
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_PROXY_PEER_EXCHANGE_H
 
 #include "core/event_log.h"
+#include "core/json.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/retry/poison_detector.h"
 
@@ -25,6 +26,12 @@
   bool m_Confirmed = false;
 };
 
+/// Where another node is.
+struct PeerAddress {
+  Endpoint m_Endpoint;
+  std::string m_Zone;
+};
+
 /// Times of the exchange between nodes.
 struct PeerExchangeSettings {
   /// Period of load messages among ten nodes. It grows with the number of
@@ -43,21 +50,27 @@
   using NoticeHandler = std::function<void(const StallNotice &)>;
   /// Called with what a peer knows of requests that crash servers.
   using BlameHandler = std::function<void(const std::vector<PoisonRecord> &)>;
+  /// Called with a message about the store's changes.
+  using FeedHandler = std::function<void(const Json &)>;
 
   PeerExchange(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector,
-               std::string Node, const Endpoint &Own,
+               std::string Node, const PeerAddress &Own,
                const PeerExchangeSettings &Settings = {});
   ~PeerExchange();
   PeerExchange(const PeerExchange &) = delete;
   PeerExchange &operator=(const PeerExchange &) = delete;
 
-  void start(NoticeHandler OnNotice, BlameHandler OnBlame);
+  void start(NoticeHandler OnNotice, BlameHandler OnBlame, FeedHandler OnFeed);
   /// Addresses of the other nodes by name.
-  void setPeers(std::map<std::string, Endpoint> Peers);
+  void setPeers(std::map<std::string, PeerAddress> Peers);
+  /// Sends \p Feed to the other nodes of the own zone.
+  void sendToZone(const Json &Feed);
   void announce(const StallNotice &Notice);
   void announce(std::vector<PoisonRecord> Records);
   /// Names of the nodes that were heard from lately, this one included.
   std::vector<std::string> liveNodes(MonotonicTime Now) const;
+  /// The same for the nodes of the own zone.
+  std::vector<std::string> liveZoneNodes(MonotonicTime Now) const;
 
 private:
   struct Impl;
