Keep a group open while a member without an entry answers

Change: the view keeps the last entries of members that went without draining; nodes go on using the group, and the lease holder probes such members each 0.5 s and closes the group when one no longer answers. Tests: memberThatIsOnlyUnlistedKeepsItsGroupOpen, groupOfAnUnlistedMemberIsUsedUntilItStalls. incompleteGroupGetsNothing removed a member without notice and expected nothing; that case is now the second test (used until it is found to stall), and the first one removes a draining member.

--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -18,6 +18,11 @@
 /// Pause between two rounds of probes of one group, so that the notices of
 /// many nodes cost one round.
 constexpr Duration ProbePause = milliseconds(400);
+/// Members without an entry are asked this often, and are taken to live until
+/// two probes in a row have failed. The first answer takes a probe's time.
+constexpr Duration UnlistedProbePeriod = milliseconds(500);
+constexpr Duration UnlistedTrust = milliseconds(1200);
+constexpr Duration FirstAnswer = milliseconds(300);
 constexpr Duration PlanPeriod = milliseconds(60);
 /// Longest pause of a node that waits for the lease after a failed call. All
 /// nodes would otherwise ask five times a second during an outage.
@@ -125,6 +130,7 @@
     Input.m_TrafficSeen = m_Context.m_TrafficSeen;
     for (const auto &[Server, Revision] : m_Unreachable)
       Input.m_Unreachable.insert(Server);
+    Input.m_AnswersUnlisted = answeringUnlisted(Now);
     Input.m_Demand = m_Context.m_Demand.demand(Now);
     for (MemberOrder &Order : Planner.plan(Input)) {
       if (Order.m_HeadLost && m_Recorded.count(Order.m_Server) == 0)
@@ -232,6 +238,50 @@
   }
 }
 
+std::set<std::string> GroupDuty::answeringUnlisted(MonotonicTime Now) {
+  std::set<std::string> Missing;
+  std::set<std::string> Answering;
+  for (const auto &[Key, Group] : m_Context.m_Fleet.groups()) {
+    if (!Group.m_Head ||
+        Group.m_Head->m_Membership->m_State != MemberState::Open)
+      continue;
+    for (const BackendServer *Server : m_Context.m_Fleet.unlistedMembers(Key)) {
+      const std::string &Id = Server->m_Id;
+      Missing.insert(Id);
+      UnlistedMember &Known =
+          m_UnlistedMembers
+              .try_emplace(Id, UnlistedMember{Now, Now + FirstAnswer})
+              .first->second;
+      if (Known.m_LivesUntil > Now)
+        Answering.insert(Id);
+      if (Known.m_AskAt > Now)
+        continue;
+      Known.m_AskAt = Now + UnlistedProbePeriod;
+      startSmallCall(
+          m_Context.m_Loop, Server->m_Endpoint,
+          formatRequest("GET", m_Platform.m_ReportPath, Server->m_Endpoint,
+                        {{m_Platform.m_Dialect.m_ExpectedServer, Id}}, ""),
+          ProbeTimeout, [this, Id](const SmallResponse &Answer) {
+            const auto Member = m_UnlistedMembers.find(Id);
+            const bool Alive =
+                Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok;
+            if (Member != m_UnlistedMembers.end() && Alive)
+              Member->second.m_LivesUntil = monotonicNow() + UnlistedTrust;
+            m_Context.m_Log.write(
+                "unlisted_member",
+                {{"server", Id},
+                 {"alive", Alive},
+                 {"end", nameOf(CallEndNames, Answer.m_End)}});
+          });
+    }
+  }
+  for (auto Entry = m_UnlistedMembers.begin();
+       Entry != m_UnlistedMembers.end();)
+    Entry = Missing.count(Entry->first) == 0 ? m_UnlistedMembers.erase(Entry)
+                                             : std::next(Entry);
+  return Answering;
+}
+
 void GroupDuty::onStalled(const StallNotice &Notice) {
   if (!m_WasHeld || Notice.m_Confirmed)
     return;
--- a/proxy/group_duty.h
+++ b/proxy/group_duty.h
@@ -44,6 +44,9 @@
                   int Status);
   void probe(const std::string &Server, const StallNotice &Notice,
              unsigned Attempt);
+  /// Asks members without an entry whether they live, and returns those that
+  /// are taken to.
+  std::set<std::string> answeringUnlisted(MonotonicTime Now);
 
   RelayContext &m_Context;
   const PlatformBinding &m_Platform;
@@ -57,6 +60,13 @@
   std::map<std::string, std::uint64_t> m_Unreachable;
   std::set<std::string> m_Probing;
   std::map<GroupKey, MonotonicTime> m_ProbedAt;
+  /// Members of open groups without an entry: when they are asked again, and
+  /// until when they are taken to live.
+  struct UnlistedMember {
+    MonotonicTime m_AskAt{};
+    MonotonicTime m_LivesUntil{};
+  };
+  std::map<std::string, UnlistedMember> m_UnlistedMembers;
   std::function<void(const StallNotice &)> m_OnConfirmed;
   MonotonicTime m_NextPlan{};
   /// Nodes that only wait for the lease ask less often while the store fails.
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -70,12 +70,18 @@
     return false;
   // A head goes on accepting requests when a member has gone, and stalls.
   const ModelSpec *Model = Query.m_Service->m_Engine.findModel(Group.m_Model);
-  return Model && Group.m_Members.size() == Model->m_GroupSize &&
-         std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
-                     [&](const std::string &Id) {
-                       const BackendServer *Member = Fleet.find(Id);
-                       return Member && !Member->m_Draining;
-                     });
+  if (!Model)
+    return false;
+  // A member that is only cut off from the store works on. The lease holder
+  // asks it and closes the group if it does not answer.
+  std::size_t Members = Fleet.unlistedMembers(Group.m_Key).size();
+  for (const std::string &Id : Group.m_Members) {
+    const BackendServer *Member = Fleet.find(Id);
+    if (Member && Member->m_Draining)
+      return false;
+    Members += Member ? 1 : 0;
+  }
+  return Members == Model->m_GroupSize;
 }
 
 double ServerSelector::fill(const BackendServer &Server,
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -4,6 +4,13 @@
 
 namespace fulmarwinch {
 
+namespace {
+
+/// Enough for the loss of a large zone; older ones have been replaced by then.
+constexpr std::size_t MaxUnlisted = 1024;
+
+} // namespace
+
 std::vector<std::string>
 FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now) {
   m_GroupsAreCurrent = false;
@@ -26,9 +33,10 @@
     Changed.push_back(Id);
     update(std::move(Server), Now);
   }
-  for (const auto &[Id, Server] : Old) {
+  for (auto &[Id, Server] : Old) {
     m_ColdUntil.erase(Id);
     Changed.push_back(Id);
+    setUnlisted(std::move(Server));
   }
   return Changed;
 }
@@ -42,6 +50,7 @@
     m_ColdUntil[Server.m_Id] = Now + Server.m_ColdFor;
   else
     m_ColdUntil.erase(Server.m_Id);
+  m_Unlisted.erase(Server.m_Id);
   m_Servers[Server.m_Id] = std::move(Server);
   return true;
 }
@@ -51,11 +60,35 @@
   if (Known == m_Servers.end() || Known->second.m_Revision > Revision)
     return false;
   m_GroupsAreCurrent = false;
+  setUnlisted(std::move(Known->second));
   m_Servers.erase(Known);
   m_ColdUntil.erase(Id);
   return true;
 }
 
+void FleetView::setUnlisted(BackendServer Server) {
+  // One that was leaving has gone as announced.
+  if (!Server.m_Membership || Server.m_Draining)
+    return;
+  m_Unlisted[Server.m_Id] = std::move(Server);
+  if (m_Unlisted.size() <= MaxUnlisted)
+    return;
+  m_Unlisted.erase(std::min_element(m_Unlisted.begin(), m_Unlisted.end(),
+                                    [](const auto &Left, const auto &Right) {
+                                      return Left.second.m_Revision <
+                                             Right.second.m_Revision;
+                                    }));
+}
+
+std::vector<const BackendServer *>
+FleetView::unlistedMembers(const GroupKey &Group) const {
+  std::vector<const BackendServer *> Members;
+  for (const auto &[Id, Server] : m_Unlisted)
+    if (Server.m_Membership->m_Group == Group)
+      Members.push_back(&Server);
+  return Members;
+}
+
 void FleetView::setEvacuatedZones(std::set<std::string> Zones) {
   m_EvacuatedZones = std::move(Zones);
 }
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -42,6 +42,11 @@
   bool isEvacuated(const std::string &Zone) const;
 
   const BackendServer *find(const std::string &Id) const;
+  /// Last entries of servers whose entry is gone and that were in \p Group.
+  /// They may live on: an entry also goes when its server is cut off from the
+  /// store.
+  std::vector<const BackendServer *>
+  unlistedMembers(const GroupKey &Group) const;
   const std::map<std::string, BackendServer> &servers() const {
     return m_Servers;
   }
@@ -57,7 +62,11 @@
   const std::map<GroupKey, ReplicaGroup> &groups() const;
 
 private:
+  void setUnlisted(BackendServer Server);
+
   std::map<std::string, BackendServer> m_Servers;
+  /// Last entries of servers that are not listed any more.
+  std::map<std::string, BackendServer> m_Unlisted;
   std::map<std::string, MonotonicTime> m_ColdUntil;
   std::set<std::string> m_EvacuatedZones;
   mutable std::map<GroupKey, ReplicaGroup> m_Groups;
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -93,14 +93,17 @@
 bool ReplicaPlanner::isComplete(const ReplicaPlannerInput &Input,
                                 const ReplicaGroup &Group,
                                 const ModelSpec &Model) const {
-  if (Group.m_Members.size() != Model.m_GroupSize)
-    return false;
-  return std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
-                     [&](const std::string &Id) {
-                       const BackendServer *Server = Input.m_Fleet->find(Id);
-                       return Server && !Server->m_Draining &&
-                              Input.m_Unreachable.count(Id) == 0;
-                     });
+  std::size_t Members = 0;
+  for (const BackendServer *Unlisted :
+       Input.m_Fleet->unlistedMembers(Group.m_Key))
+    Members += Input.m_AnswersUnlisted.count(Unlisted->m_Id);
+  for (const std::string &Id : Group.m_Members) {
+    const BackendServer *Server = Input.m_Fleet->find(Id);
+    Members +=
+        Server && !Server->m_Draining && Input.m_Unreachable.count(Id) == 0 ? 1
+                                                                            : 0;
+  }
+  return Members == Model.m_GroupSize;
 }
 
 bool ReplicaPlanner::losesOnlyToDrain(const ReplicaPlannerInput &Input,
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -52,6 +52,9 @@
   bool m_TrafficSeen = false;
   /// Servers that do not answer though their entry is still there.
   std::set<std::string> m_Unreachable;
+  /// Servers without an entry that answered a probe a moment ago, or have not
+  /// had the time to answer.
+  std::set<std::string> m_AnswersUnlisted;
   /// Groups that the traffic keeps busy, by model, in any common unit.
   std::map<std::string, double> m_Demand;
 };
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -11,6 +11,7 @@
 class ServerSelectorTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ServerSelectorTest);
   CPPUNIT_TEST(incompleteGroupGetsNothing);
+  CPPUNIT_TEST(groupOfAnUnlistedMemberIsUsedUntilItStalls);
   CPPUNIT_TEST(leavingServersGetNothing);
   CPPUNIT_TEST(stalledFormationIsAvoidedAndItsSuccessorIsNot);
   CPPUNIT_TEST(peersLoadCounts);
@@ -74,10 +75,31 @@
     CPPUNIT_ASSERT(Selector.reason() == NoServerReason::NoneAlive);
     putMember("w", "m.1.1", 1, 1, MemberState::Ready);
     CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
+    putMember("w", "m.1.1", 1, 1, MemberState::Ready, true);
     m_Fleet.remove("w", ++m_Revision);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
   }
 
+  /// Pattern: servers are cut off from the store and work on. Guards against
+  /// leaving their groups, and against staying once one is found dead.
+  void groupOfAnUnlistedMemberIsUsedUntilItStalls() {
+    ServerSelector Selector;
+    putGroup("h", "w", "m.1.1", 1);
+    m_Fleet.remove("w", ++m_Revision);
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
+    Selector.onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    // The member came back as a new process that is in no group.
+    putGroup("h2", "w2", "m.1.2", 2);
+    m_Fleet.remove("w2", ++m_Revision);
+    BackendServer Restarted;
+    Restarted.m_Id = "w2";
+    Restarted.m_Service = "llm";
+    Restarted.m_Revision = ++m_Revision;
+    m_Fleet.update(Restarted, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+  }
+
   /// Guards against new work for a server or zone that is being emptied.
   void leavingServersGetNothing() {
     ServerSelector Selector;
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(loadsStayWithinTheWeightStore);
   CPPUNIT_TEST(groupsThatEndedDoNotOccupyTheWeightStore);
   CPPUNIT_TEST(groupThatLacksFewestLoadsIsCompletedFirst);
+  CPPUNIT_TEST(memberThatIsOnlyUnlistedKeepsItsGroupOpen);
   CPPUNIT_TEST(drainingMemberLetsWorkFinish);
   CPPUNIT_TEST(domainsOfOneModelStrandNoServer);
   CPPUNIT_TEST(healthySpareKeepsItsWeights);
@@ -38,6 +39,7 @@
   std::uint64_t m_Revision = 1;
   bool m_TrafficSeen = false;
   std::set<std::string> m_Unreachable;
+  std::set<std::string> m_AnswersUnlisted;
 
 public:
   void setUp() override {
@@ -115,6 +117,7 @@
     Input.m_Now = m_Now;
     Input.m_TrafficSeen = m_TrafficSeen;
     Input.m_Unreachable = m_Unreachable;
+    Input.m_AnswersUnlisted = m_AnswersUnlisted;
     return Planner.plan(Input);
   }
 
@@ -349,6 +352,26 @@
     CPPUNIT_ASSERT_EQUAL(id(13), Orders.front().m_Server);
   }
 
+  /// Pattern: a part of the servers is cut off from the store for seconds, and
+  /// nearly every large group has a member among them. Guards against closing
+  /// groups that work, and against keeping one whose member is dead.
+  void memberThatIsOnlyUnlistedKeepsItsGroupOpen() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    settle(Planner);
+    m_TrafficSeen = true;
+    const std::string Member =
+        m_Fleet.groups().begin()->second.m_Members.back();
+    remove(Member);
+    m_AnswersUnlisted = {Member};
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT(plan(Planner).empty());
+    m_AnswersUnlisted.clear();
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         count(plan(Planner), OrderKind::Close));
+  }
+
   /// Guards against a planned stop of a member that cuts streams.
   void drainingMemberLetsWorkFinish() {
     addServers(1, 3);
