--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -15,6 +15,15 @@
 /// Number of peers that one period serves.
 constexpr std::size_t PeersPerPeriod = 10;
 
+/// Each server's entry is its number of requests and of unread tokens.
+std::map<std::string, ServerLoad> parseLoad(const Json &Message) {
+  std::map<std::string, ServerLoad> Result;
+  using Numbers = std::map<std::string, std::pair<unsigned, std::uint64_t>>;
+  for (const auto &[Server, Load] : memberOr(Message, "load", Numbers()))
+    Result[Server] = {Load.first, Load.second};
+  return Result;
+}
+
 } // namespace
 
 struct PeerExchange::Impl {
@@ -45,8 +54,8 @@
   void sendLoad() {
     const MonotonicTime Now = monotonicNow();
     Json Load = Json::object();
-    for (const auto &[Server, Count] : m_Selector.ownLoads())
-      Load[Server] = Count;
+    for (const auto &[Server, Own] : m_Selector.ownLoads())
+      Load[Server] = {Own.m_Requests, Own.m_UnreadTokens};
     broadcast(Json{{"node", m_Node}, {"load", std::move(Load)}});
     for (auto &[Name, Each] : m_Peers) {
       if (Each.m_Alive &&
@@ -117,8 +126,7 @@
     From.m_Alive = true;
     From.m_HeardAt = monotonicNow();
     if (Message.contains("load"))
-      m_Selector.setPeerLoad(
-          Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
+      m_Selector.setPeerLoad(Name, parseLoad(Message), From.m_HeardAt);
     if (Message.contains("feed"))
       m_OnFeed(Message["feed"]);
     if (Message.contains("blame"))
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -93,7 +93,9 @@
     }
     if (m_Service->hasGroups()) {
       m_Model = header(m_Context.m_Dialect.m_Model);
-      m_Context.m_Demand.onRequest(*m_Service, m_Model, size(), monotonicNow());
+      const RequestSize Size = size();
+      m_PromptTokens = Size.m_PromptTokens;
+      m_Context.m_Demand.onRequest(*m_Service, m_Model, Size, monotonicNow());
     }
     std::optional<std::uint64_t> LastId;
     std::uint64_t Given = 0;
@@ -206,7 +208,8 @@
     m_SentAt = Now;
     m_Body.clear();
     m_Cutter = EventCutter();
-    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    m_Context.m_Selector.onDispatched(Chosen.m_Id, m_PromptTokens, Now);
+    m_PromptUnread = true;
     m_Context.m_Poison.onDispatch(m_Hash, serverLife());
     if (m_Service->hasGroups())
       m_Context.m_TrafficSeen = true;
@@ -301,6 +304,7 @@
   bool passOn(const RawEvent &Event) {
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Stalls.onEvent(m_Server.m_Id, Now);
+    promptRead();
     switch (m_Sequence.accept(Event)) {
     case EventSequence::Verdict::Duplicate:
       return true;
@@ -494,9 +498,17 @@
     releaseServer();
   }
 
+  void promptRead() {
+    if (!m_PromptUnread)
+      return;
+    m_PromptUnread = false;
+    m_Context.m_Selector.onPromptRead(m_Server.m_Id, m_PromptTokens);
+  }
+
   void releaseServer() {
     if (!m_Call)
       return;
+    promptRead();
     m_Context.m_Selector.onEnded(m_Server.m_Id);
     if (!m_LeftToCrashWatch)
       m_Context.m_Poison.onEnded(m_Hash, serverLife());
@@ -619,6 +631,8 @@
   /// Attempts that reached a server, and those that may have run there.
   unsigned m_Arrivals = 0;
   unsigned m_Runs = 0;
+  std::uint64_t m_PromptTokens = 0;
+  bool m_PromptUnread = false;
   bool m_IsForeign = false;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -26,7 +26,8 @@
       m_Reason = NoServerReason::AllCold;
       continue;
     }
-    Rated.push_back({&Server, Fill});
+    Rated.push_back(
+        {&Server, Fill, readingMs(Server, *Query.m_Service, Query.m_Now)});
   }
   if (Rated.empty())
     return std::nullopt;
@@ -44,9 +45,9 @@
              static_cast<std::size_t>(Rest * static_cast<double>(Count - 1)) %
                  (Count - 1)) %
                 Count;
-  const BackendServer &Best = Rated[First].m_Fill <= Rated[Second].m_Fill
-                                  ? *Rated[First].m_Server
-                                  : *Rated[Second].m_Server;
+  const BackendServer &Best = Rated[Second].isBetterThan(Rated[First])
+                                  ? *Rated[Second].m_Server
+                                  : *Rated[First].m_Server;
   ChosenServer Result{Best.m_Id, Best.m_StartedAtMs, Best.m_Endpoint,
                       Best.m_Zone, std::nullopt};
   if (Best.m_Membership)
@@ -54,6 +55,35 @@
   return Result;
 }
 
+/// A long prompt delays every stream of its batch, and the next prompt most of
+/// all, so the reading to be done goes before the number of streams.
+bool ServerSelector::Rating::isBetterThan(const Rating &Other) const {
+  constexpr double SameReadingMs = 10.0;
+  const double Difference = m_ReadingMs - Other.m_ReadingMs;
+  return Difference < -SameReadingMs ||
+         (Difference <= SameReadingMs && m_Fill < Other.m_Fill);
+}
+
+double ServerSelector::readingMs(const BackendServer &Server,
+                                 const ServiceSpec &Service,
+                                 MonotonicTime Now) const {
+  if (!Service.hasGroups() || !Server.m_Membership)
+    return 0.0;
+  std::uint64_t Tokens = 0;
+  if (const auto Own = m_Own.find(Server.m_Id); Own != m_Own.end())
+    Tokens += Own->second.m_UnreadTokens;
+  for (const auto &[Peer, Load] : m_PeerLoads) {
+    if (Now - Load.m_SaidAt > m_Settings.m_UnreadMemory)
+      continue;
+    const auto Entry = Load.m_Servers.find(Server.m_Id);
+    if (Entry != Load.m_Servers.end())
+      Tokens += Entry->second.m_UnreadTokens;
+  }
+  return static_cast<double>(Tokens) / Service.m_Engine.m_PrefillTokensPerMs *
+         Service.m_Engine.paceOf(
+             modelOfGroup(Server.m_Membership->m_Group.m_Name));
+}
+
 bool ServerSelector::fits(const FleetView &Fleet, const ServerQuery &Query,
                           const BackendServer &Server) const {
   if (Server.m_Service != Query.m_Service->m_Name ||
@@ -91,8 +121,8 @@
   const double Own = ownLoad(Server.m_Id);
   double Others = 0.0;
   for (const auto &[Peer, Load] : m_PeerLoads) {
-    const auto Entry = Load.find(Server.m_Id);
-    Others += Entry == Load.end() ? 0.0 : Entry->second;
+    const auto Entry = Load.m_Servers.find(Server.m_Id);
+    Others += Entry == Load.m_Servers.end() ? 0.0 : Entry->second.m_Requests;
   }
   // Nodes that were not heard from are taken to have as much as this one.
   const std::size_t Nodes = std::max<std::size_t>(1, m_Nodes.size());
@@ -127,16 +157,27 @@
 }
 
 void ServerSelector::onDispatched(const std::string &Server,
+                                  std::uint64_t PromptTokens,
                                   MonotonicTime Now) {
-  ++m_Own[Server];
+  ServerLoad &Load = m_Own[Server];
+  ++Load.m_Requests;
+  Load.m_UnreadTokens += PromptTokens;
   m_LastDispatch[Server] = Now;
 }
 
+void ServerSelector::onPromptRead(const std::string &Server,
+                                  std::uint64_t PromptTokens) {
+  const auto Load = m_Own.find(Server);
+  if (Load != m_Own.end())
+    Load->second.m_UnreadTokens -=
+        std::min(Load->second.m_UnreadTokens, PromptTokens);
+}
+
 void ServerSelector::onEnded(const std::string &Server) {
   const auto Load = m_Own.find(Server);
   if (Load == m_Own.end())
     return;
-  if (--Load->second == 0)
+  if (--Load->second.m_Requests == 0)
     m_Own.erase(Load);
 }
 
@@ -164,8 +205,9 @@
 }
 
 void ServerSelector::setPeerLoad(const std::string &Peer,
-                                 std::map<std::string, unsigned> Load) {
-  m_PeerLoads[Peer] = std::move(Load);
+                                 std::map<std::string, ServerLoad> Load,
+                                 MonotonicTime Now) {
+  m_PeerLoads[Peer] = {std::move(Load), Now};
 }
 
 void ServerSelector::forgetPeer(const std::string &Peer) {
@@ -204,7 +246,7 @@
 
 unsigned ServerSelector::ownLoad(const std::string &Server) const {
   const auto Load = m_Own.find(Server);
-  return Load == m_Own.end() ? 0 : Load->second;
+  return Load == m_Own.end() ? 0 : Load->second.m_Requests;
 }
 
 } // namespace fulmarwinch
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(stalledFormationIsAvoidedAndItsSuccessorIsNot);
   CPPUNIT_TEST(peersLoadCounts);
   CPPUNIT_TEST(overloadFillsNoGroupBeyondItsBatch);
+  CPPUNIT_TEST(longPromptsGoToTheGroupThatReadsLeast);
   CPPUNIT_TEST(coldServerGetsItsShare);
   CPPUNIT_TEST(triedServersAreLeftOut);
   CPPUNIT_TEST_SUITE_END();
@@ -128,15 +129,42 @@
     Selector.setNodes("n1", {"n1", "n2"});
     putGroup("h1", "w1", "m.1.1", 1);
     putGroup("h2", "w2", "m.1.2", 2);
-    Selector.setPeerLoad("n2", {{"h1", 12}});
+    Selector.setPeerLoad("n2", {{"h1", {12, 0}}}, m_Now);
     for (double Draw : {0.0, 0.3, 0.6, 0.9})
       CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
     for (int I = 0; I < 12; ++I)
-      Selector.onDispatched("h2", m_Now);
+      Selector.onDispatched("h2", 0, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
     CPPUNIT_ASSERT(Selector.reason() == NoServerReason::AllFull);
   }
 
+  /// Pattern: prompts of thousands of tokens arrive in clusters. Guards against
+  /// two of them in one batch while another batch reads nothing, which delays
+  /// their first events and every stream of the batch.
+  void longPromptsGoToTheGroupThatReadsLeast() {
+    ServerSelector Selector;
+    Selector.setNodes("n1", {"n1", "n2"});
+    m_Service.m_Engine.m_PrefillTokensPerMs = 50.0;
+    putGroup("h1", "w1", "m.1.1", 1);
+    putGroup("h2", "w2", "m.1.2", 2);
+    const std::vector<double> Draws{0.0, 0.3, 0.6, 0.9};
+    // More streams, but nothing to read.
+    Selector.setPeerLoad("n2", {{"h2", {6, 0}}}, m_Now);
+    Selector.onDispatched("h1", 4000, m_Now);
+    for (const double Draw : Draws)
+      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
+    Selector.onPromptRead("h1", 4000);
+    for (const double Draw : Draws)
+      CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector, Draw));
+    Selector.setPeerLoad("n2", {{"h1", {1, 4000}}, {"h2", {6, 0}}}, m_Now);
+    for (const double Draw : Draws)
+      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
+    // What a peer said a while ago has been read since.
+    m_Now += std::chrono::milliseconds(300);
+    for (const double Draw : Draws)
+      CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector, Draw));
+  }
+
   /// Pattern: groups have been lost and the traffic of nine nodes exceeds what
   /// is left. Guards against a queue in front of every place, which made all
   /// first events late instead of refusing what exceeds the places.
@@ -159,12 +187,12 @@
         const std::string Server =
             choose(Nodes[I], static_cast<double>(I) / NodeCount);
         if (!Server.empty())
-          Nodes[I].onDispatched(Server, m_Now);
+          Nodes[I].onDispatched(Server, 0, m_Now);
       }
       for (std::size_t From = 0; From < NodeCount; ++From)
         for (std::size_t To = 0; To < NodeCount; ++To)
           if (From != To)
-            Nodes[To].setPeerLoad(Names[From], Nodes[From].ownLoads());
+            Nodes[To].setPeerLoad(Names[From], Nodes[From].ownLoads(), m_Now);
     }
     for (const char *Head : {"h1", "h2"}) {
       unsigned Load = 0;
@@ -199,7 +227,7 @@
         for (ServerSelector &Each : Nodes) {
           if (choose(Each).empty())
             continue;
-          Each.onDispatched("h", m_Now);
+          Each.onDispatched("h", 0, m_Now);
           Each.onEnded("h");
           ++Sent;
         }
