Share an estimate of each group's queue of prompts, and count work by lanes

A pass reads one chunk of 2,048 tokens and then takes its token steps, so a group reads 22 tokens/ms, not 51, and was used to 0.9; a node heard of its peers' prompts 700 ms late. Change: nodes announce prompts of half a chunk or more when they send them, and each keeps a queue per group that drains by the engine's published times; requests go to the shortest queue, then to the better one of two. The demand of a model is the larger of its reading and its writing. Tests: longPromptsGoToTheGroupThatReadsLeast, chunksBoundWhatAPassReads.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -91,6 +91,10 @@
       m_Peers.announce(Notice);
       m_Duty.onStalled(Notice);
     };
+    m_Context.m_OnLongPrompt = [this](const std::string &Server,
+                                      Duration Work) {
+      m_Peers.announcePrompt(Server, Work);
+    };
     m_Duty.setOnConfirmed([this](const StallNotice &Notice) {
       m_Peers.announce(Notice);
       onStallNotice(Notice);
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -12,18 +12,12 @@
 constexpr std::size_t MaxDatagramBytes = 8192;
 /// Records in one datagram; each takes about 150 bytes.
 constexpr std::size_t MaxBlameRecords = 40;
+/// Among more nodes than this, long prompts are not announced: each node would
+/// receive as many messages as all of them send.
+constexpr std::size_t MaxPromptPeers = 128;
 /// Number of peers that one period serves.
 constexpr std::size_t PeersPerPeriod = 10;
 
-/// Each server's entry is its number of requests and of unread tokens.
-std::map<std::string, ServerLoad> parseLoad(const Json &Message) {
-  std::map<std::string, ServerLoad> Result;
-  using Numbers = std::map<std::string, std::pair<unsigned, std::uint64_t>>;
-  for (const auto &[Server, Load] : memberOr(Message, "load", Numbers()))
-    Result[Server] = {Load.first, Load.second};
-  return Result;
-}
-
 } // namespace
 
 struct PeerExchange::Impl {
@@ -54,8 +48,8 @@
   void sendLoad() {
     const MonotonicTime Now = monotonicNow();
     Json Load = Json::object();
-    for (const auto &[Server, Own] : m_Selector.ownLoads())
-      Load[Server] = {Own.m_Requests, Own.m_UnreadTokens};
+    for (const auto &[Server, Count] : m_Selector.ownLoads())
+      Load[Server] = Count;
     broadcast(Json{{"node", m_Node}, {"load", std::move(Load)}});
     for (auto &[Name, Each] : m_Peers) {
       if (Each.m_Alive &&
@@ -126,7 +120,13 @@
     From.m_Alive = true;
     From.m_HeardAt = monotonicNow();
     if (Message.contains("load"))
-      m_Selector.setPeerLoad(Name, parseLoad(Message), From.m_HeardAt);
+      m_Selector.setPeerLoad(
+          Name, memberOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("prompt"))
+      m_Selector.onPromptSent(
+          memberOr(Message, "prompt", std::string()),
+          std::chrono::microseconds(memberOr(Message, "us", std::int64_t{0})),
+          From.m_HeardAt);
     if (Message.contains("feed"))
       m_OnFeed(Message["feed"]);
     if (Message.contains("blame"))
@@ -221,6 +221,15 @@
       m_Impl->send(Bytes, Each);
 }
 
+void PeerExchange::announcePrompt(const std::string &Server, Duration Work) {
+  if (m_Impl->m_Peers.size() > MaxPromptPeers)
+    return;
+  const auto Us =
+      std::chrono::duration_cast<std::chrono::microseconds>(Work).count();
+  m_Impl->broadcast(
+      Json{{"node", m_Impl->m_Node}, {"prompt", Server}, {"us", Us}});
+}
+
 std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
   return m_Impl->liveNames(Now, [](const Impl::Peer &) { return true; });
 }
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -67,6 +67,8 @@
   void sendToZone(const Json &Feed);
   void announce(const StallNotice &Notice);
   void announce(std::vector<PoisonRecord> Records);
+  /// Tells all nodes that \p Server got a prompt that takes \p Work to read.
+  void announcePrompt(const std::string &Server, Duration Work);
   /// Names of the nodes that were heard from lately, this one included.
   std::vector<std::string> liveNodes(MonotonicTime Now) const;
   /// The same for the nodes of the own zone.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -4,6 +4,7 @@
 #include "proxy/http_fields.h"
 #include "proxy/request_figures.h"
 #include "servers/retry/event_cutter.h"
+#include "servers/routes/engine_times.h"
 
 #include "xxhash.h"
 
@@ -208,11 +209,12 @@
     m_SentAt = Now;
     m_Body.clear();
     m_Cutter = EventCutter();
-    m_Context.m_Selector.onDispatched(Chosen.m_Id, m_PromptTokens, Now);
-    m_PromptUnread = true;
+    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
     m_Context.m_Poison.onDispatch(m_Hash, serverLife());
-    if (m_Service->hasGroups())
+    if (m_Service->hasGroups()) {
       m_Context.m_TrafficSeen = true;
+      notePrompt(Now);
+    }
     m_Context.m_Log.write(
         "sent",
         {{"id", m_Id},
@@ -238,6 +240,16 @@
                   m_Deadline - Now + milliseconds(50));
   }
 
+  /// Peers are only told of prompts that fill a good part of a pass, since each
+  /// message goes to all of them.
+  void notePrompt(MonotonicTime Now) {
+    const EngineSpec &Engine = m_Service->m_Engine;
+    const Duration Work = readingTime(Engine, m_Model, m_PromptTokens);
+    m_Context.m_Selector.onPromptSent(m_Server.m_Id, Work, Now);
+    if (m_PromptTokens * 2 >= Engine.m_ChunkTokens && m_Context.m_OnLongPrompt)
+      m_Context.m_OnLongPrompt(m_Server.m_Id, Work);
+  }
+
   std::string requestBytes(const ChosenServer &Chosen, MonotonicTime Now) {
     const HttpHead &Head = m_Request.m_Head;
     const RequestDialect &Names = m_Context.m_Dialect;
@@ -304,7 +316,6 @@
   bool passOn(const RawEvent &Event) {
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Stalls.onEvent(m_Server.m_Id, Now);
-    promptRead();
     switch (m_Sequence.accept(Event)) {
     case EventSequence::Verdict::Duplicate:
       return true;
@@ -498,17 +509,9 @@
     releaseServer();
   }
 
-  void promptRead() {
-    if (!m_PromptUnread)
-      return;
-    m_PromptUnread = false;
-    m_Context.m_Selector.onPromptRead(m_Server.m_Id, m_PromptTokens);
-  }
-
   void releaseServer() {
     if (!m_Call)
       return;
-    promptRead();
     m_Context.m_Selector.onEnded(m_Server.m_Id);
     if (!m_LeftToCrashWatch)
       m_Context.m_Poison.onEnded(m_Hash, serverLife());
@@ -632,7 +635,6 @@
   unsigned m_Arrivals = 0;
   unsigned m_Runs = 0;
   std::uint64_t m_PromptTokens = 0;
-  bool m_PromptUnread = false;
   bool m_IsForeign = false;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -53,6 +53,9 @@
   bool m_TrafficSeen = false;
   /// Called while a group led by a server seems to stand still.
   std::function<void(const ChosenServer &)> m_OnStalled;
+  /// Called with the head that a long prompt was sent to, and the time that it
+  /// takes to read.
+  std::function<void(const std::string &, Duration)> m_OnLongPrompt;
   /// Requests whose response has not ended.
   std::set<std::shared_ptr<RequestRelay>> m_Active;
 };
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -26,12 +26,12 @@
       m_Reason = NoServerReason::AllCold;
       continue;
     }
-    Rated.push_back(
-        {&Server, Fill, readingMs(Server, *Query.m_Service, Query.m_Now)});
+    Rated.push_back({&Server, Fill, m_Backlog.left(Id, Query.m_Now)});
   }
   if (Rated.empty())
     return std::nullopt;
   m_Reason = NoServerReason::None;
+  keepShortestBacklogs(Rated);
   // The better one of two random candidates: nodes whose views agree would
   // otherwise all send to the same server until their views are renewed.
   const std::size_t Count = Rated.size();
@@ -45,9 +45,9 @@
              static_cast<std::size_t>(Rest * static_cast<double>(Count - 1)) %
                  (Count - 1)) %
                 Count;
-  const BackendServer &Best = Rated[Second].isBetterThan(Rated[First])
-                                  ? *Rated[Second].m_Server
-                                  : *Rated[First].m_Server;
+  const BackendServer &Best = Rated[First].m_Fill <= Rated[Second].m_Fill
+                                  ? *Rated[First].m_Server
+                                  : *Rated[Second].m_Server;
   ChosenServer Result{Best.m_Id, Best.m_StartedAtMs, Best.m_Endpoint,
                       Best.m_Zone, std::nullopt};
   if (Best.m_Membership)
@@ -57,31 +57,19 @@
 
 /// A long prompt delays every stream of its batch, and the next prompt most of
 /// all, so the reading to be done goes before the number of streams.
-bool ServerSelector::Rating::isBetterThan(const Rating &Other) const {
-  constexpr double SameReadingMs = 10.0;
-  const double Difference = m_ReadingMs - Other.m_ReadingMs;
-  return Difference < -SameReadingMs ||
-         (Difference <= SameReadingMs && m_Fill < Other.m_Fill);
-}
-
-double ServerSelector::readingMs(const BackendServer &Server,
-                                 const ServiceSpec &Service,
-                                 MonotonicTime Now) const {
-  if (!Service.hasGroups() || !Server.m_Membership)
-    return 0.0;
-  std::uint64_t Tokens = 0;
-  if (const auto Own = m_Own.find(Server.m_Id); Own != m_Own.end())
-    Tokens += Own->second.m_UnreadTokens;
-  for (const auto &[Peer, Load] : m_PeerLoads) {
-    if (Now - Load.m_SaidAt > m_Settings.m_UnreadMemory)
-      continue;
-    const auto Entry = Load.m_Servers.find(Server.m_Id);
-    if (Entry != Load.m_Servers.end())
-      Tokens += Entry->second.m_UnreadTokens;
-  }
-  return static_cast<double>(Tokens) / Service.m_Engine.m_PrefillTokensPerMs *
-         Service.m_Engine.paceOf(
-             modelOfGroup(Server.m_Membership->m_Group.m_Name));
+void ServerSelector::keepShortestBacklogs(std::vector<Rating> &Rated) const {
+  const Duration Least =
+      std::min_element(Rated.begin(), Rated.end(),
+                       [](const Rating &Left, const Rating &Right) {
+                         return Left.m_Backlog < Right.m_Backlog;
+                       })
+          ->m_Backlog;
+  Rated.erase(std::remove_if(Rated.begin(), Rated.end(),
+                             [&](const Rating &Each) {
+                               return Each.m_Backlog >
+                                      Least + m_Settings.m_SameBacklog;
+                             }),
+              Rated.end());
 }
 
 bool ServerSelector::fits(const FleetView &Fleet, const ServerQuery &Query,
@@ -121,8 +109,8 @@
   const double Own = ownLoad(Server.m_Id);
   double Others = 0.0;
   for (const auto &[Peer, Load] : m_PeerLoads) {
-    const auto Entry = Load.m_Servers.find(Server.m_Id);
-    Others += Entry == Load.m_Servers.end() ? 0.0 : Entry->second.m_Requests;
+    const auto Entry = Load.find(Server.m_Id);
+    Others += Entry == Load.end() ? 0.0 : Entry->second;
   }
   // Nodes that were not heard from are taken to have as much as this one.
   const std::size_t Nodes = std::max<std::size_t>(1, m_Nodes.size());
@@ -157,27 +145,16 @@
 }
 
 void ServerSelector::onDispatched(const std::string &Server,
-                                  std::uint64_t PromptTokens,
                                   MonotonicTime Now) {
-  ServerLoad &Load = m_Own[Server];
-  ++Load.m_Requests;
-  Load.m_UnreadTokens += PromptTokens;
+  ++m_Own[Server];
   m_LastDispatch[Server] = Now;
 }
 
-void ServerSelector::onPromptRead(const std::string &Server,
-                                  std::uint64_t PromptTokens) {
-  const auto Load = m_Own.find(Server);
-  if (Load != m_Own.end())
-    Load->second.m_UnreadTokens -=
-        std::min(Load->second.m_UnreadTokens, PromptTokens);
-}
-
 void ServerSelector::onEnded(const std::string &Server) {
   const auto Load = m_Own.find(Server);
   if (Load == m_Own.end())
     return;
-  if (--Load->second.m_Requests == 0)
+  if (--Load->second == 0)
     m_Own.erase(Load);
 }
 
@@ -205,9 +182,8 @@
 }
 
 void ServerSelector::setPeerLoad(const std::string &Peer,
-                                 std::map<std::string, ServerLoad> Load,
-                                 MonotonicTime Now) {
-  m_PeerLoads[Peer] = {std::move(Load), Now};
+                                 std::map<std::string, unsigned> Load) {
+  m_PeerLoads[Peer] = std::move(Load);
 }
 
 void ServerSelector::forgetPeer(const std::string &Peer) {
@@ -246,7 +222,7 @@
 
 unsigned ServerSelector::ownLoad(const std::string &Server) const {
   const auto Load = m_Own.find(Server);
-  return Load == m_Own.end() ? 0 : Load->second.m_Requests;
+  return Load == m_Own.end() ? 0 : Load->second;
 }
 
 } // namespace fulmarwinch
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_SERVERS_DISPATCH_SERVER_SELECTOR_H
 
 #include "core/enum_names.h"
+#include "servers/dispatch/reading_backlog.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
@@ -33,18 +34,6 @@
   std::optional<GroupKey> m_Group;
 };
 
-/// What a node has in progress at one backend server.
-struct ServerLoad {
-  unsigned m_Requests = 0;
-  /// Tokens of prompts whose first event has not come yet.
-  std::uint64_t m_UnreadTokens = 0;
-
-  bool operator==(const ServerLoad &Other) const {
-    return m_Requests == Other.m_Requests &&
-           m_UnreadTokens == Other.m_UnreadTokens;
-  }
-};
-
 /// What a request needs of a backend server.
 struct ServerQuery {
   const ServiceSpec *m_Service = nullptr;
@@ -75,9 +64,9 @@
   /// Requests per second that one node may send to a cold server. The nodes
   /// that may send to it are few enough for their sum to fit.
   double m_ColdPerNode = 2.0;
-  /// What a peer said of unread prompts counts for this time. A batch reads
-  /// most prompts within it.
-  Duration m_UnreadMemory = std::chrono::milliseconds(200);
+  /// Queues of unread prompts that differ by less count as equal. Prompts that
+  /// are too short to be announced make a difference of this size.
+  Duration m_SameBacklog = std::chrono::milliseconds(20);
 };
 
 /// Chooses the backend server for a request from what this node believes,
@@ -91,11 +80,13 @@
   /// Why the last choose() returned nothing.
   NoServerReason reason() const { return m_Reason; }
 
-  void onDispatched(const std::string &Server, std::uint64_t PromptTokens,
-                    MonotonicTime Now);
-  /// The prompt of a request was read, or its attempt ended before.
-  void onPromptRead(const std::string &Server, std::uint64_t PromptTokens);
+  void onDispatched(const std::string &Server, MonotonicTime Now);
   void onEnded(const std::string &Server);
+  /// This node or a peer sent a prompt that takes \p Work to read.
+  void onPromptSent(const std::string &Server, Duration Work,
+                    MonotonicTime Now) {
+    m_Backlog.add(Server, Work, Now);
+  }
   void onFull(const std::string &Server, MonotonicTime Now);
   void onUnreachable(const std::string &Server, MonotonicTime Now);
   /// The server, or the group that it leads in \p Group, does no work.
@@ -103,9 +94,9 @@
                    const std::optional<GroupKey> &Group, MonotonicTime Now);
   void onAnswered(const std::string &Server);
 
-  /// What a peer has in progress, by server.
+  /// Requests that a peer has in progress, by server.
   void setPeerLoad(const std::string &Peer,
-                   std::map<std::string, ServerLoad> Load, MonotonicTime Now);
+                   std::map<std::string, unsigned> Load);
   void forgetPeer(const std::string &Peer);
   /// Names this node and all nodes. Unheard nodes are assumed to be as loaded
   /// as this one.
@@ -115,7 +106,7 @@
   /// The same for the formation that \p Server led when it was chosen.
   bool isSuspected(const ChosenServer &Server, MonotonicTime Now) const;
   unsigned ownLoad(const std::string &Server) const;
-  const std::map<std::string, ServerLoad> &ownLoads() const { return m_Own; }
+  const std::map<std::string, unsigned> &ownLoads() const { return m_Own; }
 
 private:
   struct Suspicion {
@@ -125,13 +116,7 @@
   struct Rating {
     const BackendServer *m_Server = nullptr;
     double m_Fill = 0.0;
-    /// Time for which the batch reads prompts that are there already, in ms.
-    double m_ReadingMs = 0.0;
-    bool isBetterThan(const Rating &Other) const;
-  };
-  struct PeerLoad {
-    std::map<std::string, ServerLoad> m_Servers;
-    MonotonicTime m_SaidAt{};
+    Duration m_Backlog{0};
   };
 
   bool isSuspected(const std::string &Server,
@@ -139,16 +124,16 @@
                    MonotonicTime Now) const;
   bool fits(const FleetView &Fleet, const ServerQuery &Query,
             const BackendServer &Server) const;
+  void keepShortestBacklogs(std::vector<Rating> &Rated) const;
   double fill(const BackendServer &Server, const ServiceSpec &Service) const;
-  double readingMs(const BackendServer &Server, const ServiceSpec &Service,
-                   MonotonicTime Now) const;
   bool mayTakeCold(const FleetView &Fleet, const ServerQuery &Query,
                    const BackendServer &Server) const;
 
   SelectorSettings m_Settings;
   NoServerReason m_Reason = NoServerReason::None;
-  std::map<std::string, ServerLoad> m_Own;
-  std::map<std::string, PeerLoad> m_PeerLoads;
+  ReadingBacklog m_Backlog;
+  std::map<std::string, unsigned> m_Own;
+  std::map<std::string, std::map<std::string, unsigned>> m_PeerLoads;
   std::string m_Node;
   std::vector<std::string> m_Nodes;
   std::map<std::string, Suspicion> m_Suspicions;
--- a/servers/replicas/demand_estimator.h
+++ b/servers/replicas/demand_estimator.h
@@ -32,14 +32,18 @@
   std::map<std::string, double> demand(MonotonicTime Now) const;
 
 private:
-  struct Average {
-    double m_Value = 0.0;
+  /// A batch reads one chunk of prompts between its token steps, so a group
+  /// may lack either of the two while it has plenty of the other.
+  struct Work {
+    double m_Reading = 0.0;
+    double m_Writing = 0.0;
     MonotonicTime m_At{};
   };
 
-  static double decayed(const Average &Of, MonotonicTime Now);
+  /// Part of earlier work that still counts.
+  static double fading(const Work &Of, MonotonicTime Now);
 
-  std::map<std::string, Average> m_Work;
+  std::map<std::string, Work> m_Work;
 };
 
 } // namespace fulmarwinch
--- /dev/null
+++ b/servers/routes/engine_times.cpp
@@ -0,0 +1,32 @@
+#include "servers/routes/engine_times.h"
+
+namespace fulmarwinch {
+
+namespace {
+
+Duration fromMs(double Ms) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Ms));
+}
+
+} // namespace
+
+Duration writingTimeOfPass(const EngineSpec &Engine, const std::string &Model) {
+  return fromMs(
+      (Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots) *
+      Engine.paceOf(Model) * Engine.m_StepsPerPass);
+}
+
+Duration readingTime(const EngineSpec &Engine, const std::string &Model,
+                     std::uint64_t PromptTokens) {
+  const auto Tokens = static_cast<double>(PromptTokens);
+  const Duration Reading =
+      fromMs(Tokens / Engine.m_PrefillTokensPerMs * Engine.paceOf(Model));
+  if (Engine.m_ChunkTokens == 0)
+    return Reading;
+  const double Passes = Tokens / Engine.m_ChunkTokens;
+  return Reading + std::chrono::duration_cast<Duration>(
+                       writingTimeOfPass(Engine, Model) * Passes);
+}
+
+} // namespace fulmarwinch
--- a/servers/routes/traffic_configuration.h
+++ b/servers/routes/traffic_configuration.h
@@ -82,6 +82,8 @@
   double m_StepMsPerKiloContext = 0.0;
   /// Prompt tokens that are read per millisecond.
   double m_PrefillTokensPerMs = 1.0;
+  /// Prompt tokens that one pass reads at most; 0 if there is no bound.
+  std::uint64_t m_ChunkTokens = 0;
   /// Token steps per pass and therefore per stream event.
   unsigned m_StepsPerPass = 1;
   /// Starts of loads from the weight store per second, and loads at a time.
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -129,40 +129,36 @@
     Selector.setNodes("n1", {"n1", "n2"});
     putGroup("h1", "w1", "m.1.1", 1);
     putGroup("h2", "w2", "m.1.2", 2);
-    Selector.setPeerLoad("n2", {{"h1", {12, 0}}}, m_Now);
+    Selector.setPeerLoad("n2", {{"h1", 12}});
     for (double Draw : {0.0, 0.3, 0.6, 0.9})
       CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
     for (int I = 0; I < 12; ++I)
-      Selector.onDispatched("h2", 0, m_Now);
+      Selector.onDispatched("h2", m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
     CPPUNIT_ASSERT(Selector.reason() == NoServerReason::AllFull);
   }
 
-  /// Pattern: prompts of thousands of tokens arrive in clusters. Guards against
-  /// two of them in one batch while another batch reads nothing, which delays
-  /// their first events and every stream of the batch.
+  /// Pattern: prompts of thousands of tokens arrive in clusters at all nodes.
+  /// Guards against two of them in one batch while another batch reads nothing,
+  /// which delays their first events and every stream of the batch.
   void longPromptsGoToTheGroupThatReadsLeast() {
     ServerSelector Selector;
-    Selector.setNodes("n1", {"n1", "n2"});
-    m_Service.m_Engine.m_PrefillTokensPerMs = 50.0;
     putGroup("h1", "w1", "m.1.1", 1);
     putGroup("h2", "w2", "m.1.2", 2);
     const std::vector<double> Draws{0.0, 0.3, 0.6, 0.9};
-    // More streams, but nothing to read.
-    Selector.setPeerLoad("n2", {{"h2", {6, 0}}}, m_Now);
-    Selector.onDispatched("h1", 4000, m_Now);
-    for (const double Draw : Draws)
-      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
-    Selector.onPromptRead("h1", 4000);
-    for (const double Draw : Draws)
-      CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector, Draw));
-    Selector.setPeerLoad("n2", {{"h1", {1, 4000}}, {"h2", {6, 0}}}, m_Now);
-    for (const double Draw : Draws)
-      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
-    // What a peer said a while ago has been read since.
-    m_Now += std::chrono::milliseconds(300);
-    for (const double Draw : Draws)
-      CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector, Draw));
+    const auto AllChoose = [&](const std::string &Head) {
+      for (const double Draw : Draws)
+        CPPUNIT_ASSERT_EQUAL(Head, choose(Selector, Draw));
+    };
+    // The other group has more streams, but nothing to read.
+    Selector.setPeerLoad("n2", {{"h2", 6}});
+    Selector.onPromptSent("h1", std::chrono::milliseconds(90), m_Now);
+    AllChoose("h2");
+    Selector.onPromptSent("h2", std::chrono::milliseconds(150), m_Now);
+    AllChoose("h1");
+    // Both have been read, so that the streams decide.
+    m_Now += std::chrono::milliseconds(200);
+    AllChoose("h1");
   }
 
   /// Pattern: groups have been lost and the traffic of nine nodes exceeds what
@@ -187,12 +183,12 @@
         const std::string Server =
             choose(Nodes[I], static_cast<double>(I) / NodeCount);
         if (!Server.empty())
-          Nodes[I].onDispatched(Server, 0, m_Now);
+          Nodes[I].onDispatched(Server, m_Now);
       }
       for (std::size_t From = 0; From < NodeCount; ++From)
         for (std::size_t To = 0; To < NodeCount; ++To)
           if (From != To)
-            Nodes[To].setPeerLoad(Names[From], Nodes[From].ownLoads(), m_Now);
+            Nodes[To].setPeerLoad(Names[From], Nodes[From].ownLoads());
     }
     for (const char *Head : {"h1", "h2"}) {
       unsigned Load = 0;
@@ -227,7 +223,7 @@
         for (ServerSelector &Each : Nodes) {
           if (choose(Each).empty())
             continue;
-          Each.onDispatched("h", 0, m_Now);
+          Each.onDispatched("h", m_Now);
           Each.onEnded("h");
           ++Sent;
         }
--- a/tests/servers/replicas/test_demand_estimator.cpp
+++ b/tests/servers/replicas/test_demand_estimator.cpp
@@ -11,6 +11,7 @@
 class DemandEstimatorTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DemandEstimatorTest);
   CPPUNIT_TEST(longPromptsCountForTheTimeTheyAreRead);
+  CPPUNIT_TEST(chunksBoundWhatAPassReads);
   CPPUNIT_TEST(demandFadesWhenTrafficStops);
   CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +45,24 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(50 * 0.0446, Busy, 0.1);
   }
 
+  /// Pattern: the same on an engine that reads one chunk a pass, between the
+  /// token steps of its streams. Guards against taking a group for half used
+  /// whose prompts queue already.
+  void chunksBoundWhatAPassReads() {
+    DemandEstimator Estimator;
+    ServiceSpec Service = service();
+    Service.m_Engine.m_ChunkTokens = 2000;
+    Service.m_Engine.m_StepsPerPass = 8;
+    MonotonicTime Now{seconds(1000)};
+    for (int I = 0; I < 2000; ++I) {
+      Now += milliseconds(20);
+      Estimator.onRequest(Service, "big", {2000, 20}, Now);
+    }
+    // Each prompt takes a pass of 40 ms of reading and 48 ms of steps.
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50 * 0.088, Estimator.demand(Now).at("big"),
+                                 0.1);
+  }
+
   void demandFadesWhenTrafficStops() {
     DemandEstimator Estimator;
     MonotonicTime Now{seconds(1000)};
