--- a/servers/routes/engine_times.cpp
+++ b/servers/routes/engine_times.cpp
@@ -24,7 +24,7 @@
       fromMs(Tokens / Engine.m_PrefillTokensPerMs * Engine.paceOf(Model));
   if (Engine.m_ChunkTokens == 0)
     return Reading;
-  const double Passes = Tokens / Engine.m_ChunkTokens;
+  const double Passes = Tokens / static_cast<double>(Engine.m_ChunkTokens);
   return Reading + std::chrono::duration_cast<Duration>(
                        writingTimeOfPass(Engine, Model) * Passes);
 }
