--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -110,6 +110,13 @@
                       const ReplicaGroup &Group, const ModelSpec &Model);
   bool isComplete(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
                   const ModelSpec &Model) const;
+  /// Members that are listed, reachable and not leaving.
+  std::size_t workingMembers(const ReplicaPlannerInput &Input,
+                             const ReplicaGroup &Group) const;
+  /// The same as isComplete() for a group that serves, whose members may also
+  /// be cut off from the store. A group is only opened with listed members.
+  bool mayStayOpen(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
+                   const ModelSpec &Model) const;
   bool losesOnlyToDrain(const ReplicaPlannerInput &Input,
                         const ReplicaGroup &Group,
                         const ModelSpec &Model) const;
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(groupsThatEndedDoNotOccupyTheWeightStore);
   CPPUNIT_TEST(groupThatLacksFewestLoadsIsCompletedFirst);
   CPPUNIT_TEST(memberThatIsOnlyUnlistedKeepsItsGroupOpen);
+  CPPUNIT_TEST(unlistedMemberKeepsItsGroupFromOpening);
   CPPUNIT_TEST(drainingMemberLetsWorkFinish);
   CPPUNIT_TEST(domainsOfOneModelStrandNoServer);
   CPPUNIT_TEST(healthySpareKeepsItsWeights);
@@ -372,6 +373,22 @@
                          count(plan(Planner), OrderKind::Close));
   }
 
+  /// Guards against opening a group with a member that nobody has seen ready,
+  /// though it answers.
+  void unlistedMemberKeepsItsGroupFromOpening() {
+    addServers(1, 3, "small");
+    m_TrafficSeen = true;
+    ReplicaPlanner Planner = newPlanner();
+    for (const MemberOrder &Order : plan(Planner))
+      carryOut(Order);
+    const std::string Member =
+        m_Fleet.groups().begin()->second.m_Members.back();
+    remove(Member);
+    m_AnswersUnlisted = {Member};
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count(plan(Planner), OrderKind::Open));
+  }
+
   /// Guards against a planned stop of a member that cuts streams.
   void drainingMemberLetsWorkFinish() {
     addServers(1, 3);
