Let nodes that are not heard from hold places for three seconds only

Cause: the share of a node that is not heard from counts as large as the own one for as long as its registration exists, so one dead or replaced node of six makes the others refuse at 0.8 of the places, and stays forever. Change: it counts for 3 s after it was last heard, or after it was first listed. Test: lostNodesHoldPlacesForAWhileOnly.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -265,7 +265,7 @@
       for (const auto &[Name, Address] : m_NodeAddresses)
         Names.push_back(Name);
       setBudget(std::max<std::size_t>(1, Names.size()));
-      m_Selector.setNodes(m_Settings.m_Node, std::move(Names));
+      m_Selector.setNodes(m_Settings.m_Node, std::move(Names), monotonicNow());
     };
     return Result;
   }
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -55,7 +55,7 @@
       if (Each.m_Alive &&
           Now - Each.m_HeardAt > period() * m_Settings.m_SilentPeriods) {
         Each.m_Alive = false;
-        m_Selector.forgetPeer(Name);
+        m_Selector.forgetPeer(Name, Now);
         m_Log.write("peer_lost", {{"peer", Name}});
       }
     }
@@ -196,7 +196,7 @@
   }
   for (const auto &[Name, Entry] : Old)
     if (m_Impl->m_Peers.count(Name) == 0)
-      m_Impl->m_Selector.forgetPeer(Name);
+      m_Impl->m_Selector.forgetPeer(Name, monotonicNow());
 }
 
 void PeerExchange::announce(const StallNotice &Notice) {
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -16,7 +16,7 @@
     if (!fits(Fleet, Query, Server))
       continue;
     const auto Paused = m_PausedUntil.find(Id);
-    const double Fill = fill(Server, *Query.m_Service);
+    const double Fill = fill(Server, Query);
     if (Fill >= m_Settings.m_MaxFill ||
         (Paused != m_PausedUntil.end() && Paused->second > Query.m_Now)) {
       m_Reason = NoServerReason::AllFull;
@@ -103,7 +103,8 @@
 }
 
 double ServerSelector::fill(const BackendServer &Server,
-                            const ServiceSpec &Service) const {
+                            const ServerQuery &Query) const {
+  const ServiceSpec &Service = *Query.m_Service;
   const unsigned Slots = Service.hasGroups() ? Service.m_Engine.m_Slots
                                              : std::max(1U, Server.m_Slots);
   const double Own = ownLoad(Server.m_Id);
@@ -112,10 +113,10 @@
     const auto Entry = Load.find(Server.m_Id);
     Others += Entry == Load.end() ? 0.0 : Entry->second;
   }
-  // Nodes that were not heard from are taken to have as much as this one.
-  const std::size_t Nodes = std::max<std::size_t>(1, m_Nodes.size());
-  const auto Unheard =
-      static_cast<double>(Nodes - std::min(Nodes, m_PeerLoads.size() + 1));
+  const auto Unheard = static_cast<double>(std::count_if(
+      m_UnheardSince.begin(), m_UnheardSince.end(), [&](const auto &Entry) {
+        return Query.m_Now - Entry.second < m_Settings.m_UnheardCounts;
+      }));
   return (Own * (1.0 + Unheard) + Others) / Slots;
 }
 
@@ -184,15 +185,26 @@
 void ServerSelector::setPeerLoad(const std::string &Peer,
                                  std::map<std::string, unsigned> Load) {
   m_PeerLoads[Peer] = std::move(Load);
+  m_UnheardSince.erase(Peer);
 }
 
-void ServerSelector::forgetPeer(const std::string &Peer) {
+void ServerSelector::forgetPeer(const std::string &Peer, MonotonicTime Now) {
   m_PeerLoads.erase(Peer);
+  m_UnheardSince.emplace(Peer, Now);
 }
 
-void ServerSelector::setNodes(std::string Own, std::vector<std::string> All) {
+void ServerSelector::setNodes(std::string Own, std::vector<std::string> All,
+                              MonotonicTime Now) {
   m_Node = std::move(Own);
   m_Nodes = std::move(All);
+  std::map<std::string, MonotonicTime> Before;
+  Before.swap(m_UnheardSince);
+  for (const std::string &Node : m_Nodes) {
+    if (Node == m_Node || m_PeerLoads.count(Node) != 0)
+      continue;
+    const auto Known = Before.find(Node);
+    m_UnheardSince[Node] = Known == Before.end() ? Now : Known->second;
+  }
 }
 
 bool ServerSelector::isSuspected(const BackendServer &Server,
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -64,6 +64,9 @@
   /// Requests per second that one node may send to a cold server. The nodes
   /// that may send to it are few enough for their sum to fit.
   double m_ColdPerNode = 2.0;
+  /// A node that is not heard from counts as loaded as this one for this time.
+  /// Its clients have turned to the other nodes by then.
+  Duration m_UnheardCounts = std::chrono::seconds(3);
   /// Queues of unread prompts that differ by less count as equal. Prompts that
   /// are too short to be announced make a difference of this size.
   Duration m_SameBacklog = std::chrono::milliseconds(20);
@@ -97,10 +100,11 @@
   /// Requests that a peer has in progress, by server.
   void setPeerLoad(const std::string &Peer,
                    std::map<std::string, unsigned> Load);
-  void forgetPeer(const std::string &Peer);
+  void forgetPeer(const std::string &Peer, MonotonicTime Now);
   /// Names this node and all nodes. Unheard nodes are assumed to be as loaded
-  /// as this one.
-  void setNodes(std::string Own, std::vector<std::string> All);
+  /// as this one for a while.
+  void setNodes(std::string Own, std::vector<std::string> All,
+                MonotonicTime Now);
 
   bool isSuspected(const BackendServer &Server, MonotonicTime Now) const;
   /// The same for the formation that \p Server led when it was chosen.
@@ -125,7 +129,7 @@
   bool fits(const FleetView &Fleet, const ServerQuery &Query,
             const BackendServer &Server) const;
   void keepShortestBacklogs(std::vector<Rating> &Rated) const;
-  double fill(const BackendServer &Server, const ServiceSpec &Service) const;
+  double fill(const BackendServer &Server, const ServerQuery &Query) const;
   bool mayTakeCold(const FleetView &Fleet, const ServerQuery &Query,
                    const BackendServer &Server) const;
 
@@ -136,6 +140,8 @@
   std::map<std::string, std::map<std::string, unsigned>> m_PeerLoads;
   std::string m_Node;
   std::vector<std::string> m_Nodes;
+  /// Since when each node that is not heard from has been silent.
+  std::map<std::string, MonotonicTime> m_UnheardSince;
   std::map<std::string, Suspicion> m_Suspicions;
   std::map<std::string, MonotonicTime> m_PausedUntil;
   std::map<std::string, unsigned> m_ConnectFailures;
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(peersLoadCounts);
   CPPUNIT_TEST(overloadFillsNoGroupBeyondItsBatch);
   CPPUNIT_TEST(longPromptsGoToTheGroupThatReadsLeast);
+  CPPUNIT_TEST(lostNodesHoldPlacesForAWhileOnly);
   CPPUNIT_TEST(coldServerGetsItsShare);
   CPPUNIT_TEST(triedServersAreLeftOut);
   CPPUNIT_TEST_SUITE_END();
@@ -126,7 +127,7 @@
   /// Guards against all nodes filling the same group.
   void peersLoadCounts() {
     ServerSelector Selector;
-    Selector.setNodes("n1", {"n1", "n2"});
+    Selector.setNodes("n1", {"n1", "n2"}, m_Now);
     putGroup("h1", "w1", "m.1.1", 1);
     putGroup("h2", "w2", "m.1.2", 2);
     Selector.setPeerLoad("n2", {{"h1", 12}});
@@ -161,6 +162,29 @@
     AllChoose("h1");
   }
 
+  /// Pattern: one of two nodes dies, or was replaced at another address, and
+  /// its clients come to the other one. Guards against refusing them because
+  /// the dead node is taken to hold half of the places for ever, and against
+  /// forgetting at once a node that is only not heard.
+  void lostNodesHoldPlacesForAWhileOnly() {
+    ServerSelector Selector;
+    m_Service.m_Engine.m_Slots = 20;
+    putGroup("h1", "w1", "m.1.1", 1);
+    Selector.setNodes("n1", {"n1", "n2", "gone"}, m_Now);
+    Selector.setPeerLoad("n2", {{"h1", 4}});
+    m_Now += std::chrono::seconds(4);
+    for (int I = 0; I < 13; ++I)
+      Selector.onDispatched("h1", m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector));
+    Selector.forgetPeer("n2", m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    m_Now += std::chrono::seconds(2);
+    Selector.setNodes("n1", {"n1", "n2", "gone"}, m_Now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
+    m_Now += std::chrono::seconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("h1"), choose(Selector));
+  }
+
   /// Pattern: groups have been lost and the traffic of nine nodes exceeds what
   /// is left. Guards against a queue in front of every place, which made all
   /// first events late instead of refusing what exceeds the places.
@@ -176,7 +200,7 @@
       Names.push_back("n" + std::to_string(I));
     std::vector<ServerSelector> Nodes(NodeCount);
     for (std::size_t I = 0; I < NodeCount; ++I)
-      Nodes[I].setNodes(Names[I], Names);
+      Nodes[I].setNodes(Names[I], Names, m_Now);
     for (int Round = 0; Round < 20; ++Round) {
       // Each node sends one request between two messages of its peers.
       for (std::size_t I = 0; I < NodeCount; ++I) {
@@ -209,7 +233,7 @@
         Names.push_back("n" + std::to_string(I));
       std::vector<ServerSelector> Nodes(NodeCount);
       for (std::size_t I = 0; I < NodeCount; ++I)
-        Nodes[I].setNodes(Names[I], Names);
+        Nodes[I].setNodes(Names[I], Names, m_Now);
       constexpr double PerSecond = 14.0;
       m_Service.m_ColdRequestsPerSecond = PerSecond;
       putGroup("h", "w", "m.1.1", 1);
