Call refused callers back when a broken group may be replaced

Cause: every refusal said 0.6 s, while a broken group is missing for about 2.2 s (found, joined, opened); callers came back together, were refused again and did not come a third time. An answer that is late is late at 0.6 s as well. Change: 2.2 s for models, at most a third of the time left, spread over 0.7 to 1. Test: refusedCallersComeBackWhenAGroupMayBeThere.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -20,9 +20,16 @@
 constexpr Duration ConnectTimeout = milliseconds(250);
 /// Clients of a stream leave after a pause of two seconds.
 constexpr Duration LongestPause = milliseconds(1900);
-/// Told to callers when there is no better figure: about the time in which a
-/// broken group is replaced by staged servers.
-constexpr double DefaultRetryAfterSeconds = 0.6;
+/// Told to callers of plain services: longer than the queue of a full server.
+constexpr double PlainRetryAfterSeconds = 0.6;
+/// Time in which a broken group is replaced by staged servers: found, joined
+/// and opened. Callers that come back sooner find it missing still.
+constexpr double GroupReplacementSeconds = 2.2;
+/// Callers honour a pause of up to this part of the time that they have.
+constexpr double HonouredShare = 1.0 / 3.0;
+/// Callers that were refused together come back spread over this part of the
+/// pause.
+constexpr double LeastPauseShare = 0.7;
 /// A request that no server can take is refused after this part of its latency
 /// objective, so that the caller can still be served in time elsewhere.
 constexpr int RefusalShare = 8;
@@ -480,7 +487,17 @@
   /// Answers a request that no server has run or will run.
   void refuse(std::string_view Cause) {
     respondWith(Unavailable, Cause,
-                {{"Retry-After", concat(DefaultRetryAfterSeconds)}});
+                {{"Retry-After", concat(retryAfterSeconds())}});
+  }
+
+  double retryAfterSeconds() {
+    const bool ForGroups = m_Service && m_Service->hasGroups();
+    const std::chrono::duration<double> Left = m_Deadline - monotonicNow();
+    const double Pause = ForGroups ? std::min(GroupReplacementSeconds,
+                                              Left.count() * HonouredShare)
+                                   : PlainRetryAfterSeconds;
+    std::uniform_real_distribution<double> Draw(LeastPauseShare, 1.0);
+    return std::max(0.0, Pause * Draw(m_Context.m_Random));
   }
 
   void answer(int Status, std::string_view Cause) {
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -2,6 +2,8 @@
 
 #include "cppunit/extensions/HelperMacros.h"
 
+#include <set>
+
 namespace fulmarwinch {
 
 /// One request of a client on its way to servers that fail in every way.
@@ -22,6 +24,7 @@
   CPPUNIT_TEST(repeatWaitsForAPlace);
   CPPUNIT_TEST(retriesStopWithTheBudget);
   CPPUNIT_TEST(silenceAloneDoesNotMoveAStream);
+  CPPUNIT_TEST(refusedCallersComeBackWhenAGroupMayBeThere);
   CPPUNIT_TEST_SUITE_END();
 
   using Then = ScriptedServer::Answer::Then;
@@ -272,6 +275,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ArrivalsBefore);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, arrivals(World));
   }
+
+  /// Pattern: a group broke and all its callers are refused. Guards against
+  /// calling them back before it can be replaced, all in the same moment, or
+  /// later than they may wait.
+  void refusedCallersComeBackWhenAGroupMayBeThere() {
+    RelayWorld World;
+    World.configureGroups();
+    std::set<std::string> Pauses;
+    for (int I = 0; I < 5; ++I) {
+      const std::string Got = World.request("X-Model: other\r\n");
+      CPPUNIT_ASSERT(has(Got, "HTTP/1.1 503 "));
+      const std::string Name = "Retry-After: ";
+      const std::size_t At = Got.find(Name);
+      CPPUNIT_ASSERT(At != std::string::npos);
+      const std::string Pause = Got.substr(At + Name.size(), 8);
+      // The route allows 700 ms in all, and 25 ms pass before the refusal.
+      CPPUNIT_ASSERT(std::stod(Pause) >= 0.14 && std::stod(Pause) <= 0.234);
+      Pauses.insert(Pause);
+    }
+    CPPUNIT_ASSERT(Pauses.size() > 1);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestRelayTest);
