Take the time of one event from engine_times in the stall detector

Cause: read of the change; writingTimeOfPass() computes what threshold() computed by itself. Change: threshold() calls it. Checked: test_servers_dispatch, test_proxy, linter on the file.

--- a/servers/dispatch/stall_detector.cpp
+++ b/servers/dispatch/stall_detector.cpp
@@ -1,4 +1,5 @@
 #include "servers/dispatch/stall_detector.h"
+#include "servers/routes/engine_times.h"
 
 #include <algorithm>
 
@@ -14,14 +15,11 @@
 
 Duration StallDetector::threshold(const ServiceSpec &Service,
                                   const std::string &Model) const {
-  const EngineSpec &Engine = Service.m_Engine;
-  const double EventMs =
-      (Engine.m_StepMs + Engine.m_StepMsPerSequence * Engine.m_Slots) *
-      Engine.paceOf(Model) * Engine.m_StepsPerPass;
-  return std::max(m_Settings.m_LeastSilence,
-                  std::chrono::duration_cast<Duration>(
-                      std::chrono::duration<double, std::milli>(
-                          EventMs * m_Settings.m_Events)));
+  const Duration Event = writingTimeOfPass(Service.m_Engine, Model);
+  return std::max(
+      m_Settings.m_LeastSilence,
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Event) * m_Settings.m_Events));
 }
 
 } // namespace fulmarwinch
