Ask servers whether they live in one place

Cause: read of the change; probe() and answeringUnlisted() each built the same request and judged its answer. Change: askWhetherAlive() serves both.

--- a/proxy/group_duty.cpp
+++ b/proxy/group_duty.cpp
@@ -257,22 +257,15 @@
       if (Known.m_AskAt > Now)
         continue;
       Known.m_AskAt = Now + UnlistedProbePeriod;
-      startSmallCall(
-          m_Context.m_Loop, Server->m_Endpoint,
-          formatRequest("GET", m_Platform.m_ReportPath, Server->m_Endpoint,
-                        {{m_Platform.m_Dialect.m_ExpectedServer, Id}}, ""),
-          ProbeTimeout, [this, Id](const SmallResponse &Answer) {
-            const auto Member = m_UnlistedMembers.find(Id);
-            const bool Alive =
-                Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok;
-            if (Member != m_UnlistedMembers.end() && Alive)
-              Member->second.m_LivesUntil = monotonicNow() + UnlistedTrust;
-            m_Context.m_Log.write(
-                "unlisted_member",
-                {{"server", Id},
-                 {"alive", Alive},
-                 {"end", nameOf(CallEndNames, Answer.m_End)}});
-          });
+      askWhetherAlive(*Server, [this, Id](bool Alive, CallEnd End) {
+        const auto Member = m_UnlistedMembers.find(Id);
+        if (Member != m_UnlistedMembers.end() && Alive)
+          Member->second.m_LivesUntil = monotonicNow() + UnlistedTrust;
+        m_Context.m_Log.write("unlisted_member",
+                              {{"server", Id},
+                               {"alive", Alive},
+                               {"end", nameOf(CallEndNames, End)}});
+      });
     }
   }
   for (auto Entry = m_UnlistedMembers.begin();
@@ -300,6 +293,18 @@
       probe(Member, Notice, 1);
 }
 
+void GroupDuty::askWhetherAlive(const BackendServer &Server,
+                                std::function<void(bool, CallEnd)> Done) {
+  startSmallCall(
+      m_Context.m_Loop, Server.m_Endpoint,
+      formatRequest("GET", m_Platform.m_ReportPath, Server.m_Endpoint,
+                    {{m_Platform.m_Dialect.m_ExpectedServer, Server.m_Id}}, ""),
+      ProbeTimeout, [Done = std::move(Done)](const SmallResponse &Answer) {
+        Done(Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok,
+             Answer.m_End);
+      });
+}
+
 void GroupDuty::probe(const std::string &Server, const StallNotice &Notice,
                       unsigned Attempt) {
   const BackendServer *Entry = m_Context.m_Fleet.find(Server);
@@ -307,25 +312,18 @@
     m_Probing.erase(Server);
     return;
   }
-  startSmallCall(
-      m_Context.m_Loop, Entry->m_Endpoint,
-      formatRequest("GET", m_Platform.m_ReportPath, Entry->m_Endpoint,
-                    {{m_Platform.m_Dialect.m_ExpectedServer, Server}}, ""),
-      ProbeTimeout,
-      [this, Server, Notice, Attempt,
-       Revision = Entry->m_Revision](const SmallResponse &Answer) {
-        const bool Alive =
-            Answer.m_End == CallEnd::Complete && Answer.m_Status == Ok;
+  askWhetherAlive(
+      *Entry, [this, Server, Notice, Attempt,
+               Revision = Entry->m_Revision](bool Alive, CallEnd End) {
         if (!Alive && Attempt < ProbeAttempts) {
           probe(Server, Notice, Attempt + 1);
           return;
         }
         m_Probing.erase(Server);
-        m_Context.m_Log.write("probe",
-                              {{"server", Server},
-                               {"group", Notice.m_Group.m_Name},
-                               {"alive", Alive},
-                               {"end", nameOf(CallEndNames, Answer.m_End)}});
+        m_Context.m_Log.write("probe", {{"server", Server},
+                                        {"group", Notice.m_Group.m_Name},
+                                        {"alive", Alive},
+                                        {"end", nameOf(CallEndNames, End)}});
         if (Alive)
           return;
         m_Unreachable[Server] = Revision;
--- a/proxy/group_duty.h
+++ b/proxy/group_duty.h
@@ -42,6 +42,9 @@
   void send(const MemberOrder &Order);
   void onOrderEnd(const MemberOrder &Order, std::int64_t Born, CallEnd How,
                   int Status);
+  /// Asks \p Server for its load report; a server that lives answers at once.
+  void askWhetherAlive(const BackendServer &Server,
+                       std::function<void(bool, CallEnd)> Done);
   void probe(const std::string &Server, const StallNotice &Notice,
              unsigned Attempt);
   /// Asks members without an entry whether they live, and returns those that
