Read the lease rarely on nodes that only wait for it

Cause: after a read that showed a renewed lease, a node read it again after the challenge delay (3.2 s) instead of its poll period.

Change: if the lease changed since a recent read, the holder renews it and the next read waits for the poll period. The period of rank r > 2 is r intervals, so that the reads grow with the logarithm of the number of nodes and some node of low rank still takes over when the store turns the first ones away.

Test: readsOfManyNodesStayFewWhileTheHolderRenews fails without the change; nodeOfLowRankTakesOverWhenAllBeforeItAreCutOff passed before and after.

--- a/servers/lease/lease_settings.h
+++ b/servers/lease/lease_settings.h
@@ -18,9 +18,9 @@
   /// another node holds it. The preferred node has rank 0 in the rendezvous
   /// hashing of the shard.
   Duration m_PreferredPollPeriod = std::chrono::seconds(2);
-  /// Interval at which each of the next two nodes by rank reads the lease. All
-  /// nodes after them together make one read per interval, so that the number
-  /// of reads does not grow with the number of nodes.
+  /// Interval at which each of the next two nodes by rank reads the lease. The
+  /// node of rank r > 2 reads it every r intervals, so that the number of reads
+  /// grows only with the logarithm of the number of nodes.
   Duration m_BackupPollPeriod = std::chrono::seconds(6);
   /// Additional delay of a challenge, per rank of the node.
   Duration m_ChallengeDelayPerRank = std::chrono::seconds(3);
--- a/servers/lease/shard_lease.cpp
+++ b/servers/lease/shard_lease.cpp
@@ -20,7 +20,7 @@
     return m_Settings.m_PreferredPollPeriod;
   if (m_Rank <= 2)
     return m_Settings.m_BackupPollPeriod;
-  return m_Settings.m_BackupPollPeriod * static_cast<std::int64_t>(m_NodeCount);
+  return m_Settings.m_BackupPollPeriod * static_cast<std::int64_t>(m_Rank);
 }
 
 Duration ShardLease::rankDelay() const {
@@ -127,6 +127,10 @@
     return;
   }
   m_NeedsRead = false;
+  // A change since a recent read shows that the holder still renews the lease.
+  const bool WasReadRecently =
+      m_HasRead &&
+      Now - m_LastReadAt <= challengeDelay() + m_Settings.m_RenewPeriod;
   m_LastReadAt = Now;
   const bool VersionChanged = !m_HasRead || Version != m_LastVersion;
   m_HasRead = true;
@@ -154,9 +158,10 @@
   m_IsHandingOver = false;
   m_HeldUntil = MonotonicTime{};
   m_UnresolvedWrites.clear();
-  scheduleNext(Now, mayChallenge(Now)
-                        ? Duration::zero()
-                        : std::min(pollPeriod(), challengeDelay()));
+  const bool IsRenewed = WasReadRecently && Record && !Record->m_Holder.empty();
+  scheduleNext(Now, mayChallenge(Now) ? Duration::zero()
+                    : IsRenewed       ? pollPeriod()
+                                : std::min(pollPeriod(), challengeDelay()));
 }
 
 void ShardLease::confirmOwnWrite(std::uint64_t Sequence) {
--- a/tests/servers/lease/test_shard_lease.cpp
+++ b/tests/servers/lease/test_shard_lease.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(onlyOneOfTwoChallengersAcquiresTheLease);
   CPPUNIT_TEST(releaseFencesDelayedRenewal);
   CPPUNIT_TEST(leasesSpreadOverAllNodes);
+  CPPUNIT_TEST(readsOfManyNodesStayFewWhileTheHolderRenews);
+  CPPUNIT_TEST(nodeOfLowRankTakesOverWhenAllBeforeItAreCutOff);
   CPPUNIT_TEST_SUITE_END();
 
   static MonotonicTime at(std::int64_t Milliseconds) {
@@ -177,6 +179,75 @@
     // 16 leases renewed every 2 s for 120 s, plus the handovers.
     CPPUNIT_ASSERT(Store.writeCount() < 1200);
   }
+
+  static LeaseSettings shortLease() {
+    LeaseSettings Settings;
+    Settings.m_LeaseDuration = std::chrono::milliseconds(1600);
+    Settings.m_RenewPeriod = std::chrono::milliseconds(500);
+    Settings.m_PreferredPollPeriod = std::chrono::milliseconds(500);
+    Settings.m_BackupPollPeriod = std::chrono::milliseconds(2000);
+    Settings.m_ChallengeDelayPerRank = std::chrono::milliseconds(400);
+    return Settings;
+  }
+
+  /// Load pattern: 95 nodes start at the same time and stay idle while one of
+  /// them holds the lease. Guards against store reads that grow with the number
+  /// of nodes: each read shows a renewed lease, which must not lead to the next
+  /// read after the challenge delay.
+  void readsOfManyNodesStayFewWhileTheHolderRenews() {
+    constexpr std::size_t NodeCount = 95;
+    constexpr int RunMs = 60000;
+    FakeStore Store;
+    std::vector<ShardLease> Leases;
+    for (std::size_t I = 0; I < NodeCount; ++I) {
+      Leases.emplace_back(shortLease(), "groups", "n" + std::to_string(I));
+      Leases.back().setRank(I, NodeCount);
+    }
+    std::size_t Reads = 0;
+    for (int Time = 0; Time < RunMs; Time += 20)
+      for (ShardLease &Lease : Leases)
+        while (const auto Call = Lease.nextCall(at(Time), ++m_NextId)) {
+          Reads += std::holds_alternative<GetObject>(*Call);
+          deliver(Lease, Store.execute(*Call), at(Time));
+        }
+    CPPUNIT_ASSERT(Leases[0].isHeld(at(RunMs - 20)));
+    // Without a limit, 95 nodes make 30 reads a second.
+    constexpr std::size_t MaxReadsPerSecond = 10;
+    CPPUNIT_ASSERT(Reads <= MaxReadsPerSecond * RunMs / 1000);
+  }
+
+  /// The store turns away the holder and the three nodes that rank before the
+  /// fifth. Guards against a lease that nobody acquires then.
+  void nodeOfLowRankTakesOverWhenAllBeforeItAreCutOff() {
+    constexpr std::size_t NodeCount = 95;
+    constexpr std::size_t FirstConnected = 4;
+    constexpr int CutAt = 20000;
+    FakeStore Store;
+    std::vector<ShardLease> Leases;
+    for (std::size_t I = 0; I < NodeCount; ++I) {
+      Leases.emplace_back(shortLease(), "groups", "n" + std::to_string(I));
+      Leases.back().setRank(I, NodeCount);
+    }
+    int HeldAt = 0;
+    for (int Time = 0; Time < CutAt + 30000 && HeldAt == 0; Time += 20)
+      for (std::size_t I = 0; I < NodeCount; ++I) {
+        const bool IsCutOff = Time >= CutAt && I < FirstConnected;
+        while (const auto Call = Leases[I].nextCall(at(Time), ++m_NextId)) {
+          if (!IsCutOff)
+            deliver(Leases[I], Store.execute(*Call), at(Time));
+          else if (std::holds_alternative<GetObject>(*Call))
+            Leases[I].onGetCompleted(
+                {m_NextId, StoreOutcome::Unavailable, 0, ""}, at(Time));
+          else
+            Leases[I].onWriteCompleted({m_NextId, StoreOutcome::Unavailable, 0},
+                                       at(Time));
+        }
+        if (Time >= CutAt && I >= FirstConnected && Leases[I].isHeld(at(Time)))
+          HeldAt = Time;
+      }
+    CPPUNIT_ASSERT(HeldAt > CutAt);
+    CPPUNIT_ASSERT(HeldAt < CutAt + 15000);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ShardLeaseTest);
