Forward the store's changes from the lease holder through relays with fast links

Cause: the relay of a zone was chosen by name, so that a node with 20 Mbit/s sent up to 28 copies of each batch, which filled its link and lost datagrams; each loss made a follower ask the store. Each zone's relay watched the store beside the lease holder.

Change: the lease holder, which watches the store in any case, forwards changes to one relay in each zone (FeedRole); a relay watches itself only if it has heard nothing for 0.9 s. Relays are the nodes with the fastest links. A batch is compressed with zlib, cut into parts by bytes and bounded by what the sender's link carries in 0.15 s. Nodes of the earlier build ignore the new messages and ask the store. store_calls_total counts calls by kind and reason.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -26,8 +26,8 @@
 /// Pause after a watch that returned changes, on the other nodes that watch the
 /// store; usually one node in each zone does.
 constexpr Duration WatchPause = milliseconds(150);
-/// Period in which the node reselects the relay of its zone and checks that the
-/// relay's messages are recent.
+/// Period in which the node reselects the relay of its zone, checks that the
+/// relay's messages are recent and updates its rank for the lease.
 constexpr Duration RelayCheckPeriod = milliseconds(60);
 /// Settings of the watch on the store's node objects. The delays are long,
 /// because nodes rarely change and an outdated list only affects latency.
@@ -35,8 +35,9 @@
   ObjectWatcherSettings Settings;
   Settings.m_WatchTimeout = std::chrono::seconds(10);
   Settings.m_PauseAfterChanges = milliseconds(700);
-  Settings.m_RelayWatchTimeout = std::chrono::seconds(5);
-  Settings.m_MaxRelayedAge = std::chrono::seconds(8);
+  Settings.m_ForwardingWatchTimeout = std::chrono::seconds(5);
+  Settings.m_MaxAgeFromSource = std::chrono::seconds(7);
+  Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
 /// Time after which the load balancer sends no new connections to a node that
@@ -71,21 +72,22 @@
         m_Context(Loop, Log, m_Metrics, Platform.m_HeaderNames, m_Fleet,
                   m_ServerSelector, m_StallDetector),
         m_PeerExchange(Loop, Log, m_ServerSelector, Settings.m_NodeName,
-                       {{Settings.m_Ip, Settings.m_PeerPort}, Settings.m_Zone}),
-        m_ChangeRelay(Log, m_PeerExchange, Settings.m_NodeName,
-                      Settings.m_Zone),
+                       {{Settings.m_Ip, Settings.m_PeerPort},
+                        Settings.m_Zone,
+                        Settings.m_LinkMbps}),
+        m_ChangeRelay(Log, m_PeerExchange),
         m_Incarnation(concat(Settings.m_NodeName, "-", std::random_device()(),
                              "-", unixNow())),
         m_GroupCoordinator(m_Context, Platform, Settings, m_Incarnation),
-        m_ServerWatcher(Loop, *Platform.m_ObjectFeed, Log,
+        m_ServerWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
                         Platform.m_ServerKind, serverHandlers()),
-        m_ConfigurationWatcher(Loop, *Platform.m_ObjectFeed, Log,
+        m_ConfigurationWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
                                Platform.m_ConfigurationKind,
                                configurationHandlers()),
-        m_EvacuationWatcher(Loop, *Platform.m_ObjectFeed, Log,
+        m_EvacuationWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
                             Platform.m_EvacuationKind, evacuationHandlers()),
-        m_NodeWatcher(Loop, *Platform.m_ObjectFeed, Log, NodeObjectKind,
-                      nodeHandlers(), nodeWatchSettings()) {
+        m_NodeWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
+                      NodeObjectKind, nodeHandlers(), nodeWatchSettings()) {
     setRetryBudgets(1);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
@@ -294,7 +296,8 @@
     if (const auto Address =
             parseEndpoint(fieldOr(Object.m_Content, "address", std::string())))
       m_NodeAddresses[Object.m_Name] = {
-          *Address, fieldOr(Object.m_Content, "zone", std::string())};
+          *Address, fieldOr(Object.m_Content, "zone", std::string()),
+          fieldOr(Object.m_Content, "link_mbps", 0.0)};
   }
 
   void setRetryBudgets(std::size_t NodeCount) {
@@ -316,7 +319,9 @@
     const Json Content{
         {"address", concat(m_Settings.m_Ip, ":", m_Settings.m_PeerPort)},
         {"zone", m_Settings.m_Zone},
+        {"link_mbps", m_Settings.m_LinkMbps},
         {"incarnation", m_Incarnation}};
+    m_Metrics.increment("store_calls_total{kind=\"nodes\",reason=\"write\"}");
     m_Platform.m_StartStoreCall(
         PutObject{0, Key, m_RegistrationVersion, Content.dump()},
         [this](const StoreCompletion &Result) {
@@ -434,13 +439,13 @@
         m_Context.m_ActiveRequests.begin(), m_Context.m_ActiveRequests.end());
     for (const std::shared_ptr<RequestRelay> &Relay : Active)
       Relay->tick(Now);
-    m_GroupCoordinator.tick(Now, m_PeerExchange.liveNodes(Now));
+    m_GroupCoordinator.tick(Now);
     m_ServerWatcher.setPauseAfterChanges(
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
     if (Now >= m_NextRelayCheckAt) {
       m_NextRelayCheckAt = Now + RelayCheckPeriod;
-      m_ChangeRelay.tick(Now, m_PeerExchange.liveZoneNodes(Now),
-                         m_GroupCoordinator.holdsLease());
+      m_GroupCoordinator.setLiveNodes(m_PeerExchange.liveNodes(Now));
+      m_ChangeRelay.tick(Now, m_GroupCoordinator.holdsLease());
     }
     m_Context.m_CrashDetector.removeExpired(Now);
     if (m_IsDraining)
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -61,12 +61,17 @@
     : m_Context(Context), m_Platform(Platform), m_Settings(Settings),
       m_Lease(leaseSettings(), "groups", std::move(Incarnation)) {}
 
-void GroupCoordinator::tick(MonotonicTime Now,
-                            const std::vector<std::string> &LiveNodes) {
-  const auto Own =
-      std::find(LiveNodes.begin(), LiveNodes.end(), m_Settings.m_NodeName);
+void GroupCoordinator::setLiveNodes(
+    const std::vector<RelayCandidate> &LiveNodes) {
+  const auto Own = std::find_if(LiveNodes.begin(), LiveNodes.end(),
+                                [this](const RelayCandidate &Node) {
+                                  return Node.m_Name == m_Settings.m_NodeName;
+                                });
   m_Lease.setRank(static_cast<std::size_t>(Own - LiveNodes.begin()),
                   LiveNodes.size());
+}
+
+void GroupCoordinator::tick(MonotonicTime Now) {
   advanceLease(Now);
   const bool IsHolder = m_Lease.isHeld(Now);
   if (IsHolder != m_HoldsLease || (IsHolder && m_Lease.epoch() != m_Epoch)) {
@@ -94,6 +99,10 @@
   if (!Action)
     return;
   ++m_NextCallId;
+  m_Context.m_Metrics.increment(
+      std::holds_alternative<GetObject>(*Action)
+          ? "store_calls_total{kind=\"lease\",reason=\"read\"}"
+          : "store_calls_total{kind=\"lease\",reason=\"write\"}");
   m_Platform.m_StartStoreCall(*Action, [this](const StoreCompletion &Result) {
     const MonotonicTime AnsweredAt = monotonicNow();
     StoreOutcome Outcome = StoreOutcome::Unavailable;
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -27,9 +27,11 @@
                    const PlatformBinding &Platform,
                    const FrontSettings &Settings, std::string Incarnation);
 
+  /// Sets the live nodes, sorted by name. The order determines which node tries
+  /// first to acquire the lease.
+  void setLiveNodes(const std::vector<RelayCandidate> &LiveNodes);
   /// Renews or tries to acquire the lease, and plans while it is held.
-  /// \p LiveNodes must be sorted; the order determines which node tries first.
-  void tick(MonotonicTime Now, const std::vector<std::string> &LiveNodes);
+  void tick(MonotonicTime Now);
   /// Probes the members of a group that seems to have stalled. Does nothing if
   /// this node does not hold the lease.
   void onGroupStalled(const StallReport &Report);
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -1,4 +1,5 @@
 #include "proxy/object_watcher.h"
+#include "core/text.h"
 
 namespace fulmarwinch {
 
@@ -11,15 +12,22 @@
 } // namespace
 
 ObjectWatcher::ObjectWatcher(asio::io_context &Loop, ObjectFeed &Feed,
-                             EventLog &Log, std::string Kind,
+                             EventLog &Log, Metrics &Counters, std::string Kind,
                              Handlers Callbacks,
                              const ObjectWatcherSettings &Settings)
-    : m_Loop(Loop), m_Feed(Feed), m_Log(Log), m_Kind(std::move(Kind)),
-      m_Callbacks(std::move(Callbacks)), m_Settings(Settings), m_Timer(Loop),
-      m_Random(std::random_device()()),
-      m_RelayFollower(Settings.m_MaxRelayedAge) {}
+    : m_Loop(Loop), m_Feed(Feed), m_Log(Log), m_Counters(Counters),
+      m_Kind(std::move(Kind)), m_Callbacks(std::move(Callbacks)),
+      m_Settings(Settings), m_Timer(Loop), m_Random(std::random_device()()),
+      m_RelayFollower(Settings.m_MaxAgeFromRelay) {}
+
+void ObjectWatcher::countCall(StoreCallReason Reason) {
+  m_Counters.increment(concat("store_calls_total{kind=\"", m_Kind,
+                              "\",reason=\"",
+                              nameOf(StoreCallReasonNames, Reason), "\"}"));
+}
 
-void ObjectWatcher::list() {
+void ObjectWatcher::list(StoreCallReason Reason) {
+  countCall(Reason);
   m_Feed.list(m_Kind,
               [this](ObjectsListed Result) { onListed(std::move(Result)); });
 }
@@ -42,12 +50,12 @@
     return;
   }
   m_IsIdle = false;
-  m_Feed.watch(
-      m_Kind, m_RelayFollower.revision(),
-      m_IsRelay ? m_Settings.m_RelayWatchTimeout : m_Settings.m_WatchTimeout,
-      [this, Since = m_RelayFollower.revision()](const ObjectsWatched &Result) {
-        onWatched(Since, Result);
-      });
+  countCall(m_RelayFollower.storeCallReason());
+  m_Feed.watch(m_Kind, m_RelayFollower.revision(),
+               forwards() ? m_Settings.m_ForwardingWatchTimeout
+                          : m_Settings.m_WatchTimeout,
+               [this, Since = m_RelayFollower.revision()](
+                   const ObjectsWatched &Result) { onWatched(Since, Result); });
 }
 
 void ObjectWatcher::onWatched(std::uint64_t Since,
@@ -56,14 +64,14 @@
     m_Log.write(
         "store_history_gone",
         {{"kind", m_Kind}, {"since", static_cast<std::int64_t>(Since)}});
-    list();
+    list(StoreCallReason::HistoryGone);
     return;
   }
   if (Result.m_Outcome != StoreOutcome::Succeeded) {
     scheduleRetry(false);
     return;
   }
-  // A relay may have forwarded later changes while the watch call was in
+  // Another node may have forwarded later changes while the watch call was in
   // flight; the returned ones are then outdated.
   const bool IsNew = !Result.m_Changes.empty() &&
                      Result.m_Revision > m_RelayFollower.revision();
@@ -74,7 +82,7 @@
     return;
   }
   applyChanges(Result.m_Changes);
-  if (m_IsRelay && m_PublishChanges)
+  if (forwards() && m_PublishChanges)
     m_PublishChanges({m_Kind, LastChange, Result.m_Revision, Result.m_Changes});
   m_Timer.expires_after(m_Settings.m_PauseAfterChanges);
   m_Timer.async_wait([this](const asio::error_code &Error) {
@@ -89,19 +97,28 @@
   m_Callbacks.m_OnBatchApplied();
 }
 
-void ObjectWatcher::setRelayRoles(bool FollowsRelay, bool IsRelay) {
-  m_RelayFollower.setFollowing(FollowsRelay);
-  m_IsRelay = IsRelay;
+void ObjectWatcher::setRole(FeedRole Role) {
+  m_Role = Role;
+  m_RelayFollower.setFollowing(Role == FeedRole::Follower ||
+                               Role == FeedRole::Relay);
+  m_RelayFollower.setMaxStaleness(Role == FeedRole::Relay
+                                      ? m_Settings.m_MaxAgeFromSource
+                                      : m_Settings.m_MaxAgeFromRelay);
 }
 
-void ObjectWatcher::onRelayChanges(const ObjectChangeBatch &Forwarded) {
-  if (m_HasListed && m_RelayFollower.onRelayedChanges(Forwarded.m_FromRevision,
-                                                      Forwarded.m_ToRevision))
-    applyChanges(Forwarded.m_Changes);
+void ObjectWatcher::onForwardedChanges(const ObjectChangeBatch &Forwarded) {
+  const std::uint64_t LastChange = m_RelayFollower.lastChangeRevision();
+  if (!m_HasListed || !m_RelayFollower.onRelayedChanges(
+                          Forwarded.m_FromRevision, Forwarded.m_ToRevision))
+    return;
+  applyChanges(Forwarded.m_Changes);
+  if (forwards() && m_PublishChanges)
+    m_PublishChanges(
+        {m_Kind, LastChange, Forwarded.m_ToRevision, Forwarded.m_Changes});
 }
 
-void ObjectWatcher::onRelayFreshness(std::uint64_t LastChange,
-                                     std::uint64_t Revision, Duration Age) {
+void ObjectWatcher::onForwardedFreshness(std::uint64_t LastChange,
+                                         std::uint64_t Revision, Duration Age) {
   if (m_HasListed)
     m_RelayFollower.onRelayConfirmation(LastChange, Revision, Age,
                                         monotonicNow());
@@ -129,7 +146,7 @@
     if (Error)
       return;
     if (RetriesList)
-      list();
+      list(m_HasListed ? StoreCallReason::HistoryGone : StoreCallReason::Start);
     else
       watch();
   });
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -2,8 +2,11 @@
 #define FULMARWINCH_PROXY_OBJECT_WATCHER_H
 
 #include "core/event_log.h"
+#include "core/metrics.h"
 #include "core/object_feed.h"
+#include "servers/feed/change_batch.h"
 #include "servers/feed/relay_follower.h"
+#include "servers/feed/relay_topology.h"
 
 #include "asio/io_context.hpp"
 #include "asio/steady_timer.hpp"
@@ -28,28 +31,21 @@
   /// each failure and is scaled by a random factor between one half and one.
   Duration m_InitialBackoff = std::chrono::milliseconds(60);
   Duration m_MaxBackoff = std::chrono::milliseconds(1000);
-  /// Replaces m_WatchTimeout on a relay, which forwards changes to other nodes.
-  Duration m_RelayWatchTimeout = std::chrono::milliseconds(700);
-  /// Maximum age of a state received from a relay before the node queries the
-  /// store itself. This age exceeds the relay's watch timeout by enough time
-  /// for the period of freshness messages and the loss of one.
-  Duration m_MaxRelayedAge = std::chrono::milliseconds(1300);
-};
-
-/// Changes of one kind that a watch returned, as a relay forwards them.
-struct ObjectChangeBatch {
-  std::string m_Kind;
-  /// The batch contains every change of the kind after revision m_FromRevision,
-  /// up to and including revision m_ToRevision.
-  std::uint64_t m_FromRevision = 0;
-  std::uint64_t m_ToRevision = 0;
-  std::vector<ObjectChange> m_Changes;
+  /// Replaces m_WatchTimeout on nodes that forward changes to others.
+  Duration m_ForwardingWatchTimeout = std::chrono::milliseconds(500);
+  /// Maximum age of a state received from the source before a relay queries the
+  /// store itself. It exceeds the source's watch timeout by the period of
+  /// freshness messages and the loss of one.
+  Duration m_MaxAgeFromSource = std::chrono::milliseconds(900);
+  /// Maximum age of a state received from a relay before a follower queries the
+  /// store itself. It exceeds the maximum age on the relay by the same time.
+  Duration m_MaxAgeFromRelay = std::chrono::milliseconds(1300);
 };
 
 /// Tracks the objects of one kind in the store. It lists them once, then
 /// watches for changes, and lists again if the store has discarded changes
-/// since the known revision. While another node, the relay, forwards the
-/// changes, this node does not query the store.
+/// since the known revision. While another node forwards the changes, this node
+/// does not query the store.
 class ObjectWatcher {
 public:
   struct Handlers {
@@ -60,12 +56,12 @@
     std::function<void()> m_OnBatchApplied;
   };
 
-  /// \p Loop, \p Feed and \p Log must outlive the watcher.
+  /// \p Loop, \p Feed, \p Log and \p Counters must outlive the watcher.
   ObjectWatcher(asio::io_context &Loop, ObjectFeed &Feed, EventLog &Log,
-                std::string Kind, Handlers Callbacks,
+                Metrics &Counters, std::string Kind, Handlers Callbacks,
                 const ObjectWatcherSettings &Settings = {});
 
-  void start() { list(); }
+  void start() { list(StoreCallReason::Start); }
   /// Changes the pause after a watch that returned changes.
   void setPauseAfterChanges(Duration Pause) {
     m_Settings.m_PauseAfterChanges = Pause;
@@ -84,26 +80,30 @@
   }
   const std::string &kind() const { return m_Kind; }
 
-  /// Sets whether this node receives changes from a relay, and whether it is
-  /// the relay of its zone.
-  void setRelayRoles(bool FollowsRelay, bool IsRelay);
-  /// Sets the function that a relay calls with changes returned by the store.
+  /// Sets the part of this node in the distribution of changes.
+  void setRole(FeedRole Role);
+  /// Sets the function that is called with each batch of changes that this node
+  /// has to forward to others.
   void
   setChangePublisher(std::function<void(const ObjectChangeBatch &)> Publish) {
     m_PublishChanges = std::move(Publish);
   }
-  /// Applies changes that a relay forwarded, unless earlier changes are
+  /// Applies changes that another node forwarded, unless earlier changes are
   /// missing.
-  void onRelayChanges(const ObjectChangeBatch &Forwarded);
-  /// Handles a relay's message that \p Revision was current \p Age ago and that
-  /// this kind last changed at revision \p LastChange.
-  void onRelayFreshness(std::uint64_t LastChange, std::uint64_t Revision,
-                        Duration Age);
-  /// Resumes watching the store once the relay's information is too old.
+  void onForwardedChanges(const ObjectChangeBatch &Forwarded);
+  /// Handles a message of another node that \p Revision was current \p Age ago
+  /// and that this kind last changed at revision \p LastChange.
+  void onForwardedFreshness(std::uint64_t LastChange, std::uint64_t Revision,
+                            Duration Age);
+  /// Resumes watching the store once the forwarded information is too old.
   void tick(MonotonicTime Now);
 
 private:
-  void list();
+  void countCall(StoreCallReason Reason);
+  bool forwards() const {
+    return m_Role == FeedRole::Relay || m_Role == FeedRole::Source;
+  }
+  void list(StoreCallReason Reason);
   void watch();
   void onListed(ObjectsListed Result);
   void onWatched(std::uint64_t Since, const ObjectsWatched &Result);
@@ -115,6 +115,7 @@
   asio::io_context &m_Loop;
   ObjectFeed &m_Feed;
   EventLog &m_Log;
+  Metrics &m_Counters;
   std::string m_Kind;
   Handlers m_Callbacks;
   ObjectWatcherSettings m_Settings;
@@ -122,9 +123,9 @@
   std::minstd_rand m_Random;
   std::function<void(const ObjectChangeBatch &)> m_PublishChanges;
   RelayFollower m_RelayFollower;
-  bool m_IsRelay = false;
-  /// True if no store call is in flight or scheduled, because a relay supplies
-  /// the changes.
+  FeedRole m_Role = FeedRole::Independent;
+  /// True if no store call is in flight or scheduled, because another node
+  /// supplies the changes.
   bool m_IsIdle = false;
   bool m_HasListed = false;
   bool m_IsStoreUnreachable = false;
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -87,19 +87,6 @@
                                        period() * m_Settings.m_MaxSilentPeriods;
   }
 
-  /// Returns the sorted names of this node and of the live peers that satisfy
-  /// the predicate \p Matches.
-  template <typename Predicate>
-  std::vector<std::string> liveNames(MonotonicTime Now,
-                                     const Predicate &Matches) const {
-    std::vector<std::string> Names{m_NodeName};
-    for (const auto &[Name, RemotePeer] : m_Peers)
-      if (isLive(RemotePeer, Now) && Matches(RemotePeer))
-        Names.push_back(Name);
-    std::sort(Names.begin(), Names.end());
-    return Names;
-  }
-
   void receive() {
     m_Socket.async_receive_from(
         asio::buffer(m_Buffer), m_SenderEndpoint,
@@ -220,12 +207,15 @@
       Json{{"node", m_Impl->m_NodeName}, {"blame", toJson(Records)}});
 }
 
-void PeerExchange::sendToZone(const Json &Message) {
+void PeerExchange::sendFeed(const std::vector<std::string> &Receivers,
+                            const Json &Message) {
   const std::vector<std::uint8_t> Bytes =
       Json::to_cbor(Json{{"node", m_Impl->m_NodeName}, {"feed", Message}});
-  for (const auto &[Name, RemotePeer] : m_Impl->m_Peers)
-    if (RemotePeer.m_Address.m_Zone == m_Impl->m_OwnAddress.m_Zone)
-      m_Impl->send(Bytes, RemotePeer);
+  for (const std::string &Name : Receivers) {
+    const auto Receiver = m_Impl->m_Peers.find(Name);
+    if (Receiver != m_Impl->m_Peers.end())
+      m_Impl->send(Bytes, Receiver->second);
+  }
 }
 
 void PeerExchange::announcePrompt(const std::string &Server,
@@ -239,14 +229,22 @@
       {"node", m_Impl->m_NodeName}, {"prompt", Server}, {"us", Microseconds}});
 }
 
-std::vector<std::string> PeerExchange::liveNodes(MonotonicTime Now) const {
-  return m_Impl->liveNames(Now, [](const Impl::Peer &) { return true; });
+RelayCandidate PeerExchange::ownNode() const {
+  return {m_Impl->m_NodeName, m_Impl->m_OwnAddress.m_Zone,
+          m_Impl->m_OwnAddress.m_LinkMbps};
 }
 
-std::vector<std::string> PeerExchange::liveZoneNodes(MonotonicTime Now) const {
-  return m_Impl->liveNames(Now, [this](const Impl::Peer &RemotePeer) {
-    return RemotePeer.m_Address.m_Zone == m_Impl->m_OwnAddress.m_Zone;
-  });
+std::vector<RelayCandidate> PeerExchange::liveNodes(MonotonicTime Now) const {
+  std::vector<RelayCandidate> Nodes{ownNode()};
+  for (const auto &[Name, RemotePeer] : m_Impl->m_Peers)
+    if (m_Impl->isLive(RemotePeer, Now))
+      Nodes.push_back(
+          {Name, RemotePeer.m_Address.m_Zone, RemotePeer.m_Address.m_LinkMbps});
+  std::sort(Nodes.begin(), Nodes.end(),
+            [](const RelayCandidate &Left, const RelayCandidate &Right) {
+              return Left.m_Name < Right.m_Name;
+            });
+  return Nodes;
 }
 
 } // namespace fulmarwinch
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "core/json.h"
 #include "servers/dispatch/server_selector.h"
+#include "servers/feed/relay_topology.h"
 #include "servers/retry/poison_detector.h"
 
 #include "asio/io_context.hpp"
@@ -27,10 +28,12 @@
   bool m_IsConfirmed = false;
 };
 
-/// Address and zone of another node.
+/// Address, zone and link of another node.
 struct PeerAddress {
   Endpoint m_Endpoint;
   std::string m_Zone;
+  /// Bandwidth of the node's network link in Mbit/s; 0 if unknown.
+  double m_LinkMbps = 0.0;
 };
 
 /// Periods of the message exchange between nodes.
@@ -71,8 +74,8 @@
   /// Replaces the addresses of the nodes, by name. Nodes that are no longer
   /// listed are forgotten.
   void setPeers(std::map<std::string, PeerAddress> Peers);
-  /// Sends \p Message to the other nodes of this node's zone.
-  void sendToZone(const Json &Message);
+  /// Sends \p Message about the store's changes to the nodes \p Receivers.
+  void sendFeed(const std::vector<std::string> &Receivers, const Json &Message);
   /// Reports a stalled group to all nodes.
   void announce(const StallReport &Report);
   /// Reports requests that crash servers to all nodes; surplus records that do
@@ -81,12 +84,10 @@
   /// Announces to all nodes that \p Server received a prompt whose prefill
   /// takes \p PrefillTime.
   void announcePrompt(const std::string &Server, Duration PrefillTime);
-  /// Returns the sorted names of this node and of the peers that sent a message
-  /// recently.
-  std::vector<std::string> liveNodes(MonotonicTime Now) const;
-  /// Returns the sorted names of this node and of those peers in its zone that
-  /// sent a message recently.
-  std::vector<std::string> liveZoneNodes(MonotonicTime Now) const;
+  RelayCandidate ownNode() const;
+  /// Returns this node and the peers that sent a message recently, sorted by
+  /// name.
+  std::vector<RelayCandidate> liveNodes(MonotonicTime Now) const;
 
 private:
   struct Impl;
--- a/proxy/zone_change_relay.h
+++ b/proxy/zone_change_relay.h
@@ -4,57 +4,39 @@
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
 
-#include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace fulmarwinch {
 
-/// Distributes the store's changes within a zone. One node of the zone, the
-/// relay, watches the store and forwards the changes to the other nodes, its
-/// followers, so that the number of store calls grows with the number of zones
-/// and not of nodes.
+/// Distributes the store's changes among the nodes in two steps, so that the
+/// number of store calls grows neither with the number of nodes nor with that
+/// of zones: the source forwards them to one relay in each zone, and each relay
+/// to the other nodes of its zone. See FeedRole.
 class ZoneChangeRelay {
 public:
-  ZoneChangeRelay(EventLog &Log, PeerExchange &Peers, std::string Node,
-                  std::string Zone);
+  ZoneChangeRelay(EventLog &Log, PeerExchange &Peers);
 
   /// Adds the watcher of one kind of objects, which must outlive this object.
   void addWatcher(ObjectWatcher &Watcher);
-  /// Selects the relay from \p ZoneNodes, the live nodes of the zone. If
-  /// \p NeedsDirectWatch is true, this node watches the store even as a
-  /// follower.
-  void tick(MonotonicTime Now, const std::vector<std::string> &ZoneNodes,
-            bool NeedsDirectWatch);
+  /// Plans the part of this node among the live nodes. \p IsLeaseHolder is true
+  /// if it holds the lease on group formation.
+  void tick(MonotonicTime Now, bool IsLeaseHolder);
   /// Processes a message of another node; does nothing if it is malformed.
   void onMessage(const Json &Message);
 
 private:
-  /// Sends the followers the current revision of each kind and its age.
+  /// Sends the receivers the current revision of each kind and its age.
   void sendFreshness();
-  /// Forwards changes that this relay read from the store.
+  /// Forwards changes to the receivers.
   void publish(const ObjectChangeBatch &Changes);
-  /// Stores one part of a batch and returns all changes of the batch once it is
-  /// complete.
-  std::optional<std::vector<ObjectChange>>
-  addPart(const ObjectChangeBatch &Part, std::size_t Index, std::size_t Count);
 
   EventLog &m_Log;
   PeerExchange &m_Peers;
-  std::string m_NodeName;
-  std::string m_Zone;
   std::vector<ObjectWatcher *> m_Watchers;
-  bool m_IsRelay = false;
-  /// Name of the zone's relay, which may be this node; empty if there is none.
-  std::string m_RelayNode;
+  FeedPlan m_Plan;
   MonotonicTime m_NextFreshnessAt{};
-  /// Received parts of batches that did not fit into one datagram, by kind.
-  struct PartialBatch {
-    std::uint64_t m_ToRevision = 0;
-    std::map<std::size_t, std::vector<ObjectChange>> m_Parts;
-  };
-  std::map<std::string, PartialBatch> m_PartialBatches;
+  ChangeBatchAssembler m_Assembler;
 };
 
 } // namespace fulmarwinch
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -7,7 +7,7 @@
   librestinio-dev libasio-dev libwebsocketpp-dev nlohmann-json3-dev
   libcurl4-openssl-dev libdocopt-dev liblog4cxx-dev libabsl-dev
   libcppunit-dev libboost-dev libboost-system-dev libxxhash-dev libssl-dev
-  librapidcheck-dev spin python3
+  librapidcheck-dev zlib1g-dev spin python3
 )
 
 missing=()
--- a/servers/feed/relay_follower.cpp
+++ b/servers/feed/relay_follower.cpp
@@ -1,5 +1,4 @@
 #include "servers/feed/relay_follower.h"
-#include "core/rendezvous.h"
 
 #include <algorithm>
 
@@ -41,15 +40,10 @@
   return m_Following && !m_HasGap && Now - m_LastCurrentAt < m_MaxStaleness;
 }
 
-std::optional<std::string>
-relayForZone(const std::string &Zone,
-             const std::vector<std::string> &ZoneNodes) {
-  if (ZoneNodes.size() < 2)
-    return std::nullopt;
-  for (const std::string &Node : ZoneNodes)
-    if (rendezvousRank("relay/" + Zone, ZoneNodes, Node) == 0)
-      return Node;
-  return std::nullopt;
+StoreCallReason RelayFollower::storeCallReason() const {
+  if (!m_Following)
+    return StoreCallReason::Direct;
+  return m_HasGap ? StoreCallReason::Gap : StoreCallReason::Outdated;
 }
 
 } // namespace fulmarwinch
--- a/servers/feed/relay_follower.h
+++ b/servers/feed/relay_follower.h
@@ -1,30 +1,51 @@
 #ifndef FULMARWINCH_SERVERS_FEED_RELAY_FOLLOWER_H
 #define FULMARWINCH_SERVERS_FEED_RELAY_FOLLOWER_H
 
+#include "core/enum_names.h"
 #include "core/time.h"
 
+#include <array>
 #include <cstdint>
-#include <optional>
-#include <string>
-#include <vector>
 
 namespace fulmarwinch {
 
+/// Reason for a call to the platform's store.
+enum class StoreCallReason {
+  /// The first listing after the start of the process.
+  Start,
+  /// The store has discarded the changes since the known revision.
+  HistoryGone,
+  /// No other node forwards the changes.
+  Direct,
+  /// A forwarded change did not arrive.
+  Gap,
+  /// The forwarded state is too old.
+  Outdated,
+};
+
+inline constexpr std::array<EnumName<StoreCallReason>, 5> StoreCallReasonNames{{
+    {StoreCallReason::Start, "start"},
+    {StoreCallReason::HistoryGone, "history_gone"},
+    {StoreCallReason::Direct, "direct"},
+    {StoreCallReason::Gap, "gap"},
+    {StoreCallReason::Outdated, "outdated"},
+}};
+
 /// Decides whether a node queries the platform's store for the changes of one
-/// kind of entry, or relies on a relay: another node of its zone that forwards
-/// the changes. The node relies on the relay only while its messages are recent
-/// and without a gap, so a partitioned relay costs each of its followers one
-/// store call and has no other effect.
+/// kind of entry, or relies on another node that forwards the changes: the
+/// relay of its zone or, for a relay, the source. The node relies on that node
+/// only while its messages are recent and without a gap, so a partitioned relay
+/// costs each of its followers one store call and has no other effect.
 class RelayFollower {
 public:
-  /// \p MaxStaleness is the maximum age of a state that was received from a
-  /// relay.
+  /// \p MaxStaleness is the maximum age of a state that was received from
+  /// another node.
   explicit RelayFollower(Duration MaxStaleness)
       : m_MaxStaleness(MaxStaleness) {}
 
-  /// Sets whether another node is currently the relay of this one.
+  /// Sets whether another node currently forwards the changes to this one.
   void setFollowing(bool Following) { m_Following = Following; }
-  bool isFollowing() const { return m_Following; }
+  void setMaxStaleness(Duration MaxStaleness) { m_MaxStaleness = MaxStaleness; }
 
   /// Must be called when the store has returned all changes up to \p Revision.
   /// \p HadChanges is true if any of them is of the kind that this object
@@ -45,6 +66,8 @@
   /// True if no store call is needed now, since the state from the relay is
   /// complete and recent.
   bool needsNoStoreCall(MonotonicTime Now) const;
+  /// Reason why a store call is needed; meaningless if needsNoStoreCall().
+  StoreCallReason storeCallReason() const;
 
   /// Revision up to which all changes of the followed kind are known.
   std::uint64_t revision() const { return m_Revision; }
@@ -63,13 +86,6 @@
   MonotonicTime m_LastCurrentAt{};
 };
 
-/// Returns the node that is the relay of \p Zone, or nothing if the zone has
-/// fewer than two nodes. All nodes with the same view of the zone choose the
-/// same relay, in any order of \p ZoneNodes.
-std::optional<std::string>
-relayForZone(const std::string &Zone,
-             const std::vector<std::string> &ZoneNodes);
-
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_FEED_RELAY_FOLLOWER_H
