Reject at once what the groups of a model cannot serve

Change: nodes exchange the number of groups that their requests keep busy (FleetDemand); DemandEstimator adds the prefill between decode steps, corrects stated maxima by the length of finished responses and covers the first seconds. If the demand exceeds the groups, each node admits that share of its requests and rejects the rest with Retry-After.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -5,6 +5,7 @@
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
 #include "proxy/zone_change_relay.h"
+#include "servers/dispatch/overload_admission.h"
 
 #include "asio.hpp"
 
@@ -29,6 +30,8 @@
 /// Period in which the node reselects the relay of its zone, checks that the
 /// relay's messages are recent and updates its rank for the lease.
 constexpr Duration RelayCheckPeriod = milliseconds(60);
+/// Period in which the share of admitted requests is recomputed.
+constexpr Duration AdmissionPeriod = milliseconds(200);
 /// Settings of the watch on the store's node objects. The delays are long,
 /// because nodes rarely change and an outdated list only affects latency.
 ObjectWatcherSettings nodeWatchSettings() {
@@ -107,6 +110,14 @@
                                       Duration PrefillTime) {
       m_PeerExchange.announcePrompt(Server, PrefillTime);
     };
+    m_PeerExchange.exchangeDemand(
+        [this] {
+          return m_Context.m_DemandEstimator.busyGroupsByModel(monotonicNow());
+        },
+        [this](const std::string &Peer, DemandByModel Demand) {
+          m_Context.m_FleetDemand.setPeerDemand(Peer, std::move(Demand),
+                                                monotonicNow());
+        });
     m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
       m_PeerExchange.announce(Report);
       onStallReport(Report);
@@ -447,11 +458,48 @@
       m_GroupCoordinator.setLiveNodes(m_PeerExchange.liveNodes(Now));
       m_ChangeRelay.tick(Now, m_GroupCoordinator.holdsLease());
     }
+    if (Now >= m_NextAdmissionAt) {
+      m_NextAdmissionAt = Now + AdmissionPeriod;
+      updateAdmission(Now);
+    }
     m_Context.m_CrashDetector.removeExpired(Now);
     if (m_IsDraining)
       continueDrain(Now);
   }
 
+  /// Recomputes the share of requests to admit for each model.
+  void updateAdmission(MonotonicTime Now) {
+    if (!m_Context.m_RouteTable)
+      return;
+    const DemandByModel Demand = m_Context.m_FleetDemand.total(
+        m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
+    std::map<std::string, double> Shares;
+    for (const ServiceSpec &Service :
+         m_Context.m_RouteTable->configuration().m_Services)
+      for (const ModelSpec &Model : Service.m_Engine.m_Models) {
+        const auto Demanded = Demand.find(Model.m_Name);
+        if (!Service.hasReplicaGroups() || Demanded == Demand.end())
+          continue;
+        ServerQuery Query;
+        Query.m_Service = &Service;
+        Query.m_Model = Model.m_Name;
+        Query.m_Now = Now;
+        const GroupSupply Supply = m_ServerSelector.groupSupply(m_Fleet, Query);
+        const double Share = admittedShare(Demanded->second, Supply);
+        if (Share >= 1.0)
+          continue;
+        Shares[Model.m_Name] = Share;
+        if (m_Context.m_AdmittedShares.count(Model.m_Name) == 0)
+          m_Log.write("overload",
+                      {{"model", Model.m_Name},
+                       {"demanded_groups", Demanded->second},
+                       {"groups", static_cast<std::int64_t>(Supply.m_Groups)},
+                       {"slot_usage", Supply.m_MeanSlotUsage},
+                       {"admitted", Share}});
+      }
+    m_Context.m_AdmittedShares = std::move(Shares);
+  }
+
   void scheduleLogFlush() {
     m_LogFlushTimer.expires_after(FlushPeriod);
     m_LogFlushTimer.async_wait([this](const asio::error_code &Error) {
@@ -522,6 +570,7 @@
   std::set<std::string> m_EvacuatedZones;
   std::map<std::string, PeerAddress> m_NodeAddresses;
   MonotonicTime m_NextRelayCheckAt{};
+  MonotonicTime m_NextAdmissionAt{};
   std::map<GroupKey, MonotonicTime> m_StallReportedAt;
   const MonotonicTime m_StartedAt = monotonicNow();
   std::uint64_t m_ConfigurationRevision = 0;
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -151,7 +151,8 @@
     for (const auto &[Server, Revision] : m_UnresponsiveServers)
       Input.m_UnreachableServers.insert(Server);
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
-    Input.m_DemandByModel = m_Context.m_DemandEstimator.busyGroupsByModel(Now);
+    Input.m_DemandByModel = m_Context.m_FleetDemand.total(
+        m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
     for (MemberOrder &Order : Planner.plan(Input)) {
       if (Order.m_HeadMayServe && m_StoredQuarantine.count(Order.m_Server) == 0)
         m_OrdersAwaitingQuarantine.push_back(std::move(Order));
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -51,7 +51,10 @@
     Json Load = Json::object();
     for (const auto &[Server, Count] : m_Selector.ownInFlightByServer())
       Load[Server] = Count;
-    broadcast(Json{{"node", m_NodeName}, {"load", std::move(Load)}});
+    Json Message{{"node", m_NodeName}, {"load", std::move(Load)}};
+    if (m_OwnDemand)
+      Message["demand"] = m_OwnDemand();
+    broadcast(Message);
     for (auto &[Name, RemotePeer] : m_Peers) {
       if (RemotePeer.m_IsAlive &&
           Now - RemotePeer.m_LastHeardAt >
@@ -114,6 +117,8 @@
     if (Message.contains("load"))
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("demand") && m_OnPeerDemand)
+      m_OnPeerDemand(Name, fieldOr(Message, "demand", DemandByModel()));
     if (Message.contains("prompt"))
       m_Selector.onPromptSent(
           fieldOr(Message, "prompt", std::string()),
@@ -140,6 +145,8 @@
   StallReportHandler m_OnStallReport;
   CrashRecordHandler m_OnCrashRecords;
   StoreChangeHandler m_OnStoreChange;
+  std::function<DemandByModel()> m_OwnDemand;
+  DemandHandler m_OnPeerDemand;
   std::map<std::string, Peer> m_Peers;
   asio::ip::udp::endpoint m_SenderEndpoint;
   std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
@@ -173,6 +180,12 @@
   m_Impl->scheduleLoadMessage();
 }
 
+void PeerExchange::exchangeDemand(std::function<DemandByModel()> OwnDemand,
+                                  DemandHandler OnPeerDemand) {
+  m_Impl->m_OwnDemand = std::move(OwnDemand);
+  m_Impl->m_OnPeerDemand = std::move(OnPeerDemand);
+}
+
 void PeerExchange::setPeers(std::map<std::string, PeerAddress> Peers) {
   std::map<std::string, Impl::Peer> Previous;
   Previous.swap(m_Impl->m_Peers);
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -5,6 +5,7 @@
 #include "core/json.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/feed/relay_topology.h"
+#include "servers/replicas/fleet_demand.h"
 #include "servers/retry/poison_detector.h"
 
 #include "asio/io_context.hpp"
@@ -58,6 +59,8 @@
       std::function<void(const std::vector<PoisonRecord> &)>;
   /// Called with a message about changes of the platform's store.
   using StoreChangeHandler = std::function<void(const Json &)>;
+  /// Called with the name of a peer and the groups that its traffic keeps busy.
+  using DemandHandler = std::function<void(const std::string &, DemandByModel)>;
 
   PeerExchange(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector,
                std::string Node, const PeerAddress &OwnAddress,
@@ -71,6 +74,10 @@
   void start(StallReportHandler OnStallReport,
              CrashRecordHandler OnCrashRecords,
              StoreChangeHandler OnStoreChange);
+  /// Sets the source of this node's demand, which its load messages contain,
+  /// and the function that receives that of the peers.
+  void exchangeDemand(std::function<DemandByModel()> OwnDemand,
+                      DemandHandler OnPeerDemand);
   /// Replaces the addresses of the nodes, by name. Nodes that are no longer
   /// listed are forgotten.
   void setPeers(std::map<std::string, PeerAddress> Peers);
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -110,6 +110,7 @@
       m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
       m_PromptTokens = Size.m_PromptTokens;
+      m_StatedOutputTokens = Size.m_OutputTokens;
       m_Context.m_DemandEstimator.recordRequest(*m_Service, m_Model, Size,
                                                 monotonicNow());
     }
@@ -118,6 +119,11 @@
     if (parseNumber(header(m_Context.m_HeaderNames.m_LastEventId), ParsedId))
       LastId = ParsedId;
     m_Sequence = EventSequenceFilter(LastId);
+    // A client that resumes a stream has already been admitted once.
+    if (!LastId && isShed()) {
+      reject("overloaded");
+      return;
+    }
     m_WaitingSince = monotonicNow();
     m_Client->setOnDisconnected(
         [this, Weak = std::weak_ptr<RequestRelay>(Owner)] {
@@ -127,6 +133,17 @@
     dispatch();
   }
 
+  /// True if this request belongs to the share that the groups of its model
+  /// cannot serve.
+  bool isShed() {
+    const auto Share = m_Context.m_AdmittedShares.find(m_Model);
+    if (!m_Service->hasReplicaGroups() ||
+        Share == m_Context.m_AdmittedShares.end())
+      return false;
+    std::uniform_real_distribution<double> Uniform(0.0, 1.0);
+    return Uniform(m_Context.m_Random) >= Share->second;
+  }
+
   bool authenticate() {
     const std::string Key = header(m_Context.m_HeaderNames.m_ApiKey);
     const OrganisationSpec *Organisation =
@@ -449,6 +466,11 @@
   }
 
   void finishStream() {
+    if (m_Service->hasReplicaGroups())
+      m_Context.m_DemandEstimator.recordOutput(
+          m_Model, m_StatedOutputTokens,
+          m_Sequence.deliveredCount() *
+              std::max(1U, m_Service->m_Engine.m_DecodeStepsPerPass));
     m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
     m_Context.m_PoisonDetector.onCompleted(m_ContentHash, serverProcessKey(),
                                            monotonicNow());
@@ -699,6 +721,8 @@
   /// Attempts that a server may have executed.
   unsigned m_PossibleExecutions = 0;
   std::uint64_t m_PromptTokens = 0;
+  /// Output tokens that the client stated, as an estimate or a maximum.
+  std::uint64_t m_StatedOutputTokens = 0;
   bool m_IsForeignResponse = false;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -8,6 +8,7 @@
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
 #include "servers/replicas/demand_estimator.h"
+#include "servers/replicas/fleet_demand.h"
 #include "servers/retry/crash_detector.h"
 #include "servers/retry/poison_detector.h"
 #include "servers/retry/windowed_retry_budget.h"
@@ -52,6 +53,10 @@
   PoisonDetector m_PoisonDetector{{3, std::chrono::minutes(1), 4096}};
   CrashDetector m_CrashDetector{m_PoisonDetector};
   DemandEstimator m_DemandEstimator;
+  FleetDemand m_FleetDemand;
+  /// Share of the requests that are admitted, by model; models without an entry
+  /// are not overloaded.
+  std::map<std::string, double> m_AdmittedShares;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
   /// Called repeatedly while a group seems to have stalled, with its head
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -60,6 +60,21 @@
   return Result;
 }
 
+GroupSupply ServerSelector::groupSupply(const FleetView &Fleet,
+                                        const ServerQuery &Query) const {
+  GroupSupply Result;
+  for (const auto &[Key, Group] : Fleet.groups()) {
+    if (Group.m_Model != Query.m_Model || !Group.m_Head ||
+        !isEligible(Fleet, Query, *Group.m_Head))
+      continue;
+    ++Result.m_Groups;
+    Result.m_MeanSlotUsage += slotUsage(*Group.m_Head, Query);
+  }
+  if (Result.m_Groups > 0)
+    Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
+  return Result;
+}
+
 /// The prefill backlog takes precedence over the slot usage: a long prompt
 /// delays every stream of its batch, and delays the next prompt even more.
 void ServerSelector::keepShortestPrefillBacklogs(
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -50,6 +50,13 @@
   MonotonicTime m_Now{};
 };
 
+/// Groups of one model that accept requests.
+struct GroupSupply {
+  std::size_t m_Groups = 0;
+  /// Mean of the estimated in-flight requests per slot.
+  double m_MeanSlotUsage = 0.0;
+};
+
 /// Limits and timeouts of the server selection.
 struct SelectorSettings {
   /// Estimated in-flight requests per slot from which a server receives no
@@ -90,6 +97,9 @@
   /// receive it; noServerReason() then tells why.
   std::optional<ChosenServer> choose(const FleetView &Fleet,
                                      const ServerQuery &Query);
+  /// Returns the groups that could receive the request if all had free slots.
+  GroupSupply groupSupply(const FleetView &Fleet,
+                          const ServerQuery &Query) const;
   /// Reason why the last choose() returned nothing; None if it returned a
   /// server.
   NoServerReason noServerReason() const { return m_NoServerReason; }
--- a/servers/replicas/demand_estimator.h
+++ b/servers/replicas/demand_estimator.h
@@ -30,6 +30,12 @@
   void recordRequest(const ServiceSpec &Service, const std::string &Model,
                      const RequestSize &Size, MonotonicTime Now);
 
+  /// Records that a response of \p Model had \p ActualTokens, where the size
+  /// of its request stated \p StatedTokens. Clients may state a maximum that
+  /// responses rarely reach, so later requests are corrected by the ratio.
+  void recordOutput(const std::string &Model, std::uint64_t StatedTokens,
+                    std::uint64_t ActualTokens);
+
   /// Returns the number of groups that this node's traffic keeps busy, by
   /// model. The number is fractional; models without any request are absent.
   std::map<std::string, double> busyGroupsByModel(MonotonicTime Now) const;
@@ -41,7 +47,13 @@
   struct ModelLoad {
     double m_PrefillGroups = 0.0;
     double m_DecodeGroups = 0.0;
+    MonotonicTime m_FirstRequestAt{};
     MonotonicTime m_UpdatedAt{};
+    double m_StatedOutputTokens = 0.0;
+    double m_ActualOutputTokens = 0.0;
+
+    /// Average ratio of actual to stated output tokens; 1 until known.
+    double outputRatio() const;
   };
 
   /// Weight at \p Now, from 0 to 1, of the load recorded in \p Average.
--- a/servers/routes/engine_times.cpp
+++ b/servers/routes/engine_times.cpp
@@ -18,11 +18,17 @@
                         Engine.m_DecodeStepsPerPass);
 }
 
+Duration chunkPrefillTime(const EngineSpec &Engine, const std::string &Model,
+                          std::uint64_t PromptTokens) {
+  return durationFromMs(static_cast<double>(PromptTokens) /
+                        Engine.m_PrefillTokensPerMs *
+                        Engine.durationFactorOf(Model));
+}
+
 Duration prefillTime(const EngineSpec &Engine, const std::string &Model,
                      std::uint64_t PromptTokens) {
   const auto Tokens = static_cast<double>(PromptTokens);
-  const Duration PurePrefill = durationFromMs(
-      Tokens / Engine.m_PrefillTokensPerMs * Engine.durationFactorOf(Model));
+  const Duration PurePrefill = chunkPrefillTime(Engine, Model, PromptTokens);
   if (Engine.m_PrefillChunkTokens == 0)
     return PurePrefill;
   const double PassCount =
--- a/servers/routes/engine_times.h
+++ b/servers/routes/engine_times.h
@@ -9,6 +9,11 @@
 /// \p Model.
 Duration decodeTimePerPass(const EngineSpec &Engine, const std::string &Model);
 
+/// Returns the time that the prefill of \p PromptTokens takes alone, without
+/// the decode steps of the passes in which it is done.
+Duration chunkPrefillTime(const EngineSpec &Engine, const std::string &Model,
+                          std::uint64_t PromptTokens);
+
 /// Returns the time by which the prefill of \p PromptTokens extends the prefill
 /// backlog of a group that also decodes. With chunked prefill, each pass
 /// prefills one chunk and then runs its decode steps, which count as well.
--- a/tests/servers/replicas/test_demand_estimator.cpp
+++ b/tests/servers/replicas/test_demand_estimator.cpp
@@ -1,4 +1,5 @@
 #include "servers/replicas/demand_estimator.h"
+#include "servers/replicas/fleet_demand.h"
 
 #include "cppunit/extensions/HelperMacros.h"
 
@@ -13,6 +14,10 @@
   CPPUNIT_TEST(countsPrefillTimeOfLongPrompts);
   CPPUNIT_TEST(countsDecodeStepsBetweenPrefillChunks);
   CPPUNIT_TEST(demandDecaysAfterTrafficStops);
+  CPPUNIT_TEST(decodingIsSlowerByThePromptsBetween);
+  CPPUNIT_TEST(statedMaximumIsCorrectedByResponses);
+  CPPUNIT_TEST(demandIsKnownSecondsAfterTheFirstRequest);
+  CPPUNIT_TEST(demandOfAllNodesIsTheSumOfRecentReports);
   CPPUNIT_TEST_SUITE_END();
 
   static ServiceSpec service() {
@@ -73,6 +78,74 @@
     CPPUNIT_ASSERT(Estimator.busyGroupsByModel(Now).at("small") <
                    InitialDemand * 0.1);
   }
+
+  static ServiceSpec chunkedService() {
+    ServiceSpec Result = service();
+    Result.m_Engine.m_PrefillChunkTokens = 2000;
+    Result.m_Engine.m_DecodeStepsPerPass = 8;
+    return Result;
+  }
+
+  /// Requests with short prompts and long responses. Guards against estimating
+  /// the decode time alone: the passes that also prefill a prompt take longer.
+  void decodingIsSlowerByThePromptsBetween() {
+    DemandEstimator Estimator;
+    MonotonicTime Now{seconds(1000)};
+    for (int I = 0; I < 2000; ++I) {
+      Now += milliseconds(20);
+      Estimator.recordRequest(chunkedService(), "big", {500, 208}, Now);
+    }
+    // 208 tokens are 26 passes of 48 ms, shared by 26 slots; the prompt takes
+    // 10 ms.
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        50 * 0.058, Estimator.busyGroupsByModel(Now).at("big"), 0.1);
+  }
+
+  /// Clients state a maximum of 416 tokens; responses have 208. Guards against
+  /// a demand that is twice the real one, which would reject requests that
+  /// groups could serve.
+  void statedMaximumIsCorrectedByResponses() {
+    DemandEstimator Estimator;
+    MonotonicTime Now{seconds(1000)};
+    for (int I = 0; I < 3000; ++I) {
+      Now += milliseconds(20);
+      Estimator.recordRequest(chunkedService(), "big", {500, 416}, Now);
+      Estimator.recordOutput("big", 416, 208);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        50 * 0.058, Estimator.busyGroupsByModel(Now).at("big"), 0.1);
+  }
+
+  /// Guards against a demand that appears small until the averaging time has
+  /// passed.
+  void demandIsKnownSecondsAfterTheFirstRequest() {
+    DemandEstimator Estimator;
+    MonotonicTime Now{seconds(1000)};
+    for (int I = 0; I < 100; ++I) {
+      Now += milliseconds(20);
+      Estimator.recordRequest(chunkedService(), "big", {500, 208}, Now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        50 * 0.058, Estimator.busyGroupsByModel(Now).at("big"), 0.3);
+  }
+
+  /// Guards against counting a node that has gone, and against planning for the
+  /// requests of one node only.
+  void demandOfAllNodesIsTheSumOfRecentReports() {
+    FleetDemand Demand;
+    const MonotonicTime Now{seconds(1000)};
+    Demand.setPeerDemand("n2", {{"big", 2.0}}, Now);
+    Demand.setPeerDemand("n3", {{"big", 1.0}, {"small", 4.0}}, Now);
+    const DemandByModel Total = Demand.total({{"big", 0.5}}, Now);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3.5, Total.at("big"), 0.001);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, Total.at("small"), 0.001);
+    const MonotonicTime Later =
+        Now + FleetDemand::MaxReportAge + milliseconds(1);
+    Demand.setPeerDemand("n2", {{"big", 3.0}}, Later);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, Demand.total({}, Later).at("big"), 0.001);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         Demand.total({}, Later).count("small"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DemandEstimatorTest);
