Give domains another model when the demand requires it

The supply also counted groups in evacuated zones.

Change: ModelRebalancer compares the groups of each model with the demand of all nodes and chooses a domain whose conversion raises the lowest ratio by a tenth or more. Its servers load the new weights while its groups serve; groups are retired, as many as a new group needs, once enough of their members are staged. A later lease holder continues, since staged weights decide what a domain holds.

Tests: shortModelReceivesDomainsAtEverySize at (4,3), (4,2), (8,4), (16,4) and (32,8); domainChangesItsModelWhileItsGroupsServe; nextLeaseHolderContinuesAConversion.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -29,6 +29,8 @@
 /// disappeared from the store. Its first probe ends within this time.
 constexpr Duration FirstProbeAllowance = milliseconds(300);
 constexpr Duration PlanPeriod = milliseconds(60);
+/// Period of the log lines with the groups and the demand of each model.
+constexpr Duration SupplyLogPeriod = std::chrono::seconds(1);
 /// Maximum backoff after a failed lease call of a node that does not hold the
 /// lease. Without it, each node would call the store five times a second during
 /// a store outage.
@@ -153,17 +155,37 @@
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
     Input.m_DemandByModel = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
-    for (MemberOrder &Order : Planner.plan(Input)) {
+    std::vector<MemberOrder> Orders = Planner.plan(Input);
+    if (Now >= m_NextSupplyLogAt)
+      logSupply(Planner.modelSupplies(Input));
+    for (MemberOrder &Order : Orders) {
       if (Order.m_HeadMayServe && m_StoredQuarantine.count(Order.m_Server) == 0)
         m_OrdersAwaitingQuarantine.push_back(std::move(Order));
       else
         sendOrder(Order);
     }
   }
+  if (Now >= m_NextSupplyLogAt)
+    m_NextSupplyLogAt = Now + SupplyLogPeriod;
   if (!m_OrdersAwaitingQuarantine.empty())
     storeQuarantine();
 }
 
+void GroupCoordinator::logSupply(const std::vector<ModelSupply> &Supplies) {
+  const auto Number = [](std::size_t Count) {
+    return static_cast<std::int64_t>(Count);
+  };
+  for (const ModelSupply &Supply : Supplies)
+    m_Context.m_Log.write(
+        "group_supply",
+        {{"model", Supply.m_Model},
+         {"demanded_groups", Supply.m_DemandedGroups},
+         {"open", Number(Supply.m_OpenGroups)},
+         {"forming", Number(Supply.m_FormingGroups)},
+         {"staged_spares", Number(Supply.m_StagedSpares)},
+         {"converting_domains", Number(Supply.m_ConvertingDomains)}});
+}
+
 void GroupCoordinator::loadQuarantine() {
   if (m_IsQuarantineCallInFlight)
     return;
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -48,6 +48,7 @@
 private:
   void advanceLease(MonotonicTime Now);
   void planServices(MonotonicTime Now);
+  void logSupply(const std::vector<ModelSupply> &Supplies);
   /// Reads the quarantined servers from the store.
   void loadQuarantine();
   /// Writes the quarantined servers to the store, then sends
@@ -87,6 +88,7 @@
   };
   std::map<std::string, UnlistedMember> m_UnlistedMembers;
   std::function<void(const StallReport &)> m_OnStallConfirmed;
+  MonotonicTime m_NextSupplyLogAt{};
   MonotonicTime m_NextPlanAt{};
   /// While this node does not hold the lease, the earliest time of its next
   /// lease call; delayed by a backoff during store outages.
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -44,6 +44,7 @@
   updateDomainModels(Input);
   formGroups(Input);
   stageSpares(Input);
+  convertDomains(Input);
   return std::move(m_Orders);
 }
 
@@ -159,7 +160,8 @@
       disband(Input, Group, false);
     return;
   case GroupMemberState::Open:
-    if (!Model || !isCompleteWithUnlisted(Input, Group, *Model)) {
+    if (!Model || m_RetiredGroups.count(Group.m_Key) != 0 ||
+        !isCompleteWithUnlisted(Input, Group, *Model)) {
       MemberOrder Close;
       Close.m_Kind = MemberOrderKind::Close;
       Close.m_Server = Group.m_Head->m_Id;
@@ -216,6 +218,10 @@
 void ReplicaPlanner::reviewFormingGroup(const ReplicaPlannerInput &Input,
                                         const ReplicaGroup &Group,
                                         const ModelSpec &Model) {
+  if (m_RetiredGroups.count(Group.m_Key) != 0) {
+    disband(Input, Group, false);
+    return;
+  }
   const auto PlannedFormation = m_Formations.find(Group.m_Key);
   const MonotonicTime GiveUpTime = PlannedFormation != m_Formations.end()
                                        ? PlannedFormation->second.m_GiveUpTime
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -3,6 +3,7 @@
 
 #include "servers/fleet/fleet_view.h"
 #include "servers/replicas/member_order.h"
+#include "servers/replicas/model_rebalancer.h"
 #include "servers/routes/traffic_configuration.h"
 
 #include <cstdint>
@@ -40,12 +41,34 @@
   /// supply of that model, relative to the servers it needs, is below this
   /// fraction of the relative supply of the spare's own model.
   double m_RestageSupplyRatio = 0.5;
+  /// Replaces m_RestageSupplyRatio for a model with fewer groups than its
+  /// requests keep busy.
+  double m_ShortModelRestageRatio = 0.9;
   /// Cost of replacing the weights of a spare, relative to loading a server
   /// without weights: its own model loses the spare.
   double m_RestageCost = 1.5;
   /// Time after the start of the planner before spare servers are chosen. The
   /// servers of one deployment start within about two seconds of each other.
   Duration m_StartupSettleTime = std::chrono::milliseconds(2500);
+  /// Time after the first request before the demand of the models decides which
+  /// domains are converted.
+  Duration m_DemandSettleTime = std::chrono::seconds(3);
+  /// Time between two decisions to convert a domain to another model.
+  Duration m_ConversionInterval = std::chrono::seconds(1);
+};
+
+/// Groups of one model, as the log shows them. Groups in evacuated zones are
+/// not counted.
+struct ModelSupply {
+  std::string m_Model;
+  /// Number of groups that the requests of the model keep busy.
+  double m_DemandedGroups = 0.0;
+  std::size_t m_OpenGroups = 0;
+  std::size_t m_FormingGroups = 0;
+  /// Servers in no group that have the model's weights staged.
+  std::size_t m_StagedSpares = 0;
+  /// Domains that are being converted to the model.
+  std::size_t m_ConvertingDomains = 0;
 };
 
 /// State on which the planner bases one planning pass.
@@ -61,9 +84,8 @@
   /// Servers whose store entry is gone but which responded to a recent probe,
   /// or whose probe has not timed out yet.
   std::set<std::string> m_UnlistedButResponding;
-  /// Number of groups that the traffic of each model keeps busy. Only the ratio
-  /// between models counts.
-  std::map<std::string, double> m_DemandByModel;
+  /// Number of groups that the traffic of all nodes keeps busy.
+  DemandByModel m_DemandByModel;
 };
 
 /// Plans the orders that form, open, repair and close the replica groups of one
@@ -85,6 +107,10 @@
   /// that were sent recently are not repeated.
   std::vector<MemberOrder> plan(const ReplicaPlannerInput &Input);
 
+  /// Returns the supply of each model after the last plan().
+  std::vector<ModelSupply>
+  modelSupplies(const ReplicaPlannerInput &Input) const;
+
   /// Servers whose last group may still be served by an unreachable head. They
   /// join no group until the time has passed after which that head stops
   /// serving.
@@ -178,6 +204,23 @@
   void startFormation(const ReplicaPlannerInput &Input,
                       const GroupCandidate &SelectedCandidate);
   void stageSpares(const ReplicaPlannerInput &Input);
+  /// Gives domains another model if the demand requires it: their servers load
+  /// the weights while their groups serve, then groups are replaced.
+  void convertDomains(const ReplicaPlannerInput &Input);
+  void removeFinishedConversions(const ReplicaPlannerInput &Input);
+  /// Continues the conversions of an earlier lease holder: the groups of a
+  /// domain run another model than the one that their members have staged.
+  void resumeConversions(const ReplicaPlannerInput &Input);
+  std::map<std::string, DomainSupply>
+  domainSupplies(const ReplicaPlannerInput &Input) const;
+  void stageConversion(const ReplicaPlannerInput &Input,
+                       const std::string &Domain, const std::string &ModelName);
+  /// Retires as many groups of other models as one group of the model needs,
+  /// once enough of their members have its weights.
+  void retireGroups(const ReplicaPlannerInput &Input, const std::string &Domain,
+                    const std::string &ModelName);
+  /// True if \p Model has fewer groups than its requests keep busy.
+  bool isShort(const ReplicaPlannerInput &Input, const ModelSpec &Model) const;
   /// Loads that are missing before a fabric domain can form one more group.
   struct GroupCompletion {
     const ModelSpec *m_Model = nullptr;
@@ -190,7 +233,7 @@
   bool hasStagedOrIsStaging(const BackendServer &Server,
                             const ModelSpec &Model) const;
   std::optional<GroupCompletion>
-  planCompletion(const ModelSpec &Model,
+  planCompletion(const ReplicaPlannerInput &Input, const ModelSpec &Model,
                  const std::vector<const BackendServer *> &FreeServers,
                  const std::map<std::string, double> &Supply) const;
   GroupCompletion
@@ -230,6 +273,13 @@
   std::map<GroupKey, ReplicaGroup> m_Groups;
   /// Assigned model of each fabric domain; empty if domains run all models.
   std::map<std::string, std::string> m_ModelByDomain;
+  /// New model of each domain that is being converted.
+  std::map<std::string, std::string> m_Conversions;
+  /// Groups that finish their requests and then end, since their domain is
+  /// being converted.
+  std::set<GroupKey> m_RetiredGroups;
+  MonotonicTime m_TrafficSince{};
+  MonotonicTime m_NextConversionAt{};
   /// Share of the servers, from 0 to 1, that have weights or are loading them.
   double m_ShareWithWeights = 0.0;
   std::vector<MemberOrder> m_Orders;
--- a/servers/replicas/replica_staging.cpp
+++ b/servers/replicas/replica_staging.cpp
@@ -42,9 +42,12 @@
 }
 
 std::optional<ReplicaPlanner::GroupCompletion> ReplicaPlanner::planCompletion(
-    const ModelSpec &Model,
+    const ReplicaPlannerInput &Input, const ModelSpec &Model,
     const std::vector<const BackendServer *> &FreeServers,
     const std::map<std::string, double> &Supply) const {
+  const double RestageRatio = isShort(Input, Model)
+                                  ? m_Settings.m_ShortModelRestageRatio
+                                  : m_Settings.m_RestageSupplyRatio;
   const auto StagedCount = static_cast<std::size_t>(std::count_if(
       FreeServers.begin(), FreeServers.end(), [&](const BackendServer *Server) {
         return hasStagedOrIsStaging(*Server, Model);
@@ -70,8 +73,7 @@
       continue;
     const auto OtherSupply = Supply.find(Server->m_StagedModels.back());
     if (OtherSupply == Supply.end() ||
-        Supply.at(Model.m_Name) <
-            OtherSupply->second * m_Settings.m_RestageSupplyRatio)
+        Supply.at(Model.m_Name) < OtherSupply->second * RestageRatio)
       SelectServer(*Server, m_Settings.m_RestageCost);
   }
   if (MissingCount > 0)
@@ -94,7 +96,7 @@
     // model that is assigned to the domain.
     if (!Input.m_TrafficSeen && !isAllowedInDomain(Model, Domain))
       continue;
-    if (auto GroupPlan = planCompletion(Model, FreeServers, Supply);
+    if (auto GroupPlan = planCompletion(Input, Model, FreeServers, Supply);
         GroupPlan && GroupPlan->m_Cost < Cheapest.m_Cost)
       Cheapest = std::move(*GroupPlan);
   }
--- a/servers/replicas/replica_supply.cpp
+++ b/servers/replicas/replica_supply.cpp
@@ -52,7 +52,7 @@
 ReplicaPlanner::supplyByModel(const ReplicaPlannerInput &Input) const {
   std::map<std::string, double> GroupCounts;
   for (const auto &[Key, Group] : m_Groups)
-    if (Group.m_Head &&
+    if (Group.m_Head && !Input.m_Fleet->isEvacuated(Group.m_Head->m_Zone) &&
         Group.m_Head->m_Membership->m_State != GroupMemberState::Broken &&
         Group.m_Head->m_Membership->m_State != GroupMemberState::Closing)
       GroupCounts[Group.m_Model] += 1.0;
@@ -67,6 +67,20 @@
   return Supply;
 }
 
+bool ReplicaPlanner::isShort(const ReplicaPlannerInput &Input,
+                             const ModelSpec &Model) const {
+  const auto Demanded = Input.m_DemandByModel.find(Model.m_Name);
+  if (Demanded == Input.m_DemandByModel.end())
+    return false;
+  const auto GroupCount = std::count_if(
+      m_Groups.begin(), m_Groups.end(), [&](const auto &KeyAndGroup) {
+        const ReplicaGroup &Group = KeyAndGroup.second;
+        return Group.m_Model == Model.m_Name && Group.m_Head &&
+               !Input.m_Fleet->isEvacuated(Group.m_Head->m_Zone);
+      });
+  return static_cast<double>(GroupCount) < Demanded->second;
+}
+
 std::vector<const ModelSpec *>
 ReplicaPlanner::modelsByRisingSupply(const ReplicaPlannerInput &Input) const {
   const std::map<std::string, double> Supply = supplyByModel(Input);
@@ -108,7 +122,12 @@
     Inventory.m_Zone = Server.m_Zone;
     ++Inventory.m_ServerCount;
     ++ServerCount;
-    const std::string Model = modelLoadedBy(Server);
+    // Staged weights count first: in a domain that is being converted they
+    // differ from those of the groups, and the next lease holder continues the
+    // conversion.
+    const std::string Model = Server.m_StagedModels.empty()
+                                  ? modelLoadedBy(Server)
+                                  : Server.m_StagedModels.back();
     if (Model.empty())
       continue;
     ++Inventory.m_ServersByModel[Model];
--- /dev/null
+++ b/tests/servers/replicas/test_model_rebalancer.cpp
@@ -0,0 +1,158 @@
+#include "servers/replicas/model_rebalancer.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace fulmarwinch {
+
+/// Decisions to give a fabric domain another model.
+class ModelRebalancerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ModelRebalancerTest);
+  CPPUNIT_TEST(shortModelReceivesDomainsAtEverySize);
+  CPPUNIT_TEST(balancedModelsKeepTheirDomains);
+  CPPUNIT_TEST(donorIsNotStarved);
+  CPPUNIT_TEST(conversionSpreadsOverZones);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<ModelSpec> models(unsigned BigSize, unsigned SmallSize) {
+    return {{"big", BigSize, 1.0, 0.5, std::chrono::seconds(16),
+             std::chrono::milliseconds(1600)},
+            {"small", SmallSize, 0.6, 0.5, std::chrono::seconds(12),
+             std::chrono::milliseconds(1100)}};
+  }
+
+  static DomainSupply domain(const std::string &Zone, const ModelSpec &Model,
+                             std::size_t Servers) {
+    return {Zone,
+            Model.m_Name,
+            Servers,
+            {{Model.m_Name, Servers / Model.m_GroupSize}}};
+  }
+
+  /// One deployment: its domains, the sizes of its models and the groups that
+  /// the requests keep busy.
+  struct Deployment {
+    unsigned m_BigSize;
+    unsigned m_SmallSize;
+    std::size_t m_ServersPerDomain;
+    std::size_t m_BigDomains;
+    std::size_t m_SmallDomains;
+    double m_BigDemand;
+    double m_SmallDemand;
+  };
+
+  static std::map<std::string, DomainSupply>
+  domainsOf(const Deployment &Site, const std::vector<ModelSpec> &Models) {
+    std::map<std::string, DomainSupply> Domains;
+    for (std::size_t I = 0; I < Site.m_BigDomains + Site.m_SmallDomains; ++I)
+      Domains["d" + std::to_string(10 + I)] = domain(
+          "z" + std::to_string(I % 3), Models[I < Site.m_BigDomains ? 0 : 1],
+          Site.m_ServersPerDomain);
+    return Domains;
+  }
+
+  /// Applies conversions until none is chosen; returns the lowest ratio of
+  /// groups to demand before and after.
+  static std::pair<double, double>
+  convertUntilBalanced(const Deployment &Site, std::size_t &Conversions) {
+    const std::vector<ModelSpec> Models =
+        models(Site.m_BigSize, Site.m_SmallSize);
+    std::map<std::string, DomainSupply> Domains = domainsOf(Site, Models);
+    const DemandByModel Demand{{"big", Site.m_BigDemand},
+                               {"small", Site.m_SmallDemand}};
+    const auto LowestRatio = [&] {
+      double Lowest = 1e9;
+      for (const auto &[Model, Demanded] : Demand) {
+        double Groups = 0.0;
+        for (const auto &[Name, Domain] : Domains) {
+          const auto Own = Domain.m_GroupsByModel.find(Model);
+          Groups += Own == Domain.m_GroupsByModel.end()
+                        ? 0.0
+                        : static_cast<double>(Own->second);
+        }
+        Lowest = std::min(Lowest, Groups / Demanded);
+      }
+      return Lowest;
+    };
+    const double Before = LowestRatio();
+    Conversions = 0;
+    while (const auto Conversion = chooseConversion(Domains, Models, Demand)) {
+      CPPUNIT_ASSERT(++Conversions <= Domains.size());
+      DomainSupply &Converted = Domains.at(Conversion->m_Domain);
+      const auto Model = std::find_if(
+          Models.begin(), Models.end(), [&](const ModelSpec &Other) {
+            return Other.m_Name == Conversion->m_Model;
+          });
+      Converted = domain(Converted.m_Zone, *Model, Converted.m_UsableServers);
+    }
+    return {Before, LowestRatio()};
+  }
+
+  /// Load pattern: the requests keep more groups of one model busy than its
+  /// domains hold, in deployments of all group sizes in use. Guards against one
+  /// model that refuses half of its requests while groups of the other are
+  /// idle.
+  void shortModelReceivesDomainsAtEverySize() {
+    const std::vector<Deployment> Sites{
+        {4, 3, 9, 3, 3, 8.0, 2.5},     {4, 2, 8, 2, 4, 6.0, 5.0},
+        {8, 4, 19, 3, 6, 9.0, 9.0},    {16, 4, 37, 2, 4, 6.0, 12.0},
+        {32, 8, 73, 7, 8, 15.0, 38.0}, {32, 8, 73, 11, 4, 9.0, 44.0},
+    };
+    for (const Deployment &Site : Sites) {
+      std::size_t Conversions = 0;
+      const auto [Before, After] = convertUntilBalanced(Site, Conversions);
+      std::cout << "\n  groups of " << Site.m_BigSize << " and "
+                << Site.m_SmallSize << ": lowest supply " << Before << " -> "
+                << After << " after " << Conversions << " conversions";
+      CPPUNIT_ASSERT(Conversions > 0);
+      CPPUNIT_ASSERT(After >= Before * 1.1);
+      CPPUNIT_ASSERT(After >= 1.0);
+    }
+    std::cout << std::endl;
+  }
+
+  /// Guards against domains that change their model back and forth, and against
+  /// conversions without a shortage.
+  void balancedModelsKeepTheirDomains() {
+    std::size_t Conversions = 0;
+    convertUntilBalanced({32, 8, 73, 9, 6, 14.0, 40.0}, Conversions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Conversions);
+    convertUntilBalanced({32, 8, 73, 8, 7, 10.0, 20.0}, Conversions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Conversions);
+    const std::vector<ModelSpec> Models = models(32, 8);
+    CPPUNIT_ASSERT(!chooseConversion({}, Models, {{"big", 1.0}}));
+    CPPUNIT_ASSERT(!chooseConversion(
+        domainsOf({32, 8, 73, 8, 7, 0.0, 0.0}, Models), Models, {}));
+  }
+
+  /// Guards against starving the model that gives up a domain.
+  void donorIsNotStarved() {
+    const std::vector<ModelSpec> Models = models(8, 4);
+    // Each model has two groups for each that is busy in its only domain.
+    const std::map<std::string, DomainSupply> Domains{
+        {"d0", domain("a", Models[0], 19)}, {"d1", domain("b", Models[1], 19)}};
+    CPPUNIT_ASSERT(
+        !chooseConversion(Domains, Models, {{"big", 2.0}, {"small", 3.9}}));
+  }
+
+  void conversionSpreadsOverZones() {
+    const std::vector<ModelSpec> Models = models(8, 4);
+    const std::map<std::string, DomainSupply> Domains{
+        {"d0", domain("a", Models[0], 19)},
+        {"d1", domain("a", Models[1], 19)},
+        {"d2", domain("b", Models[1], 19)},
+        {"d3", domain("b", Models[1], 19)},
+        {"d4", domain("a", Models[1], 19)}};
+    const auto Conversion =
+        chooseConversion(Domains, Models, {{"big", 3.0}, {"small", 4.0}});
+    CPPUNIT_ASSERT(Conversion.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         Domains.at(Conversion->m_Domain).m_Zone);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ModelRebalancerTest);
+
+} // namespace fulmarwinch
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(oneModelPerDomainStrandsNoServer);
   CPPUNIT_TEST(spareKeepsItsWeightsWithoutShortage);
   CPPUNIT_TEST(spareOfWellSuppliedModelIsRestagedForScarceModel);
+  CPPUNIT_TEST(domainChangesItsModelWhileItsGroupsServe);
+  CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
   CPPUNIT_TEST_SUITE_END();
 
   FleetView m_Fleet;
@@ -41,6 +43,7 @@
   bool m_TrafficSeen = false;
   std::set<std::string> m_Unreachable;
   std::set<std::string> m_UnlistedButResponding;
+  DemandByModel m_Demand;
 
 public:
   void setUp() override {
@@ -121,6 +124,7 @@
     Input.m_TrafficSeen = m_TrafficSeen;
     Input.m_UnreachableServers = m_Unreachable;
     Input.m_UnlistedButResponding = m_UnlistedButResponding;
+    Input.m_DemandByModel = m_Demand;
     return Planner.plan(Input);
   }
 
@@ -496,6 +500,68 @@
     for (const MemberOrder &Order : Orders)
       CPPUNIT_ASSERT_EQUAL(std::string("big"), Order.m_Model);
   }
+
+  std::map<std::string, std::size_t> openGroupsByModel() const {
+    std::map<std::string, std::size_t> Counts;
+    for (const auto &[Key, Group] : m_Fleet.groups())
+      Counts[Group.m_Model] +=
+          Group.m_Head &&
+          Group.m_Head->m_Membership->m_State == GroupMemberState::Open;
+    return Counts;
+  }
+
+  /// Load pattern: six domains hold three groups of the small model each in
+  /// three of them, but nearly all requests are for the big model. Guards
+  /// against a domain that keeps its first model for the whole day, and against
+  /// groups that stop serving before their servers have the new weights.
+  void domainChangesItsModelWhileItsGroupsServe() {
+    addDomains(9, {"big", "small"});
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, openGroupsByModel()["small"]);
+    m_TrafficSeen = true;
+    m_Demand = {{"big", 8.0}, {"small", 2.0}};
+    // The loads take sixteen seconds; no group may end before.
+    std::vector<MemberOrder> Loads;
+    for (int I = 0; I < 100; ++I) {
+      m_Now += milliseconds(100);
+      for (const MemberOrder &Order : plan(Planner))
+        if (Order.m_Kind == MemberOrderKind::Stage)
+          Loads.push_back(Order);
+        else
+          execute(Order);
+    }
+    CPPUNIT_ASSERT(!Loads.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, openGroupsByModel()["small"]);
+    for (const MemberOrder &Load : Loads)
+      execute(Load);
+    for (int I = 0; I < 10; ++I)
+      runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, openGroupsByModel()["big"]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, openGroupsByModel()["small"]);
+  }
+
+  /// The lease passes to another node after the servers of a domain have loaded
+  /// the new weights. Guards against a domain that stays between two models.
+  void nextLeaseHolderContinuesAConversion() {
+    addDomains(9, {"big", "small"});
+    ReplicaPlanner FirstHolder = newPlanner();
+    runUntilSettled(FirstHolder);
+    m_TrafficSeen = true;
+    for (const auto &[Id, Entry] : m_Fleet.servers()) {
+      BackendServer Server = Entry;
+      if (Server.m_FabricDomain == "d1") {
+        Server.m_StagedModels = {"big"};
+        updateEntry(Server);
+      }
+    }
+    ReplicaPlanner SecondHolder = newPlanner(2);
+    m_Demand = {{"big", 5.0}, {"small", 3.0}};
+    for (int I = 0; I < 5; ++I)
+      runUntilSettled(SecondHolder);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, openGroupsByModel()["big"]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, openGroupsByModel()["small"]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaPlannerTest);
