Bound what a backend server can make a node hold in memory

Cause, shown by tests that failed: an event without an end was collected until the deadline and searched from its begin at each read; probes, load reports and store calls appended bodies without limit; a buffered response might take 16 MiB for each request of a process of 160 MB; a response to another request was read to its end; and a whole response of more than 1 MiB was taken for a client that reads too slowly, so that an answer that was ready was cut.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -11,8 +11,8 @@
 /// Maximum number of bytes of pipelined requests that are buffered while a
 /// request is in progress.
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
-/// Maximum size of unsent output. To bound the memory, the connection of a
-/// client that reads too slowly is closed.
+/// Maximum size of output that waits behind the write in progress. To bound the
+/// memory, the connection of a client that reads too slowly is closed.
 constexpr std::size_t MaxPendingOutputBytes = std::size_t{1024} * 1024;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
@@ -182,11 +182,12 @@
   void send(std::string_view Bytes) {
     if (m_IsClosed)
       return;
-    m_PendingOutput.append(Bytes);
-    if (m_PendingOutput.size() > MaxPendingOutputBytes) {
+    if (m_IsWriting &&
+        m_PendingOutput.size() + Bytes.size() > MaxPendingOutputBytes) {
       handleDisconnect();
       return;
     }
+    m_PendingOutput.append(Bytes);
     flush();
   }
 
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -30,6 +30,9 @@
 /// Period in which the node reselects the relay of its zone, checks that the
 /// relay's messages are recent and updates its rank for the lease.
 constexpr Duration RelayCheckPeriod = milliseconds(60);
+/// Share of the process's memory that buffered responses may use.
+constexpr double BufferedMemoryShare = 0.25;
+constexpr double BytesPerMb = 1048576.0;
 /// Period in which the share of admitted requests is recomputed.
 constexpr Duration AdmissionPeriod = milliseconds(200);
 /// Settings of the watch on the store's node objects. The delays are long,
@@ -92,6 +95,9 @@
         m_NodeWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
                       NodeObjectKind, nodeHandlers(), nodeWatchSettings()) {
     setRetryBudgets(1);
+    if (Settings.m_MemoryMb > 0.0)
+      m_Context.m_MaxBufferedBytes = static_cast<std::size_t>(
+          Settings.m_MemoryMb * BufferedMemoryShare * BytesPerMb);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -23,6 +23,8 @@
   Endpoint m_StoreEndpoint;
   /// Bandwidth of this node's network link in Mbit/s; 0 if unknown.
   double m_LinkMbps = 0.0;
+  /// Memory limit of the process in MB; 0 if unknown.
+  double m_MemoryMb = 0.0;
   /// UDP port for messages between front nodes, the same on all nodes.
   std::uint16_t m_PeerPort = 0;
   /// TCP port that serves metrics; must match deploy/system.toml.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -246,8 +246,8 @@
     m_ChosenServer = Chosen;
     m_TriedServers.insert(Chosen.m_Id);
     m_SentAt = Now;
-    m_ResponseBody.clear();
-    m_EventCutter = EventSplitter();
+    m_RejectedResponse = {};
+    releaseBuffer();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
     m_Context.m_PoisonDetector.onDispatch(m_ContentHash, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
@@ -334,29 +334,55 @@
   /// already received.
   bool resumes() const { return m_Sequence.deliveredCount() > 0; }
 
+  /// Ends the attempt because of its response once the current handler has
+  /// returned. The rest of the response is not read: it may have no end.
+  void rejectResponse(std::string_view Cause) {
+    m_RejectedResponse = Cause;
+    releaseBuffer();
+    m_Call->fail();
+  }
+
+  /// Updates the node's count of buffered bytes to what this request holds.
+  /// Returns false if the limit is exceeded.
+  bool accountBuffer() {
+    const std::size_t Bytes =
+        m_ResponseBody.size() + m_EventCutter.incompleteEvent().size();
+    m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
+    m_AccountedBytes = Bytes;
+    return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
+  }
+
+  void releaseBuffer() {
+    m_ResponseBody = std::string();
+    m_EventCutter = EventSplitter();
+    accountBuffer();
+  }
+
   void onHead(HttpMessageHead Head) {
     m_ResponseHead = std::move(Head);
     const std::string EchoedId = findHeader(m_ResponseHead.m_Headers,
                                             m_Context.m_HeaderNames.m_RequestId)
                                      .value_or(m_Id);
-    m_IsForeignResponse = EchoedId != m_Id;
-    m_IsStream = !m_IsForeignResponse && m_ResponseHead.m_Status == Ok &&
+    m_IsStream = m_ResponseHead.m_Status == Ok &&
                  m_Route->m_Kind == RequestKind::Streaming;
+    if (EchoedId != m_Id)
+      rejectResponse("foreign_response");
   }
 
   void onBody(std::string_view Bytes) {
-    if (m_IsForeignResponse)
+    if (!m_RejectedResponse.empty())
       return;
     if (!m_IsStream) {
-      if (m_ResponseBody.size() + Bytes.size() <= MaxBufferedResponseBytes)
-        m_ResponseBody.append(Bytes);
-      else
-        m_IsForeignResponse = true;
+      m_ResponseBody.append(Bytes);
+      if (m_ResponseBody.size() > MaxBufferedResponseBytes || !accountBuffer())
+        rejectResponse("response_too_large");
       return;
     }
     for (const RawEvent &Event : m_EventCutter.accept(Bytes))
       if (!forwardEvent(Event))
         return;
+    if (m_EventCutter.hasFailed() || !accountBuffer())
+      rejectResponse("event_too_large");
   }
 
   bool forwardEvent(const RawEvent &Event) {
@@ -404,10 +430,10 @@
           monotonicNow());
       m_IsCrashWatchPending = true;
     }
-    if (Outcome != UpstreamOutcome::Complete || m_IsForeignResponse) {
-      onAttemptFailed(m_IsForeignResponse
-                          ? "foreign_response"
-                          : nameOf(UpstreamOutcomeNames, Outcome));
+    if (Outcome != UpstreamOutcome::Complete || !m_RejectedResponse.empty()) {
+      onAttemptFailed(m_RejectedResponse.empty()
+                          ? nameOf(UpstreamOutcomeNames, Outcome)
+                          : m_RejectedResponse);
       return;
     }
     onComplete();
@@ -630,6 +656,8 @@
           *m_FirstEventAt - m_ClientRequest.m_ReceivedAt;
     Summary.m_LongestEventGap = m_LongestEventGap;
     recordRequest(m_Context.m_Metrics, Summary);
+    m_Context.m_BufferedBytes -= m_AccountedBytes;
+    m_AccountedBytes = 0;
     m_Context.m_ActiveRequests.erase(m_Owner.lock());
   }
 
@@ -723,7 +751,11 @@
   std::uint64_t m_PromptTokens = 0;
   /// Output tokens that the client stated, as an estimate or a maximum.
   std::uint64_t m_StatedOutputTokens = 0;
-  bool m_IsForeignResponse = false;
+  /// Reason why the response of the current attempt is not read further; empty
+  /// if it is.
+  std::string_view m_RejectedResponse;
+  /// Bytes of this request in RequestRelayContext::m_BufferedBytes.
+  std::size_t m_AccountedBytes = 0;
   bool m_IsStream = false;
   bool m_ResponseStarted = false;
   bool m_IsCrashWatchPending = false;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -52,6 +52,11 @@
   /// again.
   PoisonDetector m_PoisonDetector{{3, std::chrono::minutes(1), 4096}};
   CrashDetector m_CrashDetector{m_PoisonDetector};
+  /// Bytes of responses that requests hold until they can be forwarded, and the
+  /// limit for all requests together. An attempt whose response exceeds it
+  /// fails.
+  std::size_t m_BufferedBytes = 0;
+  std::size_t m_MaxBufferedBytes = std::size_t{64} * 1024 * 1024;
   DemandEstimator m_DemandEstimator;
   FleetDemand m_FleetDemand;
   /// Share of the requests that are admitted, by model; models without an entry
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -13,6 +13,9 @@
 /// servers send smaller ones.
 constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
 constexpr std::size_t ReadBufferBytes = std::size_t{16} * 1024;
+/// Maximum size of the body of a buffered call. A page of the store's objects
+/// has about 1 MB.
+constexpr std::size_t MaxBufferedBodyBytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
@@ -103,7 +106,7 @@
     m_Parser.parse({m_Buffer.data(), Size});
     if (m_HasEnded)
       return;
-    if (m_Parser.hasFailed())
+    if (m_Parser.hasFailed() || m_MustFail)
       end(UpstreamOutcome::Malformed);
     else if (m_Parser.isComplete())
       end(UpstreamOutcome::Complete);
@@ -140,6 +143,7 @@
   bool m_IsConnected = false;
   bool m_Sent = false;
   bool m_HasEnded = false;
+  bool m_MustFail = false;
 };
 
 UpstreamCall::UpstreamCall(asio::io_context &Loop, Endpoint Peer,
@@ -170,6 +174,8 @@
   });
 }
 
+void UpstreamCall::fail() { m_Impl->m_MustFail = true; }
+
 bool UpstreamCall::mayHaveSent() const { return m_Impl->m_Sent; }
 
 std::shared_ptr<UpstreamCall>
@@ -183,10 +189,16 @@
     Result->m_Status = Head.m_Status;
     Result->m_Headers = std::move(Head.m_Headers);
   };
-  Handlers.m_OnBody = [Result](std::string_view Bytes) {
-    Result->m_Body.append(Bytes);
-  };
   const std::weak_ptr<UpstreamCall> Weak = Call;
+  Handlers.m_OnBody = [Result, Weak](std::string_view Bytes) {
+    if (Result->m_Body.size() + Bytes.size() <= MaxBufferedBodyBytes) {
+      Result->m_Body.append(Bytes);
+      return;
+    }
+    Result->m_Body = std::string();
+    if (const auto Running = Weak.lock())
+      Running->fail();
+  };
   Handlers.m_OnEnd = [Result, Weak,
                       Done = std::move(Done)](UpstreamOutcome Outcome) {
     Result->m_Outcome = Outcome;
--- a/proxy/upstream_call.h
+++ b/proxy/upstream_call.h
@@ -68,6 +68,8 @@
              Duration Timeout);
   /// Closes the connection. No handler is called afterwards, not even m_OnEnd.
   void cancel();
+  /// Ends the call as malformed once the handler that calls this has returned.
+  void fail();
   /// True once the peer may have received a part of the request.
   bool mayHaveSent() const;
 
--- a/servers/retry/event_splitter.h
+++ b/servers/retry/event_splitter.h
@@ -21,11 +21,17 @@
 public:
   /// Appends received bytes and returns the events that are now complete.
   std::vector<RawEvent> accept(std::string_view Bytes);
+  /// True if an event has not ended within the maximum size. Its bytes are
+  /// discarded, and no further event is returned.
+  bool hasFailed() const { return m_HasFailed; }
   /// Returns the bytes after the last complete event.
   const std::string &incompleteEvent() const { return m_IncompleteEvent; }
 
 private:
   std::string m_IncompleteEvent;
+  /// Bytes of m_IncompleteEvent that contain no end of an event.
+  std::size_t m_SearchedBytes = 0;
+  bool m_HasFailed = false;
 };
 
 /// Filters the events of several attempts at one stream, so that the client
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -10,7 +10,8 @@
 
 struct ScriptedServer::Session : std::enable_shared_from_this<Session> {
   Session(asio::ip::tcp::socket Socket, ScriptedServer &Owner)
-      : m_Socket(std::move(Socket)), m_Owner(Owner) {}
+      : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
+        m_Owner(Owner) {}
 
   void read() {
     m_Socket.async_read_some(
@@ -48,9 +49,31 @@
       return;
     m_Response = m_Owner.m_Responses.front();
     m_Owner.m_Responses.pop_front();
+    m_Owner.m_OnResponseChosen();
     asio::async_write(m_Socket, asio::buffer(m_Response.m_Bytes),
                       [this, Self = shared_from_this()](
-                          const asio::error_code &, std::size_t) { finish(); });
+                          const asio::error_code &, std::size_t) {
+                        if (m_Response.m_EndlessBytes.empty())
+                          finish();
+                        else
+                          sendEndless();
+                      });
+  }
+
+  void sendEndless() {
+    m_Timer.expires_after(m_Response.m_EndlessPause);
+    m_Timer.async_wait(
+        [this, Self = shared_from_this()](const asio::error_code &TimerError) {
+          if (TimerError)
+            return;
+          asio::async_write(
+              m_Socket, asio::buffer(m_Response.m_EndlessBytes),
+              [this, Self](const asio::error_code &Error, std::size_t Size) {
+                m_Owner.m_EndlessBytesSent += Size;
+                if (!Error)
+                  sendEndless();
+              });
+        });
   }
 
   void finish() {
@@ -63,6 +86,7 @@
   }
 
   asio::ip::tcp::socket m_Socket;
+  asio::steady_timer m_Timer;
   ScriptedServer &m_Owner;
   std::array<char, 4096> m_Buffer{};
   std::string m_ReceivedText;
--- a/tests/proxy/relay_fixture.h
+++ b/tests/proxy/relay_fixture.h
@@ -26,6 +26,11 @@
       Reset,
       KeepOpen
     } m_ConnectionEnd = ConnectionEnd::Close;
+    /// Bytes that the server sends after m_Bytes, again and again until the
+    /// connection is closed; none if empty.
+    std::string m_EndlessBytes = {};
+    /// Pause before each repetition of m_EndlessBytes.
+    Duration m_EndlessPause{0};
   };
 
   ScriptedServer(asio::io_context &Loop, std::uint16_t Port);
@@ -33,10 +38,22 @@
   /// Adds a response. Each request consumes one; without one, the server does
   /// not respond.
   void addResponse(Response Next) { m_Responses.push_back(std::move(Next)); }
+  /// Discards the remaining responses and adds \p Next unless it is empty.
+  void replaceResponses(const Response &Next) {
+    m_Responses.clear();
+    if (!Next.m_Bytes.empty())
+      addResponse(Next);
+  }
+  /// Sets a function that is called once the response to a request is chosen.
+  void onResponseChosen(std::function<void()> Hook) {
+    m_OnResponseChosen = std::move(Hook);
+  }
   /// Sets a function that is called for each received request.
   void onRequest(std::function<void()> Hook) { m_OnRequest = std::move(Hook); }
   /// Received requests, each with head and body.
   const std::vector<std::string> &requests() const { return m_Requests; }
+  /// Bytes sent in endless responses.
+  std::size_t endlessBytesSent() const { return m_EndlessBytesSent; }
   /// Number of connections that the peer closed after the server had received
   /// the request and before the server closed them.
   int earlyDisconnects() const { return m_EarlyDisconnects; }
@@ -48,8 +65,10 @@
   asio::ip::tcp::acceptor m_Acceptor;
   std::deque<Response> m_Responses;
   std::function<void()> m_OnRequest = [] {};
+  std::function<void()> m_OnResponseChosen = [] {};
   std::vector<std::string> m_Requests;
   int m_EarlyDisconnects = 0;
+  std::size_t m_EndlessBytesSent = 0;
 };
 
 /// Request path of a node between a client and two scripted backend servers on
