Let first attempts go before returning clients under overload

Change: nodes exchange the mean latency of first events relative to their objective; nothing is rejected below 0.8 of it, and less is admitted the longer the queues are. Requests with less than 0.85 of the usual time left count as returning; they get what first attempts leave, and do not count as demand for groups. The demand estimate separates the part of a pass that all requests share.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -116,13 +116,22 @@
                                       Duration PrefillTime) {
       m_PeerExchange.announcePrompt(Server, PrefillTime);
     };
-    m_PeerExchange.exchangeDemand(
+    m_PeerExchange.exchangeTraffic(
         [this] {
-          return m_Context.m_DemandEstimator.busyGroupsByModel(monotonicNow());
+          const MonotonicTime Now = monotonicNow();
+          return PeerExchange::TrafficReport{
+              m_Context.m_DemandEstimator.busyGroupsByModel(Now),
+              m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now),
+              m_Context.m_FirstEventLatency.ownReport(Now)};
         },
-        [this](const std::string &Peer, DemandByModel Demand) {
-          m_Context.m_FleetDemand.setPeerDemand(Peer, std::move(Demand),
-                                                monotonicNow());
+        [this](const std::string &Peer, PeerExchange::TrafficReport Traffic) {
+          const MonotonicTime Now = monotonicNow();
+          m_Context.m_FleetDemand.setPeerDemand(
+              Peer, std::move(Traffic.m_Demand), Now);
+          m_Context.m_ReturningFleetDemand.setPeerDemand(
+              Peer, std::move(Traffic.m_ReturningDemand), Now);
+          m_Context.m_FirstEventLatency.setPeerReport(
+              Peer, std::move(Traffic.m_Latencies), Now);
         });
     m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
       m_PeerExchange.announce(Report);
@@ -473,37 +482,43 @@
       continueDrain(Now);
   }
 
-  /// Recomputes the share of requests to admit for each model.
+  /// Recomputes the shares of requests to admit for each model.
   void updateAdmission(MonotonicTime Now) {
     if (!m_Context.m_RouteTable)
       return;
-    const DemandByModel Demand = m_Context.m_FleetDemand.total(
+    DemandByModel FirstAttempts = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
-    std::map<std::string, double> Shares;
+    DemandByModel Returning = m_Context.m_ReturningFleetDemand.total(
+        m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now), Now);
+    std::map<std::string, AdmittedShares> SharesByModel;
     for (const ServiceSpec &Service :
          m_Context.m_RouteTable->configuration().m_Services)
       for (const ModelSpec &Model : Service.m_Engine.m_Models) {
-        const auto Demanded = Demand.find(Model.m_Name);
-        if (!Service.hasReplicaGroups() || Demanded == Demand.end())
-          continue;
         ServerQuery Query;
         Query.m_Service = &Service;
         Query.m_Model = Model.m_Name;
         Query.m_Now = Now;
         const GroupSupply Supply = m_ServerSelector.groupSupply(m_Fleet, Query);
-        const double Share = admittedShare(Demanded->second, Supply);
-        if (Share >= 1.0)
+        const ModelDemand Demand{FirstAttempts[Model.m_Name],
+                                 Returning[Model.m_Name]};
+        const RelativeLatency Latency =
+            m_Context.m_FirstEventLatency.total(Model.m_Name, Now);
+        const AdmittedShares Shares = admittedShares(Demand, Supply, Latency);
+        if (Shares.admitsAll())
           continue;
-        Shares[Model.m_Name] = Share;
+        SharesByModel[Model.m_Name] = Shares;
         if (m_Context.m_AdmittedShares.count(Model.m_Name) == 0)
           m_Log.write("overload",
                       {{"model", Model.m_Name},
-                       {"demanded_groups", Demanded->second},
+                       {"demanded_groups", Demand.m_FirstAttempts},
+                       {"returning_groups", Demand.m_Returning},
                        {"groups", static_cast<std::int64_t>(Supply.m_Groups)},
                        {"slot_usage", Supply.m_MeanSlotUsage},
-                       {"admitted", Share}});
+                       {"mean_latency", Latency.m_Sum / Latency.m_Count},
+                       {"admitted", Shares.m_FirstAttempts},
+                       {"returning_admitted", Shares.m_Returning}});
       }
-    m_Context.m_AdmittedShares = std::move(Shares);
+    m_Context.m_AdmittedShares = std::move(SharesByModel);
   }
 
   void scheduleLogFlush() {
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -52,8 +52,12 @@
     for (const auto &[Server, Count] : m_Selector.ownInFlightByServer())
       Load[Server] = Count;
     Json Message{{"node", m_NodeName}, {"load", std::move(Load)}};
-    if (m_OwnDemand)
-      Message["demand"] = m_OwnDemand();
+    if (m_OwnTraffic) {
+      const TrafficReport Traffic = m_OwnTraffic();
+      Message["demand"] = Traffic.m_Demand;
+      Message["returning"] = Traffic.m_ReturningDemand;
+      Message["latency"] = Traffic.m_Latencies;
+    }
     broadcast(Message);
     for (auto &[Name, RemotePeer] : m_Peers) {
       if (RemotePeer.m_IsAlive &&
@@ -117,8 +121,11 @@
     if (Message.contains("load"))
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
-    if (Message.contains("demand") && m_OnPeerDemand)
-      m_OnPeerDemand(Name, fieldOr(Message, "demand", DemandByModel()));
+    if (Message.contains("demand") && m_OnPeerTraffic)
+      m_OnPeerTraffic(
+          Name, {fieldOr(Message, "demand", DemandByModel()),
+                 fieldOr(Message, "returning", DemandByModel()),
+                 fieldOr(Message, "latency", FirstEventLatency::Report())});
     if (Message.contains("prompt"))
       m_Selector.onPromptSent(
           fieldOr(Message, "prompt", std::string()),
@@ -145,8 +152,8 @@
   StallReportHandler m_OnStallReport;
   CrashRecordHandler m_OnCrashRecords;
   StoreChangeHandler m_OnStoreChange;
-  std::function<DemandByModel()> m_OwnDemand;
-  DemandHandler m_OnPeerDemand;
+  std::function<TrafficReport()> m_OwnTraffic;
+  TrafficHandler m_OnPeerTraffic;
   std::map<std::string, Peer> m_Peers;
   asio::ip::udp::endpoint m_SenderEndpoint;
   std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
@@ -180,10 +187,10 @@
   m_Impl->scheduleLoadMessage();
 }
 
-void PeerExchange::exchangeDemand(std::function<DemandByModel()> OwnDemand,
-                                  DemandHandler OnPeerDemand) {
-  m_Impl->m_OwnDemand = std::move(OwnDemand);
-  m_Impl->m_OnPeerDemand = std::move(OnPeerDemand);
+void PeerExchange::exchangeTraffic(std::function<TrafficReport()> OwnTraffic,
+                                   TrafficHandler OnPeerTraffic) {
+  m_Impl->m_OwnTraffic = std::move(OwnTraffic);
+  m_Impl->m_OnPeerTraffic = std::move(OnPeerTraffic);
 }
 
 void PeerExchange::setPeers(std::map<std::string, PeerAddress> Peers) {
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/event_log.h"
 #include "core/json.h"
+#include "servers/dispatch/first_event_latency.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/feed/relay_topology.h"
 #include "servers/replicas/fleet_demand.h"
@@ -59,8 +60,16 @@
       std::function<void(const std::vector<PoisonRecord> &)>;
   /// Called with a message about changes of the platform's store.
   using StoreChangeHandler = std::function<void(const Json &)>;
-  /// Called with the name of a peer and the groups that its traffic keeps busy.
-  using DemandHandler = std::function<void(const std::string &, DemandByModel)>;
+  /// Traffic of one node, as its load messages contain it.
+  struct TrafficReport {
+    /// Groups that first attempts and returning clients keep busy.
+    DemandByModel m_Demand;
+    DemandByModel m_ReturningDemand;
+    FirstEventLatency::Report m_Latencies;
+  };
+  /// Called with the name and the traffic of a peer.
+  using TrafficHandler =
+      std::function<void(const std::string &, TrafficReport)>;
 
   PeerExchange(asio::io_context &Loop, EventLog &Log, ServerSelector &Selector,
                std::string Node, const PeerAddress &OwnAddress,
@@ -74,10 +83,10 @@
   void start(StallReportHandler OnStallReport,
              CrashRecordHandler OnCrashRecords,
              StoreChangeHandler OnStoreChange);
-  /// Sets the source of this node's demand, which its load messages contain,
-  /// and the function that receives that of the peers.
-  void exchangeDemand(std::function<DemandByModel()> OwnDemand,
-                      DemandHandler OnPeerDemand);
+  /// Sets the source of this node's traffic report, which its load messages
+  /// contain, and the function that receives those of the peers.
+  void exchangeTraffic(std::function<TrafficReport()> OwnTraffic,
+                       TrafficHandler OnPeerTraffic);
   /// Replaces the addresses of the nodes, by name. Nodes that are no longer
   /// listed are forgotten.
   void setPeers(std::map<std::string, PeerAddress> Peers);
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -111,8 +111,12 @@
       const RequestSize Size = requestSize();
       m_PromptTokens = Size.m_PromptTokens;
       m_StatedOutputTokens = Size.m_OutputTokens;
-      m_Context.m_DemandEstimator.recordRequest(*m_Service, m_Model, Size,
-                                                monotonicNow());
+      m_IsReturning = m_Context.m_ReturningClients.isReturning(
+          m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
+      DemandEstimator &Demand = m_IsReturning
+                                    ? m_Context.m_ReturningDemandEstimator
+                                    : m_Context.m_DemandEstimator;
+      Demand.recordRequest(*m_Service, m_Model, Size, monotonicNow());
     }
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
@@ -136,12 +140,14 @@
   /// True if this request belongs to the share that the groups of its model
   /// cannot serve.
   bool isShed() {
-    const auto Share = m_Context.m_AdmittedShares.find(m_Model);
+    const auto Shares = m_Context.m_AdmittedShares.find(m_Model);
     if (!m_Service->hasReplicaGroups() ||
-        Share == m_Context.m_AdmittedShares.end())
+        Shares == m_Context.m_AdmittedShares.end())
       return false;
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
-    return Uniform(m_Context.m_Random) >= Share->second;
+    return Uniform(m_Context.m_Random) >=
+           (m_IsReturning ? Shares->second.m_Returning
+                          : Shares->second.m_FirstAttempts);
   }
 
   bool authenticate() {
@@ -402,6 +408,10 @@
     if (!m_ResponseStarted) {
       m_ResponseStarted = true;
       m_FirstEventAt = Now;
+      if (m_Service->hasReplicaGroups())
+        m_Context.m_FirstEventLatency.record(
+            m_Model, Now - m_ClientRequest.m_ReceivedAt,
+            m_Route->m_FirstByteObjective, Now);
       m_Client->beginStream(m_ResponseHead.m_Status, m_ResponseHead.m_Reason,
                             endToEndHeaders(m_ResponseHead.m_Headers));
     }
@@ -493,10 +503,12 @@
 
   void finishStream() {
     if (m_Service->hasReplicaGroups())
-      m_Context.m_DemandEstimator.recordOutput(
-          m_Model, m_StatedOutputTokens,
-          m_Sequence.deliveredCount() *
-              std::max(1U, m_Service->m_Engine.m_DecodeStepsPerPass));
+      for (DemandEstimator *Demand : {&m_Context.m_DemandEstimator,
+                                      &m_Context.m_ReturningDemandEstimator})
+        Demand->recordOutput(
+            m_Model, m_StatedOutputTokens,
+            m_Sequence.deliveredCount() *
+                std::max(1U, m_Service->m_Engine.m_DecodeStepsPerPass));
     m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
     m_Context.m_PoisonDetector.onCompleted(m_ContentHash, serverProcessKey(),
                                            monotonicNow());
@@ -757,6 +769,8 @@
   /// Bytes of this request in RequestRelayContext::m_BufferedBytes.
   std::size_t m_AccountedBytes = 0;
   bool m_IsStream = false;
+  /// The client seems to have been rejected before.
+  bool m_IsReturning = false;
   bool m_ResponseStarted = false;
   bool m_IsCrashWatchPending = false;
   ContentHash m_ContentHash = 0;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "proxy/client_connection.h"
 #include "proxy/header_names.h"
+#include "servers/dispatch/overload_admission.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
 #include "servers/replicas/demand_estimator.h"
@@ -57,11 +58,17 @@
   /// fails.
   std::size_t m_BufferedBytes = 0;
   std::size_t m_MaxBufferedBytes = std::size_t{64} * 1024 * 1024;
+  /// Demand of first attempts and of returning clients, on this node and on all
+  /// nodes.
   DemandEstimator m_DemandEstimator;
+  DemandEstimator m_ReturningDemandEstimator;
   FleetDemand m_FleetDemand;
-  /// Share of the requests that are admitted, by model; models without an entry
-  /// are not overloaded.
-  std::map<std::string, double> m_AdmittedShares;
+  FleetDemand m_ReturningFleetDemand;
+  ReturningClients m_ReturningClients;
+  FirstEventLatency m_FirstEventLatency;
+  /// Shares of the requests that are admitted, by model; models without an
+  /// entry are not overloaded.
+  std::map<std::string, AdmittedShares> m_AdmittedShares;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
   /// Called repeatedly while a group seems to have stalled, with its head
--- a/servers/replicas/demand_estimator.cpp
+++ b/servers/replicas/demand_estimator.cpp
@@ -21,16 +21,6 @@
 /// Shortest time over which the traffic after the first request is averaged.
 constexpr double MinObservedSeconds = 1.0;
 
-/// Time in seconds that a full batch spends on decoding \p OutputTokens,
-/// divided by the number of slots that share the steps.
-double decodeSeconds(const EngineSpec &Engine, const std::string &Model,
-                     double OutputTokens) {
-  const double PassCount =
-      OutputTokens / std::max(1U, Engine.m_DecodeStepsPerPass);
-  return toSeconds(decodeTimePerPass(Engine, Model)) * PassCount /
-         Engine.m_Slots;
-}
-
 } // namespace
 
 void DemandEstimator::recordRequest(const ServiceSpec &Service,
@@ -41,28 +31,29 @@
   ModelLoad &Average = Known->second;
   if (IsFirst)
     Average.m_FirstRequestAt = Average.m_UpdatedAt = Now;
-  const double AveragingSeconds = toSeconds(AveragingTime);
   const double Decay = decayFactor(Average, Now);
   const EngineSpec &Engine = Service.m_Engine;
-  const double PrefillSeconds =
-      toSeconds(prefillTime(Engine, Model, Size.m_PromptTokens));
-  const double RequestDecodeSeconds = decodeSeconds(
-      Engine, Model,
-      static_cast<double>(Size.m_OutputTokens) * Average.outputRatio());
-  // Without a prefill chunk size, a pass prefills the whole prompt and the
-  // batch decodes nothing meanwhile, so both times add up.
-  const bool HasChunkedPrefill = Engine.m_PrefillChunkTokens != 0;
-  Average.m_PrefillGroups =
-      Average.m_PrefillGroups * Decay +
-      (PrefillSeconds + (HasChunkedPrefill ? 0.0 : RequestDecodeSeconds)) /
-          AveragingSeconds;
-  // A pass that prefills a chunk takes longer by the time of the chunk, also
-  // where decoding is the bottleneck.
-  Average.m_DecodeGroups =
-      Average.m_DecodeGroups * Decay +
-      (RequestDecodeSeconds +
-       toSeconds(chunkPrefillTime(Engine, Model, Size.m_PromptTokens))) /
-          AveragingSeconds;
+  const double StepsPerPass = std::max(1U, Engine.m_DecodeStepsPerPass);
+  const double SecondsPerMs = Engine.durationFactorOf(Model) / 1000.0;
+  const double PassSeconds =
+      StepsPerPass * Engine.m_DecodeStepMs * SecondsPerMs;
+  const double OutputPasses = static_cast<double>(Size.m_OutputTokens) *
+                              Average.outputRatio() / StepsPerPass;
+  const auto Add = [&](double &Groups, double Seconds) {
+    Groups = Groups * Decay + Seconds / toSeconds(AveragingTime);
+  };
+  Add(Average.m_OwnGroups,
+      toSeconds(chunkPrefillTime(Engine, Model, Size.m_PromptTokens)) +
+          OutputPasses * StepsPerPass * Engine.m_DecodeStepMsPerSequence *
+              SecondsPerMs);
+  // Without chunks, a pass prefills the whole prompt without decode steps.
+  Add(Average.m_PrefillPassGroups,
+      Engine.m_PrefillChunkTokens == 0
+          ? 0.0
+          : PassSeconds * static_cast<double>(Size.m_PromptTokens) /
+                static_cast<double>(Engine.m_PrefillChunkTokens));
+  Add(Average.m_DecodePassGroups,
+      PassSeconds * OutputPasses / std::max(1U, Engine.m_Slots));
   Average.m_UpdatedAt = Now;
 }
 
@@ -76,7 +67,8 @@
     const double Coverage =
         1.0 - std::exp(-ObservedSeconds / toSeconds(AveragingTime));
     BusyGroups[Model] =
-        std::max(Average.m_PrefillGroups, Average.m_DecodeGroups) *
+        (Average.m_OwnGroups +
+         std::max(Average.m_PrefillPassGroups, Average.m_DecodePassGroups)) *
         decayFactor(Average, Now) / Coverage;
   }
   return BusyGroups;
--- a/servers/replicas/demand_estimator.h
+++ b/servers/replicas/demand_estimator.h
@@ -41,12 +41,16 @@
   std::map<std::string, double> busyGroupsByModel(MonotonicTime Now) const;
 
 private:
-  /// Average load of one model in busy groups, separately for prefill and
-  /// decode. A pass of the batch prefills one chunk between its decode steps,
-  /// so either of the two can be the bottleneck of a group.
+  /// Average load of one model in busy groups. The time of a pass has a part
+  /// for each request and a part that all requests of the pass share. The
+  /// number of passes is that of the prefill chunks, or that of the decode
+  /// steps divided by the slots, whichever is larger.
   struct ModelLoad {
-    double m_PrefillGroups = 0.0;
-    double m_DecodeGroups = 0.0;
+    /// Prefill of the prompts and the decode steps' part for each sequence.
+    double m_OwnGroups = 0.0;
+    /// The shared part of the passes, if prefill or decoding sets their number.
+    double m_PrefillPassGroups = 0.0;
+    double m_DecodePassGroups = 0.0;
     MonotonicTime m_FirstRequestAt{};
     MonotonicTime m_UpdatedAt{};
     double m_StatedOutputTokens = 0.0;
