Serve the requests of connections that were just accepted at a planned stop

Cause, shown by three tests that failed: closing the listening socket reset the connections in the kernel's queue with the requests they had sent; a connection whose request lay unread in the socket's buffer was closed as idle; so was one that had just been accepted and whose first request was on its way.

Change: the listener accepts what is queued before it closes; a connection is idle only if nothing is unread and, before its first request, one second after it was opened.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -14,6 +14,9 @@
 /// Maximum size of output that waits behind the write in progress. To bound the
 /// memory, the connection of a client that reads too slowly is closed.
 constexpr std::size_t MaxPendingOutputBytes = std::size_t{1024} * 1024;
+/// Time in which a client sends its first request after it connected. Until
+/// then a new connection does not count as idle.
+constexpr Duration FirstRequestTime = std::chrono::seconds(1);
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -128,6 +131,7 @@
     m_KeepAlive = m_Request.m_Head.m_KeepAlive;
     m_OmitsBody = m_Request.m_Head.m_Method == "HEAD";
     m_Request.m_ReceivedAt = monotonicNow();
+    m_HasReceivedRequest = true;
     m_Hooks.m_OnRequest(owner(), std::move(m_Request));
   }
 
@@ -215,6 +219,17 @@
         });
   }
 
+  bool isIdle(MonotonicTime Now) {
+    if (m_IsRequestInProgress || m_Parser.hasReceivedBytes() ||
+        !m_PendingOutput.empty() || m_IsWriting)
+      return false;
+    // A client connects in order to send a request, which may be on its way.
+    if (!m_HasReceivedRequest && Now - m_OpenedAt < FirstRequestTime)
+      return false;
+    asio::error_code Error;
+    return m_Socket.available(Error) == 0;
+  }
+
   void handleDisconnect() {
     const std::function<void()> OnDisconnected = std::move(m_OnDisconnected);
     m_OnDisconnected = nullptr;
@@ -277,6 +292,8 @@
   std::string m_ReceivedBytes;
   std::string m_PendingOutput;
   std::string m_OutputInFlight;
+  const MonotonicTime m_OpenedAt = monotonicNow();
+  bool m_HasReceivedRequest = false;
   bool m_IsRequestInProgress = false;
   bool m_IsReading = false;
   bool m_IsWriting = false;
@@ -334,8 +351,7 @@
 }
 
 void ClientConnection::closeIfIdle() {
-  if (!m_Impl->m_IsRequestInProgress && !m_Impl->m_Parser.hasReceivedBytes() &&
-      m_Impl->m_PendingOutput.empty() && !m_Impl->m_IsWriting)
+  if (m_Impl->isIdle(monotonicNow()))
     m_Impl->close();
 }
 
--- a/proxy/http_listener.cpp
+++ b/proxy/http_listener.cpp
@@ -41,16 +41,32 @@
       });
       return;
     }
-    const auto Connection =
-        std::make_shared<ClientConnection>(std::move(Socket), m_Hooks);
-    m_Connections[Connection.get()] = Connection;
-    Connection->start();
+    addConnection(std::move(Socket));
     accept();
   });
 }
 
+void HttpListener::addConnection(asio::ip::tcp::socket Socket) {
+  const auto Connection =
+      std::make_shared<ClientConnection>(std::move(Socket), m_Hooks);
+  m_Connections[Connection.get()] = Connection;
+  Connection->start();
+}
+
 void HttpListener::stopAccepting() {
-  asio::error_code Ignored; // the acceptor may already be closed
+  if (!m_Acceptor.is_open())
+    return;
+  // The kernel has already established the connections in the queue, and
+  // closing the socket would reset them with the requests they have sent.
+  asio::error_code Error;
+  m_Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    asio::ip::tcp::socket Socket(m_Acceptor.get_executor());
+    m_Acceptor.accept(Socket, Error);
+    if (!Error)
+      addConnection(std::move(Socket));
+  }
+  asio::error_code Ignored; // close() always releases the descriptor
   m_Acceptor.close(Ignored);
 }
 
--- a/proxy/http_listener.h
+++ b/proxy/http_listener.h
@@ -28,6 +28,7 @@
 
 private:
   void accept();
+  void addConnection(asio::ip::tcp::socket Socket);
 
   asio::ip::tcp::acceptor m_Acceptor;
   asio::steady_timer m_AcceptRetryTimer;
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -226,12 +226,23 @@
   }
 }
 
-std::string RelayFixture::request(const std::string &ExtraHeaders,
-                                  const std::string &Body) {
+asio::ip::tcp::socket RelayFixture::connectClient() {
   asio::ip::tcp::socket Client(m_Loop);
   Client.connect({asio::ip::make_address("127.0.0.1"), m_Port});
+  return Client;
+}
+
+std::string RelayFixture::request(const std::string &ExtraHeaders,
+                                  const std::string &Body) {
+  asio::ip::tcp::socket Client = connectClient();
   const std::string Text = formatRequestBytes(ExtraHeaders, Body);
   asio::write(Client, asio::buffer(Text));
+  const std::string Received = receiveAll(Client);
+  runFor(milliseconds(20));
+  return Received;
+}
+
+std::string RelayFixture::receiveAll(asio::ip::tcp::socket &Client) {
   std::string Received;
   std::array<char, 4096> Buffer{};
   bool Ended = false;
@@ -250,7 +261,7 @@
   Read();
   tickUntil(monotonicNow() + std::chrono::seconds(10), [&] { return Ended; });
   Client.close();
-  runFor(milliseconds(20));
+  runFor(milliseconds(1));
   return Received;
 }
 
--- a/tests/proxy/relay_fixture.h
+++ b/tests/proxy/relay_fixture.h
@@ -89,6 +89,15 @@
   /// Sends a request and closes the client connection after \p DisconnectAfter.
   void requestAndDisconnect(Duration DisconnectAfter,
                             const std::string &ExtraHeaders = "");
+  /// Connects a client without sending anything.
+  asio::ip::tcp::socket connectClient();
+  /// Returns the bytes of a request to the configured route.
+  std::string formatRequestBytes(const std::string &ExtraHeaders,
+                                 const std::string &Body) const;
+  /// Returns what the client receives until its connection ends, for ten
+  /// seconds at most.
+  std::string receiveAll(asio::ip::tcp::socket &Client);
+  HttpListener &listener() { return *m_Listener; }
   /// Runs the event loop and the requests' ticks.
   void runFor(Duration Time);
 
@@ -104,9 +113,6 @@
   std::uint16_t m_SecondServerPort = 0;
 
 private:
-  /// Returns the bytes of a request to the configured route.
-  std::string formatRequestBytes(const std::string &ExtraHeaders,
-                                 const std::string &Body) const;
   void tickUntil(MonotonicTime Until, const std::function<bool()> &Done);
 
   std::unique_ptr<HttpListener> m_Listener;
