Begin to reject only when first events are late, and keep load slots for repairs

Change: first attempts alone decide whether a model is overloaded; rejecting begins at a mean latency of 1.5 objectives and ends at 0.7; a domain is converted only if all of its servers can load within three quarters of the concurrent loads, so not on the smaller sites today; the demand shortly after a start is averaged over two seconds at least.

Tests: returningClientsAreNoReasonToRejectFirstAttempts, rejectionsEndOnlyOnceQueuesAreShort, domainKeepsItsModelIfLoadsAreScarce.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -503,11 +503,14 @@
                                  Returning[Model.m_Name]};
         const RelativeLatency Latency =
             m_Context.m_FirstEventLatency.total(Model.m_Name, Now);
-        const AdmittedShares Shares = admittedShares(Demand, Supply, Latency);
+        const bool WasOverloaded =
+            m_Context.m_AdmittedShares.count(Model.m_Name) != 0;
+        const AdmittedShares Shares =
+            admittedShares(Demand, Supply, Latency, WasOverloaded);
         if (Shares.admitsAll())
           continue;
         SharesByModel[Model.m_Name] = Shares;
-        if (m_Context.m_AdmittedShares.count(Model.m_Name) == 0)
+        if (!WasOverloaded)
           m_Log.write("overload",
                       {{"model", Model.m_Name},
                        {"demanded_groups", Demand.m_FirstAttempts},
--- a/servers/dispatch/overload_admission.h
+++ b/servers/dispatch/overload_admission.h
@@ -28,6 +28,7 @@
 
 /// Returns the shares that the groups of a model can serve without a growing
 /// queue. Nothing is rejected before \p Latency shows that queues have grown.
+/// \p WasOverloaded is true if requests are being rejected now.
 ///
 /// If more requests are admitted, all of them wait in the queues of the groups
 /// and most are late; the load reports of many nodes are too old to prevent
@@ -36,7 +37,8 @@
 /// rejected for a returning request would make one more client late.
 AdmittedShares admittedShares(const ModelDemand &Demand,
                               const GroupSupply &Supply,
-                              const RelativeLatency &Latency);
+                              const RelativeLatency &Latency,
+                              bool WasOverloaded);
 
 /// Tells first attempts from requests of clients that were rejected before and
 /// have therefore less time left than usual.
--- a/servers/replicas/demand_estimator.cpp
+++ b/servers/replicas/demand_estimator.cpp
@@ -19,7 +19,7 @@
 /// first few responses do not decide the ratio.
 constexpr double AssumedExactTokens = 500.0;
 /// Shortest time over which the traffic after the first request is averaged.
-constexpr double MinObservedSeconds = 1.0;
+constexpr double MinObservedSeconds = 2.0;
 
 } // namespace
 
--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -25,11 +25,18 @@
   removeFinishedConversions(Input);
   resumeConversions(Input);
   if (Input.m_Now - m_TrafficSince >= m_Settings.m_DemandSettleTime &&
-      Input.m_Now >= m_NextConversionAt && mayStartLoad(Input)) {
+      Input.m_Now >= m_NextConversionAt) {
     m_NextConversionAt = Input.m_Now + m_Settings.m_ConversionInterval;
-    if (const auto Conversion = chooseConversion(
-            domainSupplies(Input), Input.m_Service->m_Engine.m_Models,
-            Input.m_DemandByModel))
+    const std::map<std::string, DomainSupply> Domains = domainSupplies(Input);
+    const auto Conversion = chooseConversion(
+        Domains, Input.m_Service->m_Engine.m_Models, Input.m_DemandByModel);
+    // All servers of the domain load at the same time. Where the weight store
+    // carries fewer loads, the conversion would take several load times and
+    // keep lost servers from being replaced.
+    if (Conversion &&
+        loadsInProgress(Input) +
+                Domains.at(Conversion->m_Domain).m_UsableServers <=
+            maxConversionLoads(Input))
       m_Conversions[Conversion->m_Domain] = Conversion->m_Model;
   }
   for (const auto &[Domain, Model] : m_Conversions) {
@@ -39,6 +46,13 @@
   }
 }
 
+std::size_t
+ReplicaPlanner::maxConversionLoads(const ReplicaPlannerInput &Input) const {
+  return static_cast<std::size_t>(
+      Input.m_Service->m_Engine.m_MaxConcurrentLoads *
+      m_Settings.m_ConversionLoadShare);
+}
+
 void ReplicaPlanner::removeFinishedConversions(
     const ReplicaPlannerInput &Input) {
   for (auto Entry = m_Conversions.begin(); Entry != m_Conversions.end();) {
@@ -129,7 +143,8 @@
         Server.m_Service == Input.m_Service->m_Name &&
         Input.m_Fleet->acceptsNewWork(Server) &&
         Input.m_UnreachableServers.count(Id) == 0 &&
-        !hasStagedOrIsStaging(Server, *Model))
+        !hasStagedOrIsStaging(Server, *Model) &&
+        loadsInProgress(Input) < maxConversionLoads(Input))
       orderStaging(Input, Server, *Model);
 }
 
--- a/servers/replicas/model_rebalancer.cpp
+++ b/servers/replicas/model_rebalancer.cpp
@@ -65,8 +65,9 @@
     GroupCounts After = Groups;
     for (const auto &[Model, Count] : Domain.m_GroupsByModel)
       After[Model] -= static_cast<double>(Count);
-    After[Shortest->m_Name] +=
-        static_cast<double>(Domain.m_UsableServers / Shortest->m_GroupSize);
+    const std::size_t NewGroups =
+        Domain.m_UsableServers / Shortest->m_GroupSize;
+    After[Shortest->m_Name] += static_cast<double>(NewGroups);
     const double Ratio = lowestRatio(After, Demand, Models);
     // Of equal domains, one in a zone with few groups of the model is
     // converted, so that the loss of a zone does not remove all of them.
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -53,6 +53,9 @@
   /// Time after the first request before the demand of the models decides which
   /// domains are converted.
   Duration m_DemandSettleTime = std::chrono::seconds(3);
+  /// Share of the concurrent loads, from 0 to 1, that the conversion of domains
+  /// may use. The others are left for the spares that replace lost servers.
+  double m_ConversionLoadShare = 0.75;
   /// Time between two decisions to convert a domain to another model.
   Duration m_ConversionInterval = std::chrono::seconds(1);
 };
@@ -250,6 +253,8 @@
   /// Number of loads from the weight store that are in progress or were
   /// ordered.
   std::size_t loadsInProgress(const ReplicaPlannerInput &Input) const;
+  /// Number of loads that conversions may have in progress.
+  std::size_t maxConversionLoads(const ReplicaPlannerInput &Input) const;
   /// True if another load from the weight store may start now.
   bool mayStartLoad(const ReplicaPlannerInput &Input) const;
 
--- a/tests/servers/dispatch/test_overload_admission.cpp
+++ b/tests/servers/dispatch/test_overload_admission.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(nothingIsRejectedBelowCapacity);
   CPPUNIT_TEST(surplusIsRejectedAboveCapacity);
   CPPUNIT_TEST(firstAttemptsGoBeforeReturningClients);
+  CPPUNIT_TEST(returningClientsAreNoReasonToRejectFirstAttempts);
+  CPPUNIT_TEST(rejectionsEndOnlyOnceQueuesAreShort);
   CPPUNIT_TEST(idleGroupsAreNeverProtected);
   CPPUNIT_TEST(lostZoneLeavesMostRequestsInTime);
   CPPUNIT_TEST(latencyIsTheMeanOfAllNodes);
@@ -27,41 +29,71 @@
   static constexpr RelativeLatency Late{160.0, 100.0};
 
   void nothingIsRejectedBelowCapacity() {
-    CPPUNIT_ASSERT(admittedShares({11.9, 0.0}, {12, 0.9}, Late).admitsAll());
-    CPPUNIT_ASSERT(admittedShares({9.0, 3.0}, {12, 0.9}, Late).admitsAll());
-    CPPUNIT_ASSERT(admittedShares({4.0, 0.0}, {0, 0.0}, Late).admitsAll());
+    CPPUNIT_ASSERT(
+        admittedShares({11.9, 0.0}, {12, 0.9}, Late, true).admitsAll());
+    CPPUNIT_ASSERT(
+        admittedShares({9.0, 3.0}, {12, 0.9}, AtTarget, true).admitsAll());
+    CPPUNIT_ASSERT(
+        admittedShares({4.0, 0.0}, {0, 0.0}, Late, true).admitsAll());
   }
 
   void surplusIsRejectedAboveCapacity() {
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        0.5, admittedShares({16.0, 0.0}, {8, 0.9}, AtTarget).m_FirstAttempts,
+        0.5,
+        admittedShares({16.0, 0.0}, {8, 0.9}, AtTarget, true).m_FirstAttempts,
         0.001);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        0.25, admittedShares({16.0, 0.0}, {8, 0.9}, Late).m_FirstAttempts,
+        0.25, admittedShares({16.0, 0.0}, {8, 0.9}, Late, true).m_FirstAttempts,
         0.001);
     CPPUNIT_ASSERT(
-        admittedShares({1000.0, 0.0}, {8, 0.9}, Late).m_FirstAttempts > 0.0);
+        admittedShares({1000.0, 0.0}, {8, 0.9}, Late, true).m_FirstAttempts >
+        0.0);
   }
 
   /// Guards against a service that makes new clients late in order to serve
   /// those that are late already.
   void firstAttemptsGoBeforeReturningClients() {
-    const AdmittedShares Some = admittedShares({6.0, 4.0}, {8, 0.9}, AtTarget);
+    const AdmittedShares Some =
+        admittedShares({6.0, 4.0}, {8, 0.9}, AtTarget, true);
     CPPUNIT_ASSERT_EQUAL(1.0, Some.m_FirstAttempts);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, Some.m_Returning, 0.001);
-    const AdmittedShares None = admittedShares({9.0, 4.0}, {8, 0.9}, AtTarget);
+    const AdmittedShares None =
+        admittedShares({9.0, 4.0}, {8, 0.9}, AtTarget, true);
     CPPUNIT_ASSERT(None.m_FirstAttempts > 0.8);
     CPPUNIT_ASSERT(None.m_Returning > 0.0 && None.m_Returning < 0.2);
   }
 
+  /// Guards against rejections that cause further ones: clients that were
+  /// rejected return and are counted once more.
+  void returningClientsAreNoReasonToRejectFirstAttempts() {
+    const AdmittedShares Shares =
+        admittedShares({3.0, 2.0}, {3, 0.9}, Late, true);
+    CPPUNIT_ASSERT_EQUAL(1.0, Shares.m_FirstAttempts);
+    CPPUNIT_ASSERT(Shares.m_Returning < 1.0);
+  }
+
+  /// Guards against rejections that begin and end several times a second.
+  void rejectionsEndOnlyOnceQueuesAreShort() {
+    const auto AdmitsAll = [](double MeanLatency, bool WasOverloaded) {
+      return admittedShares({16.0, 0.0}, {8, 0.9}, {MeanLatency * 100.0, 100.0},
+                            WasOverloaded)
+          .admitsAll();
+    };
+    CPPUNIT_ASSERT(AdmitsAll(1.2, false));
+    CPPUNIT_ASSERT(!AdmitsAll(1.6, false));
+    CPPUNIT_ASSERT(!AdmitsAll(1.2, true));
+    CPPUNIT_ASSERT(AdmitsAll(0.6, true));
+  }
+
   /// Guards against rejections that a wrong demand estimate causes while groups
   /// are idle or answer in time.
   void idleGroupsAreNeverProtected() {
-    CPPUNIT_ASSERT(admittedShares({16.0, 0.0}, {8, 0.3}, Late).admitsAll());
     CPPUNIT_ASSERT(
-        admittedShares({16.0, 0.0}, {8, 0.9}, {50.0, 100.0}).admitsAll());
+        admittedShares({16.0, 0.0}, {8, 0.3}, Late, true).admitsAll());
+    CPPUNIT_ASSERT(
+        admittedShares({16.0, 0.0}, {8, 0.9}, {50.0, 100.0}, true).admitsAll());
     CPPUNIT_ASSERT(
-        admittedShares({16.0, 0.0}, {8, 0.9}, {3.0, 1.0}).admitsAll());
+        admittedShares({16.0, 0.0}, {8, 0.9}, {3.0, 1.0}, true).admitsAll());
   }
 
   /// Load pattern: a zone of three is evacuated for 30 s while 315 requests per
@@ -91,12 +123,12 @@
     double Latency = 0.0;
     double Queue = 0.0;
     double InTime = 0.0;
+    AdmittedShares Shares;
     for (std::size_t Step = 0; Step < Steps; ++Step) {
-      AdmittedShares Shares;
       if (IsLimited)
         Shares = admittedShares(
             {Arrivals / Capacity * Groups, Returning[Step] / Capacity * Groups},
-            {Groups, 0.9}, {Latency * 100.0, 100.0});
+            {Groups, 0.9}, {Latency * 100.0, 100.0}, !Shares.admitsAll());
       const double Wanted = Arrivals * Shares.m_FirstAttempts +
                             Returning[Step] * Shares.m_Returning;
       const double Admitted = std::min(Wanted, MaxQueue + Capacity - Queue);
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(spareKeepsItsWeightsWithoutShortage);
   CPPUNIT_TEST(spareOfWellSuppliedModelIsRestagedForScarceModel);
   CPPUNIT_TEST(domainChangesItsModelWhileItsGroupsServe);
+  CPPUNIT_TEST(domainKeepsItsModelIfLoadsAreScarce);
   CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
   CPPUNIT_TEST_SUITE_END();
 
@@ -515,6 +516,7 @@
   /// against a domain that keeps its first model for the whole day, and against
   /// groups that stop serving before their servers have the new weights.
   void domainChangesItsModelWhileItsGroupsServe() {
+    m_Service.m_Engine.m_MaxConcurrentLoads = 12;
     addDomains(9, {"big", "small"});
     ReplicaPlanner Planner = newPlanner();
     runUntilSettled(Planner);
@@ -541,6 +543,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, openGroupsByModel()["small"]);
   }
 
+  /// The weight store carries six loads at once, a domain has nine servers.
+  /// Guards against a conversion that keeps lost servers from being replaced.
+  void domainKeepsItsModelIfLoadsAreScarce() {
+    addDomains(9, {"big", "small"});
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    m_TrafficSeen = true;
+    m_Demand = {{"big", 8.0}, {"small", 2.0}};
+    for (int I = 0; I < 100; ++I) {
+      m_Now += milliseconds(100);
+      const std::vector<MemberOrder> Orders = plan(Planner);
+      for (const MemberOrder &Order : Orders)
+        CPPUNIT_ASSERT(Order.m_Kind != MemberOrderKind::Stage ||
+                       !m_Fleet.find(Order.m_Server)->m_Membership);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, openGroupsByModel()["small"]);
+  }
+
   /// The lease passes to another node after the servers of a domain have loaded
   /// the new weights. Guards against a domain that stays between two models.
   void nextLeaseHolderContinuesAConversion() {
