Send no order on a lease that expired while the process was paused

Cause, shown by a test that failed: orders that wait for the store to record a quarantine were sent when its answer came, if the node had held the lease at its last tick. A process that was paused meanwhile processes the answer first and acts although another node may hold the lease. The orders were harmless by their epochs, but two holders acted.

Change: the lease is checked where an order is sent, by the clock that includes suspension; an order that is dropped is logged. Probes of stalled groups check it as well.

Test: ordersOfAnExpiredLeaseAreNotSent; ordersFollowTheStoredQuarantine is its counterpart in time.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -244,6 +244,15 @@
 }
 
 void GroupCoordinator::sendOrder(const MemberOrder &Order) {
+  // The process may have been paused since tick() found the lease valid.
+  if (!m_Lease.isHeld(monotonicNow()) || m_Lease.epoch() != m_Epoch) {
+    m_Context.m_Log.write(
+        "order_dropped", {{"kind", nameOf(MemberOrderKindNames, Order.m_Kind)},
+                          {"server", Order.m_Server},
+                          {"group", Order.m_Group.m_Name},
+                          {"lease_epoch", static_cast<std::int64_t>(m_Epoch)}});
+    return;
+  }
   const BackendServer *Server = m_Context.m_Fleet.find(Order.m_Server);
   if (!Server && !Order.m_LastEndpoint)
     return;
@@ -325,13 +334,13 @@
 }
 
 void GroupCoordinator::onGroupStalled(const StallReport &Report) {
-  if (!m_HoldsLease || Report.m_IsConfirmed)
+  const MonotonicTime Now = monotonicNow();
+  if (!m_Lease.isHeld(Now) || Report.m_IsConfirmed)
     return;
   const auto &Groups = m_Context.m_Fleet.groups();
   const auto Group = Groups.find(Report.m_Group);
   if (Group == Groups.end())
     return;
-  const MonotonicTime Now = monotonicNow();
   for (auto Entry = m_LastProbedAt.begin(); Entry != m_LastProbedAt.end();)
     Entry = Now - Entry->second >= MinProbeInterval
                 ? m_LastProbedAt.erase(Entry)
--- /dev/null
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -0,0 +1,135 @@
+#include "proxy/group_coordinator.h"
+#include "tests/proxy/relay_fixture.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <optional>
+#include <thread>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+
+/// Orders of a node whose lease on group formation expires while it waits for
+/// the store.
+class GroupCoordinatorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupCoordinatorTest);
+  CPPUNIT_TEST(ordersFollowTheStoredQuarantine);
+  CPPUNIT_TEST(ordersOfAnExpiredLeaseAreNotSent);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Longer than the lease on group formation.
+  static constexpr Duration PauseTime = milliseconds(2000);
+
+  /// One group of two members, whose head loses its entry, and a store that
+  /// answers all calls but the write of the quarantine.
+  struct World {
+    RelayFixture m_Fixture;
+    PlatformBinding m_Platform;
+    std::function<void(StoreCompletion)> m_AnswerQuarantineWrite;
+    std::optional<GroupCoordinator> m_Coordinator;
+
+    World() {
+      m_Fixture.configureGroups();
+      TrafficConfiguration Configuration =
+          m_Fixture.m_Context.m_RouteTable->configuration();
+      Configuration.m_Services.front().m_Engine.m_Models.front().m_GroupSize =
+          2;
+      m_Fixture.m_Context.m_RouteTable =
+          std::make_shared<RouteTable>(std::move(Configuration));
+      m_Platform.m_OrderPath = "/order";
+      m_Platform.m_EncodeOrder = [](const MemberOrder &) {
+        return std::string("{}");
+      };
+      m_Platform.m_StartStoreCall =
+          [this](const StoreAction &Action,
+                 std::function<void(StoreCompletion)> Done) {
+            startStoreCall(Action, std::move(Done));
+          };
+      FrontSettings Settings;
+      Settings.m_NodeName = "n1";
+      m_Coordinator.emplace(m_Fixture.m_Context, m_Platform, Settings, "n1-1");
+      setMember("s1", 0, GroupMemberState::Open);
+      setMember("s2", 1, GroupMemberState::Ready);
+    }
+
+    void startStoreCall(const StoreAction &Action,
+                        std::function<void(StoreCompletion)> Done) {
+      if (const auto *Get = std::get_if<GetObject>(&Action)) {
+        GetCompleted Result;
+        Result.m_Id = Get->m_Id;
+        Result.m_Outcome = StoreOutcome::NotFound;
+        asio::post(m_Fixture.m_Loop,
+                   [Done = std::move(Done), Result] { Done(Result); });
+        return;
+      }
+      const auto &Put = std::get<PutObject>(Action);
+      if (Put.m_Key.find("quarantine") != std::string::npos) {
+        m_AnswerQuarantineWrite = std::move(Done);
+        return;
+      }
+      asio::post(m_Fixture.m_Loop, [Done = std::move(Done), Id = Put.m_Id] {
+        Done(WriteCompleted{Id, StoreOutcome::Succeeded, 7});
+      });
+    }
+
+    void setMember(const std::string &Id, unsigned Rank,
+                   GroupMemberState State) {
+      BackendServer Server = *m_Fixture.m_Fleet.find(Id);
+      Server.m_FabricDomain = "d1";
+      Server.m_Membership = GroupMembership{{"m.1.1", 100001}, Rank, State};
+      Server.m_Revision += 100;
+      m_Fixture.m_Fleet.update(Server, monotonicNow());
+    }
+
+    void runFor(Duration Time) {
+      const MonotonicTime End = monotonicNow() + Time;
+      while (monotonicNow() < End) {
+        m_Coordinator->tick(monotonicNow());
+        m_Fixture.runFor(milliseconds(10));
+      }
+    }
+
+    /// Runs until the orders to the members wait for the quarantine.
+    void loseHead() {
+      runFor(milliseconds(300));
+      CPPUNIT_ASSERT(m_Coordinator->holdsLease());
+      m_Fixture.m_Fleet.remove("s1", 100000);
+      for (int I = 0; I < 200 && !m_AnswerQuarantineWrite; ++I)
+        runFor(milliseconds(10));
+      CPPUNIT_ASSERT(m_AnswerQuarantineWrite != nullptr);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ordersToTheMember());
+    }
+
+    void answerQuarantineWrite() {
+      m_AnswerQuarantineWrite(WriteCompleted{0, StoreOutcome::Succeeded, 8});
+      m_Fixture.runFor(milliseconds(200));
+    }
+
+    std::size_t ordersToTheMember() const {
+      return m_Fixture.m_SecondServer->requests().size();
+    }
+  };
+
+  void ordersFollowTheStoredQuarantine() {
+    World Test;
+    Test.loseHead();
+    Test.answerQuarantineWrite();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Test.ordersToTheMember());
+  }
+
+  /// The process is paused while it waits for the store and wakes after its
+  /// lease has expired; the answer is the first thing that it processes. Guards
+  /// against orders of two lease holders at the same time.
+  void ordersOfAnExpiredLeaseAreNotSent() {
+    World Test;
+    Test.loseHead();
+    std::this_thread::sleep_for(PauseTime);
+    Test.answerQuarantineWrite();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupCoordinatorTest);
+
+} // namespace fulmarwinch
