Elect the relay of a zone with one weight for each node

Cause, seen by reading: comparing candidates by their rank computes the weights of all nodes for each comparison, so a zone of 444 nodes with equal links would take 394,000 hashes every 60 ms. The live nodes were also collected twice.

Change: one pass with one weight for each node; the relay that is elected is the same.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -470,8 +470,10 @@
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
     if (Now >= m_NextRelayCheckAt) {
       m_NextRelayCheckAt = Now + RelayCheckPeriod;
-      m_GroupCoordinator.setLiveNodes(m_PeerExchange.liveNodes(Now));
-      m_ChangeRelay.tick(Now, m_GroupCoordinator.holdsLease());
+      const std::vector<RelayCandidate> LiveNodes =
+          m_PeerExchange.liveNodes(Now);
+      m_GroupCoordinator.setLiveNodes(LiveNodes);
+      m_ChangeRelay.tick(Now, LiveNodes, m_GroupCoordinator.holdsLease());
     }
     if (Now >= m_NextAdmissionAt) {
       m_NextAdmissionAt = Now + AdmissionPeriod;
--- a/proxy/zone_change_relay.cpp
+++ b/proxy/zone_change_relay.cpp
@@ -25,9 +25,11 @@
       [this](const ObjectChangeBatch &Changes) { publish(Changes); });
 }
 
-void ZoneChangeRelay::tick(MonotonicTime Now, bool IsLeaseHolder) {
+void ZoneChangeRelay::tick(MonotonicTime Now,
+                           const std::vector<RelayCandidate> &LiveNodes,
+                           bool IsLeaseHolder) {
   const std::string PreviousRelay = m_Plan.m_ZoneRelay;
-  m_Plan = planFeed(m_Peers.ownNode(), m_Peers.liveNodes(Now), IsLeaseHolder);
+  m_Plan = planFeed(m_Peers.ownNode(), LiveNodes, IsLeaseHolder);
   if (m_Plan.m_ZoneRelay != PreviousRelay)
     m_Log.write(
         "feed_source",
--- a/proxy/zone_change_relay.h
+++ b/proxy/zone_change_relay.h
@@ -19,9 +19,10 @@
 
   /// Adds the watcher of one kind of objects, which must outlive this object.
   void addWatcher(ObjectWatcher &Watcher);
-  /// Plans the part of this node among the live nodes. \p IsLeaseHolder is true
+  /// Plans the part of this node among \p LiveNodes. \p IsLeaseHolder is true
   /// if it holds the lease on group formation.
-  void tick(MonotonicTime Now, bool IsLeaseHolder);
+  void tick(MonotonicTime Now, const std::vector<RelayCandidate> &LiveNodes,
+            bool IsLeaseHolder);
   /// Processes a message of another node; does nothing if it is malformed.
   void onMessage(const Json &Message);
 
--- a/servers/feed/relay_topology.cpp
+++ b/servers/feed/relay_topology.cpp
@@ -3,6 +3,7 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fulmarwinch {
 
@@ -25,28 +26,29 @@
 
 std::map<std::string, std::string>
 relayByZone(const std::vector<RelayCandidate> &Nodes) {
-  std::map<std::string, std::vector<const RelayCandidate *>> NodesByZone;
-  for (const RelayCandidate &Node : Nodes)
-    NodesByZone[Node.m_Zone].push_back(&Node);
-  std::map<std::string, std::string> Relays;
-  for (const auto &[Zone, Members] : NodesByZone) {
-    if (Members.size() < 2)
+  struct Election {
+    std::size_t m_Nodes = 0;
+    const RelayCandidate *m_Relay = nullptr;
+    std::uint64_t m_Weight = 0;
+  };
+  std::map<std::string, Election> Elections;
+  for (const RelayCandidate &Node : Nodes) {
+    Election &Zone = Elections[Node.m_Zone];
+    ++Zone.m_Nodes;
+    const std::uint64_t Weight =
+        rendezvousWeight(concat("relay/", Node.m_Zone), Node.m_Name);
+    if (Zone.m_Relay &&
+        std::make_tuple(effectiveLink(Node), Weight, Node.m_Name) <=
+            std::make_tuple(effectiveLink(*Zone.m_Relay), Zone.m_Weight,
+                            Zone.m_Relay->m_Name))
       continue;
-    double FastestLink = 0.0;
-    for (const RelayCandidate *Node : Members)
-      FastestLink = std::max(FastestLink, effectiveLink(*Node));
-    std::vector<std::string> Names;
-    for (const RelayCandidate *Node : Members)
-      if (effectiveLink(*Node) >= FastestLink)
-        Names.push_back(Node->m_Name);
-    const std::string Key = concat("relay/", Zone);
-    Relays[Zone] = *std::max_element(
-        Names.begin(), Names.end(),
-        [&](const std::string &Left, const std::string &Right) {
-          return rendezvousRank(Key, Names, Left) >
-                 rendezvousRank(Key, Names, Right);
-        });
+    Zone.m_Relay = &Node;
+    Zone.m_Weight = Weight;
   }
+  std::map<std::string, std::string> Relays;
+  for (const auto &[Zone, Result] : Elections)
+    if (Result.m_Nodes >= 2)
+      Relays[Zone] = Result.m_Relay->m_Name;
   return Relays;
 }
 
