Convert the servers of one group at a time

A whole domain could not be converted, since its eight servers exceed the loads that run at once.

Change: a conversion is the servers of one new group, free ones first, then those of as few donor groups as needed; the donor has to remain better supplied. Groups all of whose members have staged another model end as soon as their servers suffice, which also continues the conversions of an earlier lease holder.

--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -23,27 +23,56 @@
     return;
   }
   removeFinishedConversions(Input);
-  resumeConversions(Input);
   if (Input.m_Now - m_TrafficSince >= m_Settings.m_DemandSettleTime &&
       Input.m_Now >= m_NextConversionAt) {
     m_NextConversionAt = Input.m_Now + m_Settings.m_ConversionInterval;
-    const std::map<std::string, DomainSupply> Domains = domainSupplies(Input);
-    const auto Conversion = chooseConversion(
-        Domains, Input.m_Service->m_Engine.m_Models, Input.m_DemandByModel);
-    // All servers of the domain load at the same time. Where the weight store
-    // carries fewer loads, the conversion would take several load times and
-    // keep lost servers from being replaced.
-    if (Conversion &&
-        loadsInProgress(Input) +
-                Domains.at(Conversion->m_Domain).m_UsableServers <=
-            maxConversionLoads(Input))
-      m_Conversions[Conversion->m_Domain] = Conversion->m_Model;
-  }
-  for (const auto &[Domain, Model] : m_Conversions) {
-    m_ModelByDomain[Domain] = Model;
-    stageConversion(Input, Domain, Model);
-    retireGroups(Input, Domain, Model);
+    startConversion(Input);
   }
+  for (const auto &[Domain, Conversion] : m_Conversions)
+    for (const std::string &Id : Conversion.m_Servers) {
+      const BackendServer *Server = Input.m_Fleet->find(Id);
+      const ModelSpec *Model =
+          Input.m_Service->m_Engine.findModel(Conversion.m_Model);
+      if (Server && Model && isUsable(Input, *Server) &&
+          !hasStagedOrIsStaging(*Server, *Model) &&
+          loadsInProgress(Input) < maxConversionLoads(Input))
+        orderStaging(Input, *Server, *Model);
+    }
+  retireConvertedGroups(Input);
+}
+
+void ReplicaPlanner::startConversion(const ReplicaPlannerInput &Input) {
+  const EngineSpec &Engine = Input.m_Service->m_Engine;
+  const auto Choice = chooseConversion(domainSupplies(Input), Engine.m_Models,
+                                       Input.m_DemandByModel);
+  if (!Choice || m_Conversions.count(Choice->m_Domain) != 0)
+    return;
+  const ModelSpec &Model = *Engine.findModel(Choice->m_Model);
+  // The servers load at the same time. Where the weight store carries fewer
+  // loads, a conversion would keep lost servers from being replaced.
+  if (loadsInProgress(Input) + Model.m_GroupSize > maxConversionLoads(Input))
+    return;
+  ActiveConversion Conversion;
+  Conversion.m_Model = Model.m_Name;
+  Conversion.m_GiveUpTime = Input.m_Now + Model.m_WeightStoreLoadTime * 2 +
+                            m_Settings.m_GroupBreakDelay;
+  const auto FreeServers = freeServersByDomain(Input);
+  const auto Free = FreeServers.find(Choice->m_Domain);
+  if (Free != FreeServers.end())
+    for (const BackendServer *Server : Free->second)
+      if (Conversion.m_Servers.size() < Model.m_GroupSize)
+        Conversion.m_Servers.insert(Server->m_Id);
+  std::size_t DonorGroups = Choice->m_DonorGroups;
+  for (const auto &[Key, Group] : m_Groups)
+    if (DonorGroups > 0 && Group.m_FabricDomain == Choice->m_Domain &&
+        Group.m_Model == Choice->m_DonorModel && Group.m_Head &&
+        Group.m_Head->m_Membership->m_State == GroupMemberState::Open) {
+      Conversion.m_Servers.insert(Group.m_Members.begin(),
+                                  Group.m_Members.end());
+      Conversion.m_DonorGroups.insert(Key);
+      --DonorGroups;
+    }
+  m_Conversions[Choice->m_Domain] = std::move(Conversion);
 }
 
 std::size_t
@@ -53,143 +82,112 @@
       m_Settings.m_ConversionLoadShare);
 }
 
+bool ReplicaPlanner::isUsable(const ReplicaPlannerInput &Input,
+                              const BackendServer &Server) const {
+  return Server.m_Service == Input.m_Service->m_Name &&
+         !Server.m_FabricDomain.empty() &&
+         Input.m_Fleet->acceptsNewWork(Server) &&
+         Input.m_UnreachableServers.count(Server.m_Id) == 0;
+}
+
+bool ReplicaPlanner::isReservedForConversion(
+    const BackendServer &Server) const {
+  const auto Conversion = m_Conversions.find(Server.m_FabricDomain);
+  return Conversion != m_Conversions.end() &&
+         Conversion->second.m_Servers.count(Server.m_Id) != 0 &&
+         !Server.hasStagedWeights(Conversion->second.m_Model);
+}
+
 void ReplicaPlanner::removeFinishedConversions(
     const ReplicaPlannerInput &Input) {
   for (auto Entry = m_Conversions.begin(); Entry != m_Conversions.end();) {
-    const std::string &Domain = Entry->first;
-    const std::string &Model = Entry->second;
-    const bool HasOtherGroups =
-        std::any_of(m_Groups.begin(), m_Groups.end(), [&](const auto &Entry) {
-          return Entry.second.m_FabricDomain == Domain &&
-                 Entry.second.m_Model != Model;
-        });
-    const auto &Servers = Input.m_Fleet->servers();
-    const bool IsEvacuated =
-        std::any_of(Servers.begin(), Servers.end(), [&](const auto &Entry) {
-          return Entry.second.m_FabricDomain == Domain &&
-                 Input.m_Fleet->isEvacuated(Entry.second.m_Zone);
-        });
-    Entry = !HasOtherGroups || IsEvacuated ? m_Conversions.erase(Entry)
-                                           : std::next(Entry);
+    const ActiveConversion &Conversion = Entry->second;
+    std::size_t UsableServers = 0;
+    bool HasFormed = false;
+    for (const std::string &Id : Conversion.m_Servers) {
+      const BackendServer *Server = Input.m_Fleet->find(Id);
+      if (!Server || !isUsable(Input, *Server))
+        continue;
+      ++UsableServers;
+      HasFormed =
+          HasFormed || (Server->m_Membership &&
+                        modelOfGroup(Server->m_Membership->m_Group.m_Name) ==
+                            Conversion.m_Model);
+    }
+    const ModelSpec *Model =
+        Input.m_Service->m_Engine.findModel(Conversion.m_Model);
+    const bool IsOver = HasFormed || !Model ||
+                        UsableServers < Model->m_GroupSize ||
+                        Input.m_Now >= Conversion.m_GiveUpTime;
+    Entry = IsOver ? m_Conversions.erase(Entry) : std::next(Entry);
   }
   for (auto Entry = m_RetiredGroups.begin(); Entry != m_RetiredGroups.end();)
     Entry = m_Groups.count(*Entry) == 0 ? m_RetiredGroups.erase(Entry)
                                         : std::next(Entry);
 }
 
-void ReplicaPlanner::resumeConversions(const ReplicaPlannerInput &Input) {
-  for (const auto &[Key, Group] : m_Groups) {
-    const auto Assigned = m_ModelByDomain.find(Group.m_FabricDomain);
-    if (Assigned == m_ModelByDomain.end() ||
-        Assigned->second == Group.m_Model || !Group.m_Head ||
-        Group.m_Head->m_Membership->m_State != GroupMemberState::Open)
-      continue;
-    const bool AllStaged = std::all_of(
-        Group.m_Members.begin(), Group.m_Members.end(),
-        [&](const std::string &Id) {
-          const BackendServer *Server = Input.m_Fleet->find(Id);
-          return Server && Server->hasStagedWeights(Assigned->second);
-        });
-    if (AllStaged)
-      m_Conversions[Group.m_FabricDomain] = Assigned->second;
-  }
-}
-
 std::map<std::string, DomainSupply>
 ReplicaPlanner::domainSupplies(const ReplicaPlannerInput &Input) const {
   std::map<std::string, DomainSupply> Domains;
-  for (const auto &[Id, Server] : Input.m_Fleet->servers()) {
-    if (Server.m_Service != Input.m_Service->m_Name ||
-        Server.m_FabricDomain.empty() ||
-        !Input.m_Fleet->acceptsNewWork(Server) ||
-        Input.m_UnreachableServers.count(Id) != 0)
-      continue;
-    DomainSupply &Domain = Domains[Server.m_FabricDomain];
-    Domain.m_Zone = Server.m_Zone;
-    ++Domain.m_UsableServers;
-  }
+  for (const auto &[Id, Server] : Input.m_Fleet->servers())
+    if (isUsable(Input, Server))
+      Domains[Server.m_FabricDomain].m_Zone = Server.m_Zone;
+  for (const auto &[Domain, Servers] : freeServersByDomain(Input))
+    Domains[Domain].m_FreeServers = Servers.size();
   for (const auto &[Key, Group] : m_Groups) {
     const auto Domain = Domains.find(Group.m_FabricDomain);
-    if (Domain != Domains.end() && Group.m_Head &&
+    const auto Conversion = m_Conversions.find(Group.m_FabricDomain);
+    const bool IsDonor = Conversion != m_Conversions.end() &&
+                         Conversion->second.m_DonorGroups.count(Key) != 0;
+    if (Domain != Domains.end() && !IsDonor && Group.m_Head &&
         countsAsSupply(Group.m_Head->m_Membership->m_State))
       ++Domain->second.m_GroupsByModel[Group.m_Model];
   }
-  for (auto &[Name, Domain] : Domains) {
-    const auto Assigned = m_ModelByDomain.find(Name);
-    if (Assigned != m_ModelByDomain.end())
-      Domain.m_Model = Assigned->second;
-    const auto Conversion = m_Conversions.find(Name);
-    if (Conversion == m_Conversions.end())
-      continue;
-    Domain.m_Model = Conversion->second;
-    const ModelSpec *Model =
-        Input.m_Service->m_Engine.findModel(Conversion->second);
-    Domain.m_GroupsByModel.clear();
-    if (Model)
-      Domain.m_GroupsByModel[Model->m_Name] =
-          Domain.m_UsableServers / Model->m_GroupSize;
-  }
+  for (const auto &[Domain, Conversion] : m_Conversions)
+    ++Domains[Domain].m_GroupsByModel[Conversion.m_Model];
   return Domains;
 }
 
-void ReplicaPlanner::stageConversion(const ReplicaPlannerInput &Input,
-                                     const std::string &Domain,
-                                     const std::string &ModelName) {
-  const ModelSpec *Model = Input.m_Service->m_Engine.findModel(ModelName);
-  if (!Model)
-    return;
-  for (const auto &[Id, Server] : Input.m_Fleet->servers())
-    if (Server.m_FabricDomain == Domain &&
-        Server.m_Service == Input.m_Service->m_Name &&
-        Input.m_Fleet->acceptsNewWork(Server) &&
-        Input.m_UnreachableServers.count(Id) == 0 &&
-        !hasStagedOrIsStaging(Server, *Model) &&
-        loadsInProgress(Input) < maxConversionLoads(Input))
-      orderStaging(Input, Server, *Model);
-}
-
-void ReplicaPlanner::retireGroups(const ReplicaPlannerInput &Input,
-                                  const std::string &Domain,
-                                  const std::string &ModelName) {
-  const ModelSpec *Model = Input.m_Service->m_Engine.findModel(ModelName);
-  if (!Model)
-    return;
-  const auto IsStaged = [&](const std::string &Id) {
-    const BackendServer *Server = Input.m_Fleet->find(Id);
-    return Server && Server->hasStagedWeights(ModelName);
-  };
-  std::size_t Available = 0;
-  for (const auto &[Id, Server] : Input.m_Fleet->servers())
-    Available += Server.m_FabricDomain == Domain && isFree(Input, Server) &&
-                 Server.hasStagedWeights(ModelName);
-  std::vector<std::pair<std::size_t, const ReplicaGroup *>> Candidates;
-  for (const auto &[Key, Group] : m_Groups) {
-    if (Group.m_FabricDomain != Domain || Group.m_Model == ModelName)
-      continue;
-    // The members of groups that were retired before are still to come.
-    if (m_RetiredGroups.count(Key) != 0)
-      return;
-    if (Group.m_Head &&
-        Group.m_Head->m_Membership->m_State == GroupMemberState::Open)
-      Candidates.push_back(
-          {static_cast<std::size_t>(std::count_if(
-               Group.m_Members.begin(), Group.m_Members.end(), IsStaged)),
-           &Group});
-  }
-  std::stable_sort(Candidates.begin(), Candidates.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return Left.first > Right.first;
-                   });
-  std::vector<GroupKey> Retired;
-  for (const auto &[StagedMembers, Group] : Candidates) {
-    if (Available >= Model->m_GroupSize)
-      break;
-    Available += StagedMembers;
-    Retired.push_back(Group->m_Key);
+void ReplicaPlanner::retireConvertedGroups(const ReplicaPlannerInput &Input) {
+  // The members of groups that were retired before are still to come.
+  std::set<std::string> BusyDomains;
+  for (const GroupKey &Retired : m_RetiredGroups)
+    BusyDomains.insert(m_Groups.at(Retired).m_FabricDomain);
+  const auto FreeServers = freeServersByDomain(Input);
+  for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models) {
+    const auto IsStaged = [&](const std::string &Id) {
+      const BackendServer *Server = Input.m_Fleet->find(Id);
+      return Server && Server->hasStagedWeights(Model.m_Name);
+    };
+    std::map<std::string, std::vector<const ReplicaGroup *>> ConvertedGroups;
+    for (const auto &[Key, Group] : m_Groups)
+      if (Group.m_Model != Model.m_Name && Group.m_Head &&
+          Group.m_Head->m_Membership->m_State == GroupMemberState::Open &&
+          BusyDomains.count(Group.m_FabricDomain) == 0 &&
+          std::all_of(Group.m_Members.begin(), Group.m_Members.end(), IsStaged))
+        ConvertedGroups[Group.m_FabricDomain].push_back(&Group);
+    for (const auto &[Domain, Groups] : ConvertedGroups) {
+      const auto Free = FreeServers.find(Domain);
+      std::size_t Available =
+          Free == FreeServers.end()
+              ? 0
+              : static_cast<std::size_t>(std::count_if(
+                    Free->second.begin(), Free->second.end(),
+                    [&](const BackendServer *Server) {
+                      return Server->hasStagedWeights(Model.m_Name);
+                    }));
+      std::vector<GroupKey> Retired;
+      for (const ReplicaGroup *Group : Groups) {
+        if (Available >= Model.m_GroupSize)
+          break;
+        Available += Group->m_Members.size();
+        Retired.push_back(Group->m_Key);
+      }
+      // Groups stop serving only once their servers suffice for a new group.
+      if (Available >= Model.m_GroupSize)
+        m_RetiredGroups.insert(Retired.begin(), Retired.end());
+    }
   }
-  // Groups stop serving only once their servers suffice for a new group.
-  if (Available >= Model->m_GroupSize)
-    m_RetiredGroups.insert(Retired.begin(), Retired.end());
 }
 
 std::vector<ModelSupply>
@@ -213,8 +211,8 @@
     for (const auto &[Id, Server] : Input.m_Fleet->servers())
       Supply.m_StagedSpares +=
           isFree(Input, Server) && Server.hasStagedWeights(Model.m_Name);
-    for (const auto &[Domain, NewModel] : m_Conversions)
-      Supply.m_ConvertingDomains += NewModel == Model.m_Name;
+    for (const auto &[Domain, Conversion] : m_Conversions)
+      Supply.m_ConvertingDomains += Conversion.m_Model == Model.m_Name;
     Result.push_back(std::move(Supply));
   }
   return Result;
--- a/servers/replicas/model_rebalancer.h
+++ b/servers/replicas/model_rebalancer.h
@@ -15,27 +15,28 @@
 /// Replica groups and servers of one fabric domain that may serve requests.
 struct DomainSupply {
   std::string m_Zone;
-  /// Model that is assigned to the domain.
-  std::string m_Model;
-  /// Servers that are neither draining nor unreachable.
-  std::size_t m_UsableServers = 0;
+  /// Servers in no group that could join one.
+  std::size_t m_FreeServers = 0;
   /// Number of groups that are open or forming, by model.
   std::map<std::string, std::size_t> m_GroupsByModel;
 };
 
-/// Decision to give the servers of a fabric domain another model.
+/// Decision to form one more group of a model in a fabric domain, from free
+/// servers and those of groups of another model.
 struct DomainConversion {
   std::string m_Domain;
   std::string m_Model;
+  /// Model that gives up groups, and their number; it may be 0.
+  std::string m_DonorModel;
+  std::size_t m_DonorGroups = 0;
 };
 
-/// Chooses a domain whose servers should load another model, so that the models
-/// are supplied in proportion to \p Demand. Returns nothing unless a model is
-/// short of groups and the conversion clearly improves the supply of the worst
-/// supplied model: each conversion costs one load from the weight store for
-/// each server, and groups that stop serving meanwhile. \p Domains contains
-/// only domains that accept requests; those that are being converted count as
-/// if the conversion had finished.
+/// Chooses a domain in which the servers of one more group should load another
+/// model, so that the models are supplied in proportion to \p Demand. Returns
+/// nothing unless a model is short of groups and remains worse supplied than
+/// the donor, so that no later decision reverses this one. \p Domains contains
+/// only domains that accept requests; conversions in progress count as
+/// finished.
 std::optional<DomainConversion>
 chooseConversion(const std::map<std::string, DomainSupply> &Domains,
                  const std::vector<ModelSpec> &Models,
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -312,7 +312,7 @@
 ReplicaPlanner::freeServersByDomain(const ReplicaPlannerInput &Input) const {
   std::map<std::string, std::vector<const BackendServer *>> FreeServers;
   for (const auto &[Id, Server] : Input.m_Fleet->servers())
-    if (isFree(Input, Server))
+    if (isFree(Input, Server) && !isReservedForConversion(Server))
       FreeServers[Server.m_FabricDomain].push_back(&Server);
   return FreeServers;
 }
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -207,21 +207,23 @@
   void startFormation(const ReplicaPlannerInput &Input,
                       const GroupCandidate &SelectedCandidate);
   void stageSpares(const ReplicaPlannerInput &Input);
-  /// Gives domains another model if the demand requires it: their servers load
-  /// the weights while their groups serve, then groups are replaced.
+  /// Forms groups of a model that is short of them in place of groups of
+  /// another: their servers load the weights while their groups serve, then the
+  /// groups are replaced.
   void convertDomains(const ReplicaPlannerInput &Input);
+  void startConversion(const ReplicaPlannerInput &Input);
   void removeFinishedConversions(const ReplicaPlannerInput &Input);
-  /// Continues the conversions of an earlier lease holder: the groups of a
-  /// domain run another model than the one that their members have staged.
-  void resumeConversions(const ReplicaPlannerInput &Input);
   std::map<std::string, DomainSupply>
   domainSupplies(const ReplicaPlannerInput &Input) const;
-  void stageConversion(const ReplicaPlannerInput &Input,
-                       const std::string &Domain, const std::string &ModelName);
-  /// Retires as many groups of other models as one group of the model needs,
-  /// once enough of their members have its weights.
-  void retireGroups(const ReplicaPlannerInput &Input, const std::string &Domain,
-                    const std::string &ModelName);
+  /// Retires groups all of whose members have staged another model, as many as
+  /// one group of that model needs. Staged weights decide, so that the next
+  /// lease holder continues a conversion.
+  void retireConvertedGroups(const ReplicaPlannerInput &Input);
+  /// True if \p Server is listed, reachable and neither draining nor evacuated.
+  bool isUsable(const ReplicaPlannerInput &Input,
+                const BackendServer &Server) const;
+  /// True if \p Server is part of a conversion and has not loaded the weights.
+  bool isReservedForConversion(const BackendServer &Server) const;
   /// True if \p Model has fewer groups than its requests keep busy.
   bool isShort(const ReplicaPlannerInput &Input, const ModelSpec &Model) const;
   /// Loads that are missing before a fabric domain can form one more group.
@@ -278,8 +280,17 @@
   std::map<GroupKey, ReplicaGroup> m_Groups;
   /// Assigned model of each fabric domain; empty if domains run all models.
   std::map<std::string, std::string> m_ModelByDomain;
-  /// New model of each domain that is being converted.
-  std::map<std::string, std::string> m_Conversions;
+  /// One conversion in progress.
+  struct ActiveConversion {
+    std::string m_Model;
+    /// Servers that load the weights: free ones and the members of the donor
+    /// groups.
+    std::set<std::string> m_Servers;
+    std::set<GroupKey> m_DonorGroups;
+    MonotonicTime m_GiveUpTime{};
+  };
+  /// Conversion of each fabric domain; one at a time.
+  std::map<std::string, ActiveConversion> m_Conversions;
   /// Groups that finish their requests and then end, since their domain is
   /// being converted.
   std::set<GroupKey> m_RetiredGroups;
