Count the transit of store responses and peer messages as age of the state

What callers may see: requests of a route that was added more than config_ms before are refused with 404 or 401 by a node that is in touch, because the relay that it follows runs slowly, was paused or has a long queue on its link.

Cause: a response of the store and a relay's confirmation counted as current from the moment in which they were read. The time that they spent on a link or in the socket of a process that stood still was not added, so a follower took a state of several seconds for fresh and did not ask the store itself.

Change: an empty watch response shows the state at the end of the wait that the call asked for, a response with changes the state when the call was sent. Peer messages carry the sender's clock, and what a message took longer than the fastest recent one of the same process is added to its age. After a response with changes the next watch waits for less time, so that followers are not sent to the store.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -627,7 +627,9 @@
       [&Self](const std::vector<PoisonRecord> &Records) {
         Self.m_Context.m_PoisonDetector.merge(Records, monotonicNow());
       },
-      [&Self](const Json &Message) { Self.m_ChangeRelay.onMessage(Message); });
+      [&Self](const Json &Message, Duration Delay) {
+        Self.m_ChangeRelay.onMessage(Message, Delay);
+      });
   Self.registerNode();
   Self.m_ServerWatcher.start();
   Self.m_ConfigurationWatcher.start();
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -1,6 +1,8 @@
 #include "proxy/object_watcher.h"
 #include "core/text.h"
 
+#include <algorithm>
+
 namespace fulmarwinch {
 
 namespace {
@@ -28,16 +30,17 @@
 
 void ObjectWatcher::list(StoreCallReason Reason) {
   countCall(Reason);
-  m_Feed.list(m_Kind,
-              [this](ObjectsListed Result) { onListed(std::move(Result)); });
+  m_Feed.list(m_Kind, [this, SentAt = monotonicNow()](ObjectsListed Result) {
+    onListed(SentAt, std::move(Result));
+  });
 }
 
-void ObjectWatcher::onListed(ObjectsListed Result) {
+void ObjectWatcher::onListed(MonotonicTime SentAt, ObjectsListed Result) {
   if (Result.m_Outcome != StoreOutcome::Succeeded) {
     scheduleRetry(true);
     return;
   }
-  onStoreAnswered(Result.m_Revision, true);
+  onStoreAnswered(Result.m_Revision, true, SentAt);
   m_HasListed = true;
   m_Callbacks.m_OnListed(std::move(Result.m_Objects));
   m_Callbacks.m_OnBatchApplied();
@@ -45,25 +48,37 @@
 }
 
 void ObjectWatcher::watch() {
-  if (m_RelayFollower.needsNoStoreCall(monotonicNow())) {
+  const MonotonicTime Now = monotonicNow();
+  if (m_RelayFollower.needsNoStoreCall(Now)) {
     m_IsIdle = true;
     return;
   }
   m_IsIdle = false;
   countCall(m_RelayFollower.storeCallReason());
-  m_Feed.watch(m_Kind, m_RelayFollower.revision(),
-               forwards() ? m_Settings.m_ForwardingWatchTimeout
-                          : m_Settings.m_WatchTimeout,
-               [this, Since = m_RelayFollower.revision()](
-                   const ObjectsWatched &Result) { onWatched(Since, Result); });
+  const WatchCall Call{m_RelayFollower.revision(), Now, nextWatchTimeout(Now)};
+  m_Feed.watch(
+      m_Kind, Call.m_Since, Call.m_Wait,
+      [this, Call](const ObjectsWatched &Result) { onWatched(Call, Result); });
+}
+
+Duration ObjectWatcher::nextWatchTimeout(MonotonicTime Now) const {
+  if (!forwards())
+    return m_Settings.m_WatchTimeout;
+  // An answer with changes only shows that the state was current when the call
+  // was sent. The next call then waits for less time, so that the receivers of
+  // this node's changes need not ask the store.
+  const Duration Age = Now - m_RelayFollower.lastCurrentAt();
+  return std::clamp(m_Settings.m_ForwardingWatchTimeout - Age,
+                    m_Settings.m_MinWatchTimeout,
+                    m_Settings.m_ForwardingWatchTimeout);
 }
 
-void ObjectWatcher::onWatched(std::uint64_t Since,
+void ObjectWatcher::onWatched(const WatchCall &Call,
                               const ObjectsWatched &Result) {
   if (Result.m_Outcome == StoreOutcome::NotFound) {
     m_Log.write(
         "store_history_gone",
-        {{"kind", m_Kind}, {"since", static_cast<std::int64_t>(Since)}});
+        {{"kind", m_Kind}, {"since", static_cast<std::int64_t>(Call.m_Since)}});
     list(StoreCallReason::HistoryGone);
     return;
   }
@@ -76,7 +91,14 @@
   const bool IsNew = !Result.m_Changes.empty() &&
                      Result.m_Revision > m_RelayFollower.revision();
   const std::uint64_t LastChange = m_RelayFollower.lastChangeRevision();
-  onStoreAnswered(Result.m_Revision, IsNew);
+  // The answer may have been on its way for long, so its arrival does not show
+  // when the state was current. Without changes, the store held the call open
+  // for the whole wait.
+  const MonotonicTime CurrentAt =
+      Result.m_Changes.empty()
+          ? std::min(monotonicNow(), Call.m_SentAt + Call.m_Wait)
+          : Call.m_SentAt;
+  onStoreAnswered(Result.m_Revision, IsNew, CurrentAt);
   if (!IsNew) {
     watch();
     return;
@@ -152,13 +174,14 @@
   });
 }
 
-void ObjectWatcher::onStoreAnswered(std::uint64_t Revision, bool HadChanges) {
+void ObjectWatcher::onStoreAnswered(std::uint64_t Revision, bool HadChanges,
+                                    MonotonicTime CurrentAt) {
   if (m_IsStoreUnreachable)
     m_Log.write("store_regained",
                 {{"kind", m_Kind}, {"age_ms", inMs(stateAge())}});
   m_IsStoreUnreachable = false;
   m_ConsecutiveFailures = 0;
-  m_RelayFollower.onStoreResponse(Revision, HadChanges, monotonicNow());
+  m_RelayFollower.onStoreResponse(Revision, HadChanges, CurrentAt);
 }
 
 } // namespace fulmarwinch
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -33,6 +33,8 @@
   Duration m_MaxBackoff = std::chrono::milliseconds(1000);
   /// Replaces m_WatchTimeout on nodes that forward changes to others.
   Duration m_ForwardingWatchTimeout = std::chrono::milliseconds(500);
+  /// Minimum time for which the store holds a watch call open.
+  Duration m_MinWatchTimeout = std::chrono::milliseconds(100);
   /// Maximum age of a state received from the source before a relay queries the
   /// store itself. It exceeds the source's watch timeout by the period of
   /// freshness messages and the loss of one.
@@ -99,17 +101,27 @@
   void tick(MonotonicTime Now);
 
 private:
+  struct WatchCall {
+    std::uint64_t m_Since = 0;
+    MonotonicTime m_SentAt{};
+    Duration m_Wait{0};
+  };
+
   void countCall(StoreCallReason Reason);
   bool forwards() const {
     return m_Role == FeedRole::Relay || m_Role == FeedRole::Source;
   }
   void list(StoreCallReason Reason);
   void watch();
-  void onListed(ObjectsListed Result);
-  void onWatched(std::uint64_t Since, const ObjectsWatched &Result);
+  void onListed(MonotonicTime SentAt, ObjectsListed Result);
+  void onWatched(const WatchCall &Call, const ObjectsWatched &Result);
   /// Schedules another list or watch call with exponential backoff.
   void scheduleRetry(bool RetriesList);
-  void onStoreAnswered(std::uint64_t Revision, bool HadChanges);
+  /// Time for which the store may hold the next watch call open.
+  Duration nextWatchTimeout(MonotonicTime Now) const;
+  /// \p CurrentAt is a time at which the store was at \p Revision or later.
+  void onStoreAnswered(std::uint64_t Revision, bool HadChanges,
+                       MonotonicTime CurrentAt);
   void applyChanges(const std::vector<ObjectChange> &Changes);
 
   asio::io_context &m_Loop;
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -4,6 +4,7 @@
 #include "asio.hpp"
 
 #include <array>
+#include <random>
 
 namespace fulmarwinch {
 
@@ -29,8 +30,16 @@
     PeerAddress m_Address;
     MonotonicTime m_LastHeardAt{};
     bool m_IsAlive = false;
+    MessageDelay m_Delay;
   };
 
+  /// Returns an empty message with the name and the clock of this node.
+  Json newMessage() const {
+    return {{"node", m_NodeName},
+            {"process", m_Process},
+            {"sent_us", monotonicNow().time_since_epoch().count()}};
+  }
+
   Duration period() const {
     return m_Settings.m_LoadPeriod *
            static_cast<std::int64_t>(1 + m_Peers.size() / PeersPerBasePeriod);
@@ -51,7 +60,8 @@
     Json Load = Json::object();
     for (const auto &[Server, Count] : m_Selector.ownInFlightByServer())
       Load[Server] = Count;
-    Json Message{{"node", m_NodeName}, {"load", std::move(Load)}};
+    Json Message = newMessage();
+    Message["load"] = std::move(Load);
     if (m_OwnTraffic) {
       const TrafficReport Traffic = m_OwnTraffic();
       Message["demand"] = Traffic.m_Demand;
@@ -118,6 +128,10 @@
       m_Log.write("peer_heard", {{"peer", Name}});
     From.m_IsAlive = true;
     From.m_LastHeardAt = monotonicNow();
+    const Duration Delay = From.m_Delay.onMessage(
+        {fieldOr(Message, "process", std::uint64_t{0}),
+         MonotonicTime(Duration(fieldOr(Message, "sent_us", std::int64_t{0})))},
+        From.m_LastHeardAt);
     if (Message.contains("load"))
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
@@ -132,7 +146,7 @@
           std::chrono::microseconds(fieldOr(Message, "us", std::int64_t{0})),
           From.m_LastHeardAt);
     if (Message.contains("feed"))
-      m_OnStoreChange(Message["feed"]);
+      m_OnStoreChange(Message["feed"], Delay);
     if (Message.contains("blame"))
       m_OnCrashRecords(parsePoisonRecords(Message["blame"]));
     if (Message.contains("stalled"))
@@ -147,6 +161,7 @@
   EventLog &m_Log;
   ServerSelector &m_Selector;
   std::string m_NodeName;
+  const std::uint64_t m_Process = std::random_device()();
   PeerAddress m_OwnAddress;
   PeerExchangeSettings m_Settings;
   StallReportHandler m_OnStallReport;
@@ -213,24 +228,27 @@
 }
 
 void PeerExchange::announce(const StallReport &Report) {
-  m_Impl->broadcast(Json{{"node", m_Impl->m_NodeName},
-                         {"stalled", Report.m_HeadServer},
-                         {"group", Report.m_Group.m_Name},
-                         {"epoch", Report.m_Group.m_Epoch},
-                         {"confirmed", Report.m_IsConfirmed}});
+  Json Message = m_Impl->newMessage();
+  Message["stalled"] = Report.m_HeadServer;
+  Message["group"] = Report.m_Group.m_Name;
+  Message["epoch"] = Report.m_Group.m_Epoch;
+  Message["confirmed"] = Report.m_IsConfirmed;
+  m_Impl->broadcast(Message);
 }
 
 void PeerExchange::announce(std::vector<PoisonRecord> Records) {
   if (Records.size() > MaxCrashRecords)
     Records.resize(MaxCrashRecords);
-  m_Impl->broadcast(
-      Json{{"node", m_Impl->m_NodeName}, {"blame", toJson(Records)}});
+  Json Message = m_Impl->newMessage();
+  Message["blame"] = toJson(Records);
+  m_Impl->broadcast(Message);
 }
 
 void PeerExchange::sendFeed(const std::vector<std::string> &Receivers,
                             const Json &Message) {
-  const std::vector<std::uint8_t> Bytes =
-      Json::to_cbor(Json{{"node", m_Impl->m_NodeName}, {"feed", Message}});
+  Json Envelope = m_Impl->newMessage();
+  Envelope["feed"] = Message;
+  const std::vector<std::uint8_t> Bytes = Json::to_cbor(Envelope);
   for (const std::string &Name : Receivers) {
     const auto Receiver = m_Impl->m_Peers.find(Name);
     if (Receiver != m_Impl->m_Peers.end())
@@ -245,8 +263,10 @@
   const auto Microseconds =
       std::chrono::duration_cast<std::chrono::microseconds>(PrefillTime)
           .count();
-  m_Impl->broadcast(Json{
-      {"node", m_Impl->m_NodeName}, {"prompt", Server}, {"us", Microseconds}});
+  Json Message = m_Impl->newMessage();
+  Message["prompt"] = Server;
+  Message["us"] = Microseconds;
+  m_Impl->broadcast(Message);
 }
 
 RelayCandidate PeerExchange::ownNode() const {
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -5,6 +5,7 @@
 #include "core/json.h"
 #include "servers/dispatch/first_event_latency.h"
 #include "servers/dispatch/server_selector.h"
+#include "servers/feed/message_delay.h"
 #include "servers/feed/relay_topology.h"
 #include "servers/replicas/fleet_demand.h"
 #include "servers/retry/poison_detector.h"
@@ -58,8 +59,9 @@
   /// Called with a peer's records of requests that crash servers.
   using CrashRecordHandler =
       std::function<void(const std::vector<PoisonRecord> &)>;
-  /// Called with a message about changes of the platform's store.
-  using StoreChangeHandler = std::function<void(const Json &)>;
+  /// Called with a message about changes of the platform's store, and the time
+  /// for which the message was delayed on its way.
+  using StoreChangeHandler = std::function<void(const Json &, Duration)>;
   /// Traffic of one node, as its load messages contain it.
   struct TrafficReport {
     /// Groups that first attempts and returning clients keep busy.
--- a/proxy/zone_change_relay.cpp
+++ b/proxy/zone_change_relay.cpp
@@ -64,14 +64,14 @@
     m_Peers.sendFeed(m_Plan.m_Receivers, {{"batch", Part}});
 }
 
-void ZoneChangeRelay::onMessage(const Json &Message) {
+void ZoneChangeRelay::onMessage(const Json &Message, Duration Delay) {
   const Json Freshness = fieldOr(Message, "vouch", Json::object());
   for (ObjectWatcher *Watcher : m_Watchers) {
     const auto Numbers = fieldOr(Freshness, Watcher->kind().c_str(),
                                  std::vector<std::uint64_t>());
     if (Numbers.size() == FreshnessNumbers)
       Watcher->onForwardedFreshness(Numbers[0], Numbers[1],
-                                    milliseconds(Numbers[2]));
+                                    milliseconds(Numbers[2]) + Delay);
   }
   const auto Part = Message.is_object() ? Message.find("batch") : Message.end();
   if (Part == Message.end())
--- a/proxy/zone_change_relay.h
+++ b/proxy/zone_change_relay.h
@@ -23,8 +23,9 @@
   /// if it holds the lease on group formation.
   void tick(MonotonicTime Now, const std::vector<RelayCandidate> &LiveNodes,
             bool IsLeaseHolder);
-  /// Processes a message of another node; does nothing if it is malformed.
-  void onMessage(const Json &Message);
+  /// Processes a message of another node, which was delayed by \p Delay on its
+  /// way; does nothing if it is malformed.
+  void onMessage(const Json &Message, Duration Delay);
 
 private:
   /// Sends the receivers the current revision of each kind and its age.
--- a/servers/feed/relay_follower.cpp
+++ b/servers/feed/relay_follower.cpp
@@ -5,11 +5,11 @@
 namespace fulmarwinch {
 
 void RelayFollower::onStoreResponse(std::uint64_t Revision, bool HadChanges,
-                                    MonotonicTime Now) {
+                                    MonotonicTime CurrentAt) {
   m_Revision = std::max(m_Revision, Revision);
   if (HadChanges)
     m_LastChangeRevision = std::max(m_LastChangeRevision, Revision);
-  m_LastCurrentAt = std::max(m_LastCurrentAt, Now);
+  m_LastCurrentAt = std::max(m_LastCurrentAt, CurrentAt);
   m_HasGap = false;
 }
 
--- a/servers/feed/relay_follower.h
+++ b/servers/feed/relay_follower.h
@@ -49,9 +49,10 @@
 
   /// Must be called when the store has returned all changes up to \p Revision.
   /// \p HadChanges is true if any of them is of the kind that this object
-  /// follows.
+  /// follows. \p CurrentAt is a time at which the store was at that revision or
+  /// later.
   void onStoreResponse(std::uint64_t Revision, bool HadChanges,
-                       MonotonicTime Now);
+                       MonotonicTime CurrentAt);
   /// Must be called when the relay has forwarded all changes after revision \p
   /// From up to \p To. Returns true if they follow the known revision without a
   /// gap and are new.
--- /dev/null
+++ b/tests/proxy/test_change_feed.cpp
@@ -0,0 +1,160 @@
+#include "proxy/object_watcher.h"
+#include "proxy/zone_change_relay.h"
+#include "tests/support/free_port.h"
+
+#include "asio.hpp"
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <fcntl.h>
+#include <thread>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Store whose watch calls end after the requested wait and a transit time, or
+/// never.
+class ScriptedFeed : public ObjectFeed {
+public:
+  explicit ScriptedFeed(asio::io_context &Loop) : m_Loop(Loop) {}
+
+  void list(const std::string &,
+            std::function<void(ObjectsListed)> Done) override {
+    ObjectsListed Result;
+    Result.m_Outcome = StoreOutcome::Succeeded;
+    Result.m_Revision = m_Revision;
+    asio::post(m_Loop, [Done = std::move(Done), Result] { Done(Result); });
+  }
+  void watch(const std::string &, std::uint64_t, Duration Wait,
+             std::function<void(ObjectsWatched)> Done) override {
+    ++m_WatchCalls;
+    if (!m_Answers)
+      return;
+    auto Timer = std::make_shared<asio::steady_timer>(m_Loop);
+    Timer->expires_after(Wait + m_Transit);
+    Timer->async_wait(
+        [this, Timer, Done = std::move(Done)](const asio::error_code &) {
+          ObjectsWatched Result;
+          Result.m_Outcome = StoreOutcome::Succeeded;
+          Result.m_Revision = m_Revision;
+          Done(Result);
+        });
+  }
+
+  std::uint64_t m_Revision = 7;
+  Duration m_Transit{0};
+  bool m_Answers = true;
+  int m_WatchCalls = 0;
+
+private:
+  asio::io_context &m_Loop;
+};
+
+/// One node with the watch on one kind of objects. Its event loop only runs
+/// while the test lets it.
+struct FeedNode {
+  FeedNode(const std::string &Name, const PeerAddress &Address)
+      : m_Log(open("/dev/null", O_WRONLY)), m_Feed(m_Loop),
+        m_Peers(m_Loop, m_Log, m_Selector, Name, Address),
+        m_Relay(m_Log, m_Peers),
+        m_Watcher(m_Loop, m_Feed, m_Log, m_Metrics, "config", handlers()) {
+    m_Relay.addWatcher(m_Watcher);
+  }
+
+  static ObjectWatcher::Handlers handlers() {
+    ObjectWatcher::Handlers Result;
+    Result.m_OnListed = [](const std::vector<StoredObject> &) {};
+    Result.m_OnChange = [](const ObjectChange &) {};
+    Result.m_OnBatchApplied = [] {};
+    return Result;
+  }
+
+  void runFor(Duration Time) {
+    const MonotonicTime Until = monotonicNow() + Time;
+    while (monotonicNow() < Until) {
+      m_Loop.restart();
+      m_Loop.run_for(milliseconds(5));
+      m_Relay.tick(monotonicNow(), m_Peers.liveNodes(monotonicNow()), false);
+    }
+  }
+
+  asio::io_context m_Loop;
+  EventLog m_Log;
+  Metrics m_Metrics;
+  ServerSelector m_Selector;
+  ScriptedFeed m_Feed;
+  PeerExchange m_Peers;
+  ZoneChangeRelay m_Relay;
+  ObjectWatcher m_Watcher;
+};
+
+} // namespace
+
+/// What a node believes about the age of the state that it acts on.
+class ChangeFeedTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChangeFeedTest);
+  CPPUNIT_TEST(answerOfTheStoreIsAsOldAsItsTransit);
+  CPPUNIT_TEST(confirmationIsAsOldAsItWaitedToBeRead);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// A relay whose link loses packets, or which runs slowly, receives an answer
+  /// of the store late. Guards against its followers acting on a configuration
+  /// that was replaced meanwhile.
+  void answerOfTheStoreIsAsOldAsItsTransit() {
+    FeedNode Node("n1", {{"127.0.0.1", findFreePort()}, "z1", 0.0});
+    Node.m_Feed.m_Transit = milliseconds(900);
+    Node.m_Watcher.setRole(FeedRole::Source);
+    Node.m_Watcher.start();
+    const MonotonicTime Start = monotonicNow();
+    Node.m_Loop.run_for(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(2, Node.m_Feed.m_WatchCalls);
+    // The call waited for 500 ms and its answer travelled for 900 ms.
+    const Duration CurrentUntil = milliseconds(500);
+    CPPUNIT_ASSERT(Node.m_Watcher.stateAge() >=
+                   monotonicNow() - Start - CurrentUntil - milliseconds(50));
+  }
+
+  /// A relay that runs slowly reads a confirmation that waited in its socket
+  /// for a second. Guards against a follower that takes the relay's state for
+  /// current: it refused requests of a route that had been added two seconds
+  /// before.
+  void confirmationIsAsOldAsItWaitedToBeRead() {
+    const PeerAddress FirstAddress{{"127.0.0.1", findFreePort()}, "z1", 100.0};
+    const PeerAddress SecondAddress{{"127.0.0.1", findFreePort()}, "z1", 10.0};
+    // The node with the faster link is the relay.
+    FeedNode Relay("n1", FirstAddress);
+    FeedNode Follower("n2", SecondAddress);
+    Follower.m_Feed.m_Answers = false;
+    for (FeedNode *Node : {&Relay, &Follower}) {
+      Node->m_Peers.start([](const StallReport &) {},
+                          [](const std::vector<PoisonRecord> &) {},
+                          [Node](auto &&...Arguments) {
+                            Node->m_Relay.onMessage(Arguments...);
+                          });
+      Node->m_Peers.setPeers({{"n1", FirstAddress}, {"n2", SecondAddress}});
+      Node->m_Watcher.start();
+    }
+    for (int I = 0; I < 100; ++I) {
+      Relay.runFor(milliseconds(5));
+      Follower.runFor(milliseconds(5));
+    }
+
+    // The relay sends one more confirmation, and neither node runs for as long
+    // as the follower may rely on it.
+    Relay.runFor(milliseconds(250));
+    const MonotonicTime LastConfirmed = monotonicNow();
+    const Duration Allowed = ObjectWatcherSettings().m_MaxAgeFromRelay;
+    std::this_thread::sleep_for(Allowed);
+    Follower.m_Loop.restart();
+    Follower.m_Loop.poll();
+    CPPUNIT_ASSERT(Follower.m_Watcher.stateAge() >=
+                   monotonicNow() - LastConfirmed - milliseconds(50));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFeedTest);
+
+} // namespace fulmarwinch
