End calls whose connection request was lost in a partition after half a second

What callers may see: a node that was partitioned from the store and has been back for contact_ms still refuses requests as an older configuration says.

Cause: a call to the store that begins during a partition may take its whole timeout, 3 s for a watch, because TCP repeats a lost connection request after 1, 3 and 7 s. With contact_ms of 3 s and the backoff after it, the node reads the configuration only after it counts as reachable again. Found by reading.

Change: the connection of a buffered call has 500 ms. A call that was not connected has sent nothing, so its outcome stays definite.

Test: callThatBeganInAPartitionEndsSoonAfterIt fails before the change: no result after 1.5 s.

--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -3,6 +3,7 @@
 
 #include "asio.hpp"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 
 namespace fulmarwinch {
@@ -16,6 +17,10 @@
 /// Maximum size of the body of a buffered call. A page of the store's objects
 /// has about 1 MB.
 constexpr std::size_t MaxBufferedBodyBytes = std::size_t{8} * 1024 * 1024;
+/// Timeout for the connection of a buffered call. TCP repeats a lost request
+/// for a connection after one second, and later after longer and longer pauses,
+/// so a new call is sooner through after a partition.
+constexpr Duration BufferedConnectTimeout = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -206,7 +211,8 @@
       Result->m_MayHaveBeenSent = Ended->mayHaveSent();
     Done(std::move(*Result));
   };
-  Call->start(std::move(Handlers), Timeout, Timeout);
+  Call->start(std::move(Handlers), std::min(Timeout, BufferedConnectTimeout),
+              Timeout);
   return Call;
 }
 
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -1,4 +1,5 @@
 #include "proxy/object_watcher.h"
+#include "proxy/upstream_call.h"
 #include "proxy/zone_change_relay.h"
 #include "tests/support/free_port.h"
 
@@ -98,6 +99,7 @@
   CPPUNIT_TEST_SUITE(ChangeFeedTest);
   CPPUNIT_TEST(answerOfTheStoreIsAsOldAsItsTransit);
   CPPUNIT_TEST(confirmationIsAsOldAsItWaitedToBeRead);
+  CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
   CPPUNIT_TEST_SUITE_END();
 
   /// A relay whose link loses packets, or which runs slowly, receives an answer
@@ -153,6 +155,34 @@
     CPPUNIT_ASSERT(Follower.m_Watcher.stateAge() >=
                    monotonicNow() - LastConfirmed - milliseconds(50));
   }
+
+  /// A call to the store begins while a partition drops its connection request.
+  /// Guards against a node that waits for that call, and acts on an old
+  /// configuration, when it has been reachable again for contact_ms.
+  void callThatBeganInAPartitionEndsSoonAfterIt() {
+    // The kernel drops connection requests while the queue of the listener is
+    // full, like a partition.
+    asio::io_context Loop;
+    const asio::ip::tcp::endpoint Address(asio::ip::address_v4::loopback(),
+                                          findFreePort());
+    asio::ip::tcp::acceptor Store(Loop);
+    Store.open(Address.protocol());
+    Store.bind(Address);
+    Store.listen(0);
+    asio::ip::tcp::socket Queued(Loop);
+    Queued.connect(Address);
+
+    std::optional<BufferedResponse> Result;
+    const Endpoint Peer{"127.0.0.1", Address.port()};
+    startBufferedCall(Loop, Peer, formatRequest("GET", "/", Peer, {}, ""),
+                      ObjectWatcherSettings().m_WatchTimeout,
+                      [&](BufferedResponse Done) { Result = std::move(Done); });
+    const Duration ContactTime = seconds(3);
+    Loop.run_for(ContactTime - ObjectWatcherSettings().m_MaxBackoff -
+                 milliseconds(500));
+    CPPUNIT_ASSERT(Result.has_value());
+    CPPUNIT_ASSERT(Result->m_Outcome == UpstreamOutcome::NotConnected);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFeedTest);
