Ignore forwarded changes while a listing is in flight

What callers may see: after the store has discarded its history, an evacuation or the drain of a server is undone on a node until the object changes again.

Cause: a listing was applied although the node's relay had forwarded a later change while it was in flight. The known revision stayed at the later one, so what the listing had undone was not read again. The configuration is guarded by its own revision, as are entries of servers that are still listed; evacuations, nodes and deleted servers were not.

Change: changes and confirmations of other nodes are ignored until the listing has been applied; the next watch starts from its revision and returns them.

Test: listingDoesNotUndoAForwardedChange fails before the change.

--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -30,6 +30,7 @@
 
 void ObjectWatcher::list(StoreCallReason Reason) {
   countCall(Reason);
+  m_IsListing = true;
   m_Feed.list(m_Kind, [this, SentAt = monotonicNow()](ObjectsListed Result) {
     onListed(SentAt, std::move(Result));
   });
@@ -42,6 +43,7 @@
   }
   onStoreAnswered(Result.m_Revision, true, SentAt);
   m_HasListed = true;
+  m_IsListing = false;
   m_Callbacks.m_OnListed(std::move(Result.m_Objects));
   m_Callbacks.m_OnBatchApplied();
   watch();
@@ -130,8 +132,8 @@
 
 void ObjectWatcher::onForwardedChanges(const ObjectChangeBatch &Forwarded) {
   const std::uint64_t LastChange = m_RelayFollower.lastChangeRevision();
-  if (!m_HasListed || !m_RelayFollower.onRelayedChanges(
-                          Forwarded.m_FromRevision, Forwarded.m_ToRevision))
+  if (m_IsListing || !m_RelayFollower.onRelayedChanges(Forwarded.m_FromRevision,
+                                                       Forwarded.m_ToRevision))
     return;
   applyChanges(Forwarded.m_Changes);
   if (forwards() && m_PublishChanges)
@@ -141,7 +143,7 @@
 
 void ObjectWatcher::onForwardedFreshness(std::uint64_t LastChange,
                                          std::uint64_t Revision, Duration Age) {
-  if (m_HasListed)
+  if (!m_IsListing)
     m_RelayFollower.onRelayConfirmation(LastChange, Revision, Age,
                                         monotonicNow());
 }
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -91,7 +91,7 @@
     m_PublishChanges = std::move(Publish);
   }
   /// Applies changes that another node forwarded, unless earlier changes are
-  /// missing.
+  /// missing or a listing is in flight, which would undo them.
   void onForwardedChanges(const ObjectChangeBatch &Forwarded);
   /// Handles a message of another node that \p Revision was current \p Age ago
   /// and that this kind last changed at revision \p LastChange.
@@ -140,6 +140,9 @@
   /// supplies the changes.
   bool m_IsIdle = false;
   bool m_HasListed = false;
+  /// True until the first listing has succeeded, and while a later one is in
+  /// flight or waits to be repeated.
+  bool m_IsListing = true;
   bool m_IsStoreUnreachable = false;
   unsigned m_ConsecutiveFailures = 0;
 };
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -7,6 +7,7 @@
 #include "cppunit/extensions/HelperMacros.h"
 
 #include <fcntl.h>
+#include <set>
 #include <thread>
 
 namespace fulmarwinch {
@@ -54,6 +55,24 @@
   asio::io_context &m_Loop;
 };
 
+/// Store whose responses the test sends.
+class ManualFeed : public ObjectFeed {
+public:
+  void list(const std::string &,
+            std::function<void(ObjectsListed)> Done) override {
+    m_OnListed = std::move(Done);
+  }
+  void watch(const std::string &, std::uint64_t Since, Duration,
+             std::function<void(ObjectsWatched)> Done) override {
+    m_WatchedSince = Since;
+    m_OnWatched = std::move(Done);
+  }
+
+  std::function<void(ObjectsListed)> m_OnListed;
+  std::function<void(ObjectsWatched)> m_OnWatched;
+  std::uint64_t m_WatchedSince = 0;
+};
+
 /// One node with the watch on one kind of objects. Its event loop only runs
 /// while the test lets it.
 struct FeedNode {
@@ -100,6 +119,7 @@
   CPPUNIT_TEST(answerOfTheStoreIsAsOldAsItsTransit);
   CPPUNIT_TEST(confirmationIsAsOldAsItWaitedToBeRead);
   CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
+  CPPUNIT_TEST(listingDoesNotUndoAForwardedChange);
   CPPUNIT_TEST_SUITE_END();
 
   /// A relay whose link loses packets, or which runs slowly, receives an answer
@@ -183,6 +203,42 @@
     CPPUNIT_ASSERT(Result.has_value());
     CPPUNIT_ASSERT(Result->m_Outcome == UpstreamOutcome::NotConnected);
   }
+
+  /// The store has discarded its history, and while a node lists the objects
+  /// anew, its relay forwards a later change. Guards against an evacuation that
+  /// the listing undoes and that is not read again.
+  void listingDoesNotUndoAForwardedChange() {
+    asio::io_context Loop;
+    EventLog Log(open("/dev/null", O_WRONLY));
+    Metrics Counters;
+    ManualFeed Store;
+    std::set<std::string> Known;
+    ObjectWatcher::Handlers Handlers;
+    Handlers.m_OnListed = [&](const std::vector<StoredObject> &Objects) {
+      Known.clear();
+      for (const StoredObject &Object : Objects)
+        Known.insert(Object.m_Name);
+    };
+    Handlers.m_OnChange = [&](const ObjectChange &Change) {
+      Known.insert(Change.m_Object.m_Name);
+    };
+    Handlers.m_OnBatchApplied = [] {};
+    ObjectWatcher Watcher(Loop, Store, Log, Counters, "evacuations", Handlers);
+    Watcher.start();
+    Store.m_OnListed({StoreOutcome::Succeeded, 7, {}});
+    Store.m_OnWatched({StoreOutcome::NotFound, 0, {}});
+
+    Watcher.setRole(FeedRole::Follower);
+    const ObjectChange Evacuation{{"zone-a", 9, Json::object()}, false};
+    Watcher.onForwardedChanges({"evacuations", 7, 9, {Evacuation}});
+    Watcher.onForwardedFreshness(9, 9, Duration::zero());
+    Store.m_OnListed({StoreOutcome::Succeeded, 8, {}});
+    Watcher.onForwardedFreshness(9, 9, Duration::zero());
+    Watcher.tick(monotonicNow());
+
+    // Either the change has been applied, or the node asks the store for it.
+    CPPUNIT_ASSERT(Known.count("zone-a") == 1 || Store.m_WatchedSince == 8);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFeedTest);
