Learn which prompt part crashes backend servers

Cause: crash records were kept by a hash of the whole content. A crash was only recognised when the server's store entry changed, up to four seconds later; all requests in flight there were recorded, also streams that had begun; and records were sent once, so a restarted node knew none of them.

Change: each part of a prompt but the last is recorded besides the content. The first output of an attempt shows that its content did not crash the server: the attempt is no suspect any more, and records of its parts are cleared on all nodes. Parts with output in the last 10 s are exempt. A server whose connection is lost is probed at once, and the lease holder probes its group, so that the group is replaced without waiting for its store entry. Crashes within 100 ms count as one, and the end of a leaving server counts as none. A part with three crashes is refused for a minute, then one request may test it; the time doubles with each further crash. Nodes send their records to a random peer twice a second. The verdict is also asked before each repeat.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -35,6 +35,8 @@
 constexpr double BytesPerMb = 1048576.0;
 /// Period in which the share of admitted requests is recomputed.
 constexpr Duration AdmissionPeriod = milliseconds(200);
+/// Period in which a node sends its crash records to a random peer.
+constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watch on the store's node objects. The delays are long,
 /// because nodes rarely change and an outdated list only affects latency.
 ObjectWatcherSettings nodeWatchSettings() {
@@ -112,6 +114,10 @@
       m_PeerExchange.announce(Report);
       m_GroupCoordinator.onGroupStalled(Report);
     };
+    m_Context.m_OnConnectionLost = [this](const ChosenServer &Server) {
+      onConnectionLost(Server);
+    };
+    m_Context.m_OnCrashRecordsCleared = [this] { announceCrashRecords(); };
     m_Context.m_OnLongPrompt = [this](const std::string &Server,
                                       Duration PrefillTime) {
       m_PeerExchange.announcePrompt(Server, PrefillTime);
@@ -201,9 +207,49 @@
   /// Sends the crash records to the peers if the changed entry of server \p Id
   /// completes the evidence that a request crashes servers.
   void reportCrash(const std::string &Id, std::int64_t StartedAtMs) {
-    const MonotonicTime Now = monotonicNow();
-    if (m_Context.m_CrashDetector.onServerEntryChanged(Id, StartedAtMs, Now))
-      m_PeerExchange.announce(m_Context.m_PoisonDetector.records(Now));
+    if (m_Context.m_CrashDetector.onServerEntryChanged(Id, StartedAtMs,
+                                                       monotonicNow()))
+      announceCrashRecords();
+  }
+
+  void announceCrashRecords() {
+    m_PeerExchange.announce(m_Context.m_PoisonDetector.records(monotonicNow()));
+  }
+
+  /// Probes a server that may have crashed. Its store entry shows the crash too
+  /// late: further servers would crash meanwhile.
+  void onConnectionLost(const ChosenServer &Server) {
+    m_Context.m_OnGroupStalled(Server);
+    const std::string Process =
+        CrashDetector::processName(Server.m_Id, Server.m_StartedAtMs);
+    const BackendServer *Entry = m_Fleet.find(Server.m_Id);
+    if (!Entry || Entry->m_StartedAtMs != Server.m_StartedAtMs ||
+        !m_Context.m_PoisonDetector.hasSuspects(Process) ||
+        !m_CrashProbes.insert(Process).second)
+      return;
+    m_GroupCoordinator.checkLiveness(
+        *Entry, [this, Server, Process](bool IsAlive, UpstreamOutcome Outcome) {
+          m_CrashProbes.erase(Process);
+          m_Log.write("crash_probe",
+                      {{"server", Server.m_Id},
+                       {"born", Server.m_StartedAtMs},
+                       {"alive", IsAlive},
+                       {"end", nameOf(UpstreamOutcomeNames, Outcome)}});
+          if (IsAlive)
+            return;
+          m_ServerSelector.onSuspected(Server.m_Id, Server.m_Group,
+                                       monotonicNow());
+          reportCrash(Server.m_Id, 0);
+        });
+  }
+
+  /// Shares the crash records with one peer at a time. Crashes are announced to
+  /// all peers, but a node may have been down or have lost the message.
+  void shareCrashRecords(MonotonicTime Now) {
+    m_Context.m_PoisonDetector.removeExpired(Now);
+    std::vector<PoisonRecord> Records = m_Context.m_PoisonDetector.records(Now);
+    if (!Records.empty())
+      m_PeerExchange.sendToRandomPeer(std::move(Records));
   }
 
   void logServer(const std::string &Id) {
@@ -480,6 +526,10 @@
       updateAdmission(Now);
     }
     m_Context.m_CrashDetector.removeExpired(Now);
+    if (Now >= m_NextCrashShareAt) {
+      m_NextCrashShareAt = Now + CrashSharePeriod;
+      shareCrashRecords(Now);
+    }
     if (m_IsDraining)
       continueDrain(Now);
   }
@@ -597,6 +647,10 @@
   std::map<std::string, PeerAddress> m_NodeAddresses;
   MonotonicTime m_NextRelayCheckAt{};
   MonotonicTime m_NextAdmissionAt{};
+  MonotonicTime m_NextCrashShareAt{};
+  /// Processes of backend servers that are being probed after a lost
+  /// connection.
+  std::set<std::string> m_CrashProbes;
   std::map<GroupKey, MonotonicTime> m_StallReportedAt;
   const MonotonicTime m_StartedAt = monotonicNow();
   std::uint64_t m_ConfigurationRevision = 0;
@@ -625,7 +679,8 @@
   Self.m_PeerExchange.start(
       [&Self](const StallReport &Report) { Self.onStallReport(Report); },
       [&Self](const std::vector<PoisonRecord> &Records) {
-        Self.m_Context.m_PoisonDetector.merge(Records, monotonicNow());
+        if (Self.m_Context.m_PoisonDetector.merge(Records, monotonicNow()))
+          Self.announceCrashRecords();
       },
       [&Self](const Json &Message, Duration Delay) {
         Self.m_ChangeRelay.onMessage(Message, Delay);
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -349,12 +349,22 @@
     return;
   for (const std::string &Member : Group->second.m_Members)
     if (!Member.empty() && m_ProbesInFlight.insert(Member).second)
-      probeStalledMember(Member, Report, 1);
+      probeStalledMember(Member, Report);
 }
 
-void GroupCoordinator::probeLiveness(
-    const BackendServer &Server,
-    std::function<void(bool, UpstreamOutcome)> Done) {
+void GroupCoordinator::checkLiveness(const BackendServer &Server,
+                                     LivenessHandler Done, unsigned Attempt) {
+  probeLiveness(Server, [this, Server, Done = std::move(Done),
+                         Attempt](bool IsAlive, UpstreamOutcome Outcome) {
+    if (IsAlive || Attempt >= ProbeAttempts)
+      Done(IsAlive, Outcome);
+    else
+      checkLiveness(Server, Done, Attempt + 1);
+  });
+}
+
+void GroupCoordinator::probeLiveness(const BackendServer &Server,
+                                     LivenessHandler Done) {
   startBufferedCall(
       m_Context.m_Loop, Server.m_Endpoint,
       formatRequest("GET", m_Platform.m_LoadReportPath, Server.m_Endpoint,
@@ -368,33 +378,27 @@
 }
 
 void GroupCoordinator::probeStalledMember(const std::string &Server,
-                                          const StallReport &Report,
-                                          unsigned Attempt) {
+                                          const StallReport &Report) {
   const BackendServer *Entry = m_Context.m_Fleet.find(Server);
   if (!Entry) {
     m_ProbesInFlight.erase(Server);
     return;
   }
-  probeLiveness(
-      *Entry, [this, Server, Report, Attempt, Revision = Entry->m_Revision](
-                  bool IsAlive, UpstreamOutcome Outcome) {
-        if (!IsAlive && Attempt < ProbeAttempts) {
-          probeStalledMember(Server, Report, Attempt + 1);
-          return;
-        }
-        m_ProbesInFlight.erase(Server);
-        m_Context.m_Log.write("probe",
-                              {{"server", Server},
-                               {"group", Report.m_Group.m_Name},
-                               {"alive", IsAlive},
-                               {"end", nameOf(UpstreamOutcomeNames, Outcome)}});
-        if (IsAlive)
-          return;
-        m_UnresponsiveServers[Server] = Revision;
-        m_NextPlanAt = {};
-        if (m_OnStallConfirmed)
-          m_OnStallConfirmed({Report.m_HeadServer, Report.m_Group, true});
-      });
+  checkLiveness(*Entry, [this, Server, Report, Revision = Entry->m_Revision](
+                            bool IsAlive, UpstreamOutcome Outcome) {
+    m_ProbesInFlight.erase(Server);
+    m_Context.m_Log.write("probe",
+                          {{"server", Server},
+                           {"group", Report.m_Group.m_Name},
+                           {"alive", IsAlive},
+                           {"end", nameOf(UpstreamOutcomeNames, Outcome)}});
+    if (IsAlive)
+      return;
+    m_UnresponsiveServers[Server] = Revision;
+    m_NextPlanAt = {};
+    if (m_OnStallConfirmed)
+      m_OnStallConfirmed({Report.m_HeadServer, Report.m_Group, true});
+  });
 }
 
 } // namespace fulmarwinch
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -41,6 +41,11 @@
       std::function<void(const StallReport &)> OnStallConfirmed) {
     m_OnStallConfirmed = std::move(OnStallConfirmed);
   }
+  /// Called with whether a server is alive, and how its last probe ended.
+  using LivenessHandler = std::function<void(bool, UpstreamOutcome)>;
+  /// Probes \p Server until it responds, up to ProbeAttempts times.
+  void checkLiveness(const BackendServer &Server, LivenessHandler Done,
+                     unsigned Attempt = 1);
   /// Releases the lease and makes no further attempt to acquire it.
   void stop() { m_Lease.stop(); }
   bool holdsLease() const { return m_HoldsLease; }
@@ -58,11 +63,8 @@
   void onOrderCompleted(const MemberOrder &Order, std::int64_t StartedAtMs,
                         UpstreamOutcome Outcome, int Status);
   /// Requests the load report of \p Server as a liveness probe.
-  void probeLiveness(const BackendServer &Server,
-                     std::function<void(bool, UpstreamOutcome)> Done);
-  /// Probes a member of a stalled group, up to ProbeAttempts times.
-  void probeStalledMember(const std::string &Server, const StallReport &Report,
-                          unsigned Attempt);
+  void probeLiveness(const BackendServer &Server, LivenessHandler Done);
+  void probeStalledMember(const std::string &Server, const StallReport &Report);
   /// Probes the members of open groups that have no entry in the store, and
   /// returns those that count as alive.
   std::set<std::string> probeUnlistedMembers(MonotonicTime Now);
--- a/proxy/header_names.h
+++ b/proxy/header_names.h
@@ -21,6 +21,9 @@
   /// Number of prompt tokens and maximum number of output tokens, separated by
   /// a comma.
   std::string m_TokenCounts;
+  /// Parts of the prompt in order, as comma-separated entries ID:TOKENS. All
+  /// but the last may be shared with other requests.
+  std::string m_PromptParts;
   /// The client's estimate of the number of output tokens.
   std::string m_EstimatedOutputTokens;
   /// ID of the backend server that the request is addressed to.
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -40,6 +40,13 @@
             {"sent_us", monotonicNow().time_since_epoch().count()}};
   }
 
+  Json crashMessage(std::vector<PoisonRecord> Records) const {
+    keepMostRelevant(Records, MaxCrashRecords);
+    Json Message = newMessage();
+    Message["blame"] = toJson(Records);
+    return Message;
+  }
+
   Duration period() const {
     return m_Settings.m_LoadPeriod *
            static_cast<std::int64_t>(1 + m_Peers.size() / PeersPerBasePeriod);
@@ -162,6 +169,7 @@
   ServerSelector &m_Selector;
   std::string m_NodeName;
   const std::uint64_t m_Process = std::random_device()();
+  std::minstd_rand m_Random{std::random_device()()};
   PeerAddress m_OwnAddress;
   PeerExchangeSettings m_Settings;
   StallReportHandler m_OnStallReport;
@@ -237,11 +245,19 @@
 }
 
 void PeerExchange::announce(std::vector<PoisonRecord> Records) {
-  if (Records.size() > MaxCrashRecords)
-    Records.resize(MaxCrashRecords);
-  Json Message = m_Impl->newMessage();
-  Message["blame"] = toJson(Records);
-  m_Impl->broadcast(Message);
+  m_Impl->broadcast(m_Impl->crashMessage(std::move(Records)));
+}
+
+void PeerExchange::sendToRandomPeer(std::vector<PoisonRecord> Records) {
+  if (m_Impl->m_Peers.empty())
+    return;
+  std::uniform_int_distribution<std::size_t> Draw(0,
+                                                  m_Impl->m_Peers.size() - 1);
+  const auto Receiver =
+      std::next(m_Impl->m_Peers.begin(),
+                static_cast<std::ptrdiff_t>(Draw(m_Impl->m_Random)));
+  m_Impl->send(Json::to_cbor(m_Impl->crashMessage(std::move(Records))),
+               Receiver->second);
 }
 
 void PeerExchange::sendFeed(const std::vector<std::string> &Receivers,
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -99,6 +99,9 @@
   /// Reports requests that crash servers to all nodes; surplus records that do
   /// not fit into one datagram are omitted.
   void announce(std::vector<PoisonRecord> Records);
+  /// Sends the records to one peer, so that nodes that started later or lost a
+  /// message receive them as well.
+  void sendToRandomPeer(std::vector<PoisonRecord> Records);
   /// Announces to all nodes that \p Server received a prompt whose prefill
   /// takes \p PrefillTime.
   void announcePrompt(const std::string &Server, Duration PrefillTime);
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -4,6 +4,7 @@
 #include "proxy/request_metrics.h"
 #include "proxy/upstream_call.h"
 #include "servers/retry/event_splitter.h"
+#include "servers/retry/prompt_parts.h"
 #include "servers/routes/engine_times.h"
 
 #include "xxhash.h"
@@ -99,13 +100,10 @@
       return;
     }
     setDeadline();
-    m_ContentHash = contentHash();
+    m_Contents =
+        sharedPartHashes(header(m_Context.m_HeaderNames.m_PromptParts));
+    m_Contents.push_back(contentHash());
     budget().onRequest(monotonicNow());
-    if (m_Context.m_PoisonDetector.verdict(m_ContentHash, monotonicNow()) !=
-        PoisonVerdict::Run) {
-      reject("crashes_servers");
-      return;
-    }
     if (m_Service->hasReplicaGroups()) {
       m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
@@ -171,6 +169,30 @@
                        XXH64(m_Organisation.data(), m_Organisation.size(), 0)));
   }
 
+  /// True if a part of the content is known to crash backend servers.
+  bool crashesServers(MonotonicTime Now) const {
+    return std::any_of(
+        m_Contents.begin(), m_Contents.end(), [&](ContentHash Content) {
+          return m_Context.m_PoisonDetector.verdict(Content, Now) !=
+                 PoisonVerdict::Run;
+        });
+  }
+
+  /// Records that the server has produced output for this attempt, which a
+  /// content that crashes servers prevents.
+  void recordOutput() {
+    if (m_HasOutput)
+      return;
+    m_HasOutput = true;
+    bool HasCleared = false;
+    for (const ContentHash Content : m_Contents)
+      HasCleared = m_Context.m_PoisonDetector.onCompleted(
+                       Content, serverProcessKey(), monotonicNow()) ||
+                   HasCleared;
+    if (HasCleared && m_Context.m_OnCrashRecordsCleared)
+      m_Context.m_OnCrashRecordsCleared();
+  }
+
   std::string serverProcessKey() const {
     return CrashDetector::processName(m_ChosenServer.m_Id,
                                       m_ChosenServer.m_StartedAtMs);
@@ -217,6 +239,10 @@
   void dispatch() {
     m_Phase = Phase::AwaitingServer;
     const MonotonicTime Now = monotonicNow();
+    if (crashesServers(Now)) {
+      giveUp("crashes_servers");
+      return;
+    }
     ServerQuery Query = query(Now);
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
     Query.m_RandomDraw = Uniform(m_Context.m_Random);
@@ -253,9 +279,11 @@
     m_TriedServers.insert(Chosen.m_Id);
     m_SentAt = Now;
     m_RejectedResponse = {};
+    m_HasOutput = false;
     releaseBuffer();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
-    m_Context.m_PoisonDetector.onDispatch(m_ContentHash, serverProcessKey());
+    for (const ContentHash Content : m_Contents)
+      m_Context.m_PoisonDetector.onDispatch(Content, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
       m_Context.m_HasSentToGroup = true;
       recordPrompt(Now);
@@ -394,6 +422,7 @@
   bool forwardEvent(const RawEvent &Event) {
     const MonotonicTime Now = monotonicNow();
     m_Context.m_StallDetector.onEvent(m_ChosenServer.m_Id, Now);
+    recordOutput();
     switch (m_Sequence.accept(Event)) {
     case EventSequenceFilter::Verdict::Duplicate:
       return true;
@@ -434,12 +463,8 @@
     }
     ++m_ArrivedAttempts;
     if (Outcome == UpstreamOutcome::Reset ||
-        Outcome == UpstreamOutcome::Truncated) {
-      m_Context.m_CrashDetector.onConnectionLost(
-          m_ContentHash, m_ChosenServer.m_Id, m_ChosenServer.m_StartedAtMs,
-          monotonicNow());
-      m_IsCrashWatchPending = true;
-    }
+        Outcome == UpstreamOutcome::Truncated)
+      onConnectionLost();
     if (Outcome != UpstreamOutcome::Complete || !m_RejectedResponse.empty()) {
       onAttemptFailed(m_RejectedResponse.empty()
                           ? nameOf(UpstreamOutcomeNames, Outcome)
@@ -449,6 +474,20 @@
     onComplete();
   }
 
+  void onConnectionLost() {
+    // The end of a server that leaves is no crash.
+    const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
+    if (Server && Server->m_Draining)
+      return;
+    for (const ContentHash Content : m_Contents)
+      m_Context.m_CrashDetector.onConnectionLost(Content, m_ChosenServer.m_Id,
+                                                 m_ChosenServer.m_StartedAtMs,
+                                                 monotonicNow());
+    m_IsCrashWatchPending = true;
+    if (m_Context.m_OnConnectionLost)
+      m_Context.m_OnConnectionLost(m_ChosenServer);
+  }
+
   void onComplete() {
     const bool IsNotExecuted = m_ResponseHead.m_Status == Misdirected ||
                                findHeader(m_ResponseHead.m_Headers,
@@ -476,8 +515,7 @@
       return;
     }
     m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
-    m_Context.m_PoisonDetector.onCompleted(m_ContentHash, serverProcessKey(),
-                                           monotonicNow());
+    recordOutput();
     forwardResponse(m_ResponseHead, m_ResponseBody);
   }
 
@@ -510,8 +548,7 @@
             m_Sequence.deliveredCount() *
                 std::max(1U, m_Service->m_Engine.m_DecodeStepsPerPass));
     m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
-    m_Context.m_PoisonDetector.onCompleted(m_ContentHash, serverProcessKey(),
-                                           monotonicNow());
+    recordOutput();
     releaseServer();
     if (!m_ResponseStarted) {
       m_ResponseStarted = true;
@@ -628,9 +665,10 @@
     if (!m_Call)
       return;
     m_Context.m_Selector.onRequestEnded(m_ChosenServer.m_Id);
-    if (!m_IsCrashWatchPending)
-      m_Context.m_PoisonDetector.onInconclusiveEnd(m_ContentHash,
-                                                   serverProcessKey());
+    if (!m_IsCrashWatchPending && !m_HasOutput)
+      for (const ContentHash Content : m_Contents)
+        m_Context.m_PoisonDetector.onInconclusiveEnd(Content,
+                                                     serverProcessKey());
     m_IsCrashWatchPending = false;
     m_Call = nullptr;
   }
@@ -773,7 +811,10 @@
   bool m_IsReturning = false;
   bool m_ResponseStarted = false;
   bool m_IsCrashWatchPending = false;
-  ContentHash m_ContentHash = 0;
+  /// The server has produced output for the current attempt.
+  bool m_HasOutput = false;
+  /// Hashes of the request and of the prompt parts that others may share.
+  std::vector<ContentHash> m_Contents;
 };
 
 RequestRelay::RequestRelay(RequestRelayContext &Context,
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -49,9 +49,9 @@
   std::map<std::string, WindowedRetryBudget> m_RetryBudgets;
   WindowedRetryBudgetSettings m_RetryBudgetSettings;
   std::minstd_rand m_Random{std::random_device()()};
-  /// Detects requests that crashed three backend servers; they are not sent
-  /// again.
-  PoisonDetector m_PoisonDetector{{3, std::chrono::minutes(1), 4096}};
+  /// Detects requests and prompt parts that crashed three backend servers; they
+  /// are not sent again.
+  PoisonDetector m_PoisonDetector{poisonSettingsWithoutIsolation()};
   CrashDetector m_CrashDetector{m_PoisonDetector};
   /// Bytes of responses that requests hold until they can be forwarded, and the
   /// limit for all requests together. An attempt whose response exceeds it
@@ -74,6 +74,10 @@
   /// Called repeatedly while a group seems to have stalled, with its head
   /// server.
   std::function<void(const ChosenServer &)> m_OnGroupStalled;
+  /// Called when the connection to a server was lost while a request ran there.
+  std::function<void(const ChosenServer &)> m_OnConnectionLost;
+  /// Called when output has cleared crash records that peers may have received.
+  std::function<void()> m_OnCrashRecordsCleared;
   /// Called when a long prompt is sent, with the ID of the group's head server
   /// and the expected prefill time.
   std::function<void(const std::string &, Duration)> m_OnLongPrompt;
--- a/servers/retry/poison_codec.cpp
+++ b/servers/retry/poison_codec.cpp
@@ -1,5 +1,8 @@
 #include "servers/retry/poison_codec.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace fulmarwinch {
 
 Json toJson(const std::vector<PoisonRecord> &Records) {
@@ -32,4 +35,18 @@
   return Records;
 }
 
+void keepMostRelevant(std::vector<PoisonRecord> &Records,
+                      std::size_t MaxCount) {
+  std::sort(Records.begin(), Records.end(),
+            [](const PoisonRecord &Left, const PoisonRecord &Right) {
+              return std::make_tuple(!Left.m_Quarantined,
+                                     Right.m_CrashedServers.size(),
+                                     Left.m_Age) <
+                     std::make_tuple(!Right.m_Quarantined,
+                                     Left.m_CrashedServers.size(), Right.m_Age);
+            });
+  if (Records.size() > MaxCount)
+    Records.resize(MaxCount);
+}
+
 } // namespace fulmarwinch
--- a/servers/retry/poison_codec.h
+++ b/servers/retry/poison_codec.h
@@ -4,6 +4,7 @@
 #include "core/json.h"
 #include "servers/retry/poison_detector.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace fulmarwinch {
@@ -13,6 +14,9 @@
 /// Decodes the message of toJson(). Malformed rows are skipped; a malformed
 /// message gives an empty list.
 std::vector<PoisonRecord> parsePoisonRecords(const Json &Message);
+/// Keeps the \p MaxCount records that matter most to a peer: those of
+/// quarantined contents, then those with the most crashes, then the youngest.
+void keepMostRelevant(std::vector<PoisonRecord> &Records, std::size_t MaxCount);
 
 } // namespace fulmarwinch
 
--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -4,6 +4,24 @@
 
 namespace fulmarwinch {
 
+namespace {
+
+/// Maximum number of crashed servers in one record, so that the records fit
+/// into the messages between nodes.
+constexpr std::size_t MaxServersPerRecord = 16;
+
+} // namespace
+
+PoisonSettings poisonSettingsWithoutIsolation() {
+  PoisonSettings Settings;
+  Settings.m_MinCrashesForSuspect = 3;
+  Settings.m_Expiry = std::chrono::minutes(1);
+  Settings.m_MinCrashInterval = std::chrono::milliseconds(100);
+  Settings.m_ExemptionTime = std::chrono::seconds(10);
+  Settings.m_UsesIsolation = false;
+  return Settings;
+}
+
 PoisonDetector::PoisonDetector(const PoisonSettings &Settings)
     : m_Settings(Settings) {}
 
@@ -13,9 +31,10 @@
   if (Found == m_Records.end() || isExpired(Found->second, Now))
     return PoisonVerdict::Run;
   if (Found->second.m_Quarantined)
-    return PoisonVerdict::Refuse;
-  return Found->second.m_CrashedServers.size() >=
-                 m_Settings.m_MinCrashesForSuspect
+    return isTrialDue(Found->second, Now) && !isInFlight(Hash)
+               ? PoisonVerdict::Run
+               : PoisonVerdict::Refuse;
+  return crashCount(Found->second) >= m_Settings.m_MinCrashesForSuspect
              ? PoisonVerdict::Isolate
              : PoisonVerdict::Run;
 }
@@ -39,20 +58,20 @@
   ++m_InFlight[Server][Hash];
 }
 
-void PoisonDetector::onCompleted(ContentHash Hash, const std::string &Server,
+bool PoisonDetector::onCompleted(ContentHash Hash, const std::string &Server,
                                  MonotonicTime Now) {
   if (!removeInFlight(Hash, Server))
-    return;
+    return false;
+  recordOutput(Hash, Now);
   const auto Found = m_Records.find(Hash);
-  // A quarantine remains until it expires: it results from a crash in
-  // isolation, which has a single possible cause, and a late response of an
-  // earlier attempt does not disprove that.
-  if (Found == m_Records.end() || Found->second.m_Quarantined ||
-      Found->second.m_CrashedServers.empty())
-    return;
-  ++Found->second.m_Generation;
-  Found->second.m_CrashedServers.clear();
-  Found->second.m_LastChange = Now;
+  // A quarantine after a crash in isolation remains until it expires: such a
+  // crash has a single possible cause, and a late response of an earlier
+  // attempt does not disprove that.
+  if (Found == m_Records.end() || Found->second.m_CrashedServers.empty() ||
+      (Found->second.m_Quarantined && m_Settings.m_UsesIsolation))
+    return false;
+  clearRecord(Found->second, Now);
+  return true;
 }
 
 void PoisonDetector::onInconclusiveEnd(ContentHash Hash,
@@ -65,16 +84,19 @@
   const auto Found = m_InFlight.find(Server);
   if (Found != m_InFlight.end()) {
     for (const auto &[Hash, Count] : Found->second) {
+      if (isExempt(Hash, Now))
+        continue;
       RequestRecord &Entry = m_Records[Hash];
       if (isExpired(Entry, Now)) {
         Entry.m_CrashedServers.clear();
         Entry.m_Quarantined = false;
       }
-      Entry.m_CrashedServers.insert(Server);
+      recordCrash(Entry, Server, Now);
       Entry.m_LastChange = Now;
       if (m_IsolationInUse && Hash == m_IsolatedHash &&
           Server == m_IsolationServer)
         Entry.m_Quarantined = true;
+      quarantineSuspect(Entry);
     }
     m_InFlight.erase(Found);
   }
@@ -86,57 +108,156 @@
 
 std::vector<PoisonRecord> PoisonDetector::records(MonotonicTime Now) const {
   std::vector<PoisonRecord> Result;
-  for (const auto &[Hash, Entry] : m_Records)
-    if (!isExpired(Entry, Now))
-      Result.push_back({Hash, Entry.m_Generation, Entry.m_CrashedServers,
-                        Entry.m_Quarantined, Now - Entry.m_LastChange});
+  for (const auto &[Hash, Entry] : m_Records) {
+    if (isExpired(Entry, Now))
+      continue;
+    PoisonRecord Record{Hash,
+                        Entry.m_Generation,
+                        {},
+                        Entry.m_Quarantined,
+                        Now - Entry.m_LastChange};
+    for (const auto &[Server, CrashedAt] : Entry.m_CrashedServers)
+      Record.m_CrashedServers.insert(Server);
+    Result.push_back(std::move(Record));
+  }
   return Result;
 }
 
-void PoisonDetector::merge(const std::vector<PoisonRecord> &Records,
+bool PoisonDetector::merge(const std::vector<PoisonRecord> &Records,
                            MonotonicTime Now) {
+  bool HasCleared = false;
   for (const PoisonRecord &PeerRecord : Records) {
-    if (PeerRecord.m_Age > m_Settings.m_Expiry ||
-        PeerRecord.m_Age < Duration::zero())
+    if (PeerRecord.m_Age < Duration::zero() ||
+        PeerRecord.m_Age > lifetime(PeerRecord.m_Quarantined,
+                                    PeerRecord.m_CrashedServers.size()))
       continue;
-    auto Found = m_Records.find(PeerRecord.m_Hash);
+    const auto Found = m_Records.find(PeerRecord.m_Hash);
     const bool Known =
         Found != m_Records.end() && !isExpired(Found->second, Now);
     if (!Known || PeerRecord.m_Generation > Found->second.m_Generation) {
-      const bool Refused =
-          PeerRecord.m_Quarantined || (Known && Found->second.m_Quarantined);
-      m_Records[PeerRecord.m_Hash] = {PeerRecord.m_Generation,
-                                      PeerRecord.m_CrashedServers, Refused,
-                                      Now - PeerRecord.m_Age};
-      continue;
+      RequestRecord Replacement;
+      Replacement.m_Generation = PeerRecord.m_Generation;
+      Replacement.m_Quarantined =
+          PeerRecord.m_Quarantined ||
+          (m_Settings.m_UsesIsolation && Known && Found->second.m_Quarantined);
+      Replacement.m_LastChange = Now - PeerRecord.m_Age;
+      m_Records[PeerRecord.m_Hash] = std::move(Replacement);
+    }
+    RequestRecord &Entry = m_Records[PeerRecord.m_Hash];
+    const bool IsSameGeneration = PeerRecord.m_Generation == Entry.m_Generation;
+    bool Changed = false;
+    if (PeerRecord.m_Quarantined &&
+        (IsSameGeneration || m_Settings.m_UsesIsolation)) {
+      Changed = !Entry.m_Quarantined;
+      Entry.m_Quarantined = true;
     }
-    RequestRecord &Entry = Found->second;
-    const bool BecomesRefused =
-        PeerRecord.m_Quarantined && !Entry.m_Quarantined;
-    Entry.m_Quarantined = Entry.m_Quarantined || PeerRecord.m_Quarantined;
-    bool Changed = BecomesRefused;
-    if (PeerRecord.m_Generation == Entry.m_Generation)
+    if (IsSameGeneration)
       for (const std::string &Server : PeerRecord.m_CrashedServers)
-        Changed = Entry.m_CrashedServers.insert(Server).second || Changed;
+        // The last crash is not later than the last change of the record.
+        Changed = recordCrash(Entry, Server, Now - PeerRecord.m_Age) || Changed;
+    quarantineSuspect(Entry);
     // The time is updated only if the content changed. Otherwise two peers that
     // exchange the same record would extend its lifetime by the network delay
     // at each exchange.
     if (Changed)
       Entry.m_LastChange = std::max(Entry.m_LastChange, Now - PeerRecord.m_Age);
+    if (!Entry.m_CrashedServers.empty() && isExempt(PeerRecord.m_Hash, Now)) {
+      clearRecord(Entry, Now);
+      HasCleared = true;
+    }
   }
   while (m_Records.size() > m_Settings.m_MaxRecords)
     removeOldestRecord();
+  return HasCleared;
 }
 
 void PoisonDetector::removeExpired(MonotonicTime Now) {
   for (auto Entry = m_Records.begin(); Entry != m_Records.end();)
     Entry = isExpired(Entry->second, Now) ? m_Records.erase(Entry)
                                           : std::next(Entry);
+  for (auto Output = m_LastOutput.begin(); Output != m_LastOutput.end();)
+    Output = isExempt(Output->first, Now) ? std::next(Output)
+                                          : m_LastOutput.erase(Output);
 }
 
 bool PoisonDetector::isExpired(const RequestRecord &Entry,
                                MonotonicTime Now) const {
-  return Now - Entry.m_LastChange > m_Settings.m_Expiry;
+  return Now - Entry.m_LastChange >
+         lifetime(Entry.m_Quarantined, Entry.m_CrashedServers.size());
+}
+
+Duration PoisonDetector::trialDelay(std::size_t CrashedServers) const {
+  constexpr std::size_t MaxDoublings = 6;
+  const std::size_t FurtherCrashes =
+      CrashedServers -
+      std::min(CrashedServers, m_Settings.m_MinCrashesForSuspect);
+  return m_Settings.m_Expiry * (1U << std::min(MaxDoublings, FurtherCrashes));
+}
+
+bool PoisonDetector::isTrialDue(const RequestRecord &Entry,
+                                MonotonicTime Now) const {
+  return !m_Settings.m_UsesIsolation &&
+         Now - Entry.m_LastChange > trialDelay(Entry.m_CrashedServers.size());
+}
+
+Duration PoisonDetector::lifetime(bool Quarantined,
+                                  std::size_t CrashedServers) const {
+  return Quarantined && !m_Settings.m_UsesIsolation
+             ? 2 * trialDelay(CrashedServers)
+             : m_Settings.m_Expiry;
+}
+
+std::size_t PoisonDetector::crashCount(const RequestRecord &Entry) const {
+  std::vector<MonotonicTime> Times;
+  for (const auto &[Server, CrashedAt] : Entry.m_CrashedServers)
+    Times.push_back(CrashedAt);
+  std::sort(Times.begin(), Times.end());
+  std::size_t Count = 0;
+  for (std::size_t I = 0; I < Times.size(); ++I)
+    if (I == 0 || Times[I] - Times[I - 1] >= m_Settings.m_MinCrashInterval)
+      ++Count;
+  return Count;
+}
+
+bool PoisonDetector::recordCrash(RequestRecord &Entry,
+                                 const std::string &Server,
+                                 MonotonicTime CrashedAt) {
+  return Entry.m_CrashedServers.size() < MaxServersPerRecord &&
+         Entry.m_CrashedServers.emplace(Server, CrashedAt).second;
+}
+
+void PoisonDetector::quarantineSuspect(RequestRecord &Entry) const {
+  if (!m_Settings.m_UsesIsolation &&
+      crashCount(Entry) >= m_Settings.m_MinCrashesForSuspect)
+    Entry.m_Quarantined = true;
+}
+
+bool PoisonDetector::isInFlight(ContentHash Hash) const {
+  return std::any_of(
+      m_InFlight.begin(), m_InFlight.end(),
+      [Hash](const auto &Server) { return Server.second.count(Hash) != 0; });
+}
+
+bool PoisonDetector::isExempt(ContentHash Hash, MonotonicTime Now) const {
+  const auto Output = m_LastOutput.find(Hash);
+  return Output != m_LastOutput.end() &&
+         Now - Output->second < m_Settings.m_ExemptionTime;
+}
+
+void PoisonDetector::recordOutput(ContentHash Hash, MonotonicTime Now) {
+  if (m_Settings.m_ExemptionTime == Duration::zero())
+    return;
+  if (m_LastOutput.size() >= m_Settings.m_MaxRecords)
+    removeExpired(Now);
+  if (m_LastOutput.size() < m_Settings.m_MaxRecords)
+    m_LastOutput[Hash] = Now;
+}
+
+void PoisonDetector::clearRecord(RequestRecord &Entry, MonotonicTime Now) {
+  ++Entry.m_Generation;
+  Entry.m_CrashedServers.clear();
+  Entry.m_Quarantined = false;
+  Entry.m_LastChange = Now;
 }
 
 bool PoisonDetector::removeInFlight(ContentHash Hash,
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -14,8 +14,8 @@
 
 namespace fulmarwinch {
 
-/// Hash of a request's content. The same request has the same hash when it is
-/// sent again.
+/// Hash of a request's content, or of a part of its content. The same content
+/// has the same hash when it is sent again.
 using ContentHash = std::uint64_t;
 
 /// Restriction under which a request may run.
@@ -45,8 +45,21 @@
   /// Maximum number of request hashes with a record; the oldest are removed
   /// first.
   std::size_t m_MaxRecords = 4096;
+  /// Servers that crash faster one after the other count as one crash: they
+  /// have a common cause, such as the loss of their domain.
+  Duration m_MinCrashInterval{0};
+  /// Time for which an output exempts the content from being recorded.
+  Duration m_ExemptionTime{0};
+  /// If false, no request is run in isolation: a suspect is quarantined at
+  /// once, and any output ends the quarantine. m_Expiry is then the time until
+  /// one request with the content may run; it doubles with each further crash.
+  bool m_UsesIsolation = true;
 };
 
+/// Returns the limits for a node that has no server to run suspects on in
+/// isolation.
+PoisonSettings poisonSettingsWithoutIsolation();
+
 /// Crashes recorded for one request, in the form that nodes exchange. The time
 /// is given as an age, because the clocks of different nodes are not
 /// comparable.
@@ -84,9 +97,11 @@
   /// Must be called when the request was sent to \p Server and is in flight
   /// there.
   void onDispatch(ContentHash Hash, const std::string &Server);
-  /// Must be called when the request completed on \p Server. Clears the crashes
-  /// recorded for it, unless it is quarantined.
-  void onCompleted(ContentHash Hash, const std::string &Server,
+  /// Must be called when the request completed on \p Server, or produced output
+  /// that shows that it does not crash the server. Clears the crashes recorded
+  /// for it, unless it is in a quarantine that output does not end. Returns
+  /// true if there were any.
+  bool onCompleted(ContentHash Hash, const std::string &Server,
                    MonotonicTime Now);
   /// Must be called when the request ended on \p Server in a way that does not
   /// show whether it crashes servers, for example by a cancellation.
@@ -94,23 +109,48 @@
   /// Must be called when \p Server crashed. Records the crash for every request
   /// in flight there.
   void onServerCrash(const std::string &Server, MonotonicTime Now);
+  /// True if a request is in flight on \p Server that its crash would be
+  /// recorded for.
+  bool hasSuspects(const std::string &Server) const {
+    return m_InFlight.count(Server) != 0;
+  }
 
   /// Returns the unexpired records, to be sent to peers.
   std::vector<PoisonRecord> records(MonotonicTime Now) const;
-  /// Merges the records of a peer into this node's records.
-  void merge(const std::vector<PoisonRecord> &Records, MonotonicTime Now);
+  /// Merges the records of a peer into this node's records. Returns true if a
+  /// record was cleared because of recent output on this node, which the peers
+  /// then have to be told.
+  bool merge(const std::vector<PoisonRecord> &Records, MonotonicTime Now);
   /// Removes expired records.
   void removeExpired(MonotonicTime Now);
 
 private:
   struct RequestRecord {
     std::uint64_t m_Generation = 0;
-    std::set<std::string> m_CrashedServers;
+    /// Times of the crashes, by server.
+    std::map<std::string, MonotonicTime> m_CrashedServers;
     bool m_Quarantined = false;
     MonotonicTime m_LastChange{};
   };
 
   bool isExpired(const RequestRecord &Entry, MonotonicTime Now) const;
+  /// True if one request may run, although its content is quarantined.
+  bool isTrialDue(const RequestRecord &Entry, MonotonicTime Now) const;
+  /// Time from the last crash of a quarantined content to the next trial.
+  Duration trialDelay(std::size_t CrashedServers) const;
+  /// Time after its last change for which a record is kept.
+  Duration lifetime(bool Quarantined, std::size_t CrashedServers) const;
+  /// Number of crashes with different causes.
+  std::size_t crashCount(const RequestRecord &Entry) const;
+  /// Returns false if the crash is already recorded or the record is full.
+  static bool recordCrash(RequestRecord &Entry, const std::string &Server,
+                          MonotonicTime CrashedAt);
+  /// Quarantines a suspect if none can be run in isolation.
+  void quarantineSuspect(RequestRecord &Entry) const;
+  bool isInFlight(ContentHash Hash) const;
+  bool isExempt(ContentHash Hash, MonotonicTime Now) const;
+  void recordOutput(ContentHash Hash, MonotonicTime Now);
+  void clearRecord(RequestRecord &Entry, MonotonicTime Now);
   bool removeInFlight(ContentHash Hash, const std::string &Server);
   void removeOldestRecord();
 
@@ -118,6 +158,8 @@
   std::map<ContentHash, RequestRecord> m_Records;
   /// Requests in flight by backend server, with the number of attempts of each.
   std::map<std::string, std::map<ContentHash, std::size_t>> m_InFlight;
+  /// Time of the last output, by content.
+  std::map<ContentHash, MonotonicTime> m_LastOutput;
   bool m_IsolationInUse = false;
   ContentHash m_IsolatedHash = 0;
   std::string m_IsolationServer;
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -119,6 +119,7 @@
   Names.m_Organisation = "X-Org";
   Names.m_Model = "X-Model";
   Names.m_TokenCounts = "X-Tokens";
+  Names.m_PromptParts = "X-Parts";
   Names.m_ExpectedServer = "X-Server";
   Names.m_LastEventId = "Last-Event-Id";
   Names.m_NotExecuted = "X-Not-Run";
--- /dev/null
+++ b/tests/proxy/test_deadly_prompt_part.cpp
@@ -0,0 +1,131 @@
+#include "tests/proxy/relay_fixture.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+
+/// Requests with one prompt part that crashes each backend server that begins
+/// to respond.
+class DeadlyPromptPartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DeadlyPromptPartTest);
+  CPPUNIT_TEST(furtherRequestsWithThePartReachNoServer);
+  CPPUNIT_TEST(streamsThatHadBegunBlameNothing);
+  CPPUNIT_TEST(endOfALeavingServerBlamesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  using ConnectionEnd = ScriptedServer::Response::ConnectionEnd;
+
+  static std::string responseHead() {
+    return "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\n\r\n";
+  }
+
+  static std::string partsField(const std::string &Shared, int Request) {
+    return "X-Parts: 5c1e:40," + Shared + ":800,own" + std::to_string(Request) +
+           ":20\r\n";
+  }
+
+  static bool isServed(const std::string &Received) {
+    return Received.find("id: 1\n") != std::string::npos;
+  }
+
+  static std::size_t receivedRequests(const RelayFixture &Fixture) {
+    return Fixture.m_FirstServer->requests().size() +
+           Fixture.m_SecondServer->requests().size();
+  }
+
+  /// Lets each lost connection be the crash of a server, which is back at once
+  /// as another process.
+  static void crashOnLostConnection(RelayFixture &Fixture) {
+    Fixture.m_Context.m_OnConnectionLost = [&](const ChosenServer &Server) {
+      BackendServer Restarted = *Fixture.m_Fleet.find(Server.m_Id);
+      ++Restarted.m_StartedAtMs;
+      ++Restarted.m_Revision;
+      Fixture.m_Fleet.update(Restarted, monotonicNow());
+      Fixture.m_Context.m_CrashDetector.onServerEntryChanged(
+          Server.m_Id, Restarted.m_StartedAtMs, monotonicNow());
+    };
+  }
+
+  static std::string send(RelayFixture &Fixture, const std::string &Part,
+                          int Request,
+                          const ScriptedServer::Response &Response) {
+    for (ScriptedServer *Server :
+         {Fixture.m_FirstServer.get(), Fixture.m_SecondServer.get()})
+      Server->replaceResponses(Response);
+    // Crashes in quick succession count as one.
+    Fixture.runFor(milliseconds(120));
+    return Fixture.request("X-Model: m\r\n" + partsField(Part, Request),
+                           "prompt " + std::to_string(Request));
+  }
+
+  static RelayFixture &configured(RelayFixture &Fixture) {
+    Fixture.configureGroups();
+    TrafficConfiguration Changed =
+        Fixture.m_Context.m_RouteTable->configuration();
+    Changed.m_Routes.front().m_MaxAttempts = 1;
+    Fixture.m_Context.m_RouteTable = std::make_shared<RouteTable>(Changed);
+    crashOnLostConnection(Fixture);
+    return Fixture;
+  }
+
+  /// Guards against requests of one kind that keep crashing backend servers,
+  /// one after the other, and against sound requests refused beside them.
+  void furtherRequestsWithThePartReachNoServer() {
+    RelayFixture Fixture;
+    configured(Fixture);
+    const ScriptedServer::Response Crash{"HTTP/1.1 2", ConnectionEnd::Reset};
+    const ScriptedServer::Response Sound{responseHead() + "id: 1\ndata: x\n\n",
+                                         ConnectionEnd::Close};
+    for (int I = 0; I < 3; ++I) {
+      CPPUNIT_ASSERT(!isServed(send(Fixture, "dead", 2 * I, Crash)));
+      CPPUNIT_ASSERT(isServed(send(Fixture, "good", 2 * I + 1, Sound)));
+    }
+    const std::size_t Before = receivedRequests(Fixture);
+    const std::string Refused = send(Fixture, "dead", 10, Crash);
+    CPPUNIT_ASSERT(Refused.find("HTTP/1.1 503 ") != std::string::npos);
+    CPPUNIT_ASSERT(Refused.find("crashes_servers") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(Before, receivedRequests(Fixture));
+    CPPUNIT_ASSERT(isServed(send(Fixture, "good", 11, Sound)));
+    CPPUNIT_ASSERT(isServed(send(Fixture, "other", 12, Sound)));
+  }
+
+  /// Guards against blaming a request that a server had begun to answer when
+  /// it crashed.
+  void streamsThatHadBegunBlameNothing() {
+    RelayFixture Fixture;
+    configured(Fixture);
+    const ScriptedServer::Response Interrupted{
+        responseHead() + "id: 1\ndata: x\n\n", ConnectionEnd::Reset};
+    for (int I = 0; I < 5; ++I)
+      CPPUNIT_ASSERT(isServed(send(Fixture, "good", I, Interrupted)));
+  }
+
+  void endOfALeavingServerBlamesNothing() {
+    RelayFixture Fixture;
+    configured(Fixture);
+    const ScriptedServer::Response Leaving{"HTTP/1.1 2", ConnectionEnd::Reset};
+    const auto SetDraining = [&](bool IsDraining) {
+      for (const char *Id : {"s1", "s2"}) {
+        BackendServer Server = *Fixture.m_Fleet.find(Id);
+        Server.m_Draining = IsDraining;
+        ++Server.m_Revision;
+        Fixture.m_Fleet.update(Server, monotonicNow());
+      }
+    };
+    for (ScriptedServer *Server :
+         {Fixture.m_FirstServer.get(), Fixture.m_SecondServer.get()})
+      Server->onRequest([&] { SetDraining(true); });
+    for (int I = 0; I < 5; ++I) {
+      SetDraining(false);
+      const std::size_t Before = receivedRequests(Fixture);
+      send(Fixture, "good", I, Leaving);
+      CPPUNIT_ASSERT_EQUAL(Before + 1, receivedRequests(Fixture));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeadlyPromptPartTest);
+
+} // namespace fulmarwinch
