Release the members of a head whose address another process has

What callers saw: beside requests that crash servers, a model had one group instead of six for six seconds, while the members of its five broken groups stood idle; sound requests were rejected as all_full.

Cause: a head that vanished from the store may still serve, so its members join no group until it must have broken, 6.5 s later. A crashed server is back after three seconds under another ID; that its address is taken shows that the old process has ended, but nothing used it.

Change: a quarantine keeps the last entry of the head and ends when a process that started later has the head's address. A new lease holder still knows only the names of the quarantined servers and waits the whole time.

Test: processAtTheAddressOfTheHeadReleasesItsMembers failed before.

--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -20,13 +20,13 @@
                                MonotonicTime StartedAt)
     : m_Settings(Settings), m_LeaseEpoch(LeaseEpoch), m_StartedAt(StartedAt) {
   for (const std::string &Server : Quarantined)
-    m_QuarantinedUntil[Server] = StartedAt + m_Settings.m_GroupBreakDelay +
-                                 m_Settings.m_ReportDelayMargin;
+    m_Quarantines[Server].m_Until = StartedAt + m_Settings.m_GroupBreakDelay +
+                                    m_Settings.m_ReportDelayMargin;
 }
 
 std::set<std::string> ReplicaPlanner::quarantinedServers() const {
   std::set<std::string> Servers;
-  for (const auto &[Server, Until] : m_QuarantinedUntil)
+  for (const auto &[Server, Active] : m_Quarantines)
     Servers.insert(Server);
   return Servers;
 }
@@ -49,13 +49,20 @@
 }
 
 void ReplicaPlanner::removeOutdatedState(const ReplicaPlannerInput &Input) {
-  const auto HasEnded = [&](const auto &Entry) {
-    return Entry.second <= Input.m_Now;
+  // The members of a group share a head.
+  std::map<std::string, bool> HasSuccessorByHead;
+  const auto HasEnded = [&](const Quarantine &Active) {
+    if (Active.m_Until <= Input.m_Now || !Active.m_Head)
+      return Active.m_Until <= Input.m_Now;
+    const auto [Known, IsNew] =
+        HasSuccessorByHead.emplace(Active.m_Head->m_Id, false);
+    if (IsNew)
+      Known->second = hasSuccessor(Input, *Active.m_Head);
+    return Known->second;
   };
-  for (auto Entry = m_QuarantinedUntil.begin();
-       Entry != m_QuarantinedUntil.end();)
+  for (auto Entry = m_Quarantines.begin(); Entry != m_Quarantines.end();)
     Entry =
-        HasEnded(*Entry) ? m_QuarantinedUntil.erase(Entry) : std::next(Entry);
+        HasEnded(Entry->second) ? m_Quarantines.erase(Entry) : std::next(Entry);
   for (auto Entry = m_ActiveStagings.begin();
        Entry != m_ActiveStagings.end();) {
     const BackendServer *Server = Input.m_Fleet->find(Entry->first);
@@ -145,7 +152,7 @@
   // An unreachable head may be partitioned from this node and still serve.
   if (Input.m_UnreachableServers.count(Group.m_Head->m_Id) != 0 &&
       State != GroupMemberState::Broken) {
-    disband(Input, Group, true);
+    disband(Input, Group, !hasSuccessor(Input, *Group.m_Head));
     return;
   }
   switch (State) {
@@ -184,7 +191,8 @@
     // A head that is listed without this group, or confirmed that it left, no
     // longer serves requests for it.
     const bool HasLeft = Input.m_Fleet->find(LastHead->second.m_Id) ||
-                         m_GroupsLeftByHead.count(Group.m_Key) != 0;
+                         m_GroupsLeftByHead.count(Group.m_Key) != 0 ||
+                         hasSuccessor(Input, LastHead->second);
     if (HasLeft) {
       disband(Input, Group, false);
       return;
@@ -212,7 +220,7 @@
   m_GroupsLeftByHead.insert(Order.m_Group);
   for (const auto &[Server, LastGroup] : m_LastGroupByServer)
     if (LastGroup == Order.m_Group)
-      m_QuarantinedUntil.erase(Server);
+      m_Quarantines.erase(Server);
 }
 
 void ReplicaPlanner::reviewFormingGroup(const ReplicaPlannerInput &Input,
@@ -261,8 +269,7 @@
     if (Id.empty() || Input.m_UnreachableServers.count(Id) != 0)
       continue;
     if (HeadMayServe)
-      m_QuarantinedUntil[Id] = Input.m_Now + m_Settings.m_GroupBreakDelay +
-                               m_Settings.m_ReportDelayMargin;
+      quarantine(Input, Group, Id);
     MemberOrder Leave;
     Leave.m_HeadMayServe = HeadMayServe;
     Leave.m_Kind = MemberOrderKind::Leave;
@@ -272,6 +279,28 @@
   }
 }
 
+bool ReplicaPlanner::hasSuccessor(const ReplicaPlannerInput &Input,
+                                  const BackendServer &Head) {
+  const auto &Servers = Input.m_Fleet->servers();
+  return !Head.m_Endpoint.m_Ip.empty() &&
+         std::any_of(Servers.begin(), Servers.end(), [&](const auto &Entry) {
+           const BackendServer &Server = Entry.second;
+           return Server.m_Endpoint == Head.m_Endpoint &&
+                  Server.m_StartedAtMs > Head.m_StartedAtMs;
+         });
+}
+
+void ReplicaPlanner::quarantine(const ReplicaPlannerInput &Input,
+                                const ReplicaGroup &Group,
+                                const std::string &Member) {
+  Quarantine &Active = m_Quarantines[Member];
+  Active.m_Until = Input.m_Now + m_Settings.m_GroupBreakDelay +
+                   m_Settings.m_ReportDelayMargin;
+  const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
+  if (LastHead != m_LastKnownHeads.end())
+    Active.m_Head = LastHead->second;
+}
+
 void ReplicaPlanner::issueOrder(const ReplicaPlannerInput &Input,
                                 MemberOrder Order) {
   PendingOrder &LastOrder = m_PendingOrders[Order.m_Server];
@@ -288,8 +317,7 @@
   const std::string &Id = Server.m_Id;
   if (Server.m_Service != Input.m_Service->m_Name || Server.m_Membership ||
       Server.m_FabricDomain.empty() || !Input.m_Fleet->acceptsNewWork(Server) ||
-      Input.m_UnreachableServers.count(Id) != 0 ||
-      m_QuarantinedUntil.count(Id) != 0)
+      Input.m_UnreachableServers.count(Id) != 0 || m_Quarantines.count(Id) != 0)
     return false;
   const auto LastOrder = m_PendingOrders.find(Id);
   if (LastOrder != m_PendingOrders.end() &&
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -126,6 +126,13 @@
   void onLeaveConfirmed(const MemberOrder &Order);
 
 private:
+  /// Time for which a server joins no group.
+  struct Quarantine {
+    MonotonicTime m_Until{};
+    /// Last known entry of the head that may still serve; nothing if an earlier
+    /// lease holder started the quarantine.
+    std::optional<BackendServer> m_Head;
+  };
   struct GroupFormation {
     std::string m_Model;
     std::vector<std::string> m_Members;
@@ -144,6 +151,12 @@
     std::size_t m_LoadsNeeded = 0;
   };
 
+  /// True if a process that started later has the address of \p Head, which has
+  /// therefore ended.
+  static bool hasSuccessor(const ReplicaPlannerInput &Input,
+                           const BackendServer &Head);
+  void quarantine(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
+                  const std::string &Member);
   /// Removes the state of ended groups, expired quarantines and finished loads.
   void removeOutdatedState(const ReplicaPlannerInput &Input);
   void reviewGroup(const ReplicaPlannerInput &Input, const ReplicaGroup &Group);
@@ -272,7 +285,7 @@
   /// Groups whose head is no longer listed and confirmed that it has left.
   std::set<GroupKey> m_GroupsLeftByHead;
   std::map<std::string, PendingOrder> m_PendingOrders;
-  std::map<std::string, MonotonicTime> m_QuarantinedUntil;
+  std::map<std::string, Quarantine> m_Quarantines;
   /// Model that each server is staging and the time limit for it, by server ID.
   std::map<std::string, std::pair<std::string, MonotonicTime>> m_ActiveStagings;
   /// Group that each server last reported, by server ID.
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(opensGroupOnlyWhenEveryMemberIsReady);
   CPPUNIT_TEST(failedMemberIsReplacedByAStagedSpare);
   CPPUNIT_TEST(membersAreQuarantinedUntilUnlistedHeadHasBroken);
+  CPPUNIT_TEST(processAtTheAddressOfTheHeadReleasesItsMembers);
   CPPUNIT_TEST(headThatConfirmsLeavingReleasesItsMembers);
   CPPUNIT_TEST(restartedHeadReleasesItsMembers);
   CPPUNIT_TEST(nextLeaseHolderKeepsTheQuarantine);
@@ -221,6 +222,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
   }
 
+  /// A request crashes the heads of groups, and each is back under another ID
+  /// after some seconds. Guards against members that wait for a head to break
+  /// that has ended, while the model has no group.
+  void processAtTheAddressOfTheHeadReleasesItsMembers() {
+    addServers(1, 3);
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    m_TrafficSeen = true;
+    BackendServer Head = *m_Fleet.groups().begin()->second.m_Head;
+    Head.m_Endpoint = {"10.0.0.7", 8088};
+    updateEntry(Head);
+    m_Unreachable = {Head.m_Id};
+    runUntilSettled(Planner);
+    removeEntry(Head.m_Id);
+    m_Unreachable.clear();
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, openGroups());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Planner.quarantinedServers().size());
+
+    BackendServer Successor = Head;
+    Successor.m_Id = "i-new";
+    Successor.m_StartedAtMs += 1;
+    Successor.m_Membership.reset();
+    updateEntry(Successor);
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
+    CPPUNIT_ASSERT(Planner.quarantinedServers().empty());
+  }
+
   /// Servers are partitioned from the store but still reachable for requests.
   /// Guards against quarantining the members of a group until its unlisted head
   /// must have stopped serving, although that head confirmed that it left the
