Probe a group again if it is reported soon after a round of probes

What callers saw: a group whose head had crashed was replaced only three seconds later, when the head's entry disappeared from the store.

Cause: the lease holder drops reports of a group for 400 ms after a round of probes.

Change: a report in that time is kept and leads to another round after it.

Test: headThatFailsAfterItsProbeIsProbedAgain failed before.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -88,6 +88,10 @@
   }
   if (IsHolder && !m_IsQuarantineLoaded)
     loadQuarantine();
+  std::map<GroupKey, StallReport> Deferred;
+  Deferred.swap(m_DeferredReports);
+  for (const auto &[Group, Report] : Deferred)
+    onGroupStalled(Report);
   if (IsHolder && m_IsQuarantineLoaded && Now >= m_NextPlanAt) {
     m_NextPlanAt = Now + PlanPeriod;
     planServices(Now);
@@ -345,8 +349,11 @@
     Entry = Now - Entry->second >= MinProbeInterval
                 ? m_LastProbedAt.erase(Entry)
                 : std::next(Entry);
-  if (!m_LastProbedAt.emplace(Report.m_Group, Now).second)
+  if (!m_LastProbedAt.emplace(Report.m_Group, Now).second) {
+    // The group may have failed after the last round.
+    m_DeferredReports[Report.m_Group] = Report;
     return;
+  }
   for (const std::string &Member : Group->second.m_Members)
     if (!Member.empty() && m_ProbesInFlight.insert(Member).second)
       probeStalledMember(Member, Report);
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -82,6 +82,8 @@
   std::map<std::string, std::uint64_t> m_UnresponsiveServers;
   std::set<std::string> m_ProbesInFlight;
   std::map<GroupKey, MonotonicTime> m_LastProbedAt;
+  /// Reports that arrived soon after a round of probes of their group.
+  std::map<GroupKey, StallReport> m_DeferredReports;
   /// Member of an open group that has no entry in the store.
   struct UnlistedMember {
     MonotonicTime m_NextProbeAt{};
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(GroupCoordinatorTest);
   CPPUNIT_TEST(ordersFollowTheStoredQuarantine);
   CPPUNIT_TEST(ordersOfAnExpiredLeaseAreNotSent);
+  CPPUNIT_TEST(headThatFailsAfterItsProbeIsProbedAgain);
   CPPUNIT_TEST_SUITE_END();
 
   /// Longer than the lease on group formation.
@@ -38,6 +39,7 @@
       m_Fixture.m_Context.m_RouteTable =
           std::make_shared<RouteTable>(std::move(Configuration));
       m_Platform.m_OrderPath = "/order";
+      m_Platform.m_LoadReportPath = "/report";
       m_Platform.m_EncodeOrder = [](const MemberOrder &) {
         return std::string("{}");
       };
@@ -128,6 +130,29 @@
     Test.answerQuarantineWrite();
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
   }
+
+  /// The head of a group crashes just after a round of probes, and no stream is
+  /// left that could report it again. Guards against a group that is replaced
+  /// only when the head's entry disappears from the store.
+  void headThatFailsAfterItsProbeIsProbedAgain() {
+    World Test;
+    bool IsConfirmed = false;
+    Test.m_Coordinator->setOnStallConfirmed(
+        [&](const StallReport &) { IsConfirmed = true; });
+    Test.runFor(milliseconds(300));
+    const ScriptedServer::Response Alive{
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    Test.m_Fixture.m_FirstServer->addResponse(Alive);
+    Test.m_Fixture.m_SecondServer->addResponse(Alive);
+    const StallReport Report{"s1", {"m.1.1", 100001}, false};
+    Test.m_Coordinator->onGroupStalled(Report);
+    Test.runFor(milliseconds(100));
+    CPPUNIT_ASSERT(!IsConfirmed);
+
+    Test.m_Coordinator->onGroupStalled(Report);
+    Test.runFor(milliseconds(1000));
+    CPPUNIT_ASSERT(IsConfirmed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupCoordinatorTest);
