--- a/proxy/header_names.h
+++ b/proxy/header_names.h
@@ -32,6 +32,8 @@
   std::string m_LastEventId;
   /// Present in a response if the backend server did not execute the request.
   std::string m_NotExecuted;
+  /// Present in all responses of a backend server that leaves.
+  std::string m_ServerLeaving;
   /// ID of the backend server whose failure caused the response.
   std::string m_FailedServer;
   /// Digest with which a client verifies that a response comes unaltered from
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -248,9 +248,11 @@
     Query.m_RandomDraw = Uniform(m_Context.m_Random);
     const auto Chosen = m_Context.m_Selector.choose(m_Context.m_Fleet, Query);
     if (!Chosen) {
-      if (Now - m_WaitingSince >= maxDispatchWait())
-        giveUp(
-            nameOf(NoServerReasonNames, m_Context.m_Selector.noServerReason()));
+      const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+      // Servers that ask for a pause do not become free by waiting.
+      const bool IsHopeless = Reason == NoServerReason::AllPaused && !resumes();
+      if (IsHopeless || Now - m_WaitingSince >= maxDispatchWait())
+        giveUp(nameOf(NoServerReasonNames, Reason));
       return;
     }
     // Once one attempt has reached a server, each further attempt uses retry
@@ -399,10 +401,45 @@
                                      .value_or(m_Id);
     m_IsStream = m_ResponseHead.m_Status == Ok &&
                  m_Route->m_Kind == RequestKind::Streaming;
+    noteLeavingServer();
     if (EchoedId != m_Id)
       rejectResponse("foreign_response");
   }
 
+  void noteLeavingServer() {
+    // A misdirected request was answered by another process.
+    if (m_ResponseHead.m_Status == Misdirected ||
+        !findHeader(m_ResponseHead.m_Headers,
+                    m_Context.m_HeaderNames.m_ServerLeaving) ||
+        !m_Context.m_Fleet.setLeaving(m_ChosenServer.m_Id,
+                                      m_ChosenServer.m_StartedAtMs))
+      return;
+    m_Context.m_Metrics.increment("servers_leaving_total");
+    m_Context.m_Log.write("server_leaving",
+                          {{"server", m_ChosenServer.m_Id},
+                           {"born", m_ChosenServer.m_StartedAtMs},
+                           {"id", m_Id}});
+  }
+
+  /// Records the pause that the server asks for with a 503 response.
+  void noteRequestedPause() {
+    if (m_ResponseHead.m_Status != Unavailable)
+      return;
+    const auto Field = findHeader(m_ResponseHead.m_Headers, "Retry-After");
+    if (!Field)
+      return;
+    const std::optional<Duration> Pause = parseRequestedPause(*Field);
+    if (Pause)
+      m_Context.m_Selector.onPauseRequested(m_ChosenServer, *Pause,
+                                            monotonicNow());
+    m_Context.m_Metrics.increment("server_pauses_total");
+    m_Context.m_Log.write("server_pause",
+                          {{"server", m_ChosenServer.m_Id},
+                           {"born", m_ChosenServer.m_StartedAtMs},
+                           {"id", m_Id},
+                           {"pause_ms", Pause ? inMs(*Pause) : -1}});
+  }
+
   void onBody(std::string_view Bytes) {
     if (!m_RejectedResponse.empty())
       return;
@@ -489,6 +526,7 @@
   }
 
   void onComplete() {
+    noteRequestedPause();
     const bool IsNotExecuted = m_ResponseHead.m_Status == Misdirected ||
                                findHeader(m_ResponseHead.m_Headers,
                                           m_Context.m_HeaderNames.m_NotExecuted)
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -1,10 +1,33 @@
 #include "servers/dispatch/server_selector.h"
 #include "core/rendezvous.h"
+#include "core/text.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fulmarwinch {
 
+namespace {
+
+/// Longest pause that a server may ask for, so that a wrong value does not take
+/// it out for good.
+constexpr Duration MaxRequestedPause = std::chrono::minutes(2);
+/// Greatest extension of a requested pause, as a share of it and in total.
+constexpr double MaxPauseExtensionShare = 0.25;
+constexpr Duration MaxPauseExtension = std::chrono::seconds(1);
+
+} // namespace
+
+std::optional<Duration> parseRequestedPause(std::string_view Value) {
+  double Seconds = 0.0;
+  if (!absl::SimpleAtod(toAbslView(Value), &Seconds) ||
+      !std::isfinite(Seconds) || Seconds <= 0.0)
+    return std::nullopt;
+  const std::chrono::duration<double> Max = MaxRequestedPause;
+  return std::chrono::duration_cast<Duration>(
+      std::min(Max, std::chrono::duration<double>(Seconds)));
+}
+
 ServerSelector::ServerSelector(const SelectorSettings &Settings)
     : m_Settings(Settings) {}
 
@@ -15,6 +38,11 @@
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
       continue;
+    if (isPauseRequested(Server, Query.m_Now)) {
+      if (m_NoServerReason == NoServerReason::NoneEligible)
+        m_NoServerReason = NoServerReason::AllPaused;
+      continue;
+    }
     const auto Pause = m_PausedUntil.find(Id);
     const double SlotUsage = slotUsage(Server, Query);
     if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
@@ -191,6 +219,29 @@
   m_PausedUntil[Server] = Now + m_Settings.m_NoFreeSlotPause;
 }
 
+void ServerSelector::onPauseRequested(const ChosenServer &Server,
+                                      Duration Pause, MonotonicTime Now) {
+  std::uniform_real_distribution<double> Share(0.0, MaxPauseExtensionShare);
+  const Duration Extension =
+      std::chrono::duration_cast<Duration>(Pause * Share(m_Random));
+  for (auto Entry = m_RequestedPauses.begin();
+       Entry != m_RequestedPauses.end();)
+    Entry = Entry->second.m_Until <= Now ? m_RequestedPauses.erase(Entry)
+                                         : std::next(Entry);
+  RequestedPause &Active = m_RequestedPauses[Server.m_Id];
+  if (Active.m_StartedAtMs != Server.m_StartedAtMs)
+    Active = {Server.m_StartedAtMs, {}};
+  Active.m_Until = std::max(
+      Active.m_Until, Now + Pause + std::min(Extension, MaxPauseExtension));
+}
+
+bool ServerSelector::isPauseRequested(const BackendServer &Server,
+                                      MonotonicTime Now) const {
+  const auto Active = m_RequestedPauses.find(Server.m_Id);
+  return Active != m_RequestedPauses.end() && Active->second.m_Until > Now &&
+         Active->second.m_StartedAtMs == Server.m_StartedAtMs;
+}
+
 void ServerSelector::onConnectFailed(const std::string &Server,
                                      MonotonicTime Now) {
   constexpr unsigned MaxDoublings = 4;
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,13 +17,14 @@
 namespace fulmarwinch {
 
 /// Reason why no backend server was chosen: no eligible one exists, all
-/// eligible ones have too few free slots, or the others are cold and at their
-/// rate limit.
-enum class NoServerReason { None, NoneEligible, AllFull, AllCold };
+/// eligible ones asked for a pause, they have too few free slots, or the others
+/// are cold and at their rate limit.
+enum class NoServerReason { None, NoneEligible, AllPaused, AllFull, AllCold };
 
-inline constexpr std::array<EnumName<NoServerReason>, 4> NoServerReasonNames{{
+inline constexpr std::array<EnumName<NoServerReason>, 5> NoServerReasonNames{{
     {NoServerReason::None, "none"},
     {NoServerReason::NoneEligible, "none_alive"},
+    {NoServerReason::AllPaused, "all_paused"},
     {NoServerReason::AllFull, "all_full"},
     {NoServerReason::AllCold, "all_cold"},
 }};
@@ -87,6 +89,11 @@
   Duration m_BacklogTolerance = std::chrono::milliseconds(20);
 };
 
+/// Parses the value of a Retry-After field in seconds, which may have a
+/// fraction. Returns nothing if it is malformed, a date or not positive; a
+/// longer pause than two minutes is shortened to that.
+std::optional<Duration> parseRequestedPause(std::string_view Value);
+
 /// Chooses the backend server for a request, based on this node's view of the
 /// fleet, its own in-flight requests and those that its peers reported.
 class ServerSelector {
@@ -116,6 +123,11 @@
   }
   /// Must be called when \p Server refused a request because no slot was free.
   void onNoFreeSlot(const std::string &Server, MonotonicTime Now);
+  /// Must be called when \p Server asked for no more requests for \p Pause. The
+  /// pause ends later by a random time, so that the nodes do not all return at
+  /// once, and with the process.
+  void onPauseRequested(const ChosenServer &Server, Duration Pause,
+                        MonotonicTime Now);
   /// Must be called when a connection to \p Server could not be established.
   void onConnectFailed(const std::string &Server, MonotonicTime Now);
   /// Must be called when the server failed or stalled. \p Group is the group
@@ -154,6 +166,10 @@
     std::optional<GroupKey> m_Group;
     MonotonicTime m_Until{};
   };
+  struct RequestedPause {
+    std::int64_t m_StartedAtMs = 0;
+    MonotonicTime m_Until{};
+  };
   struct Candidate {
     const BackendServer *m_Server = nullptr;
     double m_SlotUsage = 0.0;
@@ -163,6 +179,7 @@
   bool isSuspected(const std::string &Server,
                    const std::optional<GroupKey> &Group,
                    MonotonicTime Now) const;
+  bool isPauseRequested(const BackendServer &Server, MonotonicTime Now) const;
   bool isEligible(const FleetView &Fleet, const ServerQuery &Query,
                   const BackendServer &Server) const;
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
@@ -181,6 +198,8 @@
   std::map<std::string, MonotonicTime> m_NoReportSince;
   std::map<std::string, Suspicion> m_Suspicions;
   std::map<std::string, MonotonicTime> m_PausedUntil;
+  std::map<std::string, RequestedPause> m_RequestedPauses;
+  std::minstd_rand m_Random{std::random_device()()};
   std::map<std::string, unsigned> m_ConnectFailures;
   std::map<std::string, MonotonicTime> m_LastDispatch;
 };
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -9,6 +9,9 @@
 /// Maximum number of unlisted members to store. It covers the loss of a large
 /// zone; older entries belong to groups that have been replaced by then.
 constexpr std::size_t MaxUnlistedMembers = 1024;
+/// Maximum number of leaving processes to remember. Most have ended long before
+/// that many others have left.
+constexpr std::size_t MaxLeavingProcesses = 4096;
 
 } // namespace
 
@@ -47,6 +50,13 @@
   if (Known != m_Servers.end() && Known->second.m_Revision >= Server.m_Revision)
     return false;
   m_GroupsAreCurrent = false;
+  const auto Leaving = m_LeavingProcesses.find(Server.m_Id);
+  if (Leaving != m_LeavingProcesses.end()) {
+    if (Leaving->second == Server.m_StartedAtMs)
+      Server.m_Draining = true;
+    else
+      m_LeavingProcesses.erase(Leaving);
+  }
   if (Server.m_RemainingColdTime > Duration::zero())
     m_ColdUntil[Server.m_Id] = Now + Server.m_RemainingColdTime;
   else
@@ -104,6 +114,20 @@
   return Known == m_Servers.end() ? nullptr : &Known->second;
 }
 
+bool FleetView::setLeaving(const std::string &Id, std::int64_t StartedAtMs) {
+  if (m_LeavingProcesses.size() >= MaxLeavingProcesses)
+    m_LeavingProcesses.erase(m_LeavingProcesses.begin());
+  const bool IsNew =
+      m_LeavingProcesses.insert_or_assign(Id, StartedAtMs).second;
+  const auto Server = m_Servers.find(Id);
+  if (Server != m_Servers.end() &&
+      Server->second.m_StartedAtMs == StartedAtMs) {
+    Server->second.m_Draining = true;
+    m_GroupsAreCurrent = false;
+  }
+  return IsNew;
+}
+
 bool FleetView::acceptsNewWork(const BackendServer &Server) const {
   return !Server.m_Draining && !isEvacuated(Server.m_Zone);
 }
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -41,6 +41,11 @@
   /// the server is unknown or its entry is newer.
   bool remove(const std::string &Id, std::uint64_t Revision);
 
+  /// Must be called when the process of the server \p Id that started at \p
+  /// StartedAtMs has said that it leaves. It counts as draining from then on,
+  /// whatever its store entry says. Returns false if that was known.
+  bool setLeaving(const std::string &Id, std::int64_t StartedAtMs);
+
   /// Sets the availability zones that receive no new work.
   void setEvacuatedZones(std::set<std::string> Zones);
   bool isEvacuated(const std::string &Zone) const;
@@ -77,6 +82,8 @@
   std::map<std::string, BackendServer> m_UnlistedMembers;
   std::map<std::string, MonotonicTime> m_ColdUntil;
   std::set<std::string> m_EvacuatedZones;
+  /// Start times of the processes that have said that they leave, by server ID.
+  std::map<std::string, std::int64_t> m_LeavingProcesses;
   mutable std::map<GroupKey, ReplicaGroup> m_Groups;
   mutable bool m_GroupsAreCurrent = false;
 };
--- /dev/null
+++ b/tests/proxy/test_leaving_server.cpp
@@ -0,0 +1,162 @@
+#include "tests/proxy/relay_fixture.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Backend servers that say in their responses that they leave, or that they
+/// want no requests for some time.
+class LeavingServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeavingServerTest);
+  CPPUNIT_TEST(leavingServerReceivesNoFurtherRequest);
+  CPPUNIT_TEST(noticeIsReadWithTheHeadOfAStream);
+  CPPUNIT_TEST(storeEntryDoesNotContradictTheNotice);
+  CPPUNIT_TEST(misdirectedRequestIsNoNotice);
+  CPPUNIT_TEST(serverIsSparedForAsLongAsItAsks);
+  CPPUNIT_TEST(allServersPausingMeansRejectionAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  using ConnectionEnd = ScriptedServer::Response::ConnectionEnd;
+
+  static ScriptedServer::Response response(int Status,
+                                           const std::string &Fields) {
+    return {"HTTP/1.1 " + std::to_string(Status) +
+                " Any\r\nX-Id: 77\r\nX-Digest: d\r\n" + Fields +
+                "Content-Length: 4\r\n\r\nbody",
+            ConnectionEnd::Close};
+  }
+
+  static void addResponses(RelayFixture &Fixture, int Count,
+                           const ScriptedServer::Response &First,
+                           const ScriptedServer::Response &Second) {
+    for (int I = 0; I < Count; ++I) {
+      Fixture.m_FirstServer->addResponse(First);
+      Fixture.m_SecondServer->addResponse(Second);
+    }
+  }
+
+  static void rewriteEntry(RelayFixture &Fixture, const std::string &Id,
+                           std::int64_t StartedAtMs) {
+    BackendServer Entry = *Fixture.m_Fleet.find(Id);
+    Entry.m_StartedAtMs = StartedAtMs;
+    Entry.m_Draining = false;
+    ++Entry.m_Revision;
+    Fixture.m_Fleet.update(Entry, monotonicNow());
+  }
+
+  /// Guards against requests that reach a server after the client was told
+  /// through this node that it leaves.
+  void leavingServerReceivesNoFurtherRequest() {
+    for (const int Status : {200, 500}) {
+      RelayFixture Fixture;
+      Fixture.configure(RequestKind::NonIdempotent, 1, false);
+      addResponses(Fixture, 40, response(Status, "X-Leaving: 1\r\n"),
+                   response(200, ""));
+      for (int I = 0; I < 30; ++I)
+        Fixture.request("", "payout");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           Fixture.m_FirstServer->requests().size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{29},
+                           Fixture.m_SecondServer->requests().size());
+    }
+  }
+
+  /// A stream goes on for seconds after its head. Guards against a notice that
+  /// is read only at the end of the response.
+  void noticeIsReadWithTheHeadOfAStream() {
+    RelayFixture Fixture;
+    Fixture.configureGroups();
+    const ScriptedServer::Response Stream{
+        "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\nX-Leaving: 1\r\n\r\n"
+        "id: 1\ndata: x\n\n",
+        ConnectionEnd::KeepOpen};
+    addResponses(Fixture, 1, Stream, Stream);
+    Fixture.requestAndDisconnect(milliseconds(100), "X-Model: m\r\n");
+    const bool IsFirst = !Fixture.m_FirstServer->requests().empty();
+    CPPUNIT_ASSERT(Fixture.m_Fleet.find(IsFirst ? "s1" : "s2")->m_Draining);
+    CPPUNIT_ASSERT(!Fixture.m_Fleet.find(IsFirst ? "s2" : "s1")->m_Draining);
+  }
+
+  /// The store is down or behind. Guards against an entry, read again, that
+  /// lets a leaving process receive requests, and against another process under
+  /// the same ID that receives none.
+  void storeEntryDoesNotContradictTheNotice() {
+    RelayFixture Fixture;
+    CPPUNIT_ASSERT(Fixture.m_Fleet.setLeaving("s1", 0));
+    CPPUNIT_ASSERT(!Fixture.m_Fleet.setLeaving("s1", 0));
+    rewriteEntry(Fixture, "s1", 0);
+    CPPUNIT_ASSERT(
+        !Fixture.m_Fleet.acceptsNewWork(*Fixture.m_Fleet.find("s1")));
+    const BackendServer Known = *Fixture.m_Fleet.find("s1");
+    Fixture.m_Fleet.remove("s1", Known.m_Revision);
+    Fixture.m_Fleet.update(Known, monotonicNow());
+    rewriteEntry(Fixture, "s1", 0);
+    CPPUNIT_ASSERT(
+        !Fixture.m_Fleet.acceptsNewWork(*Fixture.m_Fleet.find("s1")));
+    rewriteEntry(Fixture, "s1", 1);
+    CPPUNIT_ASSERT(Fixture.m_Fleet.acceptsNewWork(*Fixture.m_Fleet.find("s1")));
+  }
+
+  void misdirectedRequestIsNoNotice() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    addResponses(Fixture, 1, response(421, "X-Leaving: 1\r\n"),
+                 response(421, "X-Leaving: 1\r\n"));
+    Fixture.request("", "payout");
+    CPPUNIT_ASSERT(!Fixture.m_Fleet.find("s1")->m_Draining);
+    CPPUNIT_ASSERT(!Fixture.m_Fleet.find("s2")->m_Draining);
+  }
+
+  /// Guards against requests that reach a server which turned one away and
+  /// asked for a pause.
+  void serverIsSparedForAsLongAsItAsks() {
+    struct Case {
+      const char *m_Value;
+      std::size_t m_MaxRequests;
+    };
+    for (const Case &Pausing : {Case{"30", 1}, Case{"2.5", 1}, Case{"1e9", 1},
+                                Case{"0", 30}, Case{"-3", 30}, Case{"soon", 30},
+                                Case{"Fri, 04 Dec 2026 22:10:43 GMT", 30}}) {
+      RelayFixture Fixture;
+      Fixture.configure(RequestKind::NonIdempotent, 1, false);
+      const std::string Fields = std::string("X-Not-Run: 1\r\nRetry-After: ") +
+                                 Pausing.m_Value + "\r\n";
+      addResponses(Fixture, 40, response(503, Fields), response(200, ""));
+      for (int I = 0; I < 20; ++I)
+        CPPUNIT_ASSERT(Fixture.request("", "payout").find(" 200 ") !=
+                       std::string::npos);
+      CPPUNIT_ASSERT(Fixture.m_FirstServer->requests().size() <=
+                     Pausing.m_MaxRequests);
+    }
+    CPPUNIT_ASSERT(*parseRequestedPause("1e9") == seconds(120));
+    CPPUNIT_ASSERT(*parseRequestedPause("0.25") == milliseconds(250));
+  }
+
+  /// Guards against callers that wait for servers which have said that they
+  /// will take nothing.
+  void allServersPausingMeansRejectionAtOnce() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    const ScriptedServer::Response Pause =
+        response(503, "X-Not-Run: 1\r\nRetry-After: 20\r\n");
+    addResponses(Fixture, 10, Pause, Pause);
+    Fixture.request("", "payout");
+    for (int I = 0; I < 5; ++I) {
+      const std::string Rejection = Fixture.request("", "payout");
+      CPPUNIT_ASSERT(Rejection.find("HTTP/1.1 503 ") != std::string::npos);
+      CPPUNIT_ASSERT(Rejection.find("all_paused") != std::string::npos);
+      CPPUNIT_ASSERT(Rejection.find("Retry-After: ") != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Fixture.m_FirstServer->requests().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Fixture.m_SecondServer->requests().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingServerTest);
+
+} // namespace fulmarwinch
