Store the heads of quarantined servers for the next lease holder

What callers saw: beside requests that crash servers, restarts of nodes and the loss of a domain, sound requests were rejected for want of groups (LOST): the members of crashed heads waited 6.5 s anew with each new lease holder, and two took over within three seconds.

Cause: a member that may still belong to a head out of sight joins nothing until the head must have broken, or until a later process has the head's address. The stored record had the names of such servers only, so a new lease holder could use the first condition alone, counted from its own start.

Change: the record names each head with its address and start time. A server that waits for another head than the stored one is written again before it is told to leave; otherwise the next holder would release it because the earlier head has ended. A head without an address or a start time, as in records of earlier versions, counts as unknown, and its members wait the whole time. A planner drops the servers of other services, whose heads it does not follow.

Tests: nextLeaseHolderKnowsTheHeadsOfTheQuarantine and ordersWaitUntilTheStoreNamesTheLaterHead fail when their part of the change is taken out; quarantineOfAnUnknownHeadLastsItsWholeTime states the cautious side.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -163,7 +163,7 @@
     if (Now >= m_NextSupplyLogAt)
       logSupply(Planner.modelSupplies(Input));
     for (MemberOrder &Order : Orders) {
-      if (Order.m_HeadMayServe && m_StoredQuarantine.count(Order.m_Server) == 0)
+      if (Order.m_HeadMayServe && !isQuarantineStored(Order.m_Server))
         m_OrdersAwaitingQuarantine.push_back(std::move(Order));
       else
         sendOrder(Order);
@@ -208,24 +208,39 @@
           return;
         const auto Content = parseJson(Read.m_Value, "quarantine record");
         if (Content.ok())
-          for (const std::string &Server :
-               fieldOr(*Content, "servers", std::vector<std::string>()))
-            m_StoredQuarantine.insert(Server);
+          m_StoredQuarantine = parseQuarantineRecord(*Content);
       });
 }
 
+QuarantineRecord GroupCoordinator::quarantineRecord() const {
+  QuarantineRecord Result;
+  for (const auto &[Service, Planner] : m_Planners)
+    for (const auto &[Server, Head] : Planner.quarantineRecord()) {
+      const auto [Known, IsNew] = Result.emplace(Server, Head);
+      if (!IsNew && !(Known->second == Head))
+        Known->second = {};
+    }
+  return Result;
+}
+
+bool GroupCoordinator::isQuarantineStored(const std::string &Server) const {
+  const QuarantineRecord Record = quarantineRecord();
+  const auto Active = Record.find(Server);
+  const auto Stored = m_StoredQuarantine.find(Server);
+  // The next lease holder would release the server too early if it read an
+  // earlier head of it.
+  return Stored != m_StoredQuarantine.end() &&
+         (Active == Record.end() || Active->second == Stored->second);
+}
+
 void GroupCoordinator::storeQuarantine() {
   if (m_IsQuarantineCallInFlight)
     return;
   m_IsQuarantineCallInFlight = true;
-  std::set<std::string> Servers;
-  for (const auto &[Service, Planner] : m_Planners)
-    for (const std::string &Server : Planner.quarantinedServers())
-      Servers.insert(Server);
+  const QuarantineRecord Record = quarantineRecord();
   m_Platform.m_StartStoreCall(
-      PutObject{0, QuarantineKey, m_QuarantineVersion,
-                Json{{"servers", Servers}}.dump()},
-      [this, Servers, Epoch = m_Epoch](const StoreCompletion &Result) {
+      PutObject{0, QuarantineKey, m_QuarantineVersion, toJson(Record).dump()},
+      [this, Record, Epoch = m_Epoch](const StoreCompletion &Result) {
         m_IsQuarantineCallInFlight = false;
         const auto &Written = std::get<WriteCompleted>(Result);
         if (Written.m_Outcome != StoreOutcome::Succeeded) {
@@ -236,13 +251,13 @@
           return;
         }
         m_QuarantineVersion = Written.m_Version;
-        m_StoredQuarantine = Servers;
+        m_StoredQuarantine = Record;
         if (!m_HoldsLease || Epoch != m_Epoch)
           return;
         std::vector<MemberOrder> Orders;
         Orders.swap(m_OrdersAwaitingQuarantine);
         for (const MemberOrder &Order : Orders)
-          if (m_StoredQuarantine.count(Order.m_Server) != 0)
+          if (isQuarantineStored(Order.m_Server))
             sendOrder(Order);
       });
 }
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -59,6 +59,10 @@
   /// Writes the quarantined servers to the store, then sends
   /// m_OrdersAwaitingQuarantine.
   void storeQuarantine();
+  /// The quarantine of all services.
+  QuarantineRecord quarantineRecord() const;
+  /// True if the store has the quarantine of \p Server, with its head.
+  bool isQuarantineStored(const std::string &Server) const;
   void sendOrder(const MemberOrder &Order);
   void onOrderCompleted(const MemberOrder &Order, std::int64_t StartedAtMs,
                         UpstreamOutcome Outcome, int Status);
@@ -103,7 +107,7 @@
   bool m_IsQuarantineCallInFlight = false;
   ObjectVersion m_QuarantineVersion = 0;
   /// Quarantined servers as last read from or written to the store.
-  std::set<std::string> m_StoredQuarantine;
+  QuarantineRecord m_StoredQuarantine;
   /// Orders that are sent only after the quarantine of their server was written
   /// to the store.
   std::vector<MemberOrder> m_OrdersAwaitingQuarantine;
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -12,23 +12,28 @@
 /// formed more groups would reuse epochs of the next holder.
 constexpr std::uint64_t EpochsPerLeaseEpoch = 100000;
 
+HeadProcess processOf(const BackendServer &Head) {
+  return {Head.m_Id, Head.m_Endpoint, Head.m_StartedAtMs};
+}
+
 } // namespace
 
 ReplicaPlanner::ReplicaPlanner(const ReplicaPlannerSettings &Settings,
                                std::uint64_t LeaseEpoch,
-                               const std::set<std::string> &Quarantined,
+                               const QuarantineRecord &Quarantined,
                                MonotonicTime StartedAt)
     : m_Settings(Settings), m_LeaseEpoch(LeaseEpoch), m_StartedAt(StartedAt) {
-  for (const std::string &Server : Quarantined)
-    m_Quarantines[Server].m_Until = StartedAt + m_Settings.m_GroupBreakDelay +
-                                    m_Settings.m_ReportDelayMargin;
+  for (const auto &[Server, Head] : Quarantined)
+    m_Quarantines[Server] = {StartedAt + m_Settings.m_GroupBreakDelay +
+                                 m_Settings.m_ReportDelayMargin,
+                             Head};
 }
 
-std::set<std::string> ReplicaPlanner::quarantinedServers() const {
-  std::set<std::string> Servers;
+QuarantineRecord ReplicaPlanner::quarantineRecord() const {
+  QuarantineRecord Record;
   for (const auto &[Server, Active] : m_Quarantines)
-    Servers.insert(Server);
-  return Servers;
+    Record.emplace(Server, Active.m_Head);
+  return Record;
 }
 
 std::vector<MemberOrder>
@@ -52,17 +57,23 @@
   // The members of a group share a head.
   std::map<std::string, bool> HasSuccessorByHead;
   const auto HasEnded = [&](const Quarantine &Active) {
-    if (Active.m_Until <= Input.m_Now || !Active.m_Head)
-      return Active.m_Until <= Input.m_Now;
+    if (Active.m_Until <= Input.m_Now)
+      return true;
     const auto [Known, IsNew] =
-        HasSuccessorByHead.emplace(Active.m_Head->m_Id, false);
+        HasSuccessorByHead.emplace(Active.m_Head.m_Id, false);
     if (IsNew)
-      Known->second = hasSuccessor(Input, *Active.m_Head);
+      Known->second = hasSuccessor(Input, Active.m_Head);
     return Known->second;
   };
-  for (auto Entry = m_Quarantines.begin(); Entry != m_Quarantines.end();)
-    Entry =
-        HasEnded(Entry->second) ? m_Quarantines.erase(Entry) : std::next(Entry);
+  for (auto Entry = m_Quarantines.begin(); Entry != m_Quarantines.end();) {
+    const BackendServer *Server = Input.m_Fleet->find(Entry->first);
+    // The record of the previous lease holder has the servers of all services.
+    const bool IsOfOtherService =
+        Server && Server->m_Service != Input.m_Service->m_Name;
+    Entry = IsOfOtherService || HasEnded(Entry->second)
+                ? m_Quarantines.erase(Entry)
+                : std::next(Entry);
+  }
   for (auto Entry = m_ActiveStagings.begin();
        Entry != m_ActiveStagings.end();) {
     const BackendServer *Server = Input.m_Fleet->find(Entry->first);
@@ -152,7 +163,7 @@
   // An unreachable head may be partitioned from this node and still serve.
   if (Input.m_UnreachableServers.count(Group.m_Head->m_Id) != 0 &&
       State != GroupMemberState::Broken) {
-    disband(Input, Group, !hasSuccessor(Input, *Group.m_Head));
+    disband(Input, Group, !hasSuccessor(Input, processOf(*Group.m_Head)));
     return;
   }
   switch (State) {
@@ -192,7 +203,7 @@
     // longer serves requests for it.
     const bool HasLeft = Input.m_Fleet->find(LastHead->second.m_Id) ||
                          m_GroupsLeftByHead.count(Group.m_Key) != 0 ||
-                         hasSuccessor(Input, LastHead->second);
+                         hasSuccessor(Input, processOf(LastHead->second));
     if (HasLeft) {
       disband(Input, Group, false);
       return;
@@ -280,7 +291,7 @@
 }
 
 bool ReplicaPlanner::hasSuccessor(const ReplicaPlannerInput &Input,
-                                  const BackendServer &Head) {
+                                  const HeadProcess &Head) {
   const auto &Servers = Input.m_Fleet->servers();
   return !Head.m_Endpoint.m_Ip.empty() &&
          std::any_of(Servers.begin(), Servers.end(), [&](const auto &Entry) {
@@ -297,8 +308,9 @@
   Active.m_Until = Input.m_Now + m_Settings.m_GroupBreakDelay +
                    m_Settings.m_ReportDelayMargin;
   const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
-  if (LastHead != m_LastKnownHeads.end())
-    Active.m_Head = LastHead->second;
+  Active.m_Head = LastHead == m_LastKnownHeads.end()
+                      ? HeadProcess{}
+                      : processOf(LastHead->second);
 }
 
 void ReplicaPlanner::issueOrder(const ReplicaPlannerInput &Input,
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -4,6 +4,7 @@
 #include "servers/fleet/fleet_view.h"
 #include "servers/replicas/member_order.h"
 #include "servers/replicas/model_rebalancer.h"
+#include "servers/replicas/quarantine_record.h"
 #include "servers/routes/traffic_configuration.h"
 
 #include <cstdint>
@@ -99,11 +100,9 @@
 class ReplicaPlanner {
 public:
   /// \p LeaseEpoch increases with each lease holder and is part of every
-  /// group's epoch. \p Quarantined are the servers that the previous lease
-  /// holder recorded as quarantined.
+  /// group's epoch. \p Quarantined is the record of the previous lease holder.
   ReplicaPlanner(const ReplicaPlannerSettings &Settings,
-                 std::uint64_t LeaseEpoch,
-                 const std::set<std::string> &Quarantined,
+                 std::uint64_t LeaseEpoch, const QuarantineRecord &Quarantined,
                  MonotonicTime StartedAt);
 
   /// Returns the orders to send now; empty if nothing has to change. Orders
@@ -116,8 +115,8 @@
 
   /// Servers whose last group may still be served by an unreachable head. They
   /// join no group until the time has passed after which that head stops
-  /// serving.
-  std::set<std::string> quarantinedServers() const;
+  /// serving, or until it is known to have ended.
+  QuarantineRecord quarantineRecord() const;
 
   /// Reports that a server refused a join order or did not respond to it.
   void onJoinFailed(const MemberOrder &Order, MonotonicTime Now);
@@ -129,9 +128,8 @@
   /// Time for which a server joins no group.
   struct Quarantine {
     MonotonicTime m_Until{};
-    /// Last known entry of the head that may still serve; nothing if an earlier
-    /// lease holder started the quarantine.
-    std::optional<BackendServer> m_Head;
+    /// Head that may still serve.
+    HeadProcess m_Head;
   };
   struct GroupFormation {
     std::string m_Model;
@@ -154,7 +152,7 @@
   /// True if a process that started later has the address of \p Head, which has
   /// therefore ended.
   static bool hasSuccessor(const ReplicaPlannerInput &Input,
-                           const BackendServer &Head);
+                           const HeadProcess &Head);
   void quarantine(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
                   const std::string &Member);
   /// Removes the state of ended groups, expired quarantines and finished loads.
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(GroupCoordinatorTest);
   CPPUNIT_TEST(ordersFollowTheStoredQuarantine);
   CPPUNIT_TEST(ordersOfAnExpiredLeaseAreNotSent);
+  CPPUNIT_TEST(ordersWaitUntilTheStoreNamesTheLaterHead);
   CPPUNIT_TEST(headThatFailsAfterItsProbeIsProbedAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -27,6 +28,10 @@
   struct World {
     RelayFixture m_Fixture;
     PlatformBinding m_Platform;
+    /// Content of the quarantine object that a new lease holder reads; without
+    /// one there is no object.
+    std::string m_StoredQuarantine;
+    std::string m_WrittenQuarantine;
     std::function<void(StoreCompletion)> m_AnswerQuarantineWrite;
     std::optional<GroupCoordinator> m_Coordinator;
 
@@ -61,6 +66,11 @@
         GetCompleted Result;
         Result.m_Id = Get->m_Id;
         Result.m_Outcome = StoreOutcome::NotFound;
+        if (Get->m_Key.find("quarantine") != std::string::npos &&
+            !m_StoredQuarantine.empty()) {
+          Result.m_Outcome = StoreOutcome::Succeeded;
+          Result.m_Value = m_StoredQuarantine;
+        }
         asio::post(m_Fixture.m_Loop,
                    [Done = std::move(Done), Result] { Done(Result); });
         return;
@@ -68,6 +78,7 @@
       const auto &Put = std::get<PutObject>(Action);
       if (Put.m_Key.find("quarantine") != std::string::npos) {
         m_AnswerQuarantineWrite = std::move(Done);
+        m_WrittenQuarantine = Put.m_Value;
         return;
       }
       asio::post(m_Fixture.m_Loop, [Done = std::move(Done), Id = Put.m_Id] {
@@ -79,6 +90,7 @@
                    GroupMemberState State) {
       BackendServer Server = *m_Fixture.m_Fleet.find(Id);
       Server.m_FabricDomain = "d1";
+      Server.m_StartedAtMs = 1000;
       Server.m_Membership = GroupMembership{{"m.1.1", 100001}, Rank, State};
       Server.m_Revision += 100;
       m_Fixture.m_Fleet.update(Server, monotonicNow());
@@ -131,6 +143,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
   }
 
+  /// The member waited for an earlier head when it was taken into this group.
+  /// Guards against a record that names the earlier head, which would let the
+  /// next lease holder release the member while this head may serve.
+  void ordersWaitUntilTheStoreNamesTheLaterHead() {
+    World Test;
+    Test.m_StoredQuarantine =
+        toJson({{"s2", {"i-old", {"127.0.0.1", 1}, 5}}}).dump();
+    Test.loseHead();
+    const QuarantineRecord Written = parseQuarantineRecord(
+        *parseJson(Test.m_WrittenQuarantine, "quarantine record"));
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), Written.at("s2").m_Id);
+    Test.answerQuarantineWrite();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Test.ordersToTheMember());
+  }
+
   /// The head of a group crashes just after a round of probes, and no stream is
   /// left that could report it again. Guards against a group that is replaced
   /// only when the head's entry disappears from the store.
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(headThatConfirmsLeavingReleasesItsMembers);
   CPPUNIT_TEST(restartedHeadReleasesItsMembers);
   CPPUNIT_TEST(nextLeaseHolderKeepsTheQuarantine);
+  CPPUNIT_TEST(nextLeaseHolderKnowsTheHeadsOfTheQuarantine);
+  CPPUNIT_TEST(quarantineOfAnUnknownHeadLastsItsWholeTime);
   CPPUNIT_TEST(membersOfABrokenGroupAreReleasedAtOnce);
   CPPUNIT_TEST(refusedJoinCancelsTheFormation);
   CPPUNIT_TEST(laterLeaseHolderUsesHigherEpochsAndOtherGroupNames);
@@ -151,7 +153,7 @@
   /// Creates a planner whose start-up settle time has already passed, so it
   /// expects no further domains.
   ReplicaPlanner newPlanner(std::uint64_t Epoch = 1,
-                            const std::set<std::string> &Quarantined = {}) {
+                            const QuarantineRecord &Quarantined = {}) {
     const ReplicaPlannerSettings Settings;
     return {Settings, Epoch, Quarantined, m_Now - Settings.m_StartupSettleTime};
   }
@@ -239,7 +241,7 @@
     m_Unreachable.clear();
     runUntilSettled(Planner);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, openGroups());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Planner.quarantinedServers().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Planner.quarantineRecord().size());
 
     BackendServer Successor = Head;
     Successor.m_Id = "i-new";
@@ -248,7 +250,7 @@
     updateEntry(Successor);
     runUntilSettled(Planner);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
-    CPPUNIT_ASSERT(Planner.quarantinedServers().empty());
+    CPPUNIT_ASSERT(Planner.quarantineRecord().empty());
   }
 
   /// Servers are partitioned from the store but still reachable for requests.
@@ -272,7 +274,7 @@
     Planner.onLeaveConfirmed(Orders.front());
     runUntilSettled(Planner);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
-    CPPUNIT_ASSERT(Planner.quarantinedServers().empty());
+    CPPUNIT_ASSERT(Planner.quarantineRecord().empty());
   }
 
   /// The head crashes and restarts, and its entry shows the new process, which
@@ -289,7 +291,7 @@
     updateEntry(Head);
     runUntilSettled(Planner);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
-    CPPUNIT_ASSERT(Planner.quarantinedServers().empty());
+    CPPUNIT_ASSERT(Planner.quarantineRecord().empty());
   }
 
   /// Guards against a new lease holder that lets quarantined servers join a
@@ -297,7 +299,8 @@
   void nextLeaseHolderKeepsTheQuarantine() {
     addServers(1, 6, "small");
     m_TrafficSeen = true;
-    ReplicaPlanner Planner = newPlanner(2, {serverId(1), serverId(2)});
+    ReplicaPlanner Planner =
+        newPlanner(2, {{serverId(1), {}}, {serverId(2), {}}});
     const std::vector<MemberOrder> Orders = plan(Planner);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3},
                          countOrders(Orders, MemberOrderKind::Join));
@@ -309,6 +312,57 @@
     CPPUNIT_ASSERT(countOrders(plan(Planner), MemberOrderKind::Join) > 0);
   }
 
+  /// Adds an idle server at 10.0.0.7:8088.
+  void addServerAtAddressOfHead(std::int64_t StartedAtMs) {
+    BackendServer Server;
+    Server.m_Id = "i-new";
+    Server.m_Service = "llm";
+    Server.m_Endpoint = {"10.0.0.7", 8088};
+    Server.m_StartedAtMs = StartedAtMs;
+    updateEntry(Server);
+  }
+
+  /// The lease holder is replaced while servers wait for a crashed head. Guards
+  /// against a new holder that lets them wait anew although the head's address
+  /// has another process.
+  void nextLeaseHolderKnowsTheHeadsOfTheQuarantine() {
+    addServers(1, 3, "small");
+    m_TrafficSeen = true;
+    const HeadProcess Head{"i-old", {"10.0.0.7", 8088}, 500};
+    const QuarantineRecord Stored =
+        parseQuarantineRecord(toJson({{serverId(1), Head}, {"i-gone", {}}}));
+    ReplicaPlanner Planner = newPlanner(2, Stored);
+    CPPUNIT_ASSERT(Planner.quarantineRecord() == Stored);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         countOrders(plan(Planner), MemberOrderKind::Join));
+    addServerAtAddressOfHead(501);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         countOrders(plan(Planner), MemberOrderKind::Join));
+  }
+
+  /// Guards against servers that join a group while an unknown head may serve
+  /// with them: an earlier version or a damaged object names no head.
+  void quarantineOfAnUnknownHeadLastsItsWholeTime() {
+    addServers(1, 3, "small");
+    m_TrafficSeen = true;
+    const Json EarlierVersion{{"servers", {serverId(1)}}};
+    Json WithoutStartTime =
+        toJson({{serverId(1), {"i-old", {"10.0.0.7", 8088}, 500}}});
+    WithoutStartTime["heads"][0].erase("started_at_ms");
+    Json WithoutAddress =
+        toJson({{serverId(1), {"i-old", {"10.0.0.7", 8088}, 500}}});
+    WithoutAddress["heads"][0].erase("ip");
+    addServerAtAddressOfHead(501);
+    for (const Json &Stored :
+         {EarlierVersion, WithoutStartTime, WithoutAddress}) {
+      ReplicaPlanner Planner = newPlanner(2, parseQuarantineRecord(Stored));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                           countOrders(plan(Planner), MemberOrderKind::Join));
+    }
+    CPPUNIT_ASSERT(parseQuarantineRecord(Json::array({1})).empty());
+  }
+
   /// Guards against members that stay in a group whose head reports the state
   /// `broken`.
   void membersOfABrokenGroupAreReleasedAtOnce() {
