Require API keys although no organisation is left

What callers may see: if the operator removes the last organisation, every client is let in, with any key or none.

Cause: whether a configuration asks for keys was read from whether its list of organisations has an entry.

Test: emptyListOfOrganisationsAdmitsNobody fails before the change. The two test configurations that have organisations state the new field.

--- a/servers/routes/route_table.h
+++ b/servers/routes/route_table.h
@@ -24,9 +24,7 @@
   /// Returns the organisation to which the API key \p Key belongs, or null.
   const OrganisationSpec *findOrganisation(std::string_view Key) const;
   /// True if requests must present the API key of an organisation.
-  bool requiresApiKeys() const {
-    return !m_Configuration.m_Organisations.empty();
-  }
+  bool requiresApiKeys() const { return m_Configuration.m_RequiresApiKeys; }
 
   const TrafficConfiguration &configuration() const { return m_Configuration; }
 
--- a/servers/routes/traffic_configuration.h
+++ b/servers/routes/traffic_configuration.h
@@ -161,6 +161,9 @@
   std::vector<Route> m_Routes;
   std::vector<ServiceSpec> m_Services;
   std::vector<OrganisationSpec> m_Organisations;
+  /// True if clients have to authenticate. There may be no organisation left
+  /// whose key they could use.
+  bool m_RequiresApiKeys = false;
   ClientLimits m_Limits;
 };
 
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(invalidServerEntriesAreRejected);
   CPPUNIT_TEST(configurationIsDecoded);
   CPPUNIT_TEST(invalidConfigurationIsRejected);
+  CPPUNIT_TEST(emptyListOfOrganisationsAdmitsNobody);
   CPPUNIT_TEST(ordersAreEncoded);
   CPPUNIT_TEST(settingsAreParsed);
   CPPUNIT_TEST(incompleteSettingsAreRejected);
@@ -121,6 +122,16 @@
       CPPUNIT_ASSERT(!platform::decodeConfiguration(object("main", Text)).ok());
   }
 
+  /// The operator takes the last key away. Guards against a configuration with
+  /// no organisation that lets every client in.
+  void emptyListOfOrganisationsAdmitsNobody() {
+    StoredObject Object = configurationObject();
+    Object.m_Content["tenants"] = Json::array();
+    CPPUNIT_ASSERT(platform::decodeConfiguration(Object)->m_RequiresApiKeys);
+    Object.m_Content.erase("tenants");
+    CPPUNIT_ASSERT(!platform::decodeConfiguration(Object)->m_RequiresApiKeys);
+  }
+
   void ordersAreEncoded() {
     MemberOrder Order;
     Order.m_Kind = MemberOrderKind::Join;
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -185,6 +185,7 @@
   PlainService.m_Name = "plain";
   Configuration.m_Services = {PlainService};
   Configuration.m_Organisations = {{"org", {"key"}, 0}};
+  Configuration.m_RequiresApiKeys = true;
   m_Context.m_RouteTable =
       std::make_shared<RouteTable>(std::move(Configuration));
 }
--- a/tests/servers/routes/test_route_table.cpp
+++ b/tests/servers/routes/test_route_table.cpp
@@ -29,6 +29,7 @@
     Configuration.m_Routes = {route("all", "/"), route("a", "/a/"),
                               route("ab", "/a/b/")};
     Configuration.m_Organisations = {{"org", {"k1", "k2"}, 0}};
+    Configuration.m_RequiresApiKeys = true;
     return RouteTable(std::move(Configuration));
   }
 
