Reject store objects whose fields cannot be read

What callers may see: 404 and 401 for routes and keys that are there, or requests to no server at all, after the store or the way to it has damaged a response.

Cause: a missing or mistyped field of a configuration got its default, so that routes, keys or limits of a damaged object were dropped without notice, and the revision of the damaged object kept the sound one from being read.

Whether a route names a known service is not checked: the store decides what is valid.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -300,6 +300,7 @@
       return;
     auto Content = m_Platform.m_DecodeConfiguration(Object);
     if (!Content.ok()) {
+      m_Context.m_Metrics.increment("configurations_unreadable_total");
       m_Log.write("configuration_unreadable",
                   {{"revision", static_cast<std::int64_t>(Object.m_Revision)},
                    {"problem", toStdView(Content.status().message())}});
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(invalidServerEntriesAreRejected);
   CPPUNIT_TEST(configurationIsDecoded);
   CPPUNIT_TEST(invalidConfigurationIsRejected);
+  CPPUNIT_TEST(damagedFieldOfAConfigurationIsNoDefault);
   CPPUNIT_TEST(emptyListOfOrganisationsAdmitsNobody);
   CPPUNIT_TEST(ordersAreEncoded);
   CPPUNIT_TEST(settingsAreParsed);
@@ -122,6 +123,55 @@
       CPPUNIT_ASSERT(!platform::decodeConfiguration(object("main", Text)).ok());
   }
 
+  /// Guards against a configuration that loses routes, keys or limits because a
+  /// field of it is damaged.
+  void damagedFieldOfAConfigurationIsNoDefault() {
+    const std::vector<std::pair<const char *, std::vector<const char *>>>
+        RequiredFields{
+            {"", {"routes", "services", "version"}},
+            {"/routes/0", {"name", "host", "path_prefix", "kind"}},
+            {"/routes/1", {"service"}},
+            {"/routes/0/traffic_split/1", {"service", "weight"}},
+            {"/services/0", {"name"}},
+            {"/tenants/0", {"name", "api_keys"}},
+        };
+    const std::vector<std::pair<const char *, std::vector<const char *>>>
+        OptionalFields{
+            {"", {"tenants"}},
+            {"/routes/0",
+             {"traffic_split", "timeout_ms", "slo_ms", "max_attempts",
+              "priority", "public", "resumable", "gap_aim_ms"}},
+            {"/tenants/0", {"priority"}},
+        };
+    const Json Damaged{{"x", Json::array({1, "y"})}};
+    const auto IsAccepted = [](const StoredObject &Object) {
+      return platform::decodeConfiguration(Object).ok();
+    };
+    for (const auto &[Parent, Fields] : RequiredFields)
+      for (const char *Field : Fields) {
+        StoredObject Object = configurationObject();
+        Json &Part = Object.m_Content[Json::json_pointer(Parent)];
+        Part[Field] = Damaged;
+        CPPUNIT_ASSERT_MESSAGE(Field, !IsAccepted(Object));
+        Part.erase(Field);
+        CPPUNIT_ASSERT_MESSAGE(Field, !IsAccepted(Object));
+      }
+    for (const auto &[Parent, Fields] : OptionalFields)
+      for (const char *Field : Fields) {
+        StoredObject Object = configurationObject();
+        Json &Part = Object.m_Content[Json::json_pointer(Parent)];
+        Part[Field] = Damaged;
+        CPPUNIT_ASSERT_MESSAGE(Field, !IsAccepted(Object));
+        if (std::string(Field) == "traffic_split")
+          Part["service"] = "llm";
+        Part.erase(Field);
+        CPPUNIT_ASSERT_MESSAGE(Field, IsAccepted(Object));
+      }
+    StoredObject Negative = configurationObject();
+    Negative.m_Content["routes"][0]["max_attempts"] = -1;
+    CPPUNIT_ASSERT(!IsAccepted(Negative));
+  }
+
   /// The operator takes the last key away. Guards against a configuration with
   /// no organisation that lets every client in.
   void emptyListOfOrganisationsAdmitsNobody() {
