Move the decision whether a server may be sent requests into one class

Cause: draining, evacuation, suspicion, requested pauses and backoffs were decided in two conditions of ServerSelector::choose and in isEligible, so that a reader could not see why a server was passed over.

Change: ServerAvailability answers with one reason. It has what this node has seen of the servers, and reads what is stored from the fleet view; the selector keeps load, groups and cold starts. The quarantine stays with the planner: it forbids joins, not requests.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -164,8 +164,8 @@
     }
     m_Log.write("group_stalled", {{"head", Report.m_HeadServer},
                                   {"group", Report.m_Group.m_Name}});
-    m_ServerSelector.onSuspected(Report.m_HeadServer, Report.m_Group,
-                                 monotonicNow());
+    m_ServerSelector.availability().onSuspected(Report.m_HeadServer,
+                                                Report.m_Group, monotonicNow());
   }
 
   ObjectWatcher::Handlers serverHandlers() {
@@ -237,8 +237,8 @@
                        {"end", nameOf(UpstreamOutcomeNames, Outcome)}});
           if (IsAlive)
             return;
-          m_ServerSelector.onSuspected(Server.m_Id, Server.m_Group,
-                                       monotonicNow());
+          m_ServerSelector.availability().onSuspected(
+              Server.m_Id, Server.m_Group, monotonicNow());
           reportCrash(Server.m_Id, 0);
         });
   }
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -430,8 +430,8 @@
       return;
     const std::optional<Duration> Pause = parseRequestedPause(*Field);
     if (Pause)
-      m_Context.m_Selector.onPauseRequested(m_ChosenServer, *Pause,
-                                            monotonicNow());
+      m_Context.m_Selector.availability().onPauseRequested(
+          m_ChosenServer, *Pause, monotonicNow());
     m_Context.m_Metrics.increment("server_pauses_total");
     m_Context.m_Log.write("server_pause",
                           {{"server", m_ChosenServer.m_Id},
@@ -494,7 +494,8 @@
       return;
     if (Outcome == UpstreamOutcome::NotConnected) {
       releaseServer();
-      m_Context.m_Selector.onConnectFailed(m_ChosenServer.m_Id, monotonicNow());
+      m_Context.m_Selector.availability().onConnectFailed(m_ChosenServer.m_Id,
+                                                          monotonicNow());
       retryOrEnd("not_connected", false);
       return;
     }
@@ -552,7 +553,7 @@
       onAttemptFailed("no_stream");
       return;
     }
-    m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
+    m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordOutput();
     forwardResponse(m_ResponseHead, m_ResponseBody);
   }
@@ -565,10 +566,11 @@
                    m_Context.m_HeaderNames.m_FailedServer)
             .value_or("");
     if (m_ResponseHead.m_Status == Misdirected || (!AtFault.empty()))
-      m_Context.m_Selector.onSuspected(m_ChosenServer.m_Id,
-                                       m_ChosenServer.m_Group, Now);
+      m_Context.m_Selector.availability().onSuspected(
+          m_ChosenServer.m_Id, m_ChosenServer.m_Group, Now);
     else
-      m_Context.m_Selector.onNoFreeSlot(m_ChosenServer.m_Id, Now);
+      m_Context.m_Selector.availability().onNoFreeSlot(m_ChosenServer.m_Id,
+                                                       Now);
     m_Context.m_Log.write("not_run",
                           {{"id", m_Id},
                            {"server", m_ChosenServer.m_Id},
@@ -585,7 +587,7 @@
             m_Model, m_StatedOutputTokens,
             m_Sequence.deliveredCount() *
                 std::max(1U, m_Service->m_Engine.m_DecodeStepsPerPass));
-    m_Context.m_Selector.onResponseReceived(m_ChosenServer.m_Id);
+    m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordOutput();
     releaseServer();
     if (!m_ResponseStarted) {
@@ -786,7 +788,7 @@
     // The prefill of a long prompt also delays the events of the other requests
     // in the batch. Therefore the stream moves only if a member failed a probe,
     // or if the silence exceeds the threshold many times over.
-    if (!m_Context.m_Selector.isSuspected(m_ChosenServer, Now)) {
+    if (!m_Context.m_Selector.availability().isSuspected(m_ChosenServer, Now)) {
       if (m_Context.m_OnGroupStalled)
         m_Context.m_OnGroupStalled(m_ChosenServer);
       if (Silence < StallThreshold * UnconfirmedStallFactor)
@@ -799,8 +801,8 @@
     if (!m_Context.m_Selector.choose(m_Context.m_Fleet, query(Now)) ||
         budget().available(Now) < 1.0)
       return;
-    m_Context.m_Selector.onSuspected(m_ChosenServer.m_Id,
-                                     m_ChosenServer.m_Group, Now);
+    m_Context.m_Selector.availability().onSuspected(
+        m_ChosenServer.m_Id, m_ChosenServer.m_Group, Now);
     m_Call->cancel();
     ++m_ArrivedAttempts;
     onAttemptFailed("silent");
--- /dev/null
+++ b/servers/dispatch/server_availability.cpp
@@ -0,0 +1,122 @@
+#include "servers/dispatch/server_availability.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// Longest pause that a server may ask for, so that a wrong value does not take
+/// it out for good.
+constexpr Duration MaxRequestedPause = std::chrono::minutes(2);
+/// Greatest extension of a requested pause, as a share of it and in total.
+constexpr double MaxPauseExtensionShare = 0.25;
+constexpr Duration MaxPauseExtension = std::chrono::seconds(1);
+
+} // namespace
+
+std::optional<Duration> parseRequestedPause(std::string_view Value) {
+  double Seconds = 0.0;
+  if (!absl::SimpleAtod(toAbslView(Value), &Seconds) ||
+      !std::isfinite(Seconds) || Seconds <= 0.0)
+    return std::nullopt;
+  const std::chrono::duration<double> Max = MaxRequestedPause;
+  return std::chrono::duration_cast<Duration>(
+      std::min(Max, std::chrono::duration<double>(Seconds)));
+}
+
+ServerAvailability::ServerAvailability(const AvailabilitySettings &Settings)
+    : m_Settings(Settings) {}
+
+Unavailability ServerAvailability::check(const FleetView &Fleet,
+                                         const BackendServer &Server,
+                                         MonotonicTime Now) const {
+  if (Server.m_Draining)
+    return Unavailability::Draining;
+  if (Fleet.isEvacuated(Server.m_Zone))
+    return Unavailability::Evacuated;
+  const auto Group = Server.m_Membership
+                         ? std::optional<GroupKey>(Server.m_Membership->m_Group)
+                         : std::nullopt;
+  if (isSuspected(Server.m_Id, Group, Now))
+    return Unavailability::Suspected;
+  if (isPauseRequested(Server, Now))
+    return Unavailability::PauseRequested;
+  if (isBackedOff(Server.m_Id, Now))
+    return Unavailability::BackedOff;
+  return Unavailability::None;
+}
+
+void ServerAvailability::onNoFreeSlot(const std::string &Server,
+                                      MonotonicTime Now) {
+  m_BackedOffUntil[Server] = Now + m_Settings.m_NoFreeSlotPause;
+}
+
+void ServerAvailability::onPauseRequested(const ChosenServer &Server,
+                                          Duration Pause, MonotonicTime Now) {
+  std::uniform_real_distribution<double> Share(0.0, MaxPauseExtensionShare);
+  const Duration Extension =
+      std::chrono::duration_cast<Duration>(Pause * Share(m_Random));
+  for (auto Entry = m_RequestedPauses.begin();
+       Entry != m_RequestedPauses.end();)
+    Entry = Entry->second.m_Until <= Now ? m_RequestedPauses.erase(Entry)
+                                         : std::next(Entry);
+  RequestedPause &Active = m_RequestedPauses[Server.m_Id];
+  if (Active.m_StartedAtMs != Server.m_StartedAtMs)
+    Active = {Server.m_StartedAtMs, {}};
+  Active.m_Until = std::max(
+      Active.m_Until, Now + Pause + std::min(Extension, MaxPauseExtension));
+}
+
+void ServerAvailability::onConnectFailed(const std::string &Server,
+                                         MonotonicTime Now) {
+  constexpr unsigned MaxDoublings = 4;
+  const unsigned FailureCount =
+      std::min(MaxDoublings, m_ConnectFailures[Server]++);
+  m_BackedOffUntil[Server] =
+      Now + m_Settings.m_ConnectFailureBackoff * (1U << FailureCount);
+}
+
+void ServerAvailability::onSuspected(const std::string &Server,
+                                     const std::optional<GroupKey> &Group,
+                                     MonotonicTime Now) {
+  m_Suspicions[Server] = {Group, Now + m_Settings.m_SuspicionTime};
+}
+
+void ServerAvailability::onResponseReceived(const std::string &Server) {
+  m_ConnectFailures.erase(Server);
+  m_Suspicions.erase(Server);
+}
+
+bool ServerAvailability::isSuspected(const ChosenServer &Server,
+                                     MonotonicTime Now) const {
+  return isSuspected(Server.m_Id, Server.m_Group, Now);
+}
+
+bool ServerAvailability::isSuspected(const std::string &Server,
+                                     const std::optional<GroupKey> &Group,
+                                     MonotonicTime Now) const {
+  const auto Entry = m_Suspicions.find(Server);
+  if (Entry == m_Suspicions.end() || Entry->second.m_Until <= Now)
+    return false;
+  // A suspicion does not apply to a new group with the same head.
+  const std::optional<GroupKey> &SuspectedGroup = Entry->second.m_Group;
+  return !SuspectedGroup || !Group || *Group == *SuspectedGroup;
+}
+
+bool ServerAvailability::isPauseRequested(const BackendServer &Server,
+                                          MonotonicTime Now) const {
+  const auto Active = m_RequestedPauses.find(Server.m_Id);
+  return Active != m_RequestedPauses.end() && Active->second.m_Until > Now &&
+         Active->second.m_StartedAtMs == Server.m_StartedAtMs;
+}
+
+bool ServerAvailability::isBackedOff(const std::string &Server,
+                                     MonotonicTime Now) const {
+  const auto Until = m_BackedOffUntil.find(Server);
+  return Until != m_BackedOffUntil.end() && Until->second > Now;
+}
+
+} // namespace fulmarwinch
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -1,33 +1,22 @@
 #include "servers/dispatch/server_selector.h"
 #include "core/rendezvous.h"
-#include "core/text.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace fulmarwinch {
 
 namespace {
 
-/// Longest pause that a server may ask for, so that a wrong value does not take
-/// it out for good.
-constexpr Duration MaxRequestedPause = std::chrono::minutes(2);
-/// Greatest extension of a requested pause, as a share of it and in total.
-constexpr double MaxPauseExtensionShare = 0.25;
-constexpr Duration MaxPauseExtension = std::chrono::seconds(1);
+/// True if the server is not expected back within the time for which a request
+/// may wait for a server.
+bool isOutOfService(Unavailability Reason) {
+  return Reason == Unavailability::Draining ||
+         Reason == Unavailability::Evacuated ||
+         Reason == Unavailability::Suspected;
+}
 
 } // namespace
 
-std::optional<Duration> parseRequestedPause(std::string_view Value) {
-  double Seconds = 0.0;
-  if (!absl::SimpleAtod(toAbslView(Value), &Seconds) ||
-      !std::isfinite(Seconds) || Seconds <= 0.0)
-    return std::nullopt;
-  const std::chrono::duration<double> Max = MaxRequestedPause;
-  return std::chrono::duration_cast<Duration>(
-      std::min(Max, std::chrono::duration<double>(Seconds)));
-}
-
 ServerSelector::ServerSelector(const SelectorSettings &Settings)
     : m_Settings(Settings) {}
 
@@ -38,15 +27,18 @@
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
       continue;
-    if (isPauseRequested(Server, Query.m_Now)) {
+    const Unavailability Reason =
+        m_Availability.check(Fleet, Server, Query.m_Now);
+    if (isOutOfService(Reason))
+      continue;
+    if (Reason == Unavailability::PauseRequested) {
       if (m_NoServerReason == NoServerReason::NoneEligible)
         m_NoServerReason = NoServerReason::AllPaused;
       continue;
     }
-    const auto Pause = m_PausedUntil.find(Id);
     const double SlotUsage = slotUsage(Server, Query);
     if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
-        (Pause != m_PausedUntil.end() && Pause->second > Query.m_Now)) {
+        Reason == Unavailability::BackedOff) {
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
@@ -93,7 +85,8 @@
   GroupSupply Result;
   for (const auto &[Key, Group] : Fleet.groups()) {
     if (Group.m_Model != Query.m_Model || !Group.m_Head ||
-        !isEligible(Fleet, Query, *Group.m_Head))
+        !isEligible(Fleet, Query, *Group.m_Head) ||
+        isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
       continue;
     ++Result.m_Groups;
     Result.m_MeanSlotUsage += slotUsage(*Group.m_Head, Query);
@@ -126,8 +119,7 @@
                                 const ServerQuery &Query,
                                 const BackendServer &Server) const {
   if (Server.m_Service != Query.m_Service->m_Name ||
-      Query.m_TriedServers.count(Server.m_Id) != 0 ||
-      !Fleet.acceptsNewWork(Server) || isSuspected(Server, Query.m_Now))
+      Query.m_TriedServers.count(Server.m_Id) != 0)
     return false;
   if (!Query.m_Service->hasReplicaGroups())
     return true;
@@ -214,54 +206,6 @@
     m_OwnInFlight.erase(Load);
 }
 
-void ServerSelector::onNoFreeSlot(const std::string &Server,
-                                  MonotonicTime Now) {
-  m_PausedUntil[Server] = Now + m_Settings.m_NoFreeSlotPause;
-}
-
-void ServerSelector::onPauseRequested(const ChosenServer &Server,
-                                      Duration Pause, MonotonicTime Now) {
-  std::uniform_real_distribution<double> Share(0.0, MaxPauseExtensionShare);
-  const Duration Extension =
-      std::chrono::duration_cast<Duration>(Pause * Share(m_Random));
-  for (auto Entry = m_RequestedPauses.begin();
-       Entry != m_RequestedPauses.end();)
-    Entry = Entry->second.m_Until <= Now ? m_RequestedPauses.erase(Entry)
-                                         : std::next(Entry);
-  RequestedPause &Active = m_RequestedPauses[Server.m_Id];
-  if (Active.m_StartedAtMs != Server.m_StartedAtMs)
-    Active = {Server.m_StartedAtMs, {}};
-  Active.m_Until = std::max(
-      Active.m_Until, Now + Pause + std::min(Extension, MaxPauseExtension));
-}
-
-bool ServerSelector::isPauseRequested(const BackendServer &Server,
-                                      MonotonicTime Now) const {
-  const auto Active = m_RequestedPauses.find(Server.m_Id);
-  return Active != m_RequestedPauses.end() && Active->second.m_Until > Now &&
-         Active->second.m_StartedAtMs == Server.m_StartedAtMs;
-}
-
-void ServerSelector::onConnectFailed(const std::string &Server,
-                                     MonotonicTime Now) {
-  constexpr unsigned MaxDoublings = 4;
-  const unsigned FailureCount =
-      std::min(MaxDoublings, m_ConnectFailures[Server]++);
-  m_PausedUntil[Server] =
-      Now + m_Settings.m_ConnectFailureBackoff * (1U << FailureCount);
-}
-
-void ServerSelector::onSuspected(const std::string &Server,
-                                 const std::optional<GroupKey> &Group,
-                                 MonotonicTime Now) {
-  m_Suspicions[Server] = {Group, Now + m_Settings.m_SuspicionTime};
-}
-
-void ServerSelector::onResponseReceived(const std::string &Server) {
-  m_ConnectFailures.erase(Server);
-  m_Suspicions.erase(Server);
-}
-
 void ServerSelector::setPeerInFlight(const std::string &Peer,
                                      std::map<std::string, unsigned> Load) {
   m_PeerInFlight[Peer] = std::move(Load);
@@ -290,31 +234,6 @@
   }
 }
 
-bool ServerSelector::isSuspected(const BackendServer &Server,
-                                 MonotonicTime Now) const {
-  return isSuspected(Server.m_Id,
-                     Server.m_Membership
-                         ? std::optional<GroupKey>(Server.m_Membership->m_Group)
-                         : std::nullopt,
-                     Now);
-}
-
-bool ServerSelector::isSuspected(const ChosenServer &Server,
-                                 MonotonicTime Now) const {
-  return isSuspected(Server.m_Id, Server.m_Group, Now);
-}
-
-bool ServerSelector::isSuspected(const std::string &Server,
-                                 const std::optional<GroupKey> &Group,
-                                 MonotonicTime Now) const {
-  const auto Entry = m_Suspicions.find(Server);
-  if (Entry == m_Suspicions.end() || Entry->second.m_Until <= Now)
-    return false;
-  // A suspicion does not apply to a new group with the same head.
-  const std::optional<GroupKey> &SuspectedGroup = Entry->second.m_Group;
-  return !SuspectedGroup || !Group || *Group == *SuspectedGroup;
-}
-
 unsigned ServerSelector::ownInFlight(const std::string &Server) const {
   const auto Load = m_OwnInFlight.find(Server);
   return Load == m_OwnInFlight.end() ? 0 : Load->second;
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -3,13 +3,13 @@
 
 #include "core/enum_names.h"
 #include "servers/dispatch/prefill_backlog.h"
+#include "servers/dispatch/server_availability.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
 #include <array>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,16 +29,6 @@
     {NoServerReason::AllCold, "all_cold"},
 }};
 
-/// Backend server chosen for a request, with the data of its store entry at the
-/// time of the choice.
-struct ChosenServer {
-  std::string m_Id;
-  std::int64_t m_StartedAtMs = 0;
-  Endpoint m_Endpoint;
-  std::string m_Zone;
-  std::optional<GroupKey> m_Group;
-};
-
 /// Requirements of one request on the backend server.
 struct ServerQuery {
   const ServiceSpec *m_Service = nullptr;
@@ -66,15 +56,6 @@
   /// tenth of the slots covers requests that peers sent since their last load
   /// report.
   double m_MaxSlotUsage = 0.9;
-  /// Time for which a server that refused a request because no slot was free is
-  /// avoided; about the delay of the load reports.
-  Duration m_NoFreeSlotPause = std::chrono::milliseconds(150);
-  /// Time for which a server that failed or stalled is avoided, unless its
-  /// entry shows that it is in a new group.
-  Duration m_SuspicionTime = std::chrono::milliseconds(6500);
-  /// Initial backoff after a failed connection attempt; doubled for each
-  /// further failure.
-  Duration m_ConnectFailureBackoff = std::chrono::milliseconds(300);
   /// Rate in requests per second at which one node may send to a cold server.
   /// Only so many nodes may send to it that the sum stays within the rate of
   /// the server.
@@ -89,11 +70,6 @@
   Duration m_BacklogTolerance = std::chrono::milliseconds(20);
 };
 
-/// Parses the value of a Retry-After field in seconds, which may have a
-/// fraction. Returns nothing if it is malformed, a date or not positive; a
-/// longer pause than two minutes is shortened to that.
-std::optional<Duration> parseRequestedPause(std::string_view Value);
-
 /// Chooses the backend server for a request, based on this node's view of the
 /// fleet, its own in-flight requests and those that its peers reported.
 class ServerSelector {
@@ -121,22 +97,9 @@
                     MonotonicTime Now) {
     m_Backlog.addPrompt(Server, PrefillTime, Now);
   }
-  /// Must be called when \p Server refused a request because no slot was free.
-  void onNoFreeSlot(const std::string &Server, MonotonicTime Now);
-  /// Must be called when \p Server asked for no more requests for \p Pause. The
-  /// pause ends later by a random time, so that the nodes do not all return at
-  /// once, and with the process.
-  void onPauseRequested(const ChosenServer &Server, Duration Pause,
-                        MonotonicTime Now);
-  /// Must be called when a connection to \p Server could not be established.
-  void onConnectFailed(const std::string &Server, MonotonicTime Now);
-  /// Must be called when the server failed or stalled. \p Group is the group
-  /// whose head it was, if any.
-  void onSuspected(const std::string &Server,
-                   const std::optional<GroupKey> &Group, MonotonicTime Now);
-  /// Must be called when \p Server responded. It is then no longer suspected,
-  /// and its count of failed connection attempts is reset.
-  void onResponseReceived(const std::string &Server);
+  /// What this node has seen of the servers.
+  ServerAvailability &availability() { return m_Availability; }
+  const ServerAvailability &availability() const { return m_Availability; }
 
   /// Replaces the in-flight requests reported by a peer, by server.
   void setPeerInFlight(const std::string &Peer,
@@ -148,12 +111,6 @@
   void setNodes(std::string OwnName, std::vector<std::string> AllNames,
                 MonotonicTime Now);
 
-  /// True if \p Server recently failed or stalled and is still in the same
-  /// group.
-  bool isSuspected(const BackendServer &Server, MonotonicTime Now) const;
-  /// True if \p Server recently failed or stalled in the group whose head it
-  /// was when it was chosen.
-  bool isSuspected(const ChosenServer &Server, MonotonicTime Now) const;
   /// Number of in-flight requests of this node on \p Server.
   unsigned ownInFlight(const std::string &Server) const;
   /// Number of in-flight requests of this node, by server.
@@ -162,24 +119,14 @@
   }
 
 private:
-  struct Suspicion {
-    std::optional<GroupKey> m_Group;
-    MonotonicTime m_Until{};
-  };
-  struct RequestedPause {
-    std::int64_t m_StartedAtMs = 0;
-    MonotonicTime m_Until{};
-  };
   struct Candidate {
     const BackendServer *m_Server = nullptr;
     double m_SlotUsage = 0.0;
     Duration m_Backlog{0};
   };
 
-  bool isSuspected(const std::string &Server,
-                   const std::optional<GroupKey> &Group,
-                   MonotonicTime Now) const;
-  bool isPauseRequested(const BackendServer &Server, MonotonicTime Now) const;
+  /// True if \p Server serves the service and model of the request with all
+  /// members of its group, whether or not it may be sent requests now.
   bool isEligible(const FleetView &Fleet, const ServerQuery &Query,
                   const BackendServer &Server) const;
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
@@ -188,6 +135,7 @@
                          const BackendServer &Server) const;
 
   SelectorSettings m_Settings;
+  ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
   PrefillBacklog m_Backlog;
   std::map<std::string, unsigned> m_OwnInFlight;
@@ -196,11 +144,6 @@
   std::vector<std::string> m_Nodes;
   /// Start of the time without a load report, by node.
   std::map<std::string, MonotonicTime> m_NoReportSince;
-  std::map<std::string, Suspicion> m_Suspicions;
-  std::map<std::string, MonotonicTime> m_PausedUntil;
-  std::map<std::string, RequestedPause> m_RequestedPauses;
-  std::minstd_rand m_Random{std::random_device()()};
-  std::map<std::string, unsigned> m_ConnectFailures;
   std::map<std::string, MonotonicTime> m_LastDispatch;
 };
 
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -256,9 +256,9 @@
     // for a short time.
     ServerSelector &Selector = Fixture.m_Selector;
     Fixture.m_FirstServer->onRequest(
-        [&] { Selector.onNoFreeSlot("s2", monotonicNow()); });
+        [&] { Selector.availability().onNoFreeSlot("s2", monotonicNow()); });
     Fixture.m_SecondServer->onRequest(
-        [&] { Selector.onNoFreeSlot("s1", monotonicNow()); });
+        [&] { Selector.availability().onNoFreeSlot("s1", monotonicNow()); });
     Fixture.request();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, receivedRequests(Fixture));
   }
@@ -291,8 +291,8 @@
       if (++StallReports != ReportsBeforeConfirmation)
         return;
       RequestsBeforeConfirmation = receivedRequests(Fixture);
-      Fixture.m_Selector.onSuspected(Server.m_Id, Server.m_Group,
-                                     monotonicNow());
+      Fixture.m_Selector.availability().onSuspected(Server.m_Id, Server.m_Group,
+                                                    monotonicNow());
     };
     Fixture.requestAndDisconnect(std::chrono::milliseconds(400),
                                  "X-Model: m\r\n");
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -91,7 +91,7 @@
     updateGroup("h", "w", "m.1.1", 1);
     m_Fleet.remove("w", ++m_Revision);
     CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
-    Selector.onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
+    Selector.availability().onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
     // The member has restarted as a new process that is in no group.
     updateGroup("h2", "w2", "m.1.2", 2);
@@ -122,7 +122,7 @@
   void suspicionDoesNotApplyToTheNextGroup() {
     ServerSelector Selector;
     updateGroup("h", "w", "m.1.1", 1);
-    Selector.onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
+    Selector.availability().onSuspected("h", GroupKey{"m.1.1", 1}, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
     updateGroup("h", "w", "m.1.2", 2);
     CPPUNIT_ASSERT_EQUAL(std::string("h"), choose(Selector));
