Read what servers say of themselves in every response and with its head

What callers may see: requests to a server that has asked for a pause, because the rejection that said so broke off or had no end, and requests to a group of which a member had said in its answer to a probe that it leaves.

Change: recordServerNotices reads both fields from the head of every response of a backend server. Of several pauses the longest valid one counts. A change of belief is logged once, not for each response; a malformed value always.

Tests: pauseIsReadWithTheHead and probeShowsThatAServerLeaves fail when the head of a 503 and the answers to probes are not read; longestOfSeveralPausesCounts.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "proxy/group_coordinator.h"
 
 #include "core/json.h"
+#include "proxy/server_notices.h"
 
 #include <algorithm>
 
@@ -286,6 +287,7 @@
                     m_Platform.m_EncodeOrder(Order)),
       OrderTimeout,
       [this, Order, StartedAtMs](const BufferedResponse &Response) {
+        recordNotices(Order.m_Server, StartedAtMs, Response);
         onOrderCompleted(Order, StartedAtMs, Response.m_Outcome,
                          Response.m_Status);
       });
@@ -392,13 +394,25 @@
       formatRequest("GET", m_Platform.m_LoadReportPath, Server.m_Endpoint,
                     {{m_Platform.m_HeaderNames.m_ExpectedServer, Server.m_Id}},
                     ""),
-      ProbeTimeout, [Done = std::move(Done)](const BufferedResponse &Answer) {
+      ProbeTimeout,
+      [this, Id = Server.m_Id, StartedAtMs = Server.m_StartedAtMs,
+       Done = std::move(Done)](const BufferedResponse &Answer) {
+        recordNotices(Id, StartedAtMs, Answer);
         Done(Answer.m_Outcome == UpstreamOutcome::Complete &&
                  Answer.m_Status == Ok,
              Answer.m_Outcome);
       });
 }
 
+void GroupCoordinator::recordNotices(const std::string &Server,
+                                     std::int64_t StartedAtMs,
+                                     const BufferedResponse &Response) {
+  // Without a start time the process is not known.
+  if (StartedAtMs != 0)
+    recordServerNotices(m_Context, {Server, StartedAtMs, {}, {}, std::nullopt},
+                        Response.m_Status, Response.m_Headers, "");
+}
+
 void GroupCoordinator::probeStalledMember(const std::string &Server,
                                           const StallReport &Report) {
   const BackendServer *Entry = m_Context.m_Fleet.find(Server);
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -68,6 +68,9 @@
                         UpstreamOutcome Outcome, int Status);
   /// Requests the load report of \p Server as a liveness probe.
   void probeLiveness(const BackendServer &Server, LivenessHandler Done);
+  /// Records what a response to a probe or an order says about its server.
+  void recordNotices(const std::string &Server, std::int64_t StartedAtMs,
+                     const BufferedResponse &Response);
   void probeStalledMember(const std::string &Server, const StallReport &Report);
   /// Probes the members of open groups that have no entry in the store, and
   /// returns those that count as alive.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -2,6 +2,7 @@
 #include "core/text.h"
 #include "proxy/http_fields.h"
 #include "proxy/request_metrics.h"
+#include "proxy/server_notices.h"
 #include "proxy/upstream_call.h"
 #include "servers/retry/event_splitter.h"
 #include "servers/retry/prompt_parts.h"
@@ -401,45 +402,12 @@
                                      .value_or(m_Id);
     m_IsStream = m_ResponseHead.m_Status == Ok &&
                  m_Route->m_Kind == RequestKind::Streaming;
-    noteLeavingServer();
+    recordServerNotices(m_Context, m_ChosenServer, m_ResponseHead.m_Status,
+                        m_ResponseHead.m_Headers, m_Id);
     if (EchoedId != m_Id)
       rejectResponse("foreign_response");
   }
 
-  void noteLeavingServer() {
-    // A misdirected request was answered by another process.
-    if (m_ResponseHead.m_Status == Misdirected ||
-        !findHeader(m_ResponseHead.m_Headers,
-                    m_Context.m_HeaderNames.m_ServerLeaving) ||
-        !m_Context.m_Fleet.setLeaving(m_ChosenServer.m_Id,
-                                      m_ChosenServer.m_StartedAtMs))
-      return;
-    m_Context.m_Metrics.increment("servers_leaving_total");
-    m_Context.m_Log.write("server_leaving",
-                          {{"server", m_ChosenServer.m_Id},
-                           {"born", m_ChosenServer.m_StartedAtMs},
-                           {"id", m_Id}});
-  }
-
-  /// Records the pause that the server asks for with a 503 response.
-  void noteRequestedPause() {
-    if (m_ResponseHead.m_Status != Unavailable)
-      return;
-    const auto Field = findHeader(m_ResponseHead.m_Headers, "Retry-After");
-    if (!Field)
-      return;
-    const std::optional<Duration> Pause = parseRequestedPause(*Field);
-    if (Pause)
-      m_Context.m_Selector.availability().onPauseRequested(
-          m_ChosenServer, *Pause, monotonicNow());
-    m_Context.m_Metrics.increment("server_pauses_total");
-    m_Context.m_Log.write("server_pause",
-                          {{"server", m_ChosenServer.m_Id},
-                           {"born", m_ChosenServer.m_StartedAtMs},
-                           {"id", m_Id},
-                           {"pause_ms", Pause ? inMs(*Pause) : -1}});
-  }
-
   void onBody(std::string_view Bytes) {
     if (!m_RejectedResponse.empty())
       return;
@@ -527,7 +495,6 @@
   }
 
   void onComplete() {
-    noteRequestedPause();
     const bool IsNotExecuted = m_ResponseHead.m_Status == Misdirected ||
                                findHeader(m_ResponseHead.m_Headers,
                                           m_Context.m_HeaderNames.m_NotExecuted)
--- a/servers/dispatch/server_availability.cpp
+++ b/servers/dispatch/server_availability.cpp
@@ -54,7 +54,7 @@
   m_BackedOffUntil[Server] = Now + m_Settings.m_NoFreeSlotPause;
 }
 
-void ServerAvailability::onPauseRequested(const ChosenServer &Server,
+bool ServerAvailability::onPauseRequested(const ChosenServer &Server,
                                           Duration Pause, MonotonicTime Now) {
   std::uniform_real_distribution<double> Share(0.0, MaxPauseExtensionShare);
   const Duration Extension =
@@ -64,10 +64,13 @@
     Entry = Entry->second.m_Until <= Now ? m_RequestedPauses.erase(Entry)
                                          : std::next(Entry);
   RequestedPause &Active = m_RequestedPauses[Server.m_Id];
-  if (Active.m_StartedAtMs != Server.m_StartedAtMs)
+  const bool IsNew = Active.m_StartedAtMs != Server.m_StartedAtMs ||
+                     Active.m_Until == MonotonicTime{};
+  if (IsNew)
     Active = {Server.m_StartedAtMs, {}};
   Active.m_Until = std::max(
       Active.m_Until, Now + Pause + std::min(Extension, MaxPauseExtension));
+  return IsNew;
 }
 
 void ServerAvailability::onConnectFailed(const std::string &Server,
--- a/servers/dispatch/server_availability.h
+++ b/servers/dispatch/server_availability.h
@@ -83,8 +83,8 @@
   void onNoFreeSlot(const std::string &Server, MonotonicTime Now);
   /// Must be called when \p Server asked for no more requests for \p Pause. The
   /// pause ends later by a random time, so that the nodes do not all return at
-  /// once, and with the process.
-  void onPauseRequested(const ChosenServer &Server, Duration Pause,
+  /// once, and with the process. Returns true if \p Server was not pausing.
+  bool onPauseRequested(const ChosenServer &Server, Duration Pause,
                         MonotonicTime Now);
   /// Must be called when a connection to \p Server could not be established.
   void onConnectFailed(const std::string &Server, MonotonicTime Now);
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ordersOfAnExpiredLeaseAreNotSent);
   CPPUNIT_TEST(ordersWaitUntilTheStoreNamesTheLaterHead);
   CPPUNIT_TEST(headThatFailsAfterItsProbeIsProbedAgain);
+  CPPUNIT_TEST(probeShowsThatAServerLeaves);
   CPPUNIT_TEST_SUITE_END();
 
   /// Longer than the lease on group formation.
@@ -180,6 +181,21 @@
     Test.runFor(milliseconds(1000));
     CPPUNIT_ASSERT(IsConfirmed);
   }
+
+  /// A member says that it leaves in its answer to a probe. Guards against new
+  /// requests to its group until the store says so as well.
+  void probeShowsThatAServerLeaves() {
+    World Test;
+    Test.runFor(milliseconds(300));
+    Test.m_Fixture.m_FirstServer->addResponse(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    Test.m_Fixture.m_SecondServer->addResponse(
+        {"HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"});
+    Test.m_Coordinator->onGroupStalled({"s1", {"m.1.1", 100001}, false});
+    Test.runFor(milliseconds(100));
+    CPPUNIT_ASSERT(!Test.m_Fixture.m_Fleet.find("s1")->m_Draining);
+    CPPUNIT_ASSERT(Test.m_Fixture.m_Fleet.find("s2")->m_Draining);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupCoordinatorTest);
--- a/tests/proxy/test_leaving_server.cpp
+++ b/tests/proxy/test_leaving_server.cpp
@@ -1,3 +1,4 @@
+#include "proxy/server_notices.h"
 #include "tests/proxy/relay_fixture.h"
 
 #include "cppunit/extensions/HelperMacros.h"
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(storeEntryDoesNotContradictTheNotice);
   CPPUNIT_TEST(misdirectedRequestIsNoNotice);
   CPPUNIT_TEST(serverIsSparedForAsLongAsItAsks);
+  CPPUNIT_TEST(longestOfSeveralPausesCounts);
+  CPPUNIT_TEST(pauseIsReadWithTheHead);
   CPPUNIT_TEST(allServersPausingMeansRejectionAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +138,37 @@
     CPPUNIT_ASSERT(*parseRequestedPause("0.25") == milliseconds(250));
   }
 
+  void longestOfSeveralPausesCounts() {
+    const auto Pause = [](std::initializer_list<const char *> Values) {
+      HttpHeaders Headers;
+      for (const char *Value : Values)
+        Headers.push_back({"retry-after", Value});
+      return requestedPause(Headers);
+    };
+    CPPUNIT_ASSERT(!Pause({}));
+    CPPUNIT_ASSERT(!Pause({"soon", "-1"}));
+    CPPUNIT_ASSERT(*Pause({"2", "soon", "7", "3"}) == seconds(7));
+  }
+
+  /// The rejection breaks off, or its body has no end. Guards against a pause
+  /// that counts only with a complete response.
+  void pauseIsReadWithTheHead() {
+    for (const ConnectionEnd End :
+         {ConnectionEnd::Reset, ConnectionEnd::Close}) {
+      RelayFixture Fixture;
+      Fixture.configure(RequestKind::Idempotent, 2, false);
+      const ScriptedServer::Response Broken{
+          "HTTP/1.1 503 Any\r\nX-Id: 77\r\nRetry-After: 20\r\n"
+          "Content-Length: 40\r\n\r\npart",
+          End};
+      addResponses(Fixture, 20, Broken, response(200, ""));
+      for (int I = 0; I < 15; ++I)
+        Fixture.request();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           Fixture.m_FirstServer->requests().size());
+    }
+  }
+
   /// Guards against callers that wait for servers which have said that they
   /// will take nothing.
   void allServersPausingMeansRejectionAtOnce() {
