Ask again before the first byte whether a request or an order may be sent

What callers may see: a request that reaches a server which has said that it leaves, and a time limit that is longer than what is left. What servers may see: an order of a node whose lease has expired.

Cause: the choice of a server and the check of the lease came before the connection was made. A process that is paused in between, or learns something, acted on what held then.

Change: a call asks its owner once more when the connection is established. A request is withdrawn and dispatched again if its server may not receive it any more or the choice is older than the connection timeout; an order is dropped if the lease has ended. Nothing has been sent, so the outcome stays definite.

Tests: serverThatLeavesBeforeTheFirstByteReceivesNothing, pausedNodeDoesNotSendWhatItDecidedBefore (stated 700 ms with 300 left) and orderOfALeaseThatExpiresBeforeTheFirstByteIsNotSent failed before.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -264,15 +264,8 @@
 }
 
 void GroupCoordinator::sendOrder(const MemberOrder &Order) {
-  // The process may have been paused since tick() found the lease valid.
-  if (!m_Lease.isHeld(monotonicNow()) || m_Lease.epoch() != m_Epoch) {
-    m_Context.m_Log.write(
-        "order_dropped", {{"kind", nameOf(MemberOrderKindNames, Order.m_Kind)},
-                          {"server", Order.m_Server},
-                          {"group", Order.m_Group.m_Name},
-                          {"lease_epoch", static_cast<std::int64_t>(m_Epoch)}});
+  if (!mayOrder(Order, m_Epoch))
     return;
-  }
   const BackendServer *Server = m_Context.m_Fleet.find(Order.m_Server);
   if (!Server && !Order.m_LastEndpoint)
     return;
@@ -290,7 +283,20 @@
         recordNotices(Order.m_Server, StartedAtMs, Response);
         onOrderCompleted(Order, StartedAtMs, Response.m_Outcome,
                          Response.m_Status);
-      });
+      },
+      [this, Order, Epoch = m_Epoch] { return mayOrder(Order, Epoch); });
+}
+
+bool GroupCoordinator::mayOrder(const MemberOrder &Order, std::uint64_t Epoch) {
+  // The process may have been paused since tick() found the lease valid.
+  if (m_Lease.isHeld(monotonicNow()) && m_Lease.epoch() == Epoch)
+    return true;
+  m_Context.m_Log.write("order_dropped",
+                        {{"kind", nameOf(MemberOrderKindNames, Order.m_Kind)},
+                         {"server", Order.m_Server},
+                         {"group", Order.m_Group.m_Name},
+                         {"lease_epoch", static_cast<std::int64_t>(Epoch)}});
+  return false;
 }
 
 void GroupCoordinator::onOrderCompleted(const MemberOrder &Order,
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -64,6 +64,9 @@
   /// True if the store has the quarantine of \p Server, with its head.
   bool isQuarantineStored(const std::string &Server) const;
   void sendOrder(const MemberOrder &Order);
+  /// True if this node still holds the lease of \p Epoch, under which \p Order
+  /// was planned.
+  bool mayOrder(const MemberOrder &Order, std::uint64_t Epoch);
   void onOrderCompleted(const MemberOrder &Order, std::int64_t StartedAtMs,
                         UpstreamOutcome Outcome, int Status);
   /// Requests the load report of \p Server as a liveness probe.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -306,6 +306,7 @@
     m_Call = std::make_shared<UpstreamCall>(m_Context.m_Loop, Chosen.m_Endpoint,
                                             requestBytes(Chosen, Now), NoBody);
     UpstreamCallHandlers Handlers;
+    Handlers.m_MaySend = [this] { return maySend(); };
     // A previous call invokes no handlers after its end or cancellation, so
     // these handlers receive events of the new call only.
     Handlers.m_OnHead = [this](HttpMessageHead Head) {
@@ -319,6 +320,22 @@
                   m_Deadline - Now + milliseconds(50));
   }
 
+  /// True if the chosen server may still receive the request when the
+  /// connection to it is established.
+  bool maySend() const {
+    const MonotonicTime Now = monotonicNow();
+    // The request states the time that was left when the server was chosen.
+    if (Now - m_SentAt > ConnectTimeout)
+      return false;
+    const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
+    if (!Server || Server->m_StartedAtMs != m_ChosenServer.m_StartedAtMs)
+      return false;
+    const Unavailability Reason = m_Context.m_Selector.availability().check(
+        m_Context.m_Fleet, *Server, Now);
+    return Reason == Unavailability::None ||
+           Reason == Unavailability::BackedOff;
+  }
+
   /// Records the prefill work for the chosen server. Prompts that fill at least
   /// half a prefill chunk are also announced to the peers; shorter ones are
   /// not, since each message goes to all peers.
@@ -467,6 +484,14 @@
       retryOrEnd("not_connected", false);
       return;
     }
+    if (Outcome == UpstreamOutcome::NotSent) {
+      releaseServer();
+      m_TriedServers.erase(m_ChosenServer.m_Id);
+      m_Context.m_Log.write("not_sent",
+                            {{"id", m_Id}, {"server", m_ChosenServer.m_Id}});
+      retryOrEnd("not_sent", false);
+      return;
+    }
     ++m_ArrivedAttempts;
     if (Outcome == UpstreamOutcome::Reset ||
         Outcome == UpstreamOutcome::Truncated)
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -70,6 +70,10 @@
             end(UpstreamOutcome::NotConnected);
             return;
           }
+          if (m_Handlers.m_MaySend && !m_Handlers.m_MaySend()) {
+            end(UpstreamOutcome::NotSent);
+            return;
+          }
           m_IsConnected = true;
           armTimer(Owner, m_Deadline);
           asio::error_code Ignored; // TCP_NODELAY only reduces latency
@@ -186,10 +190,12 @@
 std::shared_ptr<UpstreamCall>
 startBufferedCall(asio::io_context &Loop, const Endpoint &Peer,
                   std::string Request, Duration Timeout,
-                  std::function<void(BufferedResponse)> Done) {
+                  std::function<void(BufferedResponse)> Done,
+                  std::function<bool()> MaySend) {
   auto Call = std::make_shared<UpstreamCall>(Loop, Peer, std::move(Request));
   auto Result = std::make_shared<BufferedResponse>();
   UpstreamCallHandlers Handlers;
+  Handlers.m_MaySend = std::move(MaySend);
   Handlers.m_OnHead = [Result](HttpMessageHead Head) {
     Result->m_Status = Head.m_Status;
     Result->m_Headers = std::move(Head.m_Headers);
--- a/proxy/upstream_call.h
+++ b/proxy/upstream_call.h
@@ -31,19 +31,26 @@
   Malformed,
   /// The exchange took longer than its timeout.
   TimedOut,
+  /// m_MaySend did not allow to send the request, so no byte was sent.
+  NotSent,
 };
 
-inline constexpr std::array<EnumName<UpstreamOutcome>, 6> UpstreamOutcomeNames{{
+inline constexpr std::array<EnumName<UpstreamOutcome>, 7> UpstreamOutcomeNames{{
     {UpstreamOutcome::Complete, "complete"},
     {UpstreamOutcome::NotConnected, "not_connected"},
     {UpstreamOutcome::Truncated, "truncated"},
     {UpstreamOutcome::Reset, "reset"},
     {UpstreamOutcome::Malformed, "garbled"},
     {UpstreamOutcome::TimedOut, "timed_out"},
+    {UpstreamOutcome::NotSent, "not_sent"},
 }};
 
 /// Callbacks of one HTTP exchange. None is called after cancel().
 struct UpstreamCallHandlers {
+  /// Called once the connection is established, before the first byte is sent.
+  /// The process may have been paused since the call was started, so what
+  /// allowed the call may have expired. Without a function, sending is allowed.
+  std::function<bool()> m_MaySend;
   std::function<void(HttpMessageHead)> m_OnHead;
   /// Called with each part of the body.
   std::function<void(std::string_view)> m_OnBody;
@@ -89,11 +96,13 @@
 };
 
 /// Sends \p Request to \p Peer and collects the response in memory. \p Done is
-/// called exactly once, unless the call is cancelled.
+/// called exactly once, unless the call is cancelled. \p MaySend is described
+/// at UpstreamCallHandlers.
 std::shared_ptr<UpstreamCall>
 startBufferedCall(asio::io_context &Loop, const Endpoint &Peer,
                   std::string Request, Duration Timeout,
-                  std::function<void(BufferedResponse)> Done);
+                  std::function<void(BufferedResponse)> Done,
+                  std::function<bool()> MaySend = nullptr);
 
 /// Returns the bytes of a request. Host, "Connection: close" and, unless it is
 /// a GET without a body, Content-Length are added.
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(GroupCoordinatorTest);
   CPPUNIT_TEST(ordersFollowTheStoredQuarantine);
   CPPUNIT_TEST(ordersOfAnExpiredLeaseAreNotSent);
+  CPPUNIT_TEST(orderOfALeaseThatExpiresBeforeTheFirstByteIsNotSent);
   CPPUNIT_TEST(ordersWaitUntilTheStoreNamesTheLaterHead);
   CPPUNIT_TEST(headThatFailsAfterItsProbeIsProbedAgain);
   CPPUNIT_TEST(probeShowsThatAServerLeaves);
@@ -144,6 +145,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
   }
 
+  /// The process is paused while it connects to the member. Guards against an
+  /// order that was decided under a lease and is sent after its end.
+  void orderOfALeaseThatExpiresBeforeTheFirstByteIsNotSent() {
+    World Test;
+    Test.loseHead();
+    Test.m_Platform.m_EncodeOrder = [](const MemberOrder &) {
+      std::this_thread::sleep_for(PauseTime);
+      return std::string("{}");
+    };
+    Test.answerQuarantineWrite();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
+  }
+
   /// The member waited for an earlier head when it was taken into this group.
   /// Guards against a record that names the earlier head, which would let the
   /// next lease holder release the member while this head may serve.
--- a/tests/proxy/test_leaving_server.cpp
+++ b/tests/proxy/test_leaving_server.cpp
@@ -3,6 +3,9 @@
 
 #include "cppunit/extensions/HelperMacros.h"
 
+#include <thread>
+#include <utility>
+
 namespace fulmarwinch {
 
 using std::chrono::milliseconds;
@@ -15,6 +18,8 @@
   CPPUNIT_TEST(leavingServerReceivesNoFurtherRequest);
   CPPUNIT_TEST(noticeIsReadWithTheHeadOfAStream);
   CPPUNIT_TEST(storeEntryDoesNotContradictTheNotice);
+  CPPUNIT_TEST(serverThatLeavesBeforeTheFirstByteReceivesNothing);
+  CPPUNIT_TEST(pausedNodeDoesNotSendWhatItDecidedBefore);
   CPPUNIT_TEST(misdirectedRequestIsNoNotice);
   CPPUNIT_TEST(serverIsSparedForAsLongAsItAsks);
   CPPUNIT_TEST(longestOfSeveralPausesCounts);
@@ -103,6 +108,64 @@
     CPPUNIT_ASSERT(Fixture.m_Fleet.acceptsNewWork(*Fixture.m_Fleet.find("s1")));
   }
 
+  /// Calls \p Hook between the choice of a server for one prompt and the first
+  /// byte to that server, and returns the client's response.
+  static std::string
+  requestWithHook(RelayFixture &Fixture,
+                  const std::function<void(const std::string &)> &Hook) {
+    Fixture.configureGroups();
+    bool IsFirst = true;
+    Fixture.m_Context.m_OnLongPrompt = [&](const std::string &Server,
+                                           Duration) {
+      if (std::exchange(IsFirst, false))
+        Hook(Server);
+    };
+    const ScriptedServer::Response Stream{
+        "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\n"
+        "Connection: close\r\n\r\nid: 1\ndata: x\n\n"};
+    addResponses(Fixture, 2, Stream, Stream);
+    return Fixture.request("X-Model: m\r\nX-Tokens: 900,9\r\n");
+  }
+
+  /// Guards against a request that reaches a server because it had been chosen
+  /// before the node learned that it leaves.
+  void serverThatLeavesBeforeTheFirstByteReceivesNothing() {
+    RelayFixture Fixture;
+    std::string Chosen;
+    const std::string Response =
+        requestWithHook(Fixture, [&](const std::string &Server) {
+          Chosen = Server;
+          Fixture.m_Fleet.setLeaving(Server, 0);
+        });
+    const bool IsFirst = Chosen == "s1";
+    CPPUNIT_ASSERT(Response.find(" 200 ") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, (IsFirst ? Fixture.m_FirstServer
+                                                  : Fixture.m_SecondServer)
+                                             ->requests()
+                                             .size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, (IsFirst ? Fixture.m_SecondServer
+                                                  : Fixture.m_FirstServer)
+                                             ->requests()
+                                             .size());
+  }
+
+  /// The process stands still while it connects to a server. Guards against a
+  /// request that states the time which was left before the pause.
+  void pausedNodeDoesNotSendWhatItDecidedBefore() {
+    RelayFixture Fixture;
+    const std::string Response =
+        requestWithHook(Fixture, [](const std::string &) {
+          std::this_thread::sleep_for(milliseconds(400));
+        });
+    CPPUNIT_ASSERT(Response.find(" 200 ") != std::string::npos);
+    std::vector<std::string> Requests = Fixture.m_FirstServer->requests();
+    for (const std::string &Request : Fixture.m_SecondServer->requests())
+      Requests.push_back(Request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Requests.size());
+    const std::size_t Field = Requests.front().find("X-Left: ");
+    CPPUNIT_ASSERT(std::stoi(Requests.front().substr(Field + 8)) <= 300);
+  }
+
   void misdirectedRequestIsNoNotice() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
