Return gradually to a server whose pause has ended, and tell callers when

What callers may see: a rejection with a Retry-After after which all servers still pause, a rejection although a server resumes in time, and a server that asks for another pause because all waiting requests reached it at once.

Cause: since servers are spared for the time that they ask for, but the end of the time was not used: callers were told the usual delay, a request did not wait for it, and every request could go to the server from that moment on.

Change: if all servers have asked for a pause, callers are told the time until the first one resumes, or wait if that is soon enough. Until a server that resumes has answered, it gets one request each 200 ms from a node.

Tests: allServersPausingMeansRejectionAtOnce now states the range of Retry-After; it, callersWaitForAPauseThatEndsInTime, and oneRequestAtATimeUntilAResumingServerAnswers fail without their part of the change.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -37,6 +37,9 @@
 /// Lower bound of the random factor on Retry-After, which spreads the retries
 /// of clients that were rejected at the same time.
 constexpr double MinRetryAfterFactor = 0.7;
+/// Upper bound of the random factor on Retry-After if all servers have asked
+/// for a pause: an earlier retry would find them pausing.
+constexpr double MaxPauseSpread = 1.25;
 /// A request that no server can accept is rejected after its latency objective
 /// divided by this number, so that another node can still serve it in time.
 constexpr int RejectAfterDivisor = 8;
@@ -185,6 +188,8 @@
     if (m_HasOutput)
       return;
     m_HasOutput = true;
+    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id,
+                                                 monotonicNow());
     bool HasCleared = false;
     for (const ContentHash Content : m_Contents)
       HasCleared = m_Context.m_PoisonDetector.onCompleted(
@@ -240,6 +245,7 @@
   void dispatch() {
     m_Phase = Phase::AwaitingServer;
     const MonotonicTime Now = monotonicNow();
+    m_PauseLeft.reset();
     if (crashesServers(Now)) {
       giveUp("crashes_servers");
       return;
@@ -249,11 +255,7 @@
     Query.m_RandomDraw = Uniform(m_Context.m_Random);
     const auto Chosen = m_Context.m_Selector.choose(m_Context.m_Fleet, Query);
     if (!Chosen) {
-      const NoServerReason Reason = m_Context.m_Selector.noServerReason();
-      // Servers that ask for a pause do not become free by waiting.
-      const bool IsHopeless = Reason == NoServerReason::AllPaused && !resumes();
-      if (IsHopeless || Now - m_WaitingSince >= maxDispatchWait())
-        giveUp(nameOf(NoServerReasonNames, Reason));
+      onNoServer(Now);
       return;
     }
     // Once one attempt has reached a server, each further attempt uses retry
@@ -265,6 +267,18 @@
     send(*Chosen, Now);
   }
 
+  void onNoServer(MonotonicTime Now) {
+    const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+    const MonotonicTime WaitEnd = m_WaitingSince + maxDispatchWait();
+    if (Reason == NoServerReason::AllPaused)
+      m_PauseLeft = m_Context.m_Selector.firstPauseEnd() - Now;
+    // While a stream is interrupted, another server may join the service.
+    const bool IsHopeless =
+        m_PauseLeft && Now + *m_PauseLeft > WaitEnd && !resumes();
+    if (IsHopeless || Now >= WaitEnd)
+      giveUp(nameOf(NoServerReasonNames, Reason));
+  }
+
   Duration maxDispatchWait() const {
     if (m_Sequence.deliveredCount() > 0)
       return MaxStreamInterruption;
@@ -332,8 +346,10 @@
       return false;
     const Unavailability Reason = m_Context.m_Selector.availability().check(
         m_Context.m_Fleet, *Server, Now);
+    // This request is the last one to a server that is resuming.
     return Reason == Unavailability::None ||
-           Reason == Unavailability::BackedOff;
+           Reason == Unavailability::BackedOff ||
+           Reason == Unavailability::Resuming;
   }
 
   /// Records the prefill work for the chosen server. Prompts that fill at least
@@ -657,6 +673,11 @@
   }
 
   double retryAfterSeconds() {
+    if (m_PauseLeft) {
+      std::uniform_real_distribution<double> Spread(1.0, MaxPauseSpread);
+      return std::chrono::duration<double>(*m_PauseLeft).count() *
+             Spread(m_Context.m_Random);
+    }
     const bool NeedsGroup = m_Service && m_Service->hasReplicaGroups();
     const std::chrono::duration<double> TimeLeft = m_Deadline - monotonicNow();
     const double Delay = NeedsGroup
@@ -833,6 +854,8 @@
   std::uint64_t m_PromptTokens = 0;
   /// Output tokens that the client stated, as an estimate or a maximum.
   std::uint64_t m_StatedOutputTokens = 0;
+  /// Time until the first server resumes, if all have asked for a pause.
+  std::optional<Duration> m_PauseLeft;
   /// Reason why the response of the current attempt is not read further; empty
   /// if it is.
   std::string_view m_RejectedResponse;
--- a/servers/dispatch/server_availability.cpp
+++ b/servers/dispatch/server_availability.cpp
@@ -14,6 +14,9 @@
 /// Greatest extension of a requested pause, as a share of it and in total.
 constexpr double MaxPauseExtensionShare = 0.25;
 constexpr Duration MaxPauseExtension = std::chrono::seconds(1);
+/// Time after its end for which a pause is remembered. A server that has
+/// answered nothing until then has got no requests or has ended.
+constexpr Duration MaxResumingTime = std::chrono::minutes(1);
 
 } // namespace
 
@@ -42,13 +45,36 @@
                          : std::nullopt;
   if (isSuspected(Server.m_Id, Group, Now))
     return Unavailability::Suspected;
-  if (isPauseRequested(Server, Now))
-    return Unavailability::PauseRequested;
+  if (const RequestedPause *Pause = findPause(Server)) {
+    if (Pause->m_Until > Now)
+      return Unavailability::PauseRequested;
+    if (Now - Pause->m_LastDispatchAt < m_Settings.m_ResumingInterval)
+      return Unavailability::Resuming;
+  }
   if (isBackedOff(Server.m_Id, Now))
     return Unavailability::BackedOff;
   return Unavailability::None;
 }
 
+MonotonicTime ServerAvailability::pauseEnd(const BackendServer &Server) const {
+  const RequestedPause *Pause = findPause(Server);
+  return Pause ? Pause->m_Until : MonotonicTime{};
+}
+
+void ServerAvailability::onDispatched(const std::string &Server,
+                                      MonotonicTime Now) {
+  const auto Pause = m_RequestedPauses.find(Server);
+  if (Pause != m_RequestedPauses.end())
+    Pause->second.m_LastDispatchAt = Now;
+}
+
+void ServerAvailability::onOutput(const std::string &Server,
+                                  MonotonicTime Now) {
+  const auto Pause = m_RequestedPauses.find(Server);
+  if (Pause != m_RequestedPauses.end() && Pause->second.m_Until <= Now)
+    m_RequestedPauses.erase(Pause);
+}
+
 void ServerAvailability::onNoFreeSlot(const std::string &Server,
                                       MonotonicTime Now) {
   m_BackedOffUntil[Server] = Now + m_Settings.m_NoFreeSlotPause;
@@ -59,20 +85,25 @@
   std::uniform_real_distribution<double> Share(0.0, MaxPauseExtensionShare);
   const Duration Extension =
       std::chrono::duration_cast<Duration>(Pause * Share(m_Random));
-  for (auto Entry = m_RequestedPauses.begin();
-       Entry != m_RequestedPauses.end();)
-    Entry = Entry->second.m_Until <= Now ? m_RequestedPauses.erase(Entry)
-                                         : std::next(Entry);
+  removeEndedPauses(Now);
   RequestedPause &Active = m_RequestedPauses[Server.m_Id];
-  const bool IsNew = Active.m_StartedAtMs != Server.m_StartedAtMs ||
-                     Active.m_Until == MonotonicTime{};
-  if (IsNew)
-    Active = {Server.m_StartedAtMs, {}};
+  const bool IsNew =
+      Active.m_StartedAtMs != Server.m_StartedAtMs || Active.m_Until <= Now;
+  if (Active.m_StartedAtMs != Server.m_StartedAtMs)
+    Active = {Server.m_StartedAtMs, {}, {}};
   Active.m_Until = std::max(
       Active.m_Until, Now + Pause + std::min(Extension, MaxPauseExtension));
   return IsNew;
 }
 
+void ServerAvailability::removeEndedPauses(MonotonicTime Now) {
+  for (auto Entry = m_RequestedPauses.begin();
+       Entry != m_RequestedPauses.end();)
+    Entry = Now - Entry->second.m_Until > MaxResumingTime
+                ? m_RequestedPauses.erase(Entry)
+                : std::next(Entry);
+}
+
 void ServerAvailability::onConnectFailed(const std::string &Server,
                                          MonotonicTime Now) {
   constexpr unsigned MaxDoublings = 4;
@@ -109,11 +140,13 @@
   return !SuspectedGroup || !Group || *Group == *SuspectedGroup;
 }
 
-bool ServerAvailability::isPauseRequested(const BackendServer &Server,
-                                          MonotonicTime Now) const {
-  const auto Active = m_RequestedPauses.find(Server.m_Id);
-  return Active != m_RequestedPauses.end() && Active->second.m_Until > Now &&
-         Active->second.m_StartedAtMs == Server.m_StartedAtMs;
+const ServerAvailability::RequestedPause *
+ServerAvailability::findPause(const BackendServer &Server) const {
+  const auto Found = m_RequestedPauses.find(Server.m_Id);
+  return Found != m_RequestedPauses.end() &&
+                 Found->second.m_StartedAtMs == Server.m_StartedAtMs
+             ? &Found->second
+             : nullptr;
 }
 
 bool ServerAvailability::isBackedOff(const std::string &Server,
--- a/servers/dispatch/server_availability.h
+++ b/servers/dispatch/server_availability.h
@@ -35,16 +35,19 @@
   Suspected,
   /// It asked for a pause.
   PauseRequested,
+  /// Its pause has ended, and it has not answered the last request since then.
+  Resuming,
   /// It had no free slot, or no connection to it could be established.
   BackedOff,
 };
 
-inline constexpr std::array<EnumName<Unavailability>, 6> UnavailabilityNames{{
+inline constexpr std::array<EnumName<Unavailability>, 7> UnavailabilityNames{{
     {Unavailability::None, "none"},
     {Unavailability::Draining, "draining"},
     {Unavailability::Evacuated, "evacuated"},
     {Unavailability::Suspected, "suspected"},
     {Unavailability::PauseRequested, "pause_requested"},
+    {Unavailability::Resuming, "resuming"},
     {Unavailability::BackedOff, "backed_off"},
 }};
 
@@ -58,6 +61,9 @@
   /// Initial backoff after a failed connection attempt; doubled for each
   /// further failure.
   Duration m_ConnectFailureBackoff = std::chrono::milliseconds(300);
+  /// Minimum time between two requests to a server whose pause has ended, until
+  /// it answers one of them.
+  Duration m_ResumingInterval = std::chrono::milliseconds(200);
 };
 
 /// Parses the value of a Retry-After field in seconds, which may have a
@@ -79,6 +85,16 @@
   Unavailability check(const FleetView &Fleet, const BackendServer &Server,
                        MonotonicTime Now) const;
 
+  /// Time at which the pause ends that \p Server asked for; the epoch of the
+  /// clock if it asked for none.
+  MonotonicTime pauseEnd(const BackendServer &Server) const;
+
+  /// Must be called when this node has sent a request to \p Server.
+  void onDispatched(const std::string &Server, MonotonicTime Now);
+  /// Must be called when \p Server has answered a request, or has sent the
+  /// first part of the answer. If its pause has ended, it gets its whole share
+  /// of requests from then on.
+  void onOutput(const std::string &Server, MonotonicTime Now);
   /// Must be called when \p Server refused a request because no slot was free.
   void onNoFreeSlot(const std::string &Server, MonotonicTime Now);
   /// Must be called when \p Server asked for no more requests for \p Pause. The
@@ -108,12 +124,16 @@
   struct RequestedPause {
     std::int64_t m_StartedAtMs = 0;
     MonotonicTime m_Until{};
+    /// Time of the last request since the pause has ended.
+    MonotonicTime m_LastDispatchAt{};
   };
 
   bool isSuspected(const std::string &Server,
                    const std::optional<GroupKey> &Group,
                    MonotonicTime Now) const;
-  bool isPauseRequested(const BackendServer &Server, MonotonicTime Now) const;
+  /// The active or ended pause of the process of \p Server, or null.
+  const RequestedPause *findPause(const BackendServer &Server) const;
+  void removeEndedPauses(MonotonicTime Now);
   bool isBackedOff(const std::string &Server, MonotonicTime Now) const;
 
   AvailabilitySettings m_Settings;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -24,6 +24,7 @@
                                                    const ServerQuery &Query) {
   std::vector<Candidate> Candidates;
   m_NoServerReason = NoServerReason::NoneEligible;
+  m_FirstPauseEnd = MonotonicTime::max();
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
       continue;
@@ -32,13 +33,16 @@
     if (isOutOfService(Reason))
       continue;
     if (Reason == Unavailability::PauseRequested) {
+      m_FirstPauseEnd =
+          std::min(m_FirstPauseEnd, m_Availability.pauseEnd(Server));
       if (m_NoServerReason == NoServerReason::NoneEligible)
         m_NoServerReason = NoServerReason::AllPaused;
       continue;
     }
     const double SlotUsage = slotUsage(Server, Query);
     if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
-        Reason == Unavailability::BackedOff) {
+        Reason == Unavailability::BackedOff ||
+        Reason == Unavailability::Resuming) {
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
@@ -196,6 +200,7 @@
                                   MonotonicTime Now) {
   ++m_OwnInFlight[Server];
   m_LastDispatch[Server] = Now;
+  m_Availability.onDispatched(Server, Now);
 }
 
 void ServerSelector::onRequestEnded(const std::string &Server) {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -86,6 +86,8 @@
   /// Reason why the last choose() returned nothing; None if it returned a
   /// server.
   NoServerReason noServerReason() const { return m_NoServerReason; }
+  /// End of the first pause to end, if the last choose() found AllPaused.
+  MonotonicTime firstPauseEnd() const { return m_FirstPauseEnd; }
 
   /// Must be called when this node has sent a request to \p Server. The request
   /// counts as in flight until onRequestEnded().
@@ -137,6 +139,7 @@
   SelectorSettings m_Settings;
   ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
+  MonotonicTime m_FirstPauseEnd{};
   PrefillBacklog m_Backlog;
   std::map<std::string, unsigned> m_OwnInFlight;
   std::map<std::string, std::map<std::string, unsigned>> m_PeerInFlight;
--- a/tests/proxy/test_leaving_server.cpp
+++ b/tests/proxy/test_leaving_server.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(longestOfSeveralPausesCounts);
   CPPUNIT_TEST(pauseIsReadWithTheHead);
   CPPUNIT_TEST(allServersPausingMeansRejectionAtOnce);
+  CPPUNIT_TEST(callersWaitForAPauseThatEndsInTime);
   CPPUNIT_TEST_SUITE_END();
 
   using ConnectionEnd = ScriptedServer::Response::ConnectionEnd;
@@ -245,13 +246,36 @@
       const std::string Rejection = Fixture.request("", "payout");
       CPPUNIT_ASSERT(Rejection.find("HTTP/1.1 503 ") != std::string::npos);
       CPPUNIT_ASSERT(Rejection.find("all_paused") != std::string::npos);
-      CPPUNIT_ASSERT(Rejection.find("Retry-After: ") != std::string::npos);
+      const std::size_t Field = Rejection.find("Retry-After: ");
+      CPPUNIT_ASSERT(Field != std::string::npos);
+      // The servers come back after 20 s, later by a quarter at most each in
+      // the node and at the caller.
+      const double Seconds = std::stod(Rejection.substr(Field + 13));
+      CPPUNIT_ASSERT(Seconds > 19.0 && Seconds < 20.0 * 1.25 * 1.25);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          Fixture.m_FirstServer->requests().size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          Fixture.m_SecondServer->requests().size());
   }
+
+  /// All servers pause for less time than a request waits for a server. Guards
+  /// against rejections of requests that could be served in time.
+  void callersWaitForAPauseThatEndsInTime() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    const ScriptedServer::Response Pause =
+        response(503, "X-Not-Run: 1\r\nRetry-After: 0.01\r\n");
+    addResponses(Fixture, 1, Pause, Pause);
+    addResponses(Fixture, 5, response(200, ""), response(200, ""));
+    CPPUNIT_ASSERT(Fixture.request("", "payout").find("HTTP/1.1 503 ") !=
+                   std::string::npos);
+    for (const std::string Id : {"s1", "s2"})
+      Fixture.m_Selector.availability().onPauseRequested(
+          {Id, 0, {}, {}, std::nullopt}, milliseconds(10), monotonicNow());
+    CPPUNIT_ASSERT(Fixture.request("", "payout").find("HTTP/1.1 200 ") !=
+                   std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeavingServerTest);
--- /dev/null
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -0,0 +1,216 @@
+#include "servers/dispatch/server_availability.h"
+#include "servers/dispatch/server_selector.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <algorithm>
+#include <queue>
+#include <random>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Servers that leave, fail, or ask for a pause, and when they are sent
+/// requests again.
+class ServerAvailabilityTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerAvailabilityTest);
+  CPPUNIT_TEST(eachReasonIsNamed);
+  CPPUNIT_TEST(oneRequestAtATimeUntilAResumingServerAnswers);
+  CPPUNIT_TEST(anotherProcessHasNoPause);
+  CPPUNIT_TEST(outputDuringThePauseDoesNotEndIt);
+  CPPUNIT_TEST(pausingServersCostCallersNoAttempts);
+  CPPUNIT_TEST_SUITE_END();
+
+  FleetView m_Fleet;
+  ServerAvailability m_Availability;
+  MonotonicTime m_Now{seconds(1000)};
+  std::uint64_t m_Revision = 1;
+
+  const BackendServer &updateServer(const std::string &Id,
+                                    std::int64_t StartedAtMs = 5,
+                                    bool Draining = false) {
+    BackendServer Server;
+    Server.m_Id = Id;
+    Server.m_Service = "plain";
+    Server.m_Zone = "a";
+    Server.m_Slots = 8;
+    Server.m_StartedAtMs = StartedAtMs;
+    Server.m_Draining = Draining;
+    Server.m_Revision = ++m_Revision;
+    m_Fleet.update(std::move(Server), m_Now);
+    return *m_Fleet.find(Id);
+  }
+
+  static ChosenServer chosen(const BackendServer &Server) {
+    return {Server.m_Id, Server.m_StartedAtMs, {}, {}, std::nullopt};
+  }
+
+  Unavailability check(const std::string &Id) const {
+    return m_Availability.check(m_Fleet, *m_Fleet.find(Id), m_Now);
+  }
+
+  void eachReasonIsNamed() {
+    for (const char *Id : {"sound", "failed", "full", "pausing"})
+      updateServer(Id);
+    updateServer("draining", 5, true);
+    m_Availability.onSuspected("failed", std::nullopt, m_Now);
+    m_Availability.onNoFreeSlot("full", m_Now);
+    m_Availability.onPauseRequested(chosen(*m_Fleet.find("pausing")),
+                                    seconds(2), m_Now);
+    CPPUNIT_ASSERT(check("sound") == Unavailability::None);
+    CPPUNIT_ASSERT(check("failed") == Unavailability::Suspected);
+    CPPUNIT_ASSERT(check("full") == Unavailability::BackedOff);
+    CPPUNIT_ASSERT(check("pausing") == Unavailability::PauseRequested);
+    CPPUNIT_ASSERT(check("draining") == Unavailability::Draining);
+    m_Fleet.setLeaving("sound", 5);
+    CPPUNIT_ASSERT(check("sound") == Unavailability::Draining);
+    m_Fleet.setEvacuatedZones({"a"});
+    CPPUNIT_ASSERT(check("full") == Unavailability::Evacuated);
+  }
+
+  /// Guards against all waiting requests going to a server in the moment in
+  /// which its pause ends.
+  void oneRequestAtATimeUntilAResumingServerAnswers() {
+    const BackendServer &Server = updateServer("s");
+    CPPUNIT_ASSERT(
+        m_Availability.onPauseRequested(chosen(Server), seconds(2), m_Now));
+    CPPUNIT_ASSERT(
+        !m_Availability.onPauseRequested(chosen(Server), seconds(1), m_Now));
+    m_Now += milliseconds(1990);
+    CPPUNIT_ASSERT(check("s") == Unavailability::PauseRequested);
+    m_Now = m_Availability.pauseEnd(Server);
+    CPPUNIT_ASSERT(check("s") == Unavailability::None);
+    m_Availability.onDispatched("s", m_Now);
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT(check("s") == Unavailability::Resuming);
+    m_Now += milliseconds(150);
+    CPPUNIT_ASSERT(check("s") == Unavailability::None);
+    m_Availability.onDispatched("s", m_Now);
+    m_Availability.onOutput("s", m_Now);
+    CPPUNIT_ASSERT(check("s") == Unavailability::None);
+  }
+
+  /// Guards against a pause that outlives the process which asked for it.
+  void anotherProcessHasNoPause() {
+    m_Availability.onPauseRequested(chosen(updateServer("s", 5)), seconds(9),
+                                    m_Now);
+    updateServer("s", 6);
+    CPPUNIT_ASSERT(check("s") == Unavailability::None);
+  }
+
+  /// A stream that began before the rejection goes on. Guards against taking it
+  /// for the end of the pause.
+  void outputDuringThePauseDoesNotEndIt() {
+    m_Availability.onPauseRequested(chosen(updateServer("s")), seconds(2),
+                                    m_Now);
+    m_Availability.onOutput("s", m_Now + seconds(1));
+    CPPUNIT_ASSERT(check("s") == Unavailability::PauseRequested);
+  }
+
+  struct ModelResult {
+    int m_ServedAtFirst = 0;
+    int m_ReachedPausing = 0;
+    int m_MostInFirstInterval = 0;
+    int m_Requests = 0;
+  };
+
+  /// One service of nine servers with eight slots. Three of them ask for a
+  /// pause at the same time. Callers send 60 requests a second and repeat a
+  /// rejected one up to three times after a second. With \p ReadsPause, the
+  /// node honours the pause; otherwise it avoids the server as one without a
+  /// free slot.
+  ModelResult runModel(Duration Pause, bool ReadsPause) {
+    struct Arrival {
+      MonotonicTime m_At;
+      int m_Attempt;
+      bool operator<(const Arrival &Other) const { return m_At > Other.m_At; }
+    };
+    constexpr int Servers = 9;
+    constexpr int Requests = 900;
+    constexpr Duration ServiceTime = milliseconds(200);
+    const MonotonicTime PauseStart = m_Now + seconds(1);
+    const MonotonicTime PauseEnd = PauseStart + Pause;
+    for (int I = 0; I < Servers; ++I)
+      updateServer("s" + std::to_string(I));
+    ServiceSpec Service;
+    Service.m_Name = "plain";
+    ServerSelector Selector;
+    std::minstd_rand Random(7);
+    std::uniform_real_distribution<double> Uniform(0.0, 1.0);
+    std::priority_queue<Arrival> Arrivals;
+    for (int I = 0; I < Requests; ++I)
+      Arrivals.push({m_Now + I * milliseconds(1000) / 60, 0});
+    std::multimap<MonotonicTime, std::string> Ends;
+    std::map<std::string, int> FirstInterval;
+    ModelResult Result;
+    Result.m_Requests = Requests;
+    while (!Arrivals.empty()) {
+      const Arrival Next = Arrivals.top();
+      Arrivals.pop();
+      for (; !Ends.empty() && Ends.begin()->first <= Next.m_At;
+           Ends.erase(Ends.begin())) {
+        Selector.onRequestEnded(Ends.begin()->second);
+        Selector.availability().onOutput(Ends.begin()->second,
+                                         Ends.begin()->first);
+      }
+      ServerQuery Query;
+      Query.m_Service = &Service;
+      Query.m_Now = Next.m_At;
+      Query.m_RandomDraw = Uniform(Random);
+      const auto Chosen = Selector.choose(m_Fleet, Query);
+      CPPUNIT_ASSERT(Chosen.has_value());
+      Selector.onDispatched(Chosen->m_Id, Next.m_At);
+      const bool Pauses = Chosen->m_Id < "s3";
+      if (Pauses && Next.m_At >= PauseEnd &&
+          Next.m_At < PauseEnd + milliseconds(100))
+        Result.m_MostInFirstInterval = std::max(Result.m_MostInFirstInterval,
+                                                ++FirstInterval[Chosen->m_Id]);
+      if (!Pauses || Next.m_At < PauseStart || Next.m_At >= PauseEnd) {
+        Ends.emplace(Next.m_At + ServiceTime, Chosen->m_Id);
+        Result.m_ServedAtFirst += Next.m_Attempt == 0;
+        continue;
+      }
+      ++Result.m_ReachedPausing;
+      Selector.onRequestEnded(Chosen->m_Id);
+      if (ReadsPause)
+        Selector.availability().onPauseRequested(*Chosen, PauseEnd - Next.m_At,
+                                                 Next.m_At);
+      else
+        Selector.availability().onNoFreeSlot(Chosen->m_Id, Next.m_At);
+      if (Next.m_Attempt < 3)
+        Arrivals.push({Next.m_At + seconds(1), Next.m_Attempt + 1});
+    }
+    return Result;
+  }
+
+  /// Reduced model of a loss. Guards against callers whose attempts go to
+  /// servers that have said they take nothing.
+  void pausingServersCostCallersNoAttempts() {
+    std::string Rows;
+    for (const int Seconds : {1, 3, 10}) {
+      const ModelResult Before = runModel(seconds(Seconds), false);
+      const ModelResult After = runModel(seconds(Seconds), true);
+      const auto Row = [&](const char *Name, const ModelResult &Result) {
+        Rows += "\n  pause " + std::to_string(Seconds) + " s, " + Name + ": " +
+                std::to_string(Result.m_ServedAtFirst) + " of " +
+                std::to_string(Result.m_Requests) +
+                " served at the first attempt, " +
+                std::to_string(Result.m_ReachedPausing) +
+                " reached a pausing server";
+      };
+      Row("ignored", Before);
+      Row("honoured", After);
+      CPPUNIT_ASSERT(After.m_ReachedPausing <= 3);
+      CPPUNIT_ASSERT(After.m_ServedAtFirst >= After.m_Requests - 3);
+      CPPUNIT_ASSERT(After.m_ServedAtFirst > Before.m_ServedAtFirst);
+      CPPUNIT_ASSERT(After.m_MostInFirstInterval <= 1);
+    }
+    printf("%s\n", Rows.c_str());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerAvailabilityTest);
+
+} // namespace fulmarwinch
