Forget the oldest of the processes that have said that they leave

What servers may see: requests although they have said that they leave, once 4,096 others have said so before them.

Cause: the entry with the smallest ID was dropped, whatever its age.

Change: notices are numbered, and the oldest one is dropped.

Test: latestLeavingProcessesAreRemembered fails before the change.

--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -52,7 +52,7 @@
   m_GroupsAreCurrent = false;
   const auto Leaving = m_LeavingProcesses.find(Server.m_Id);
   if (Leaving != m_LeavingProcesses.end()) {
-    if (Leaving->second == Server.m_StartedAtMs)
+    if (Leaving->second.m_StartedAtMs == Server.m_StartedAtMs)
       Server.m_Draining = true;
     else
       m_LeavingProcesses.erase(Leaving);
@@ -115,17 +115,24 @@
 }
 
 bool FleetView::setLeaving(const std::string &Id, std::int64_t StartedAtMs) {
-  if (m_LeavingProcesses.size() >= MaxLeavingProcesses)
-    m_LeavingProcesses.erase(m_LeavingProcesses.begin());
-  const bool IsNew =
-      m_LeavingProcesses.insert_or_assign(Id, StartedAtMs).second;
+  const auto Known = m_LeavingProcesses.find(Id);
+  if (Known != m_LeavingProcesses.end() &&
+      Known->second.m_StartedAtMs == StartedAtMs)
+    return false;
+  m_LeavingProcesses[Id] = {StartedAtMs, ++m_LastNotice};
+  if (m_LeavingProcesses.size() > MaxLeavingProcesses)
+    m_LeavingProcesses.erase(
+        std::min_element(m_LeavingProcesses.begin(), m_LeavingProcesses.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return Left.second.m_Notice < Right.second.m_Notice;
+                         }));
   const auto Server = m_Servers.find(Id);
   if (Server != m_Servers.end() &&
       Server->second.m_StartedAtMs == StartedAtMs) {
     Server->second.m_Draining = true;
     m_GroupsAreCurrent = false;
   }
-  return IsNew;
+  return true;
 }
 
 bool FleetView::acceptsNewWork(const BackendServer &Server) const {
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -82,8 +82,14 @@
   std::map<std::string, BackendServer> m_UnlistedMembers;
   std::map<std::string, MonotonicTime> m_ColdUntil;
   std::set<std::string> m_EvacuatedZones;
-  /// Start times of the processes that have said that they leave, by server ID.
-  std::map<std::string, std::int64_t> m_LeavingProcesses;
+  /// Process that has said that it leaves.
+  struct LeavingProcess {
+    std::int64_t m_StartedAtMs = 0;
+    /// Number of the notice; increases with time.
+    std::uint64_t m_Notice = 0;
+  };
+  std::map<std::string, LeavingProcess> m_LeavingProcesses;
+  std::uint64_t m_LastNotice = 0;
   mutable std::map<GroupKey, ReplicaGroup> m_Groups;
   mutable bool m_GroupsAreCurrent = false;
 };
--- a/tests/servers/dispatch/test_server_availability.cpp
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(oneRequestAtATimeUntilAResumingServerAnswers);
   CPPUNIT_TEST(anotherProcessHasNoPause);
   CPPUNIT_TEST(outputDuringThePauseDoesNotEndIt);
+  CPPUNIT_TEST(latestLeavingProcessesAreRemembered);
   CPPUNIT_TEST(pausingServersCostCallersNoAttempts);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,20 @@
     CPPUNIT_ASSERT(check("s") == Unavailability::PauseRequested);
   }
 
+  /// Guards against forgetting a process that has just said that it leaves,
+  /// once many have left.
+  void latestLeavingProcessesAreRemembered() {
+    constexpr int Count = 5000;
+    const auto Id = [](int Index) {
+      // Later processes sort before earlier ones.
+      return "s" + std::to_string(99999 - Index);
+    };
+    for (int I = 0; I < Count; ++I)
+      m_Fleet.setLeaving(Id(I), 5);
+    for (const int I : {Count - 1, Count - 1000})
+      CPPUNIT_ASSERT(updateServer(Id(I)).m_Draining);
+  }
+
   struct ModelResult {
     int m_ServedAtFirst = 0;
     int m_ReachedPausing = 0;
