--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -315,6 +315,7 @@
          {"load", static_cast<std::int64_t>(
                       m_Context.m_Selector.ownInFlight(Chosen.m_Id))},
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
+         {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     const bool NoBody = m_ClientRequest.m_Head.m_Method == "HEAD";
     m_Call = std::make_shared<UpstreamCall>(m_Context.m_Loop, Chosen.m_Endpoint,
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -1,5 +1,6 @@
 #include "servers/dispatch/server_selector.h"
 #include "core/rendezvous.h"
+#include "core/text.h"
 
 #include <algorithm>
 
@@ -25,11 +26,13 @@
   std::vector<Candidate> Candidates;
   m_NoServerReason = NoServerReason::NoneEligible;
   m_FirstPauseEnd = MonotonicTime::max();
+  m_PassedOver.fill(0);
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
       continue;
     const Unavailability Reason =
         m_Availability.check(Fleet, Server, Query.m_Now);
+    ++m_PassedOver[static_cast<std::size_t>(Reason)];
     if (isOutOfService(Reason))
       continue;
     if (Reason == Unavailability::PauseRequested) {
@@ -84,6 +87,17 @@
   return Result;
 }
 
+std::string ServerSelector::passedOver() const {
+  std::string Result;
+  for (const EnumName<Unavailability> &Entry : UnavailabilityNames) {
+    const unsigned Count =
+        m_PassedOver[static_cast<std::size_t>(Entry.m_Value)];
+    if (Entry.m_Value != Unavailability::None && Count > 0)
+      append(Result, Result.empty() ? "" : " ", Entry.m_Name, ":", Count);
+  }
+  return Result;
+}
+
 GroupSupply ServerSelector::groupSupply(const FleetView &Fleet,
                                         const ServerQuery &Query) const {
   GroupSupply Result;
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -89,6 +89,10 @@
   /// End of the first pause to end, if the last choose() found AllPaused.
   MonotonicTime firstPauseEnd() const { return m_FirstPauseEnd; }
 
+  /// Servers that the last choose() passed over although they serve what the
+  /// request asks for, as "REASON:COUNT" separated by spaces.
+  std::string passedOver() const;
+
   /// Must be called when this node has sent a request to \p Server. The request
   /// counts as in flight until onRequestEnded().
   void onDispatched(const std::string &Server, MonotonicTime Now);
@@ -140,6 +144,8 @@
   ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
   MonotonicTime m_FirstPauseEnd{};
+  /// Number of servers that the last choose() passed over, by reason.
+  std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
   PrefillBacklog m_Backlog;
   std::map<std::string, unsigned> m_OwnInFlight;
   std::map<std::string, std::map<std::string, unsigned>> m_PeerInFlight;
--- a/tests/servers/dispatch/test_server_availability.cpp
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(ServerAvailabilityTest);
   CPPUNIT_TEST(eachReasonIsNamed);
   CPPUNIT_TEST(oneRequestAtATimeUntilAResumingServerAnswers);
+  CPPUNIT_TEST(passedOverServersAreCountedByReason);
   CPPUNIT_TEST(anotherProcessHasNoPause);
   CPPUNIT_TEST(outputDuringThePauseDoesNotEndIt);
   CPPUNIT_TEST(latestLeavingProcessesAreRemembered);
@@ -93,6 +94,29 @@
     CPPUNIT_ASSERT(check("s") == Unavailability::None);
   }
 
+  /// Guards against a request in whose log lines the servers are missing that
+  /// were passed over for it.
+  void passedOverServersAreCountedByReason() {
+    ServerSelector Selector;
+    for (const char *Id : {"a", "b", "c", "sound"})
+      updateServer(Id);
+    updateServer("draining", 5, true);
+    for (const char *Id : {"a", "b"})
+      Selector.availability().onPauseRequested(chosen(*m_Fleet.find(Id)),
+                                               seconds(2), m_Now);
+    Selector.availability().onSuspected("c", std::nullopt, m_Now);
+    ServiceSpec Service;
+    Service.m_Name = "plain";
+    ServerQuery Query;
+    Query.m_Service = &Service;
+    Query.m_Now = m_Now;
+    CPPUNIT_ASSERT_EQUAL(std::string("sound"),
+                         Selector.choose(m_Fleet, Query)->m_Id);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("draining:1 suspected:1 pause_requested:2"),
+        Selector.passedOver());
+  }
+
   /// Guards against a pause that outlives the process which asked for it.
   void anotherProcessHasNoPause() {
     m_Availability.onPauseRequested(chosen(updateServer("s", 5)), seconds(9),
