Read what has arrived before a deadline ends a request after a pause

What callers may see: a stream or an answer that had arrived whole is cut, because the node stood still until after its deadline.

Cause: when a process wakes, timers that expired meanwhile run before the sockets are read.

Change: a request whose ticks, or a call whose timer, come more than 100 ms late gets one more tick, or 40 ms, in which the loop reads what is there. A SIGHUP before the node handles signals is ignored: the settings are read afterwards.

Test: responseThatArrivedDuringAPauseIsForwarded fails before the change.

--- a/main/fulmarwinch-front/main.cpp
+++ b/main/fulmarwinch-front/main.cpp
@@ -133,6 +133,9 @@
 
 int main(int ArgumentCount, char **ArgumentValues) {
   signal(SIGPIPE, SIG_IGN);
+  // The settings are read below, so a SIGHUP before that has nothing to change.
+  // Without this, it would end the process until the node handles it.
+  signal(SIGHUP, SIG_IGN);
   std::map<std::string, docopt::value> Arguments;
   try {
     Arguments = docopt::docopt_parse(
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -54,6 +54,9 @@
 /// client has already waited once.
 constexpr const char *ResumedStreamUrgency = "1";
 
+/// Time between two ticks from which the process counts as having stood still.
+constexpr Duration LongestTickGap = milliseconds(100);
+
 constexpr int Ok = 200;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -768,6 +771,12 @@
   void tick(MonotonicTime Now) {
     if (m_Phase == Phase::Ended)
       return;
+    const Duration TickGap = Now - m_LastTickAt;
+    m_LastTickAt = Now;
+    // If the process stood still, the response may have arrived meanwhile and
+    // is read before the next tick.
+    if (m_Phase != Phase::AwaitingServer && TickGap > LongestTickGap)
+      return;
     if (Now >= m_Deadline) {
       if (m_Call && m_Call->mayHaveSent()) {
         ++m_PossibleExecutions;
@@ -835,6 +844,7 @@
   MonotonicTime m_Deadline{};
   MonotonicTime m_WaitingSince{};
   MonotonicTime m_SentAt{};
+  MonotonicTime m_LastTickAt = monotonicNow();
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -21,6 +21,10 @@
 /// for a connection after one second, and later after longer and longer pauses,
 /// so a new call is sooner through after a partition.
 constexpr Duration BufferedConnectTimeout = std::chrono::milliseconds(500);
+/// Delay of a timer from which the process counts as having stood still.
+constexpr Duration LongestTimerDelay = std::chrono::milliseconds(100);
+/// Time in which a process that stood still reads what has arrived.
+constexpr Duration ReadAfterPauseTime = std::chrono::milliseconds(40);
 
 } // namespace
 
@@ -44,10 +48,17 @@
   void armTimer(const std::shared_ptr<UpstreamCall> &Owner,
                 MonotonicTime Expiry) {
     m_Timer.expires_after(std::max(Duration::zero(), Expiry - monotonicNow()));
-    m_Timer.async_wait([this, Owner](const asio::error_code &Error) {
-      if (!Error)
-        end(m_IsConnected ? UpstreamOutcome::TimedOut
-                          : UpstreamOutcome::NotConnected);
+    m_Timer.async_wait([this, Owner, Expiry](const asio::error_code &Error) {
+      if (Error)
+        return;
+      const MonotonicTime Now = monotonicNow();
+      if (Now - Expiry > LongestTimerDelay) {
+        // The process stood still. What has arrived meanwhile is read first.
+        armTimer(Owner, Now + ReadAfterPauseTime);
+        return;
+      }
+      end(m_IsConnected ? UpstreamOutcome::TimedOut
+                        : UpstreamOutcome::NotConnected);
     });
   }
 
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -3,6 +3,7 @@
 #include "cppunit/extensions/HelperMacros.h"
 
 #include <set>
+#include <thread>
 
 namespace fulmarwinch {
 
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(responseToAnotherRequestIsNotForwarded);
   CPPUNIT_TEST(streamResumesAtTheNextEvent);
   CPPUNIT_TEST(streamThatCannotResumeIsLeftUnterminated);
+  CPPUNIT_TEST(responseThatArrivedDuringAPauseIsForwarded);
   CPPUNIT_TEST(timeoutIsReportedAtTheDeadline);
   CPPUNIT_TEST(clientDisconnectCancelsTheBackendCall);
   CPPUNIT_TEST(retryWaitsForAFreeSlot);
@@ -324,6 +326,22 @@
     }
     CPPUNIT_ASSERT(RetryAfterValues.size() > 1);
   }
+
+  /// The process stands still until after the deadline, and the response
+  /// arrives meanwhile. Guards against a timer that cuts a response which is
+  /// there.
+  void responseThatArrivedDuringAPauseIsForwarded() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    for (ScriptedServer *Server :
+         {Fixture.m_FirstServer.get(), Fixture.m_SecondServer.get()}) {
+      Server->addResponse({"HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\n"
+                           "Content-Length: 4\r\n\r\nbody"});
+      Server->onResponseChosen(
+          [] { std::this_thread::sleep_for(std::chrono::milliseconds(900)); });
+    }
+    CPPUNIT_ASSERT(Fixture.request("", "payout").find("HTTP/1.1 200 ") == 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestRelayTest);
