Add a seeded fault soak of front nodes as processes

Cause: no run kept connections open while real processes are stopped, killed, frozen and restarted in series, so that planned stops, requested pauses and notices of leaving servers were shown by tests of parts only.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -23,6 +23,9 @@
 step "randomised run"
 build/release/fulmarwinch-bench random --seed 1 --seeds 6 --steps 4000
 
+step "fault soak of front nodes"
+python3 soak/front_soak.py --seeds 1,2,3
+
 step "linter"
 bash scripts/lint.sh
 
