End requests at their deadline in a process that is always slow

What callers may see: no answer at all from a node whose ticks all come late.

Change: every other tick is checked, and a call's timer is prolonged once.

Test: deadlineHoldsInAProcessThatIsAlwaysSlow fails before the change.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -774,8 +774,11 @@
     const Duration TickGap = Now - m_LastTickAt;
     m_LastTickAt = Now;
     // If the process stood still, the response may have arrived meanwhile and
-    // is read before the next tick.
-    if (m_Phase != Phase::AwaitingServer && TickGap > LongestTickGap)
+    // is read before the next tick. A process that is always slow skips every
+    // other tick only, so that deadlines hold.
+    m_HasSkippedTick = m_Phase != Phase::AwaitingServer &&
+                       TickGap > LongestTickGap && !m_HasSkippedTick;
+    if (m_HasSkippedTick)
       return;
     if (Now >= m_Deadline) {
       if (m_Call && m_Call->mayHaveSent()) {
@@ -845,6 +848,7 @@
   MonotonicTime m_WaitingSince{};
   MonotonicTime m_SentAt{};
   MonotonicTime m_LastTickAt = monotonicNow();
+  bool m_HasSkippedTick = false;
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -52,8 +52,10 @@
       if (Error)
         return;
       const MonotonicTime Now = monotonicNow();
-      if (Now - Expiry > LongestTimerDelay) {
-        // The process stood still. What has arrived meanwhile is read first.
+      if (Now - Expiry > LongestTimerDelay && !m_HasReadAfterPause) {
+        // The process stood still. What has arrived meanwhile is read first,
+        // but only once: a process that is always slow ends its calls as well.
+        m_HasReadAfterPause = true;
         armTimer(Owner, Now + ReadAfterPauseTime);
         return;
       }
@@ -161,6 +163,7 @@
   MonotonicTime m_Deadline{};
   std::array<char, ReadBufferBytes> m_Buffer{};
   bool m_IsConnected = false;
+  bool m_HasReadAfterPause = false;
   bool m_Sent = false;
   bool m_HasEnded = false;
   bool m_MustFail = false;
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(streamResumesAtTheNextEvent);
   CPPUNIT_TEST(streamThatCannotResumeIsLeftUnterminated);
   CPPUNIT_TEST(responseThatArrivedDuringAPauseIsForwarded);
+  CPPUNIT_TEST(deadlineHoldsInAProcessThatIsAlwaysSlow);
   CPPUNIT_TEST(timeoutIsReportedAtTheDeadline);
   CPPUNIT_TEST(clientDisconnectCancelsTheBackendCall);
   CPPUNIT_TEST(retryWaitsForAFreeSlot);
@@ -342,6 +343,27 @@
     }
     CPPUNIT_ASSERT(Fixture.request("", "payout").find("HTTP/1.1 200 ") == 0);
   }
+
+  /// Every tick and every timer comes late. Guards against a request that never
+  /// ends because the process counts as having stood still each time.
+  void deadlineHoldsInAProcessThatIsAlwaysSlow() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    asio::ip::tcp::socket Client = Fixture.connectClient();
+    asio::write(Client, asio::buffer(Fixture.formatRequestBytes("", "payout")));
+    for (int I = 0; I < 8; ++I) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(240));
+      Fixture.m_Loop.restart();
+      Fixture.m_Loop.poll();
+      const std::vector<std::shared_ptr<RequestRelay>> Active(
+          Fixture.m_Context.m_ActiveRequests.begin(),
+          Fixture.m_Context.m_ActiveRequests.end());
+      for (const auto &Relay : Active)
+        Relay->tick(monotonicNow());
+    }
+    CPPUNIT_ASSERT(Fixture.m_Context.m_ActiveRequests.empty());
+    CPPUNIT_ASSERT(Fixture.receiveAll(Client).find("HTTP/1.1 504 ") == 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestRelayTest);
