--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -23,6 +23,41 @@
 
 std::optional<ChosenServer> ServerSelector::choose(const FleetView &Fleet,
                                                    const ServerQuery &Query) {
+  std::vector<Candidate> Candidates = findCandidates(Fleet, Query);
+  if (Candidates.empty())
+    return std::nullopt;
+  m_NoServerReason = NoServerReason::None;
+  keepShortestPrefillBacklogs(Candidates);
+  // Choose the less loaded of two random candidates. If each node chose the
+  // least loaded server, nodes with the same view would all send to that server
+  // until their views are updated.
+  const std::size_t CandidateCount = Candidates.size();
+  const double ScaledDraw =
+      Query.m_RandomDraw * static_cast<double>(CandidateCount);
+  const auto First = static_cast<std::size_t>(ScaledDraw) % CandidateCount;
+  const double Fraction = ScaledDraw - static_cast<double>(First);
+  const std::size_t Second =
+      CandidateCount == 1
+          ? First
+          : (First + 1 +
+             static_cast<std::size_t>(Fraction *
+                                      static_cast<double>(CandidateCount - 1)) %
+                 (CandidateCount - 1)) %
+                CandidateCount;
+  const BackendServer &Chosen =
+      Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
+          ? *Candidates[First].m_Server
+          : *Candidates[Second].m_Server;
+  ChosenServer Result{Chosen.m_Id, Chosen.m_StartedAtMs, Chosen.m_Endpoint,
+                      Chosen.m_Zone, std::nullopt};
+  if (Chosen.m_Membership)
+    Result.m_Group = Chosen.m_Membership->m_Group;
+  return Result;
+}
+
+std::vector<ServerSelector::Candidate>
+ServerSelector::findCandidates(const FleetView &Fleet,
+                               const ServerQuery &Query) {
   std::vector<Candidate> Candidates;
   m_NoServerReason = NoServerReason::NoneEligible;
   m_FirstPauseEnd = MonotonicTime::max();
@@ -56,35 +91,7 @@
     Candidates.push_back(
         {&Server, SlotUsage, m_Backlog.remainingPrefillTime(Id, Query.m_Now)});
   }
-  if (Candidates.empty())
-    return std::nullopt;
-  m_NoServerReason = NoServerReason::None;
-  keepShortestPrefillBacklogs(Candidates);
-  // Choose the less loaded of two random candidates. If each node chose the
-  // least loaded server, nodes with the same view would all send to that server
-  // until their views are updated.
-  const std::size_t CandidateCount = Candidates.size();
-  const double ScaledDraw =
-      Query.m_RandomDraw * static_cast<double>(CandidateCount);
-  const auto First = static_cast<std::size_t>(ScaledDraw) % CandidateCount;
-  const double Fraction = ScaledDraw - static_cast<double>(First);
-  const std::size_t Second =
-      CandidateCount == 1
-          ? First
-          : (First + 1 +
-             static_cast<std::size_t>(Fraction *
-                                      static_cast<double>(CandidateCount - 1)) %
-                 (CandidateCount - 1)) %
-                CandidateCount;
-  const BackendServer &Chosen =
-      Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
-          ? *Candidates[First].m_Server
-          : *Candidates[Second].m_Server;
-  ChosenServer Result{Chosen.m_Id, Chosen.m_StartedAtMs, Chosen.m_Endpoint,
-                      Chosen.m_Zone, std::nullopt};
-  if (Chosen.m_Membership)
-    Result.m_Group = Chosen.m_Membership->m_Group;
-  return Result;
+  return Candidates;
 }
 
 std::string ServerSelector::passedOver() const {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -135,6 +135,10 @@
   /// members of its group, whether or not it may be sent requests now.
   bool isEligible(const FleetView &Fleet, const ServerQuery &Query,
                   const BackendServer &Server) const;
+  /// Returns the servers that may receive the request, and records why others
+  /// may not.
+  std::vector<Candidate> findCandidates(const FleetView &Fleet,
+                                        const ServerQuery &Query);
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
   double slotUsage(const BackendServer &Server, const ServerQuery &Query) const;
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
--- a/tests/servers/dispatch/test_server_availability.cpp
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -155,17 +155,30 @@
     int m_Requests = 0;
   };
 
+  struct Arrival {
+    MonotonicTime m_At;
+    int m_Attempt;
+    bool operator<(const Arrival &Other) const { return m_At > Other.m_At; }
+  };
+  /// Servers of the requests in progress, by the time at which they end.
+  using RequestEnds = std::multimap<MonotonicTime, std::string>;
+
+  static void endRequests(ServerSelector &Selector, RequestEnds &Ends,
+                          MonotonicTime Now) {
+    for (; !Ends.empty() && Ends.begin()->first <= Now;
+         Ends.erase(Ends.begin())) {
+      Selector.onRequestEnded(Ends.begin()->second);
+      Selector.availability().onOutput(Ends.begin()->second,
+                                       Ends.begin()->first);
+    }
+  }
+
   /// One service of nine servers with eight slots. Three of them ask for a
   /// pause at the same time. Callers send 60 requests a second and repeat a
   /// rejected one up to three times after a second. With \p ReadsPause, the
   /// node honours the pause; otherwise it avoids the server as one without a
   /// free slot.
   ModelResult runModel(Duration Pause, bool ReadsPause) {
-    struct Arrival {
-      MonotonicTime m_At;
-      int m_Attempt;
-      bool operator<(const Arrival &Other) const { return m_At > Other.m_At; }
-    };
     constexpr int Servers = 9;
     constexpr int Requests = 900;
     constexpr Duration ServiceTime = milliseconds(200);
@@ -181,19 +194,14 @@
     std::priority_queue<Arrival> Arrivals;
     for (int I = 0; I < Requests; ++I)
       Arrivals.push({m_Now + I * milliseconds(1000) / 60, 0});
-    std::multimap<MonotonicTime, std::string> Ends;
+    RequestEnds Ends;
     std::map<std::string, int> FirstInterval;
     ModelResult Result;
     Result.m_Requests = Requests;
     while (!Arrivals.empty()) {
       const Arrival Next = Arrivals.top();
       Arrivals.pop();
-      for (; !Ends.empty() && Ends.begin()->first <= Next.m_At;
-           Ends.erase(Ends.begin())) {
-        Selector.onRequestEnded(Ends.begin()->second);
-        Selector.availability().onOutput(Ends.begin()->second,
-                                         Ends.begin()->first);
-      }
+      endRequests(Selector, Ends, Next.m_At);
       ServerQuery Query;
       Query.m_Service = &Service;
       Query.m_Now = Next.m_At;
