Keep the time of each crash in the records that nodes exchange

Cause: a crash record held the servers, but only one time, that of its last change. merge() gave all servers of a peer's record this time, and crashes less than 100 ms apart count as one. A node that learned of two crashes in one message counted one, and with many nodes nearly all evidence comes this way.

Change: records hold the age of each crash. On the wire the ages are a list of their own beside the servers, so that nodes of either version read the other's messages during a rolling update; without ages the crashes get the age of the record, as before.

Evidence: RepeatedCrashesTest::crashesOfOnePeerMessageCountOneByOne failed before (assertion !runs(Second)) and passes now, with the 12 other cases of the crash records.

--- a/node/failure_gossip.cpp
+++ b/node/failure_gossip.cpp
@@ -31,7 +31,7 @@
 
 Json toRow(const PoisonRecord &Record) {
   Json Servers = Json::array();
-  for (const std::string &Server : Record.m_CrashedServers)
+  for (const auto &[Server, Age] : Record.m_CrashedServers)
     if (Servers.size() < MaxCrashedServers)
       Servers.push_back(Server);
   return {Record.m_Hash, Record.m_Generation, Servers, Record.m_Quarantined,
@@ -63,9 +63,12 @@
   PoisonRecord Record;
   Record.m_Hash = Row.at(0).get<ContentHash>();
   Record.m_Generation = Row.at(1).get<std::uint64_t>();
-  Record.m_CrashedServers = Row.at(2).get<std::set<std::string>>();
   Record.m_Quarantined = Row.at(3).get<bool>();
   Record.m_Age = toDuration(Row.at(4));
+  // A node that runs suspects in isolation counts the servers only, so their
+  // rows contain no ages.
+  for (const auto &Server : Row.at(2).get<std::vector<std::string>>())
+    Record.m_CrashedServers.emplace(Server, Record.m_Age);
   return Record;
 }
 
--- a/node/poison_exchange.cpp
+++ b/node/poison_exchange.cpp
@@ -12,9 +12,14 @@
 constexpr std::size_t MaxRecordsPerMessage = 32;
 
 bool hasSameContent(const PoisonRecord &Left, const PoisonRecord &Right) {
+  const auto HasSameServer = [](const auto &A, const auto &B) {
+    return A.first == B.first;
+  };
   return Left.m_Generation == Right.m_Generation &&
          Left.m_Quarantined == Right.m_Quarantined &&
-         Left.m_CrashedServers == Right.m_CrashedServers;
+         std::equal(Left.m_CrashedServers.begin(), Left.m_CrashedServers.end(),
+                    Right.m_CrashedServers.begin(),
+                    Right.m_CrashedServers.end(), HasSameServer);
 }
 
 } // namespace
--- a/servers/retry/poison_codec.cpp
+++ b/servers/retry/poison_codec.cpp
@@ -5,14 +5,38 @@
 
 namespace fulmarwinch {
 
+namespace {
+
+/// Reads the crashed servers and the ages of their crashes. Earlier versions
+/// send no ages; no crash is later than the last change of the record.
+std::map<std::string, Duration> parseCrashes(const Json &Row,
+                                             Duration RecordAge) {
+  const auto Servers = fieldOr(Row, "s", std::vector<std::string>());
+  const auto Ages = fieldOr(Row, "t", std::vector<std::int64_t>());
+  std::map<std::string, Duration> Result;
+  for (std::size_t I = 0; I < Servers.size(); ++I)
+    Result.emplace(Servers[I], I < Ages.size() ? Duration(Ages[I]) : RecordAge);
+  return Result;
+}
+
+} // namespace
+
 Json toJson(const std::vector<PoisonRecord> &Records) {
   Json RecordRows = Json::array();
-  for (const PoisonRecord &Record : Records)
+  for (const PoisonRecord &Record : Records) {
+    Json Servers = Json::array();
+    Json Ages = Json::array();
+    for (const auto &[Server, Age] : Record.m_CrashedServers) {
+      Servers.push_back(Server);
+      Ages.push_back(Age.count());
+    }
     RecordRows.push_back({{"h", Record.m_Hash},
                           {"g", Record.m_Generation},
-                          {"s", Record.m_CrashedServers},
+                          {"s", std::move(Servers)},
+                          {"t", std::move(Ages)},
                           {"r", Record.m_Quarantined},
                           {"a", Record.m_Age.count()}});
+  }
   return {{"r", RecordRows}};
 }
 
@@ -27,9 +51,9 @@
     PoisonRecord Record;
     Record.m_Hash = fieldOr(Row, "h", ContentHash{0});
     Record.m_Generation = fieldOr(Row, "g", std::uint64_t{0});
-    Record.m_CrashedServers = fieldOr(Row, "s", std::set<std::string>());
     Record.m_Quarantined = fieldOr(Row, "r", false);
     Record.m_Age = Duration(fieldOr(Row, "a", std::int64_t{0}));
+    Record.m_CrashedServers = parseCrashes(Row, Record.m_Age);
     Records.push_back(std::move(Record));
   }
   return Records;
--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -117,7 +117,7 @@
                         Entry.m_Quarantined,
                         Now - Entry.m_LastChange};
     for (const auto &[Server, CrashedAt] : Entry.m_CrashedServers)
-      Record.m_CrashedServers.insert(Server);
+      Record.m_CrashedServers.emplace(Server, Now - CrashedAt);
     Result.push_back(std::move(Record));
   }
   return Result;
@@ -152,9 +152,8 @@
       Entry.m_Quarantined = true;
     }
     if (IsSameGeneration)
-      for (const std::string &Server : PeerRecord.m_CrashedServers)
-        // The last crash is not later than the last change of the record.
-        Changed = recordCrash(Entry, Server, Now - PeerRecord.m_Age) || Changed;
+      for (const auto &[Server, Age] : PeerRecord.m_CrashedServers)
+        Changed = recordCrash(Entry, Server, Now - Age) || Changed;
     quarantineSuspect(Entry);
     // The time is updated only if the content changed. Otherwise two peers that
     // exchange the same record would extend its lifetime by the network delay
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -8,7 +8,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -68,8 +67,9 @@
   /// Increases when a completed run clears the request, so that crashes
   /// recorded before cannot return through gossip.
   std::uint64_t m_Generation = 0;
-  /// Servers that crashed while the request was in flight there.
-  std::set<std::string> m_CrashedServers;
+  /// Servers that crashed while the request was in flight there, with the time
+  /// since each crash.
+  std::map<std::string, Duration> m_CrashedServers;
   /// The request crashed a server in isolation.
   bool m_Quarantined = false;
   /// Time since the last change of the record.
--- a/tests/node/test_message_codecs.cpp
+++ b/tests/node/test_message_codecs.cpp
@@ -117,8 +117,9 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
                          Decoded.m_PoisonRecords.front().m_Generation);
     CPPUNIT_ASSERT(Decoded.m_PoisonRecords.front().m_Quarantined);
-    CPPUNIT_ASSERT(Decoded.m_PoisonRecords.front().m_CrashedServers ==
-                   std::set<std::string>{"g1"});
+    CPPUNIT_ASSERT(
+        Decoded.m_PoisonRecords.front().m_CrashedServers ==
+        (std::map<std::string, Duration>{{"g1", std::chrono::seconds(1)}}));
     CPPUNIT_ASSERT(Decoded.m_PoisonRecords.front().m_Age ==
                    std::chrono::seconds(1));
     CPPUNIT_ASSERT_EQUAL(std::string("group99"),
@@ -155,7 +156,7 @@
     for (int Index = 0; Index < 100; ++Index) {
       const std::chrono::seconds Age(100 - Index);
       Records.m_PoisonRecords.push_back(
-          {static_cast<ContentHash>(Index), 2, {"g1"}, true, Age});
+          {static_cast<ContentHash>(Index), 2, {{"g1", Age}}, true, Age});
       Records.m_OutlierRecords.push_back(
           {"group" + std::to_string(Index), 5, 1, std::chrono::seconds(Index)});
     }
--- a/tests/node/test_poison_exchange.cpp
+++ b/tests/node/test_poison_exchange.cpp
@@ -15,8 +15,9 @@
                              std::int64_t AgeMs = 0) {
     PoisonRecord Result;
     Result.m_Hash = Hash;
-    Result.m_CrashedServers = std::move(Servers);
     Result.m_Age = std::chrono::milliseconds(AgeMs);
+    for (const std::string &Server : Servers)
+      Result.m_CrashedServers.emplace(Server, Result.m_Age);
     return Result;
   }
 
--- /dev/null
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -0,0 +1,66 @@
+#include "core/json.h"
+#include "servers/retry/crash_detector.h"
+#include "servers/retry/poison_codec.h"
+
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <string>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One request that its clients repeat at any node, and that crashes each
+/// backend server that begins to run it.
+class RepeatedCrashesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RepeatedCrashesTest);
+  CPPUNIT_TEST(crashesOfOnePeerMessageCountOneByOne);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr ContentHash Deadly = 2;
+  MonotonicTime m_Now{seconds(1000)};
+  int m_NextServer = 0;
+
+  static PoisonDetector newNode() {
+    return PoisonDetector(poisonSettingsWithoutIsolation());
+  }
+
+  void crashServer(PoisonDetector &Node, ContentHash Content) {
+    const std::string Server = "s" + std::to_string(++m_NextServer);
+    Node.onDispatch(Content, Server);
+    Node.onServerCrash(Server, m_Now);
+  }
+
+  /// The records of \p Node as a peer receives them.
+  std::vector<PoisonRecord> receivedRecords(const PoisonDetector &Node) const {
+    return parsePoisonRecords(toJson(Node.records(m_Now)));
+  }
+
+  bool runs(const PoisonDetector &Node) const {
+    return Node.verdict(Deadly, m_Now) == PoisonVerdict::Run;
+  }
+
+  /// Guards against a request that crashes a server at node after node, because
+  /// each counts the crashes in one message of a peer as one.
+  void crashesOfOnePeerMessageCountOneByOne() {
+    PoisonDetector First = newNode();
+    PoisonDetector Second = newNode();
+    for (int I = 0; I < 2; ++I) {
+      crashServer(First, Deadly);
+      m_Now += seconds(1);
+    }
+    Second.merge(receivedRecords(First), m_Now);
+    CPPUNIT_ASSERT(runs(Second));
+    crashServer(Second, Deadly);
+    CPPUNIT_ASSERT(!runs(Second));
+
+    PoisonDetector Third = newNode();
+    Third.merge(receivedRecords(Second), m_Now);
+    CPPUNIT_ASSERT(!runs(Third));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedCrashesTest);
+
+} // namespace fulmarwinch
