Count a crash from the loss of its connection

Callers would have seen: sound requests refused because several servers of one domain ended at once.

Cause: a crash was recorded with the time at which it was confirmed, by a probe or by the store's entry. Confirmations of servers that ended together are spread over some hundred milliseconds, so they counted as several causes.

Change: CrashDetector keeps the time at which the connection was lost and reports the crash with it.

Evidence: RepeatedCrashesTest::crashCountsFromTheLossOfItsConnection (four servers lost at once, confirmed 150 ms apart) failed before and passes now.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -207,8 +207,7 @@
   /// Sends the crash records to the peers if the changed entry of server \p Id
   /// completes the evidence that a request crashes servers.
   void reportCrash(const std::string &Id, std::int64_t StartedAtMs) {
-    if (m_Context.m_CrashDetector.onServerEntryChanged(Id, StartedAtMs,
-                                                       monotonicNow()))
+    if (m_Context.m_CrashDetector.onServerEntryChanged(Id, StartedAtMs))
       announceCrashRecords();
   }
 
--- a/servers/retry/crash_detector.h
+++ b/servers/retry/crash_detector.h
@@ -36,9 +36,9 @@
   /// Must be called when the store entry of \p Server was deleted (\p
   /// StartedAtMs is 0) or was written by a process that started at \p
   /// StartedAtMs. Returns true if this shows a crash for which lost connections
-  /// were recorded.
-  bool onServerEntryChanged(const std::string &Server, std::int64_t StartedAtMs,
-                            MonotonicTime Now);
+  /// were recorded. The crash counts from the loss of the first of them.
+  bool onServerEntryChanged(const std::string &Server,
+                            std::int64_t StartedAtMs);
   /// Removes the lost connections whose server did not crash within
   /// DetectionTimeout.
   void removeExpired(MonotonicTime Now);
@@ -48,7 +48,7 @@
     ContentHash m_Hash = 0;
     std::string m_Server;
     std::int64_t m_StartedAtMs = 0;
-    MonotonicTime m_DecideAt{};
+    MonotonicTime m_LostAt{};
   };
 
   PoisonDetector &m_Detector;
--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -80,19 +80,19 @@
 }
 
 void PoisonDetector::onServerCrash(const std::string &Server,
-                                   MonotonicTime Now) {
+                                   MonotonicTime CrashedAt) {
   const auto Found = m_InFlight.find(Server);
   if (Found != m_InFlight.end()) {
     for (const auto &[Hash, Count] : Found->second) {
-      if (isExempt(Hash, Now))
+      if (isExempt(Hash, CrashedAt))
         continue;
       RequestRecord &Entry = m_Records[Hash];
-      if (isExpired(Entry, Now)) {
+      if (isExpired(Entry, CrashedAt)) {
         Entry.m_CrashedServers.clear();
         Entry.m_Quarantined = false;
       }
-      recordCrash(Entry, Server, Now);
-      Entry.m_LastChange = Now;
+      recordCrash(Entry, Server, CrashedAt);
+      Entry.m_LastChange = std::max(Entry.m_LastChange, CrashedAt);
       if (m_IsolationInUse && Hash == m_IsolatedHash &&
           Server == m_IsolationServer)
         Entry.m_Quarantined = true;
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -106,9 +106,9 @@
   /// Must be called when the request ended on \p Server in a way that does not
   /// show whether it crashes servers, for example by a cancellation.
   void onInconclusiveEnd(ContentHash Hash, const std::string &Server);
-  /// Must be called when \p Server crashed. Records the crash for every request
-  /// in flight there.
-  void onServerCrash(const std::string &Server, MonotonicTime Now);
+  /// Must be called when \p Server is known to have crashed at \p CrashedAt.
+  /// Records the crash for every request in flight there.
+  void onServerCrash(const std::string &Server, MonotonicTime CrashedAt);
   /// True if a request is in flight on \p Server that its crash would be
   /// recorded for.
   bool hasSuspects(const std::string &Server) const {
--- a/tests/proxy/test_deadly_prompt_part.cpp
+++ b/tests/proxy/test_deadly_prompt_part.cpp
@@ -44,7 +44,7 @@
       ++Restarted.m_Revision;
       Fixture.m_Fleet.update(Restarted, monotonicNow());
       Fixture.m_Context.m_CrashDetector.onServerEntryChanged(
-          Server.m_Id, Restarted.m_StartedAtMs, monotonicNow());
+          Server.m_Id, Restarted.m_StartedAtMs);
     };
   }
 
--- a/tests/servers/retry/test_crash_detector.cpp
+++ b/tests/servers/retry/test_crash_detector.cpp
@@ -32,7 +32,7 @@
       CPPUNIT_ASSERT(Detector.verdict(Hash, m_Now) == PoisonVerdict::Run);
       sendAndLoseConnection(Detector, Watch, Server, 1);
       m_Now += seconds(1);
-      CPPUNIT_ASSERT(Watch.onServerEntryChanged(Server, 0, m_Now));
+      CPPUNIT_ASSERT(Watch.onServerEntryChanged(Server, 0));
     }
     CPPUNIT_ASSERT(Detector.verdict(Hash, m_Now) != PoisonVerdict::Run);
   }
@@ -44,11 +44,11 @@
     for (const char *Server : {"a", "b", "c", "d"}) {
       sendAndLoseConnection(Detector, Watch, Server, 1);
       // The server's entry changes, but not the start time of its process.
-      CPPUNIT_ASSERT(!Watch.onServerEntryChanged(Server, 1, m_Now));
+      CPPUNIT_ASSERT(!Watch.onServerEntryChanged(Server, 1));
       m_Now += CrashDetector::DetectionTimeout;
       Watch.removeExpired(m_Now);
       // The server stops later, for another reason.
-      CPPUNIT_ASSERT(!Watch.onServerEntryChanged(Server, 0, m_Now));
+      CPPUNIT_ASSERT(!Watch.onServerEntryChanged(Server, 0));
     }
     CPPUNIT_ASSERT(Detector.verdict(Hash, m_Now) == PoisonVerdict::Run);
   }
@@ -60,7 +60,7 @@
     CrashDetector Watch(Detector);
     for (std::int64_t StartedAtMs = 1; StartedAtMs <= 3; ++StartedAtMs) {
       sendAndLoseConnection(Detector, Watch, "a", StartedAtMs);
-      CPPUNIT_ASSERT(Watch.onServerEntryChanged("a", StartedAtMs + 1, m_Now));
+      CPPUNIT_ASSERT(Watch.onServerEntryChanged("a", StartedAtMs + 1));
     }
     CPPUNIT_ASSERT(Detector.verdict(Hash, m_Now) != PoisonVerdict::Run);
   }
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -16,6 +16,7 @@
 class RepeatedCrashesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RepeatedCrashesTest);
   CPPUNIT_TEST(crashesOfOnePeerMessageCountOneByOne);
+  CPPUNIT_TEST(crashCountsFromTheLossOfItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ContentHash Deadly = 2;
@@ -59,6 +60,23 @@
     Third.merge(receivedRecords(Second), m_Now);
     CPPUNIT_ASSERT(!runs(Third));
   }
+
+  /// The servers of a domain end at once, and their loss is confirmed one after
+  /// the other. Guards against a request that is blamed for it.
+  void crashCountsFromTheLossOfItsConnection() {
+    PoisonDetector Node = newNode();
+    CrashDetector Watch(Node);
+    const std::vector<std::string> Domain{"a", "b", "c", "d"};
+    for (const std::string &Server : Domain) {
+      Node.onDispatch(Deadly, CrashDetector::processName(Server, 1));
+      Watch.onConnectionLost(Deadly, Server, 1, m_Now);
+    }
+    for (const std::string &Server : Domain) {
+      m_Now += milliseconds(150);
+      CPPUNIT_ASSERT(Watch.onServerEntryChanged(Server, 0));
+    }
+    CPPUNIT_ASSERT(runs(Node));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedCrashesTest);
