Count crashes in quick succession as separate ones

Cause: crashes less than 100 ms apart count as one cause, and each was compared with the one before it. A request that is repeated every 60 ms had one crash, however many servers it ended.

Change: a crash is compared with the first one of its cause.

--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -212,9 +212,12 @@
     Times.push_back(CrashedAt);
   std::sort(Times.begin(), Times.end());
   std::size_t Count = 0;
-  for (std::size_t I = 0; I < Times.size(); ++I)
-    if (I == 0 || Times[I] - Times[I - 1] >= m_Settings.m_MinCrashInterval)
+  MonotonicTime CauseBegin{};
+  for (const MonotonicTime CrashedAt : Times)
+    if (Count == 0 || CrashedAt - CauseBegin >= m_Settings.m_MinCrashInterval) {
+      CauseBegin = CrashedAt;
       ++Count;
+    }
   return Count;
 }
 
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -44,8 +44,8 @@
   /// Maximum number of request hashes with a record; the oldest are removed
   /// first.
   std::size_t m_MaxRecords = 4096;
-  /// Servers that crash faster one after the other count as one crash: they
-  /// have a common cause, such as the loss of their domain.
+  /// Servers that crash within this time of the first of them count as one
+  /// crash: they have a common cause, such as the loss of their domain.
   Duration m_MinCrashInterval{0};
   /// Time for which an output exempts the content from being recorded.
   Duration m_ExemptionTime{0};
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -16,6 +16,7 @@
 class RepeatedCrashesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RepeatedCrashesTest);
   CPPUNIT_TEST(crashesOfOnePeerMessageCountOneByOne);
+  CPPUNIT_TEST(crashesInQuickSuccessionCountSeparately);
   CPPUNIT_TEST(crashCountsFromTheLossOfItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
@@ -61,6 +62,18 @@
     CPPUNIT_ASSERT(!runs(Third));
   }
 
+  /// Guards against a request that is never refused because each of its crashes
+  /// follows the one before it within the time of a common cause.
+  void crashesInQuickSuccessionCountSeparately() {
+    PoisonDetector Node = newNode();
+    int Crashes = 0;
+    for (; Crashes < 20 && runs(Node); ++Crashes) {
+      crashServer(Node, Deadly);
+      m_Now += milliseconds(60);
+    }
+    CPPUNIT_ASSERT_EQUAL(5, Crashes);
+  }
+
   /// The servers of a domain end at once, and their loss is confirmed one after
   /// the other. Guards against a request that is blamed for it.
   void crashCountsFromTheLossOfItsConnection() {
