Record crashes after the loss of a large domain

Cause: a record holds 16 servers. A content that was in flight on 16 servers of a domain when the domain was lost had a full record with a single cause, and no later crash was added to it, so it was never refused.

Change: a full record drops a crash that has the same cause as an earlier one.

Evidence: RepeatedCrashesTest::lossOfALargeDomainLeavesRoomForLaterCrashes failed before (two crashes after the loss of 40 servers left the verdict at run) and passes now.

--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -1,6 +1,7 @@
 #include "servers/retry/poison_detector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarwinch {
 
@@ -206,26 +207,44 @@
              : m_Settings.m_Expiry;
 }
 
-std::size_t PoisonDetector::crashCount(const RequestRecord &Entry) const {
-  std::vector<MonotonicTime> Times;
+std::set<std::string>
+PoisonDetector::firstCrashes(const RequestRecord &Entry) const {
+  std::vector<std::pair<MonotonicTime, std::string>> Crashes;
   for (const auto &[Server, CrashedAt] : Entry.m_CrashedServers)
-    Times.push_back(CrashedAt);
-  std::sort(Times.begin(), Times.end());
-  std::size_t Count = 0;
+    Crashes.emplace_back(CrashedAt, Server);
+  std::sort(Crashes.begin(), Crashes.end());
+  std::set<std::string> Result;
   MonotonicTime CauseBegin{};
-  for (const MonotonicTime CrashedAt : Times)
-    if (Count == 0 || CrashedAt - CauseBegin >= m_Settings.m_MinCrashInterval) {
+  for (auto &[CrashedAt, Server] : Crashes)
+    if (Result.empty() ||
+        CrashedAt - CauseBegin >= m_Settings.m_MinCrashInterval) {
       CauseBegin = CrashedAt;
-      ++Count;
+      Result.insert(std::move(Server));
     }
-  return Count;
+  return Result;
+}
+
+std::size_t PoisonDetector::crashCount(const RequestRecord &Entry) const {
+  return firstCrashes(Entry).size();
 }
 
 bool PoisonDetector::recordCrash(RequestRecord &Entry,
                                  const std::string &Server,
-                                 MonotonicTime CrashedAt) {
-  return Entry.m_CrashedServers.size() < MaxServersPerRecord &&
-         Entry.m_CrashedServers.emplace(Server, CrashedAt).second;
+                                 MonotonicTime CrashedAt) const {
+  std::map<std::string, MonotonicTime> &Crashes = Entry.m_CrashedServers;
+  if (!Crashes.emplace(Server, CrashedAt).second)
+    return false;
+  if (Crashes.size() <= MaxServersPerRecord)
+    return true;
+  // Makes room by removing a crash that adds nothing to the count.
+  const std::set<std::string> First = firstCrashes(Entry);
+  const auto Surplus =
+      std::find_if(Crashes.begin(), Crashes.end(), [&](const auto &Crash) {
+        return First.count(Crash.first) == 0;
+      });
+  const bool IsKept = Surplus != Crashes.end() && Surplus->first != Server;
+  Crashes.erase(Surplus == Crashes.end() ? Crashes.find(Server) : Surplus);
+  return IsKept;
 }
 
 void PoisonDetector::quarantineSuspect(RequestRecord &Entry) const {
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -140,11 +141,13 @@
   Duration trialDelay(std::size_t CrashedServers) const;
   /// Time after its last change for which a record is kept.
   Duration lifetime(bool Quarantined, std::size_t CrashedServers) const;
+  /// Returns the servers whose crash is the first one of its cause.
+  std::set<std::string> firstCrashes(const RequestRecord &Entry) const;
   /// Number of crashes with different causes.
   std::size_t crashCount(const RequestRecord &Entry) const;
   /// Returns false if the crash is already recorded or the record is full.
-  static bool recordCrash(RequestRecord &Entry, const std::string &Server,
-                          MonotonicTime CrashedAt);
+  bool recordCrash(RequestRecord &Entry, const std::string &Server,
+                   MonotonicTime CrashedAt) const;
   /// Quarantines a suspect if none can be run in isolation.
   void quarantineSuspect(RequestRecord &Entry) const;
   bool isInFlight(ContentHash Hash) const;
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(crashesOfOnePeerMessageCountOneByOne);
   CPPUNIT_TEST(crashesInQuickSuccessionCountSeparately);
   CPPUNIT_TEST(crashCountsFromTheLossOfItsConnection);
+  CPPUNIT_TEST(lossOfALargeDomainLeavesRoomForLaterCrashes);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ContentHash Deadly = 2;
@@ -90,6 +91,21 @@
     }
     CPPUNIT_ASSERT(runs(Node));
   }
+
+  /// A record holds a limited number of servers. Guards against a request whose
+  /// crashes are no longer recorded because it was in flight in a domain that
+  /// was lost.
+  void lossOfALargeDomainLeavesRoomForLaterCrashes() {
+    PoisonDetector Node = newNode();
+    for (int I = 0; I < 40; ++I)
+      crashServer(Node, Deadly);
+    for (int I = 0; I < 2; ++I) {
+      CPPUNIT_ASSERT(runs(Node));
+      m_Now += seconds(1);
+      crashServer(Node, Deadly);
+    }
+    CPPUNIT_ASSERT(!runs(Node));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedCrashesTest);
