Keep crashes that follow the output which a peer has seen

Cause: output clears the record of a content and raises its generation. A peer that received the cleared record replaced its own by it, and so forgot crashes that it had seen after that output. A node that had not yet heard of its peers' crashes could undo them all.

Change: records say how long ago they were cleared, and crashes after that time are kept. Messages of earlier versions do not say it; the time of their last change stands in.

Evidence: RepeatedCrashesTest::outputOfAPeerDoesNotEraseLaterCrashes failed before and passes now; 36 tests of servers/retry pass.

--- a/node/failure_gossip.cpp
+++ b/node/failure_gossip.cpp
@@ -65,6 +65,7 @@
   Record.m_Generation = Row.at(1).get<std::uint64_t>();
   Record.m_Quarantined = Row.at(3).get<bool>();
   Record.m_Age = toDuration(Row.at(4));
+  Record.m_ClearedAge = Record.m_Age;
   // A node that runs suspects in isolation counts the servers only, so their
   // rows contain no ages.
   for (const auto &Server : Row.at(2).get<std::vector<std::string>>())
--- a/servers/retry/poison_codec.cpp
+++ b/servers/retry/poison_codec.cpp
@@ -32,6 +32,7 @@
     }
     RecordRows.push_back({{"h", Record.m_Hash},
                           {"g", Record.m_Generation},
+                          {"c", Record.m_ClearedAge.count()},
                           {"s", std::move(Servers)},
                           {"t", std::move(Ages)},
                           {"r", Record.m_Quarantined},
@@ -53,6 +54,9 @@
     Record.m_Generation = fieldOr(Row, "g", std::uint64_t{0});
     Record.m_Quarantined = fieldOr(Row, "r", false);
     Record.m_Age = Duration(fieldOr(Row, "a", std::int64_t{0}));
+    // Earlier versions do not send when a content was cleared; it was not after
+    // the last change of the record.
+    Record.m_ClearedAge = Duration(fieldOr(Row, "c", Record.m_Age.count()));
     Record.m_CrashedServers = parseCrashes(Row, Record.m_Age);
     Records.push_back(std::move(Record));
   }
--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -112,11 +112,8 @@
   for (const auto &[Hash, Entry] : m_Records) {
     if (isExpired(Entry, Now))
       continue;
-    PoisonRecord Record{Hash,
-                        Entry.m_Generation,
-                        {},
-                        Entry.m_Quarantined,
-                        Now - Entry.m_LastChange};
+    PoisonRecord Record{Hash, Entry.m_Generation,  Now - Entry.m_ClearedAt,
+                        {},   Entry.m_Quarantined, Now - Entry.m_LastChange};
     for (const auto &[Server, CrashedAt] : Entry.m_CrashedServers)
       Record.m_CrashedServers.emplace(Server, Now - CrashedAt);
     Result.push_back(std::move(Record));
@@ -138,10 +135,19 @@
     if (!Known || PeerRecord.m_Generation > Found->second.m_Generation) {
       RequestRecord Replacement;
       Replacement.m_Generation = PeerRecord.m_Generation;
+      Replacement.m_ClearedAt = Now - PeerRecord.m_ClearedAge;
       Replacement.m_Quarantined =
           PeerRecord.m_Quarantined ||
           (m_Settings.m_UsesIsolation && Known && Found->second.m_Quarantined);
       Replacement.m_LastChange = Now - PeerRecord.m_Age;
+      // Output does not refute the crashes after it.
+      if (Known)
+        for (const auto &[Server, CrashedAt] : Found->second.m_CrashedServers)
+          if (CrashedAt > Replacement.m_ClearedAt) {
+            Replacement.m_CrashedServers.emplace(Server, CrashedAt);
+            Replacement.m_LastChange =
+                std::max(Replacement.m_LastChange, CrashedAt);
+          }
       m_Records[PeerRecord.m_Hash] = std::move(Replacement);
     }
     RequestRecord &Entry = m_Records[PeerRecord.m_Hash];
@@ -276,6 +282,7 @@
 
 void PoisonDetector::clearRecord(RequestRecord &Entry, MonotonicTime Now) {
   ++Entry.m_Generation;
+  Entry.m_ClearedAt = Now;
   Entry.m_CrashedServers.clear();
   Entry.m_Quarantined = false;
   Entry.m_LastChange = Now;
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -68,6 +68,9 @@
   /// Increases when a completed run clears the request, so that crashes
   /// recorded before cannot return through gossip.
   std::uint64_t m_Generation = 0;
+  /// Time since the request was cleared for the last time; meaningless in
+  /// generation 0.
+  Duration m_ClearedAge{0};
   /// Servers that crashed while the request was in flight there, with the time
   /// since each crash.
   std::map<std::string, Duration> m_CrashedServers;
@@ -128,6 +131,7 @@
 private:
   struct RequestRecord {
     std::uint64_t m_Generation = 0;
+    MonotonicTime m_ClearedAt{};
     /// Times of the crashes, by server.
     std::map<std::string, MonotonicTime> m_CrashedServers;
     bool m_Quarantined = false;
--- a/tests/node/test_message_codecs.cpp
+++ b/tests/node/test_message_codecs.cpp
@@ -156,7 +156,7 @@
     for (int Index = 0; Index < 100; ++Index) {
       const std::chrono::seconds Age(100 - Index);
       Records.m_PoisonRecords.push_back(
-          {static_cast<ContentHash>(Index), 2, {{"g1", Age}}, true, Age});
+          {static_cast<ContentHash>(Index), 2, Age, {{"g1", Age}}, true, Age});
       Records.m_OutlierRecords.push_back(
           {"group" + std::to_string(Index), 5, 1, std::chrono::seconds(Index)});
     }
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(crashesInQuickSuccessionCountSeparately);
   CPPUNIT_TEST(crashCountsFromTheLossOfItsConnection);
   CPPUNIT_TEST(lossOfALargeDomainLeavesRoomForLaterCrashes);
+  CPPUNIT_TEST(outputOfAPeerDoesNotEraseLaterCrashes);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ContentHash Deadly = 2;
@@ -106,6 +107,24 @@
     }
     CPPUNIT_ASSERT(!runs(Node));
   }
+
+  /// Guards against crashes that a node forgets because a peer has seen output
+  /// of the content before them.
+  void outputOfAPeerDoesNotEraseLaterCrashes() {
+    PoisonDetector First = newNode();
+    PoisonDetector Second = newNode();
+    crashServer(First, Deadly);
+    First.onDispatch(Deadly, "answering");
+    CPPUNIT_ASSERT(First.onCompleted(Deadly, "answering", m_Now));
+    for (int I = 0; I < 2; ++I) {
+      m_Now += seconds(1);
+      crashServer(Second, Deadly);
+    }
+    Second.merge(receivedRecords(First), m_Now);
+    m_Now += seconds(1);
+    crashServer(Second, Deadly);
+    CPPUNIT_ASSERT(!runs(Second));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedCrashesTest);
