Let a quarantine last by the number of causes

Callers would have seen: a sound request refused for up to an hour after one of the three crashes that were held against it was the loss of a domain.

Cause: the time until the next trial doubles with each further crash, and it counted servers where the verdict counts causes.

Change: the times of a record use crashCount().

Evidence: RepeatedCrashesTest::quarantineLastsByCausesNotByServers (a domain of 12 servers and two further crashes) failed before and passes now; 37 tests of servers/retry pass.

--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -189,28 +189,25 @@
 bool PoisonDetector::isExpired(const RequestRecord &Entry,
                                MonotonicTime Now) const {
   return Now - Entry.m_LastChange >
-         lifetime(Entry.m_Quarantined, Entry.m_CrashedServers.size());
+         lifetime(Entry.m_Quarantined, crashCount(Entry));
 }
 
-Duration PoisonDetector::trialDelay(std::size_t CrashedServers) const {
+Duration PoisonDetector::trialDelay(std::size_t Crashes) const {
   constexpr std::size_t MaxDoublings = 6;
   const std::size_t FurtherCrashes =
-      CrashedServers -
-      std::min(CrashedServers, m_Settings.m_MinCrashesForSuspect);
+      Crashes - std::min(Crashes, m_Settings.m_MinCrashesForSuspect);
   return m_Settings.m_Expiry * (1U << std::min(MaxDoublings, FurtherCrashes));
 }
 
 bool PoisonDetector::isTrialDue(const RequestRecord &Entry,
                                 MonotonicTime Now) const {
   return !m_Settings.m_UsesIsolation &&
-         Now - Entry.m_LastChange > trialDelay(Entry.m_CrashedServers.size());
+         Now - Entry.m_LastChange > trialDelay(crashCount(Entry));
 }
 
-Duration PoisonDetector::lifetime(bool Quarantined,
-                                  std::size_t CrashedServers) const {
-  return Quarantined && !m_Settings.m_UsesIsolation
-             ? 2 * trialDelay(CrashedServers)
-             : m_Settings.m_Expiry;
+Duration PoisonDetector::lifetime(bool Quarantined, std::size_t Crashes) const {
+  return Quarantined && !m_Settings.m_UsesIsolation ? 2 * trialDelay(Crashes)
+                                                    : m_Settings.m_Expiry;
 }
 
 std::set<std::string>
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -142,9 +142,10 @@
   /// True if one request may run, although its content is quarantined.
   bool isTrialDue(const RequestRecord &Entry, MonotonicTime Now) const;
   /// Time from the last crash of a quarantined content to the next trial.
-  Duration trialDelay(std::size_t CrashedServers) const;
-  /// Time after its last change for which a record is kept.
-  Duration lifetime(bool Quarantined, std::size_t CrashedServers) const;
+  Duration trialDelay(std::size_t Crashes) const;
+  /// Time after its last change for which a record is kept. \p Crashes is the
+  /// number of crashes with different causes, or an upper bound of it.
+  Duration lifetime(bool Quarantined, std::size_t Crashes) const;
   /// Returns the servers whose crash is the first one of its cause.
   std::set<std::string> firstCrashes(const RequestRecord &Entry) const;
   /// Number of crashes with different causes.
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(crashCountsFromTheLossOfItsConnection);
   CPPUNIT_TEST(lossOfALargeDomainLeavesRoomForLaterCrashes);
   CPPUNIT_TEST(outputOfAPeerDoesNotEraseLaterCrashes);
+  CPPUNIT_TEST(quarantineLastsByCausesNotByServers);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ContentHash Deadly = 2;
@@ -125,6 +126,21 @@
     crashServer(Second, Deadly);
     CPPUNIT_ASSERT(!runs(Second));
   }
+
+  /// Guards against a request that is refused for an hour because one of its
+  /// three crashes was the loss of a domain.
+  void quarantineLastsByCausesNotByServers() {
+    PoisonDetector Node = newNode();
+    for (int I = 0; I < 12; ++I)
+      crashServer(Node, Deadly);
+    for (int I = 0; I < 2; ++I) {
+      m_Now += seconds(1);
+      crashServer(Node, Deadly);
+    }
+    CPPUNIT_ASSERT(!runs(Node));
+    m_Now += seconds(61);
+    CPPUNIT_ASSERT(runs(Node));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RepeatedCrashesTest);
