Bound the messages with crash records by their size

Cause: a message held up to 40 records, whatever their size. A record takes up to 500 bytes, so that a message could exceed the receiver's buffer of 8 KB; the truncated datagram cannot be decoded and all its records are lost, each time that it is sent again.

Change: keepMostRelevant() stops at a number of bytes.

Evidence: ChangeFeedTest::manyCrashRecordsReachThePeers (60 records of 16 servers between two nodes) failed before and passes now; 64 tests of proxy pass.

--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr std::size_t MaxDatagramBytes = 8192;
-/// Maximum number of crash records in one datagram; each takes about 150 bytes.
-constexpr std::size_t MaxCrashRecords = 40;
+/// Maximum encoded size of the crash records in one datagram. The rest is for
+/// the name and the clock of the node.
+constexpr std::size_t MaxCrashRecordBytes = MaxDatagramBytes - 512;
 /// Maximum number of peers up to which long prompts are announced, because each
 /// node would receive the announcements of all others.
 constexpr std::size_t MaxPromptPeers = 128;
@@ -41,7 +42,7 @@
   }
 
   Json crashMessage(std::vector<PoisonRecord> Records) const {
-    keepMostRelevant(Records, MaxCrashRecords);
+    keepMostRelevant(Records, MaxCrashRecordBytes);
     Json Message = newMessage();
     Message["blame"] = toJson(Records);
     return Message;
--- a/servers/retry/poison_codec.cpp
+++ b/servers/retry/poison_codec.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Encoded size of the object that contains the rows, without the rows.
+constexpr std::size_t EnvelopeBytes = 8;
+
 /// Reads the crashed servers and the ages of their crashes. Earlier versions
 /// send no ages; no crash is later than the last change of the record.
 std::map<std::string, Duration> parseCrashes(const Json &Row,
@@ -19,25 +22,28 @@
   return Result;
 }
 
+Json toRow(const PoisonRecord &Record) {
+  Json Servers = Json::array();
+  Json Ages = Json::array();
+  for (const auto &[Server, Age] : Record.m_CrashedServers) {
+    Servers.push_back(Server);
+    Ages.push_back(Age.count());
+  }
+  return {{"h", Record.m_Hash},
+          {"g", Record.m_Generation},
+          {"c", Record.m_ClearedAge.count()},
+          {"s", std::move(Servers)},
+          {"t", std::move(Ages)},
+          {"r", Record.m_Quarantined},
+          {"a", Record.m_Age.count()}};
+}
+
 } // namespace
 
 Json toJson(const std::vector<PoisonRecord> &Records) {
   Json RecordRows = Json::array();
-  for (const PoisonRecord &Record : Records) {
-    Json Servers = Json::array();
-    Json Ages = Json::array();
-    for (const auto &[Server, Age] : Record.m_CrashedServers) {
-      Servers.push_back(Server);
-      Ages.push_back(Age.count());
-    }
-    RecordRows.push_back({{"h", Record.m_Hash},
-                          {"g", Record.m_Generation},
-                          {"c", Record.m_ClearedAge.count()},
-                          {"s", std::move(Servers)},
-                          {"t", std::move(Ages)},
-                          {"r", Record.m_Quarantined},
-                          {"a", Record.m_Age.count()}});
-  }
+  for (const PoisonRecord &Record : Records)
+    RecordRows.push_back(toRow(Record));
   return {{"r", RecordRows}};
 }
 
@@ -64,7 +70,7 @@
 }
 
 void keepMostRelevant(std::vector<PoisonRecord> &Records,
-                      std::size_t MaxCount) {
+                      std::size_t MaxBytes) {
   std::sort(Records.begin(), Records.end(),
             [](const PoisonRecord &Left, const PoisonRecord &Right) {
               return std::make_tuple(!Left.m_Quarantined,
@@ -73,8 +79,13 @@
                      std::make_tuple(!Right.m_Quarantined,
                                      Left.m_CrashedServers.size(), Right.m_Age);
             });
-  if (Records.size() > MaxCount)
-    Records.resize(MaxCount);
+  std::size_t Count = 0;
+  for (std::size_t Bytes = EnvelopeBytes; Count < Records.size(); ++Count) {
+    Bytes += Json::to_cbor(toRow(Records[Count])).size();
+    if (Bytes > MaxBytes)
+      break;
+  }
+  Records.resize(Count);
 }
 
 } // namespace fulmarwinch
--- a/servers/retry/poison_codec.h
+++ b/servers/retry/poison_codec.h
@@ -14,9 +14,10 @@
 /// Decodes the message of toJson(). Malformed rows are skipped; a malformed
 /// message gives an empty list.
 std::vector<PoisonRecord> parsePoisonRecords(const Json &Message);
-/// Keeps the \p MaxCount records that matter most to a peer: those of
-/// quarantined contents, then those with the most crashes, then the youngest.
-void keepMostRelevant(std::vector<PoisonRecord> &Records, std::size_t MaxCount);
+/// Keeps the records that matter most to a peer and take at most \p MaxBytes in
+/// CBOR: those of quarantined contents, then those with the most crashes, then
+/// the youngest.
+void keepMostRelevant(std::vector<PoisonRecord> &Records, std::size_t MaxBytes);
 
 } // namespace fulmarwinch
 
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST_SUITE(ChangeFeedTest);
   CPPUNIT_TEST(answerOfTheStoreIsAsOldAsItsTransit);
   CPPUNIT_TEST(confirmationIsAsOldAsItWaitedToBeRead);
+  CPPUNIT_TEST(manyCrashRecordsReachThePeers);
   CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
   CPPUNIT_TEST(listingDoesNotUndoAForwardedChange);
   CPPUNIT_TEST_SUITE_END();
@@ -176,6 +177,37 @@
                    monotonicNow() - LastConfirmed - milliseconds(50));
   }
 
+  /// Each crash adds a record for every request on the server. Guards against
+  /// messages that exceed the receiver's buffer, so that no node learns from
+  /// another which requests crash servers.
+  void manyCrashRecordsReachThePeers() {
+    const PeerAddress FirstAddress{{"127.0.0.1", findFreePort()}, "z1", 100.0};
+    const PeerAddress SecondAddress{{"127.0.0.1", findFreePort()}, "z1", 10.0};
+    FeedNode Sender("n1", FirstAddress);
+    FeedNode Receiver("n2", SecondAddress);
+    std::vector<PoisonRecord> Received;
+    for (FeedNode *Node : {&Sender, &Receiver}) {
+      Node->m_Peers.start(
+          [](const StallReport &) {},
+          [&](const std::vector<PoisonRecord> &Records) { Received = Records; },
+          [](const Json &, Duration) {});
+      Node->m_Peers.setPeers({{"n1", FirstAddress}, {"n2", SecondAddress}});
+    }
+    std::vector<PoisonRecord> Records(60);
+    for (std::size_t I = 0; I < Records.size(); ++I) {
+      Records[I].m_Hash = ~I;
+      for (int Server = 0; Server < 16; ++Server)
+        Records[I].m_CrashedServers.emplace(
+            "i-7f3a91c2de#17649" + std::to_string(10000000 + Server),
+            seconds(30));
+    }
+    Records.back().m_Quarantined = true;
+    Sender.m_Peers.announce(Records);
+    Receiver.runFor(milliseconds(50));
+    CPPUNIT_ASSERT(Received.size() > 8);
+    CPPUNIT_ASSERT(Received.front().m_Quarantined);
+  }
+
   /// A call to the store begins while a partition drops its connection request.
   /// Guards against a node that waits for that call, and acts on an old
   /// configuration, when it has been reachable again for contact_ms.
