Share the rate limits that servers name among the nodes

Cause: no code read the field Server-Limit. Reading it is not enough: the limit holds for all nodes together, and nodes that pace themselves alone add up.

It needs no message before a request; load messages carry what a node heard from a server itself, so that the others learn when a limit ends. ServerAvailability names the reason, the relay asks once more before the first byte, and requests that no server can take are rejected at once.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -284,7 +284,12 @@
         onOrderCompleted(Order, StartedAtMs, Response.m_Outcome,
                          Response.m_Status);
       },
-      [this, Order, Epoch = m_Epoch] { return mayOrder(Order, Epoch); });
+      [this, Order, StartedAtMs, Epoch = m_Epoch] {
+        if (!mayOrder(Order, Epoch))
+          return false;
+        countCall(Order.m_Server, StartedAtMs);
+        return true;
+      });
 }
 
 bool GroupCoordinator::mayOrder(const MemberOrder &Order, std::uint64_t Epoch) {
@@ -407,16 +412,26 @@
         Done(Answer.m_Outcome == UpstreamOutcome::Complete &&
                  Answer.m_Status == Ok,
              Answer.m_Outcome);
+      },
+      [this, Id = Server.m_Id, StartedAtMs = Server.m_StartedAtMs] {
+        countCall(Id, StartedAtMs);
+        return true;
       });
 }
 
+void GroupCoordinator::countCall(const std::string &Server,
+                                 std::int64_t StartedAtMs) {
+  m_Context.m_Selector.availability().rateLimits().onUnlimitedCall(
+      Server, StartedAtMs, monotonicNow());
+}
+
 void GroupCoordinator::recordNotices(const std::string &Server,
                                      std::int64_t StartedAtMs,
                                      const BufferedResponse &Response) {
   // Without a start time the process is not known.
   if (StartedAtMs != 0)
     recordServerNotices(m_Context, {Server, StartedAtMs, {}, {}, std::nullopt},
-                        Response.m_Status, Response.m_Headers, "");
+                        {Response.m_Status, Response.m_Headers, "", {}});
 }
 
 void GroupCoordinator::probeStalledMember(const std::string &Server,
--- a/proxy/header_names.h
+++ b/proxy/header_names.h
@@ -34,6 +34,9 @@
   std::string m_NotExecuted;
   /// Present in all responses of a backend server that leaves.
   std::string m_ServerLeaving;
+  /// Requests per second that a backend server takes from all nodes together,
+  /// as a decimal number. Present in its responses while it has such a limit.
+  std::string m_RateLimit;
   /// ID of the backend server whose failure caused the response.
   std::string m_FailedServer;
   /// Digest with which a client verifies that a response comes unaltered from
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -1,4 +1,5 @@
 #include "proxy/peer_exchange.h"
+#include "servers/dispatch/rate_limit_codec.h"
 #include "servers/retry/poison_codec.h"
 
 #include "asio.hpp"
@@ -70,6 +71,10 @@
       Load[Server] = Count;
     Json Message = newMessage();
     Message["load"] = std::move(Load);
+    const RateLimitStatements Limits =
+        m_Selector.availability().rateLimits().ownStatements(Now);
+    if (!Limits.empty())
+      Message["limits"] = toJson(Limits);
     if (m_OwnTraffic) {
       const TrafficReport Traffic = m_OwnTraffic();
       Message["demand"] = Traffic.m_Demand;
@@ -143,6 +148,10 @@
     if (Message.contains("load"))
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
+    if (Message.contains("limits"))
+      m_Selector.availability().rateLimits().mergePeerStatements(
+          parseRateLimitStatements(Message["limits"]),
+          From.m_LastHeardAt - Delay);
     if (Message.contains("demand") && m_OnPeerTraffic)
       m_OnPeerTraffic(
           Name, {fieldOr(Message, "demand", DemandByModel()),
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -273,11 +273,14 @@
   void onNoServer(MonotonicTime Now) {
     const NoServerReason Reason = m_Context.m_Selector.noServerReason();
     const MonotonicTime WaitEnd = m_WaitingSince + maxDispatchWait();
-    if (Reason == NoServerReason::AllPaused)
-      m_PauseLeft = m_Context.m_Selector.firstPauseEnd() - Now;
+    const MonotonicTime NextRequestAt = m_Context.m_Selector.nextRequestAt();
+    m_IsRateLimited = Reason == NoServerReason::AllRateLimited;
+    const bool IsHeldBack =
+        m_IsRateLimited || Reason == NoServerReason::AllPaused;
+    if (IsHeldBack && NextRequestAt != MonotonicTime::max())
+      m_PauseLeft = NextRequestAt - Now;
     // While a stream is interrupted, another server may join the service.
-    const bool IsHopeless =
-        m_PauseLeft && Now + *m_PauseLeft > WaitEnd && !resumes();
+    const bool IsHopeless = IsHeldBack && NextRequestAt > WaitEnd && !resumes();
     if (IsHopeless || Now >= WaitEnd)
       giveUp(nameOf(NoServerReasonNames, Reason));
   }
@@ -339,8 +342,9 @@
   }
 
   /// True if the chosen server may still receive the request when the
-  /// connection to it is established.
-  bool maySend() const {
+  /// connection to it is established. The request then counts for the server's
+  /// rate limit.
+  bool maySend() {
     const MonotonicTime Now = monotonicNow();
     // The request states the time that was left when the server was chosen.
     if (Now - m_SentAt > ConnectTimeout)
@@ -351,9 +355,12 @@
     const Unavailability Reason = m_Context.m_Selector.availability().check(
         m_Context.m_Fleet, *Server, Now);
     // This request is the last one to a server that is resuming.
-    return Reason == Unavailability::None ||
-           Reason == Unavailability::BackedOff ||
-           Reason == Unavailability::Resuming;
+    const bool IsAvailable = Reason == Unavailability::None ||
+                             Reason == Unavailability::BackedOff ||
+                             Reason == Unavailability::Resuming;
+    return IsAvailable &&
+           m_Context.m_Selector.availability().rateLimits().tryAcquire(
+               Server->m_Id, Server->m_StartedAtMs, Now);
   }
 
   /// Records the prefill work for the chosen server. Prompts that fill at least
@@ -439,8 +446,9 @@
                                      .value_or(m_Id);
     m_IsStream = m_ResponseHead.m_Status == Ok &&
                  m_Route->m_Kind == RequestKind::Streaming;
-    recordServerNotices(m_Context, m_ChosenServer, m_ResponseHead.m_Status,
-                        m_ResponseHead.m_Headers, m_Id);
+    recordServerNotices(
+        m_Context, m_ChosenServer,
+        {m_ResponseHead.m_Status, m_ResponseHead.m_Headers, m_Id, m_SentAt});
     if (EchoedId != m_Id)
       rejectResponse("foreign_response");
   }
@@ -677,11 +685,18 @@
   }
 
   double retryAfterSeconds() {
-    if (m_PauseLeft) {
-      std::uniform_real_distribution<double> Spread(1.0, MaxPauseSpread);
-      return std::chrono::duration<double>(*m_PauseLeft).count() *
-             Spread(m_Context.m_Random);
-    }
+    if (!m_PauseLeft)
+      return usualRetryAfterSeconds();
+    std::uniform_real_distribution<double> Spread(1.0, MaxPauseSpread);
+    const double AfterPause =
+        std::chrono::duration<double>(*m_PauseLeft).count() *
+        Spread(m_Context.m_Random);
+    // The next request that the limit allows is only one of those that wait.
+    return m_IsRateLimited ? std::max(AfterPause, usualRetryAfterSeconds())
+                           : AfterPause;
+  }
+
+  double usualRetryAfterSeconds() {
     const bool NeedsGroup = m_Service && m_Service->hasReplicaGroups();
     const std::chrono::duration<double> TimeLeft = m_Deadline - monotonicNow();
     const double Delay = NeedsGroup
@@ -869,8 +884,10 @@
   std::uint64_t m_PromptTokens = 0;
   /// Output tokens that the client stated, as an estimate or a maximum.
   std::uint64_t m_StatedOutputTokens = 0;
-  /// Time until the first server resumes, if all have asked for a pause.
+  /// Time until the first server may be sent a request, if all have asked for a
+  /// pause or are at their rate limits.
   std::optional<Duration> m_PauseLeft;
+  bool m_IsRateLimited = false;
   /// Reason why the response of the current attempt is not read further; empty
   /// if it is.
   std::string_view m_RejectedResponse;
--- a/proxy/server_notices.cpp
+++ b/proxy/server_notices.cpp
@@ -40,6 +40,39 @@
                                        {"pause_ms", PauseMs}});
 }
 
+/// Records that \p Server names a rate limit, or no longer does. Only a sound
+/// response to a client request shows that it does not.
+void recordRateLimit(RequestRelayContext &Context, const ChosenServer &Server,
+                     const ServerResponseHead &Response) {
+  const HeaderNames &Names = Context.m_HeaderNames;
+  ServerRateLimits &Limits = Context.m_Selector.availability().rateLimits();
+  const auto Write = [&](double RequestsPerSecond) {
+    Context.m_Log.write("server_rate_limit",
+                        {{"server", Server.m_Id},
+                         {"born", Server.m_StartedAtMs},
+                         {"id", Response.m_RequestId},
+                         {"requests_per_s", RequestsPerSecond}});
+  };
+  if (findHeader(Response.m_Headers, Names.m_RateLimit)) {
+    Context.m_Metrics.increment("server_rate_limits_named_total");
+    const auto Limit = namedRateLimit(Response.m_Headers, Names.m_RateLimit);
+    if (!Limit) {
+      Context.m_Metrics.increment("server_rate_limits_malformed_total");
+      return;
+    }
+    if (Limits.onLimitNamed(Server.m_Id, Server.m_StartedAtMs, *Limit,
+                            monotonicNow()))
+      Write(*Limit);
+    return;
+  }
+  constexpr double NoLimit = -1.0;
+  if (Response.m_RequestSentAt &&
+      findHeader(Response.m_Headers, Names.m_ResponseDigest) &&
+      Limits.onNoLimitNamed(Server.m_Id, Server.m_StartedAtMs,
+                            *Response.m_RequestSentAt))
+    Write(NoLimit);
+}
+
 bool isRetryAfter(const HttpHeader &Field) {
   return equalsIgnoreCase(Field.m_Name, "Retry-After");
 }
@@ -54,18 +87,32 @@
   return Longest;
 }
 
+std::optional<double> namedRateLimit(const HttpHeaders &Headers,
+                                     const std::string &FieldName) {
+  std::optional<double> Lowest;
+  for (const HttpHeader &Field : Headers) {
+    if (!equalsIgnoreCase(Field.m_Name, FieldName))
+      continue;
+    const auto Limit = parseRateLimit(Field.m_Value);
+    if (Limit)
+      Lowest = std::min(*Limit, Lowest.value_or(*Limit));
+  }
+  return Lowest;
+}
+
 void recordServerNotices(RequestRelayContext &Context,
-                         const ChosenServer &Server, int Status,
-                         const HttpHeaders &Headers,
-                         std::string_view RequestId) {
+                         const ChosenServer &Server,
+                         const ServerResponseHead &Response) {
   // A misdirected request was answered by another process.
-  if (Status == Misdirected)
+  if (Response.m_Status == Misdirected)
     return;
+  const HttpHeaders &Headers = Response.m_Headers;
   if (findHeader(Headers, Context.m_HeaderNames.m_ServerLeaving))
-    recordLeaving(Context, Server, RequestId);
-  if (Status == Unavailable &&
+    recordLeaving(Context, Server, Response.m_RequestId);
+  if (Response.m_Status == Unavailable &&
       std::any_of(Headers.begin(), Headers.end(), isRetryAfter))
-    recordPause(Context, Server, requestedPause(Headers), RequestId);
+    recordPause(Context, Server, requestedPause(Headers), Response.m_RequestId);
+  recordRateLimit(Context, Server, Response);
 }
 
 } // namespace fulmarwinch
--- a/proxy/server_notices.h
+++ b/proxy/server_notices.h
@@ -12,13 +12,27 @@
 /// Returns the longest valid pause of the Retry-After fields in \p Headers.
 std::optional<Duration> requestedPause(const HttpHeaders &Headers);
 
+/// Returns the lowest valid rate limit of the fields named \p FieldName in \p
+/// Headers.
+std::optional<double> namedRateLimit(const HttpHeaders &Headers,
+                                     const std::string &FieldName);
+
+/// Head of a response of a backend server.
+struct ServerResponseHead {
+  int m_Status = 0;
+  const HttpHeaders &m_Headers;
+  /// Client request that the response belongs to; empty for probes and orders.
+  std::string_view m_RequestId;
+  /// Time at which the request was sent; not known for probes and orders.
+  std::optional<MonotonicTime> m_RequestSentAt;
+};
+
 /// Records what the head of a response of \p Server says about the server: that
-/// it leaves, or that it wants no requests for some time. \p RequestId is the
-/// client request that the response belongs to; empty for probes and orders.
+/// it leaves, that it wants no requests for some time, or how many requests a
+/// second it takes.
 void recordServerNotices(RequestRelayContext &Context,
-                         const ChosenServer &Server, int Status,
-                         const HttpHeaders &Headers,
-                         std::string_view RequestId);
+                         const ChosenServer &Server,
+                         const ServerResponseHead &Response);
 
 } // namespace fulmarwinch
 
--- a/servers/dispatch/server_availability.cpp
+++ b/servers/dispatch/server_availability.cpp
@@ -51,14 +51,19 @@
     if (Now - Pause->m_LastDispatchAt < m_Settings.m_ResumingInterval)
       return Unavailability::Resuming;
   }
+  if (m_RateLimits.nextRequestAt(Server.m_Id, Server.m_StartedAtMs, Now) > Now)
+    return Unavailability::RateLimited;
   if (isBackedOff(Server.m_Id, Now))
     return Unavailability::BackedOff;
   return Unavailability::None;
 }
 
-MonotonicTime ServerAvailability::pauseEnd(const BackendServer &Server) const {
+MonotonicTime ServerAvailability::nextRequestAt(const BackendServer &Server,
+                                                MonotonicTime Now) const {
   const RequestedPause *Pause = findPause(Server);
-  return Pause ? Pause->m_Until : MonotonicTime{};
+  return std::max(
+      Pause ? Pause->m_Until : MonotonicTime{},
+      m_RateLimits.nextRequestAt(Server.m_Id, Server.m_StartedAtMs, Now));
 }
 
 void ServerAvailability::onDispatched(const std::string &Server,
--- a/servers/dispatch/server_availability.h
+++ b/servers/dispatch/server_availability.h
@@ -3,6 +3,7 @@
 
 #include "core/enum_names.h"
 #include "core/time.h"
+#include "servers/dispatch/server_rate_limits.h"
 #include "servers/fleet/fleet_view.h"
 
 #include <array>
@@ -37,17 +38,20 @@
   PauseRequested,
   /// Its pause has ended, and it has not answered the last request since then.
   Resuming,
+  /// This node has used its share of the rate limit that the server names.
+  RateLimited,
   /// It had no free slot, or no connection to it could be established.
   BackedOff,
 };
 
-inline constexpr std::array<EnumName<Unavailability>, 7> UnavailabilityNames{{
+inline constexpr std::array<EnumName<Unavailability>, 8> UnavailabilityNames{{
     {Unavailability::None, "none"},
     {Unavailability::Draining, "draining"},
     {Unavailability::Evacuated, "evacuated"},
     {Unavailability::Suspected, "suspected"},
     {Unavailability::PauseRequested, "pause_requested"},
     {Unavailability::Resuming, "resuming"},
+    {Unavailability::RateLimited, "rate_limited"},
     {Unavailability::BackedOff, "backed_off"},
 }};
 
@@ -85,9 +89,14 @@
   Unavailability check(const FleetView &Fleet, const BackendServer &Server,
                        MonotonicTime Now) const;
 
-  /// Time at which the pause ends that \p Server asked for; the epoch of the
-  /// clock if it asked for none.
-  MonotonicTime pauseEnd(const BackendServer &Server) const;
+  /// Time from which neither a pause that \p Server asked for nor its rate
+  /// limit holds requests back; the epoch of the clock if there is neither, and
+  /// the maximum if this node has no share of the limit.
+  MonotonicTime nextRequestAt(const BackendServer &Server,
+                              MonotonicTime Now) const;
+  /// Rate limits that the servers name.
+  ServerRateLimits &rateLimits() { return m_RateLimits; }
+  const ServerRateLimits &rateLimits() const { return m_RateLimits; }
 
   /// Must be called when this node has sent a request to \p Server.
   void onDispatched(const std::string &Server, MonotonicTime Now);
@@ -141,6 +150,7 @@
   std::map<std::string, MonotonicTime> m_BackedOffUntil;
   std::map<std::string, RequestedPause> m_RequestedPauses;
   std::map<std::string, unsigned> m_ConnectFailures;
+  ServerRateLimits m_RateLimits;
   std::minstd_rand m_Random{std::random_device()()};
 };
 
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -60,7 +60,7 @@
                                const ServerQuery &Query) {
   std::vector<Candidate> Candidates;
   m_NoServerReason = NoServerReason::NoneEligible;
-  m_FirstPauseEnd = MonotonicTime::max();
+  m_NextRequestAt = MonotonicTime::max();
   m_PassedOver.fill(0);
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
@@ -70,11 +70,14 @@
     ++m_PassedOver[static_cast<std::size_t>(Reason)];
     if (isOutOfService(Reason))
       continue;
-    if (Reason == Unavailability::PauseRequested) {
-      m_FirstPauseEnd =
-          std::min(m_FirstPauseEnd, m_Availability.pauseEnd(Server));
-      if (m_NoServerReason == NoServerReason::NoneEligible)
-        m_NoServerReason = NoServerReason::AllPaused;
+    if (Reason == Unavailability::PauseRequested ||
+        Reason == Unavailability::RateLimited) {
+      m_NextRequestAt = std::min(
+          m_NextRequestAt, m_Availability.nextRequestAt(Server, Query.m_Now));
+      m_NoServerReason =
+          std::max(m_NoServerReason, Reason == Unavailability::PauseRequested
+                                         ? NoServerReason::AllPaused
+                                         : NoServerReason::AllRateLimited);
       continue;
     }
     const double SlotUsage = slotUsage(Server, Query);
@@ -234,14 +237,18 @@
 
 void ServerSelector::setPeerInFlight(const std::string &Peer,
                                      std::map<std::string, unsigned> Load) {
-  m_PeerInFlight[Peer] = std::move(Load);
+  const auto [Known, IsNew] =
+      m_PeerInFlight.insert_or_assign(Peer, std::move(Load));
   m_NoReportSince.erase(Peer);
+  if (IsNew)
+    updateLiveNodes();
 }
 
 void ServerSelector::onPeerReportsStopped(const std::string &Peer,
                                           MonotonicTime Now) {
   m_PeerInFlight.erase(Peer);
   m_NoReportSince.emplace(Peer, Now);
+  updateLiveNodes();
 }
 
 void ServerSelector::setNodes(std::string OwnName,
@@ -258,6 +265,16 @@
     m_NoReportSince[Node] =
         Known == PreviousNoReportSince.end() ? Now : Known->second;
   }
+  updateLiveNodes();
+}
+
+void ServerSelector::updateLiveNodes() {
+  std::vector<std::string> LiveNodes;
+  for (const std::string &Node : m_Nodes)
+    if (Node == m_OwnNode || m_PeerInFlight.count(Node) != 0)
+      LiveNodes.push_back(Node);
+  m_Availability.rateLimits().setNodes(m_OwnNode, m_Nodes.size(),
+                                       std::move(LiveNodes));
 }
 
 unsigned ServerSelector::ownInFlight(const std::string &Server) const {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -17,14 +17,23 @@
 namespace fulmarwinch {
 
 /// Reason why no backend server was chosen: no eligible one exists, all
-/// eligible ones asked for a pause, they have too few free slots, or the others
-/// are cold and at their rate limit.
-enum class NoServerReason { None, NoneEligible, AllPaused, AllFull, AllCold };
+/// eligible ones asked for a pause, this node has used its share of the rate
+/// limits of the others, they have too few free slots, or they are cold and at
+/// their rate limit.
+enum class NoServerReason {
+  None,
+  NoneEligible,
+  AllPaused,
+  AllRateLimited,
+  AllFull,
+  AllCold
+};
 
-inline constexpr std::array<EnumName<NoServerReason>, 5> NoServerReasonNames{{
+inline constexpr std::array<EnumName<NoServerReason>, 6> NoServerReasonNames{{
     {NoServerReason::None, "none"},
     {NoServerReason::NoneEligible, "none_alive"},
     {NoServerReason::AllPaused, "all_paused"},
+    {NoServerReason::AllRateLimited, "all_rate_limited"},
     {NoServerReason::AllFull, "all_full"},
     {NoServerReason::AllCold, "all_cold"},
 }};
@@ -86,8 +95,10 @@
   /// Reason why the last choose() returned nothing; None if it returned a
   /// server.
   NoServerReason noServerReason() const { return m_NoServerReason; }
-  /// End of the first pause to end, if the last choose() found AllPaused.
-  MonotonicTime firstPauseEnd() const { return m_FirstPauseEnd; }
+  /// Time from which the first server may be sent requests again, if the last
+  /// choose() found AllPaused or AllRateLimited; the maximum if this node has
+  /// no share of any limit.
+  MonotonicTime nextRequestAt() const { return m_NextRequestAt; }
 
   /// Servers that the last choose() passed over although they serve what the
   /// request asks for, as "REASON:COUNT" separated by spaces.
@@ -140,6 +151,8 @@
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
                                         const ServerQuery &Query);
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
+  /// Tells the rate limits which nodes are alive.
+  void updateLiveNodes();
   double slotUsage(const BackendServer &Server, const ServerQuery &Query) const;
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
@@ -147,7 +160,7 @@
   SelectorSettings m_Settings;
   ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
-  MonotonicTime m_FirstPauseEnd{};
+  MonotonicTime m_NextRequestAt{};
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
   PrefillBacklog m_Backlog;
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -124,6 +124,7 @@
   Names.m_LastEventId = "Last-Event-Id";
   Names.m_NotExecuted = "X-Not-Run";
   Names.m_ServerLeaving = "X-Leaving";
+  Names.m_RateLimit = "X-Limit";
   Names.m_FailedServer = "X-At";
   Names.m_ResponseDigest = "X-Digest";
   Names.m_Priority = "X-Urgency";
--- a/tests/servers/dispatch/test_server_availability.cpp
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -82,7 +82,7 @@
         !m_Availability.onPauseRequested(chosen(Server), seconds(1), m_Now));
     m_Now += milliseconds(1990);
     CPPUNIT_ASSERT(check("s") == Unavailability::PauseRequested);
-    m_Now = m_Availability.pauseEnd(Server);
+    m_Now = m_Availability.nextRequestAt(Server, m_Now);
     CPPUNIT_ASSERT(check("s") == Unavailability::None);
     m_Availability.onDispatched("s", m_Now);
     m_Now += milliseconds(100);
