Read the other entries beside one that cannot be read

Cause: the store's responses were parsed as a whole. A number out of range, a word that JSON lacks (Infinity), characters that are not UTF-8 or a lone surrogate discarded the response, so that one entry took the list or the watch with it. A nesting of 100,000 levels was parsed, and copying it ended the process. Entries with fields of another type were used with defaults.

The object store client of fulmarwinchd reads its responses in the same way.

Evidence: ObjectStoreClientTest::oddEntryLeavesTheOthers (23 odd values in a list and in a watch) and deeplyNestedEntryEndsNoProcess (200 to 100,000 levels) failed before and pass now.

--- a/core/json.cpp
+++ b/core/json.cpp
@@ -1,8 +1,13 @@
 #include "core/json.h"
 #include "core/error.h"
 
+#include "absl/strings/ascii.h"
 #include "fmt/format.h"
 
+#include <algorithm>
+#include <string>
+#include <utility>
+
 namespace fulmarwinch {
 
 namespace {
@@ -28,8 +33,99 @@
   return false;
 }
 
+/// Rewrites a JSON text so that it can be parsed whatever single values in it
+/// look like. Reads the text once and does not recurse.
+class JsonRepair {
+public:
+  explicit JsonRepair(std::string_view Text) : m_Text(Text) {}
+
+  std::string run() {
+    while (m_Position < m_Text.size()) {
+      const char Byte = m_Text[m_Position];
+      if (Byte == '"')
+        copyText();
+      else if (Byte == '[' || Byte == '{')
+        enter();
+      else if (Byte == ']' || Byte == '}')
+        leave();
+      else if (isScalar(Byte))
+        copyScalar();
+      else
+        write(m_Text.substr(m_Position++, 1));
+    }
+    return std::move(m_Result);
+  }
+
+private:
+  static bool isScalar(char Byte) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(Byte)) ||
+           Byte == '-' || Byte == '+' || Byte == '.';
+  }
+
+  void write(std::string_view Bytes) {
+    if (m_Depth <= MaxDepth)
+      m_Result.append(Bytes);
+  }
+
+  void enter() {
+    if (m_Depth == MaxDepth)
+      write("\"nested too deeply\"");
+    ++m_Depth;
+    write(m_Text.substr(m_Position++, 1));
+  }
+
+  void leave() {
+    write(m_Text.substr(m_Position++, 1));
+    m_Depth -= m_Depth > 0 ? 1 : 0;
+  }
+
+  void copyScalar() {
+    const std::size_t Begin = m_Position;
+    while (m_Position < m_Text.size() && isScalar(m_Text[m_Position]))
+      ++m_Position;
+    const std::string_view Word = m_Text.substr(Begin, m_Position - Begin);
+    const bool IsReadable =
+        !Json::parse(Word, nullptr, /*allow_exceptions=*/false).is_discarded();
+    write(IsReadable ? Word : "\"unreadable value\"");
+  }
+
+  void copyText() {
+    const std::size_t Begin = m_Position++;
+    while (m_Position < m_Text.size() && m_Text[m_Position] != '"')
+      m_Position += m_Text[m_Position] == '\\' ? 2 : 1;
+    m_Position = std::min(m_Position + 1, m_Text.size());
+    const std::string_view Text = m_Text.substr(Begin, m_Position - Begin);
+    if (!Json::parse(Text, nullptr, /*allow_exceptions=*/false)
+             .is_discarded()) {
+      write(Text);
+      return;
+    }
+    std::string Readable(Text);
+    for (std::size_t I = 1; I + 1 < Readable.size(); ++I)
+      if (Readable[I] == '\\' || Readable[I] == '"' ||
+          !absl::ascii_isprint(static_cast<unsigned char>(Readable[I])))
+        Readable[I] = '?';
+    write(Readable);
+  }
+
+  std::string_view m_Text;
+  std::size_t m_Position = 0;
+  std::size_t m_Depth = 0;
+  std::string m_Result;
+};
+
 } // namespace
 
+Json parseJsonLeniently(std::string_view Text) {
+  if (!isTooDeep(Text)) {
+    Json Result = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
+    if (!Result.is_discarded())
+      return Result;
+  }
+  return Json::parse(JsonRepair(Text).run(), nullptr,
+                     /*allow_exceptions=*/false);
+}
+
 absl::StatusOr<Json> parseJson(std::string_view Text,
                                std::string_view TextName) {
   if (isTooDeep(Text))
--- a/core/json.h
+++ b/core/json.h
@@ -4,7 +4,11 @@
 #include "absl/status/statusor.h"
 #include "nlohmann/json.hpp"
 
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string_view>
+#include <type_traits>
 
 namespace fulmarwinch {
 
@@ -16,6 +20,45 @@
 absl::StatusOr<Json> parseJson(std::string_view Text,
                                std::string_view TextName);
 
+/// Parses \p Text, of which other programs wrote parts that may not be
+/// readable. A number that is out of range, a value that is nested too deeply
+/// and a word that JSON does not have become a text that names the problem;
+/// unreadable characters of a text become question marks. Returns a discarded
+/// value if the structure of \p Text cannot be read.
+Json parseJsonLeniently(std::string_view Text);
+
+/// Returns the number \p Value as an integer. Returns nothing if it is no
+/// number or does not fit.
+template <typename IntegerType>
+std::optional<IntegerType> toInteger(const Json &Value) {
+  using Limits = std::numeric_limits<IntegerType>;
+  if (Value.is_number_unsigned()) {
+    const auto Number = Value.get<std::uint64_t>();
+    return Number <= static_cast<std::uint64_t>(Limits::max())
+               ? std::optional<IntegerType>(static_cast<IntegerType>(Number))
+               : std::nullopt;
+  }
+  if (Value.is_number_integer()) {
+    const auto Number = Value.get<std::int64_t>();
+    const bool Fits =
+        Number < 0 ? std::is_signed_v<IntegerType> &&
+                         Number >= static_cast<std::int64_t>(Limits::min())
+                   : static_cast<std::uint64_t>(Number) <=
+                         static_cast<std::uint64_t>(Limits::max());
+    return Fits ? std::optional<IntegerType>(static_cast<IntegerType>(Number))
+                : std::nullopt;
+  }
+  if (!Value.is_number_float())
+    return std::nullopt;
+  // The limits as floating-point numbers may be rounded up, so the upper one is
+  // excluded.
+  const auto Number = Value.get<double>();
+  return Number >= static_cast<double>(Limits::min()) &&
+                 Number < static_cast<double>(Limits::max())
+             ? std::optional<IntegerType>(static_cast<IntegerType>(Number))
+             : std::nullopt;
+}
+
 /// Returns the field \p Key of \p Object, or \p Default if \p Object is no
 /// JSON object, has no such field or the field cannot be converted to
 /// ValueType.
@@ -26,6 +69,9 @@
   const auto Member = Object.find(Key);
   if (Member == Object.end())
     return Default;
+  if constexpr (std::is_integral_v<ValueType> &&
+                !std::is_same_v<ValueType, bool>)
+    return toInteger<ValueType>(*Member).value_or(Default);
   try {
     return Member->template get<ValueType>();
   } catch (const Json::exception &) {
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -129,7 +129,7 @@
   Call.m_OnData = [Body](std::string_view Data) { *Body += Data; };
   Call.m_OnDone = [Body,
                    Handler = std::move(Handler)](const HttpCallResult &Result) {
-    Handler(Result, Json::parse(*Body, nullptr, /*allow_exceptions=*/false));
+    Handler(Result, parseJsonLeniently(*Body));
   };
   m_Client.start(std::move(Call));
 }
--- a/servers/fleet/backend_server.cpp
+++ b/servers/fleet/backend_server.cpp
@@ -2,6 +2,7 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 
 namespace fulmarwinch {
 
@@ -13,7 +14,11 @@
   constexpr std::uint32_t MaxPort = 65535;
   if (!parseNumber(Text.substr(Colon + 1), Port) || Port == 0 || Port > MaxPort)
     return std::nullopt;
-  return Endpoint{Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
+  Endpoint Result{Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
+  in_addr Address{};
+  if (inet_pton(AF_INET, Result.m_Ip.c_str(), &Address) != 1)
+    return std::nullopt;
+  return Result;
 }
 
 bool BackendServer::hasStagedWeights(const std::string &Model) const {
--- a/tests/platform/test_object_store_client.cpp
+++ b/tests/platform/test_object_store_client.cpp
@@ -1,3 +1,4 @@
+#include "platform/decoders.h"
 #include "platform/object_store_client.h"
 
 #include "asio.hpp"
@@ -12,6 +13,8 @@
   CPPUNIT_TEST_SUITE(ObjectStoreClientTest);
   CPPUNIT_TEST(damagedListingIsNoEmptyList);
   CPPUNIT_TEST(damagedWatchDropsNoChanges);
+  CPPUNIT_TEST(oddEntryLeavesTheOthers);
+  CPPUNIT_TEST(deeplyNestedEntryEndsNoProcess);
   CPPUNIT_TEST_SUITE_END();
 
   /// Store on loopback that sends one response on one connection.
@@ -100,6 +103,75 @@
                        "deleted":true}],"as_of":5})");
     CPPUNIT_ASSERT(Sound.m_Changes.front().m_Deleted);
   }
+
+  static std::string entry(const std::string &Id, const std::string &Port,
+                           const std::string &Slots) {
+    return R"({"metadata":{"name":")" + Id +
+           R"(","revision":3},"spec":{"service":"llm","zone":"a",)"
+           R"("state":"ready","address":"10.0.0.1:)" +
+           Port + R"(","slots":)" + Slots + "}}";
+  }
+
+  /// Returns the IDs of the listed or changed servers that can be used.
+  static std::vector<std::string>
+  usableServers(const std::vector<StoredObject> &Objects) {
+    std::vector<std::string> Ids;
+    for (const StoredObject &Object : Objects)
+      if (platform::decodeServer(Object).ok())
+        Ids.push_back(Object.m_Name);
+    return Ids;
+  }
+
+  /// Checks that \p Odd names no server to use, and that the entries listed and
+  /// changed beside it do.
+  static void checkOddEntry(const std::string &Odd) {
+    const std::vector<std::string> Others{"i-1", "i-3"};
+    const std::string Message = Odd.substr(0, 200);
+    const ObjectsListed Listed =
+        list("{\"items\":[" + entry("i-1", "80", "26") + "," + Odd + "," +
+             entry("i-3", "80", "26") + "],\"as_of\":5}");
+    CPPUNIT_ASSERT_MESSAGE(Message,
+                           Listed.m_Outcome == StoreOutcome::Succeeded);
+    CPPUNIT_ASSERT_MESSAGE(Message, usableServers(Listed.m_Objects) == Others);
+
+    const ObjectsWatched Watched =
+        watch("{\"events\":[{\"object\":" + entry("i-1", "80", "26") +
+              "},{\"object\":" + Odd +
+              "},{\"object\":" + entry("i-3", "80", "26") + "}],\"as_of\":5}");
+    CPPUNIT_ASSERT_MESSAGE(Message,
+                           Watched.m_Outcome == StoreOutcome::Succeeded);
+    std::vector<StoredObject> Changed;
+    for (const ObjectChange &Change : Watched.m_Changes)
+      Changed.push_back(Change.m_Object);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, std::size_t{3}, Changed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), Changed[1].m_Name);
+    CPPUNIT_ASSERT_MESSAGE(Message, usableServers(Changed) == Others);
+  }
+
+  /// Another program wrote one entry. Guards against a node that then reads
+  /// none of the list, or stops to follow its changes.
+  void oddEntryLeavesTheOthers() {
+    for (const char *Slots :
+         {"1e999", "-1e999", "Infinity", "-Infinity", "NaN", "1e300",
+          "123456789012345678901234567890", "-5", "4294967296", "true", "\"4\"",
+          "[[[]]]", "{\"x\":1e999}"})
+      checkOddEntry(entry("i-2", "80", Slots));
+    for (const char *Port : {"0", "-1", "65536", "99999999999999999999", "8e1",
+                             "80:80", "x", "", "\xff\xfe", "80\\ud800"})
+      checkOddEntry(entry("i-2", Port, "26"));
+  }
+
+  /// Guards against one entry that ends each process that reads the list.
+  void deeplyNestedEntryEndsNoProcess() {
+    for (const std::size_t Depth : {200U, 5000U, 100000U})
+      for (const char *Brackets : {"[]", "{}"}) {
+        std::string Nested;
+        for (std::size_t I = 0; I < Depth; ++I)
+          Nested += Brackets[0] == '[' ? "[" : "{\"a\":";
+        Nested += "0" + std::string(Depth, Brackets[1]);
+        checkOddEntry(entry("i-2", "80", Nested));
+      }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreClientTest);
