Accept only events that continue a stream that broke off

Cause: a response with the status of a success was taken for the rest of the stream, whatever its type and signature. Its events without an ID, and what it held after its last event, went to the client, and its end ended the stream. Errors with another status were never passed on.

Change: a response goes on with a stream only if its Content-Type is that of the head which the client has received, and it is signed if that one is. Events without an ID count as a gap until one with an ID has shown that the attempt continues the stream; a response without any such event may be empty only.

Evidence: ResumedStreamTest::errorThatLooksLikeASuccessIsNoPartOfTheStream failed before and passes now. errorIsNoPartOfTheStream (27 errors) and refusalOfAnotherRequestIsNoPromise (an earlier refusal written once more) passed before as well: the latter cannot happen here, since each call has a connection of its own and an answer with another ID is rejected.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -449,8 +449,33 @@
     recordServerNotices(
         m_Context, m_ChosenServer,
         {m_ResponseHead.m_Status, m_ResponseHead.m_Headers, m_Id, m_SentAt});
+    m_Sequence.beginAttempt();
     if (EchoedId != m_Id)
       rejectResponse("foreign_response");
+    else if (m_IsStream && m_ResponseStarted && !hasHeadOfStream())
+      rejectResponse("no_stream");
+  }
+
+  /// True if the head of the response agrees with the one that the client has
+  /// received, so that its events can be of the same stream.
+  bool hasHeadOfStream() const {
+    const auto IsEqual = [&](const std::string &Name, auto Compare) {
+      return Compare(findHeader(m_ResponseHead.m_Headers, Name),
+                     findHeader(m_StreamHead.m_Headers, Name));
+    };
+    const auto AreBothPresent = [](const auto &Own, const auto &Begun) {
+      return Own.has_value() == Begun.has_value();
+    };
+    return IsEqual("Content-Type", std::equal_to<>()) &&
+           IsEqual(m_Context.m_HeaderNames.m_ResponseDigest, AreBothPresent);
+  }
+
+  /// Sends the head of the current response as that of the stream.
+  void beginStream() {
+    m_ResponseStarted = true;
+    m_StreamHead = m_ResponseHead;
+    m_Client->beginStream(m_ResponseHead.m_Status, m_ResponseHead.m_Reason,
+                          endToEndHeaders(m_ResponseHead.m_Headers));
   }
 
   void onBody(std::string_view Bytes) {
@@ -485,14 +510,12 @@
       break;
     }
     if (!m_ResponseStarted) {
-      m_ResponseStarted = true;
       m_FirstEventAt = Now;
       if (m_Service->hasReplicaGroups())
         m_Context.m_FirstEventLatency.record(
             m_Model, Now - m_ClientRequest.m_ReceivedAt,
             m_Route->m_FirstByteObjective, Now);
-      m_Client->beginStream(m_ResponseHead.m_Status, m_ResponseHead.m_Reason,
-                            endToEndHeaders(m_ResponseHead.m_Headers));
+      beginStream();
     }
     m_LongestEventGap =
         std::max(m_LongestEventGap, Now - m_LastEventAt.value_or(Now));
@@ -600,6 +623,11 @@
   }
 
   void finishStream() {
+    if (!m_Sequence.continuesStream() &&
+        !m_EventCutter.incompleteEvent().empty()) {
+      onAttemptFailed("no_stream");
+      return;
+    }
     if (m_Service->hasReplicaGroups())
       for (DemandEstimator *Demand : {&m_Context.m_DemandEstimator,
                                       &m_Context.m_ReturningDemandEstimator})
@@ -610,11 +638,8 @@
     m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordOutput();
     releaseServer();
-    if (!m_ResponseStarted) {
-      m_ResponseStarted = true;
-      m_Client->beginStream(m_ResponseHead.m_Status, m_ResponseHead.m_Reason,
-                            endToEndHeaders(m_ResponseHead.m_Headers));
-    }
+    if (!m_ResponseStarted)
+      beginStream();
     m_Client->sendChunk(m_EventCutter.incompleteEvent());
     end("complete", m_ResponseHead.m_Status);
     m_Client->endStream();
@@ -869,6 +894,8 @@
   ChosenServer m_ChosenServer;
   std::shared_ptr<UpstreamCall> m_Call;
   HttpMessageHead m_ResponseHead;
+  /// Head of the stream that the client receives.
+  HttpMessageHead m_StreamHead;
   std::string m_ResponseBody;
   EventSplitter m_EventCutter;
   EventSequenceFilter m_Sequence{std::nullopt};
--- a/servers/retry/event_splitter.cpp
+++ b/servers/retry/event_splitter.cpp
@@ -72,17 +72,22 @@
 EventSequenceFilter::Verdict
 EventSequenceFilter::accept(const RawEvent &Event) {
   if (!Event.m_Id) {
+    if (!m_ContinuesStream)
+      return Verdict::Gap;
     m_CanResume = false;
     ++m_Delivered;
     return Verdict::Deliver;
   }
-  if (m_LastId && *Event.m_Id <= *m_LastId)
+  if (m_LastId && *Event.m_Id <= *m_LastId) {
+    m_ContinuesStream = true;
     return Verdict::Duplicate;
+  }
   // IDs are consecutive within one attempt. The first event of a resumed
   // attempt has to follow the last event that was delivered.
   const bool IsNextId = m_LastId && *Event.m_Id == *m_LastId + 1;
   if (m_LastId && !IsNextId)
     return Verdict::Gap;
+  m_ContinuesStream = true;
   m_LastId = Event.m_Id;
   ++m_Delivered;
   return Verdict::Deliver;
--- a/servers/retry/event_splitter.h
+++ b/servers/retry/event_splitter.h
@@ -47,8 +47,14 @@
   explicit EventSequenceFilter(std::optional<std::uint64_t> LastId)
       : m_LastId(LastId) {}
 
-  /// Decides about the next event of the current attempt. The state changes
-  /// only if the result is Deliver.
+  /// Must be called when the response of the next attempt begins.
+  void beginAttempt() { m_ContinuesStream = m_Delivered == 0; }
+  /// True once an event of the current attempt has shown by its ID that the
+  /// attempt goes on with the delivered events, and if there are none.
+  bool continuesStream() const { return m_ContinuesStream; }
+
+  /// Decides about the next event of the current attempt. An event without an
+  /// ID is a gap until the attempt has shown that it continues the stream.
   Verdict accept(const RawEvent &Event);
 
   /// ID of the last event that was delivered to the client.
@@ -63,6 +69,7 @@
   std::optional<std::uint64_t> m_LastId;
   std::uint64_t m_Delivered = 0;
   bool m_CanResume = true;
+  bool m_ContinuesStream = true;
 };
 
 } // namespace fulmarwinch
