Choose a head without a rate limit for a new group

Cause: a server without traffic names a limit of one request a second. When it became the head of a new group, the group took one request a second, and its other members, of which some named no limit, served nobody.

Change: members name their limits in the responses to the join orders. A group that is about to open with a limited head is disbanded and formed with another head, if another member names no limit.

Evidence: ReplicaPlannerTest::limitedServerIsNoHeadIfAnotherMemberCanBe failed before and passes now.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -157,6 +157,7 @@
     Input.m_TrafficSeen = m_Context.m_HasSentToGroup;
     for (const auto &[Server, Revision] : m_UnresponsiveServers)
       Input.m_UnreachableServers.insert(Server);
+    Input.m_RateLimitedServers = rateLimitedServers(Now);
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
     Input.m_DemandByModel = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
@@ -176,6 +177,17 @@
     storeQuarantine();
 }
 
+std::set<std::string>
+GroupCoordinator::rateLimitedServers(MonotonicTime Now) const {
+  std::set<std::string> Result;
+  const ServerRateLimits &Limits =
+      m_Context.m_Selector.availability().rateLimits();
+  for (const auto &[Id, Server] : m_Context.m_Fleet.servers())
+    if (Limits.isLimited(Id, Server.m_StartedAtMs, Now))
+      Result.insert(Id);
+  return Result;
+}
+
 void GroupCoordinator::logSupply(const std::vector<ModelSupply> &Supplies) {
   const auto Number = [](std::size_t Count) {
     return static_cast<std::int64_t>(Count);
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -71,6 +71,7 @@
                         UpstreamOutcome Outcome, int Status);
   /// Requests the load report of \p Server as a liveness probe.
   void probeLiveness(const BackendServer &Server, LivenessHandler Done);
+  std::set<std::string> rateLimitedServers(MonotonicTime Now) const;
   /// Counts a probe or an order for the rate limit of its server.
   void countCall(const std::string &Server, std::int64_t StartedAtMs);
   /// Records what a response to a probe or an order says about its server.
--- a/servers/dispatch/server_rate_limits.h
+++ b/servers/dispatch/server_rate_limits.h
@@ -61,6 +61,11 @@
   /// statements first if there are too many for one message.
   RateLimitStatements ownStatements(MonotonicTime Now) const;
 
+  /// True if the process names a limit.
+  bool isLimited(const std::string &Server, std::int64_t StartedAtMs,
+                 MonotonicTime Now) const {
+    return find(Server, StartedAtMs, Now) != nullptr;
+  }
   /// Time from which this node may send a request to the process; the epoch of
   /// the clock if it names no limit, and the maximum if this node has no share
   /// of the limit.
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -255,6 +255,13 @@
                     return Input.m_Fleet->find(Id)->m_Membership->m_State ==
                            GroupMemberState::Ready;
                   });
+  // The members name their limits in the responses to their orders. The same
+  // servers form a group with another head sooner than one is replaced that
+  // takes too few requests.
+  if (AllReady && hasBetterHead(Input, Group)) {
+    disband(Input, Group, false);
+    return;
+  }
   if (AllReady) {
     MemberOrder Open;
     Open.m_Kind = MemberOrderKind::Open;
@@ -274,6 +281,16 @@
   disband(Input, Group, false);
 }
 
+bool ReplicaPlanner::hasBetterHead(const ReplicaPlannerInput &Input,
+                                   const ReplicaGroup &Group) {
+  const auto IsLimited = [&](const std::string &Server) {
+    return Input.m_RateLimitedServers.count(Server) != 0;
+  };
+  return IsLimited(Group.m_Head->m_Id) &&
+         !std::all_of(Group.m_Members.begin(), Group.m_Members.end(),
+                      IsLimited);
+}
+
 void ReplicaPlanner::disband(const ReplicaPlannerInput &Input,
                              const ReplicaGroup &Group, bool HeadMayServe) {
   for (const std::string &Id : Group.m_Members) {
@@ -358,8 +375,8 @@
 }
 
 ReplicaPlanner::GroupCandidate ReplicaPlanner::findCandidate(
-    const ModelSpec &Model,
-    const std::vector<const BackendServer *> &FreeServers) const {
+    const ReplicaPlannerInput &Input, const ModelSpec &Model,
+    const std::vector<const BackendServer *> &FreeServers) {
   GroupCandidate Result;
   if (FreeServers.size() < Model.m_GroupSize)
     return Result;
@@ -370,6 +387,16 @@
                      return Left->hasStagedWeights(Model.m_Name) >
                             Right->hasStagedWeights(Model.m_Name);
                    });
+  // The first member is the head.
+  const auto Head = std::find_if(
+      Result.m_Members.begin(), Result.m_Members.end(),
+      [&](const BackendServer *Server) {
+        return Input.m_RateLimitedServers.count(Server->m_Id) == 0 &&
+               Server->hasStagedWeights(Model.m_Name) ==
+                   Result.m_Members.front()->hasStagedWeights(Model.m_Name);
+      });
+  if (Head != Result.m_Members.end())
+    std::rotate(Result.m_Members.begin(), Head, std::next(Head));
   Result.m_Members.resize(Model.m_GroupSize);
   for (const BackendServer *Member : Result.m_Members)
     Result.m_LoadsNeeded += Member->hasStagedWeights(Model.m_Name) ? 0 : 1;
@@ -410,7 +437,8 @@
     GroupCandidate BestCandidate;
     std::size_t BestSameModelGroups = 0;
     for (const auto &[Domain, Servers] : FreeServers) {
-      const GroupCandidate DomainCandidate = findCandidate(*Model, Servers);
+      const GroupCandidate DomainCandidate =
+          findCandidate(Input, *Model, Servers);
       if (!DomainCandidate.m_Model)
         continue;
       // After the first request a load from the weight store takes longer than
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -85,6 +85,8 @@
   bool m_TrafficSeen = false;
   /// Servers that are listed in the store but do not respond to requests.
   std::set<std::string> m_UnreachableServers;
+  /// Servers that name a limit for the rate of their requests.
+  std::set<std::string> m_RateLimitedServers;
   /// Servers whose store entry is gone but which responded to a recent probe,
   /// or whose probe has not timed out yet.
   std::set<std::string> m_UnlistedButResponding;
@@ -212,9 +214,13 @@
   /// Orders one more group to form, for the model with the lowest supply that
   /// allows it. Returns false if no group can form.
   bool formNextGroup(const ReplicaPlannerInput &Input);
-  GroupCandidate
-  findCandidate(const ModelSpec &Model,
-                const std::vector<const BackendServer *> &FreeServers) const;
+  static GroupCandidate
+  findCandidate(const ReplicaPlannerInput &Input, const ModelSpec &Model,
+                const std::vector<const BackendServer *> &FreeServers);
+  /// True if the head of \p Group names a rate limit and another member does
+  /// not. The limit of a head is the limit of its group.
+  static bool hasBetterHead(const ReplicaPlannerInput &Input,
+                            const ReplicaGroup &Group);
   void startFormation(const ReplicaPlannerInput &Input,
                       const GroupCandidate &SelectedCandidate);
   void stageSpares(const ReplicaPlannerInput &Input);
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(domainChangesItsModelWhileItsGroupsServe);
   CPPUNIT_TEST(conversionLeavesLoadsForLostServers);
   CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
+  CPPUNIT_TEST(limitedServerIsNoHeadIfAnotherMemberCanBe);
   CPPUNIT_TEST_SUITE_END();
 
   FleetView m_Fleet;
@@ -46,6 +47,7 @@
   std::uint64_t m_Revision = 1;
   bool m_TrafficSeen = false;
   std::set<std::string> m_Unreachable;
+  std::set<std::string> m_RateLimited;
   std::set<std::string> m_UnlistedButResponding;
   DemandByModel m_Demand;
 
@@ -127,6 +129,7 @@
     Input.m_Now = m_Now;
     Input.m_TrafficSeen = m_TrafficSeen;
     Input.m_UnreachableServers = m_Unreachable;
+    Input.m_RateLimitedServers = m_RateLimited;
     Input.m_UnlistedButResponding = m_UnlistedButResponding;
     Input.m_DemandByModel = m_Demand;
     return Planner.plan(Input);
@@ -150,6 +153,30 @@
     return Count;
   }
 
+  /// Servers name their limits in the responses to the join orders. Guards
+  /// against a new group that takes one request a second because its head is
+  /// limited, while another member is not.
+  void limitedServerIsNoHeadIfAnotherMemberCanBe() {
+    addServers(1, 4, "big");
+    ReplicaPlanner Planner = newPlanner();
+    for (const MemberOrder &Order : plan(Planner))
+      execute(Order);
+    m_RateLimited = {serverId(1), serverId(2), serverId(4)};
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
+    CPPUNIT_ASSERT_EQUAL(serverId(3),
+                         m_Fleet.groups().begin()->second.m_Head->m_Id);
+
+    // A group of which all members are limited opens all the same.
+    m_RateLimited.insert(serverId(3));
+    removeEntry(serverId(3));
+    addServers(5, 5, "big");
+    m_RateLimited.insert(serverId(5));
+    for (int I = 0; I < 5; ++I)
+      runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openGroups());
+  }
+
   /// Creates a planner whose start-up settle time has already passed, so it
   /// expects no further domains.
   ReplicaPlanner newPlanner(std::uint64_t Epoch = 1,
