Play rate limits in the soak of front nodes

Servers name limits of 0.5 to 8 requests a second for 7.5 s, beside the other faults. The soak checks the bound over all processes that have been told, and, as before, that every node serves again after the last fault, which a node without a share of a limit only does if it learns that the limit has ended.

--- a/soak/front_soak.py
+++ b/soak/front_soak.py
@@ -23,6 +23,9 @@
                    Server, Store, now, read_message)
 
 NODES, SERVERS, CONNECTIONS = 3, 6, 8
+# Length of a server's rate limit, the time from which it holds, and the window
+# in which its requests are counted.
+LIMIT_S, CONTACT_S, LIMIT_WINDOW_S = 7.5, 3.0, 4.0
 ROUTES = {"once": "non_idempotent", "often": "idempotent",
           "stream": "streaming"}
 
@@ -47,6 +50,9 @@
         self.violations, self.records = [], {}
         self.server_count, self.request_count, self.version = 0, 0, 0
         self.pauses, self.notices, self.faults = [], [], []
+        # Limits as (server, requests per second, begin, end), and the time at
+        # which each process was told of the limit of a server.
+        self.limits, self.told_limits = [], {}
         self.store = Store(f"{self.prefix}.2")
         self.servers = [Server(self, f"{self.prefix}.{100 + i}", 8080)
                         for i in range(SERVERS)]
@@ -212,6 +218,15 @@
     async def pause_server(self, server):
         server.pause_until = now() + self.random.choice([0.8, 2.0])
 
+    async def limit_server(self, server):
+        if server.leaving or now() < server.limit_until:
+            return
+        server.limit = self.random.choice([0.5, 2.0, 8.0])
+        server.limit_until = now() + LIMIT_S
+        self.limits.append((server.id, server.limit, now(),
+                            server.limit_until))
+        await asyncio.sleep(LIMIT_S)
+
     async def reset_server(self, server):
         server.reset_until = now() + self.random.uniform(0.1, 0.6)
 
@@ -234,6 +249,7 @@
                  (self.leave_server, self.servers),
                  (self.crash_server, self.servers),
                  (self.pause_server, self.servers),
+                 (self.limit_server, self.servers),
                  (self.reset_server, self.servers), (self.break_store, [None]),
                  (self.change_configuration, [None])]
         tasks = []
@@ -294,6 +310,24 @@
                                f"{record.node.name} in the pause that it had "
                                "asked for")
 
+    def judge_limits(self):
+        for server, limit, begin, end in self.limits:
+            arrivals = sorted(
+                at for record in self.records.values()
+                for at, other in record.arrivals
+                if other == server and begin + CONTACT_S < at < end
+                and at > 0.5 + self.told_limits.get(
+                    (server, record.process), float("inf"))
+                and not record.node.was_frozen(begin, at))
+            allowed = 1.5 * limit * LIMIT_WINDOW_S + 5
+            for first, at in enumerate(arrivals):
+                count = sum(at <= other < at + LIMIT_WINDOW_S
+                            for other in arrivals[first:])
+                if count > allowed:
+                    self.violation(f"{server} got {count} requests in 4 s, "
+                                   f"{allowed} are allowed")
+                    break
+
     async def check_recovery(self):
         for node in self.nodes:
             served = 0
@@ -334,6 +368,7 @@
         self.judge_records()
         self.judge_notices()
         self.judge_pauses()
+        self.judge_limits()
         for node in self.nodes:
             node.kill()
 
@@ -368,7 +403,8 @@
         outcomes[key] = outcomes.get(key, 0) + 1
     print(f"seed {seed}: {len(world.records)} requests "
           f"{json.dumps(outcomes, sort_keys=True)}, {len(world.faults)} "
-          f"faults, {len(world.notices)} notices, {len(world.pauses)} pauses: "
+          f"faults, {len(world.notices)} notices, {len(world.pauses)} pauses, "
+          f"{len(world.limits)} limits: "
           f"{len(world.violations)} violations", flush=True)
     if not world.violations:
         shutil.rmtree(world.directory)
--- a/soak/world.py
+++ b/soak/world.py
@@ -168,7 +168,8 @@
         self.id = f"i-{self.world.server_count:04d}"
         self.born = self.world.server_count
         self.leaving = False
-        self.pause_until = self.reset_until = 0.0
+        self.pause_until = self.reset_until = self.limit_until = 0.0
+        self.limit = 0.0
         self.listener = await asyncio.start_server(self.serve, self.ip,
                                                    self.port)
         self.write_entry()
@@ -205,6 +206,9 @@
         if self.leaving:
             fields["Server-Leaving"] = "1"
             fields["Connection"] = "close"
+        is_limited = now() < self.limit_until
+        if is_limited:
+            fields["Server-Limit"] = str(self.limit)
         if start_line.startswith("GET /fulmarwinch/report "):
             writer.write(http_response(200, fields, b"{}"))
             return
@@ -214,6 +218,8 @@
             return
         if "credential" in headers or headers.get("tenant") != "org":
             self.world.violation(f"{request_id}: key passed on or no tenant")
+        if is_limited:
+            self.world.told_limits.setdefault((self.id, record.process), now())
         if now() < self.pause_until:
             self.world.pauses.append((self.id, record, now(),
                                       self.pause_until))
