Let a new lease holder know the heads that ended before its time

Cause: six heads crashed while the store was down and nobody held the lease. The next holder had not planned for their groups, so it knew no head, sent their members away and let them wait 6.5 s for heads that might still serve, although other processes ran at their addresses (log: 15 leave orders at 20.5 s, the first join at 27.0 s).

Change: the planner takes the head of a group from the last entries that the fleet view keeps of members whose entry is gone.

Evidence: ReplicaPlannerTest::nextLeaseHolderKnowsAHeadThatEndedBeforeItsTime failed before and passes now.

--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -197,6 +197,11 @@
 
 void ReplicaPlanner::reviewGroupWithoutHead(const ReplicaPlannerInput &Input,
                                             const ReplicaGroup &Group) {
+  // The entry of the head may have gone before this node held the lease.
+  for (const BackendServer *Unlisted :
+       Input.m_Fleet->membersWithoutEntry(Group.m_Key))
+    if (Unlisted->m_Membership->m_Rank == 0)
+      m_LastKnownHeads.emplace(Group.m_Key, *Unlisted);
   const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
   if (LastHead != m_LastKnownHeads.end()) {
     // A head that is listed without this group, or confirmed that it left, no
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(conversionLeavesLoadsForLostServers);
   CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
   CPPUNIT_TEST(limitedServerIsNoHeadIfAnotherMemberCanBe);
+  CPPUNIT_TEST(nextLeaseHolderKnowsAHeadThatEndedBeforeItsTime);
   CPPUNIT_TEST_SUITE_END();
 
   FleetView m_Fleet;
@@ -368,6 +369,28 @@
                          countOrders(plan(Planner), MemberOrderKind::Join));
   }
 
+  /// A head crashes while the store is down and nobody holds the lease. Guards
+  /// against a new holder that lets the members wait for a head that it does
+  /// not know, although the head's address has another process.
+  void nextLeaseHolderKnowsAHeadThatEndedBeforeItsTime() {
+    addServers(1, 3, "small");
+    BackendServer Head = *m_Fleet.find(serverId(1));
+    Head.m_Endpoint = {"10.0.0.7", 8088};
+    Head.m_StartedAtMs = 500;
+    updateEntry(Head);
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(serverId(1),
+                         m_Fleet.groups().begin()->second.m_Head->m_Id);
+    removeEntry(serverId(1));
+    addServerAtAddressOfHead(501);
+    m_TrafficSeen = true;
+    ReplicaPlanner Next = newPlanner(2);
+    runUntilSettled(Next);
+    CPPUNIT_ASSERT(Next.quarantineRecord().empty());
+    CPPUNIT_ASSERT(!m_Fleet.find(serverId(2))->m_Membership);
+  }
+
   /// Guards against servers that join a group while an unknown head may serve
   /// with them: an earlier version or a damaged object names no head.
   void quarantineOfAnUnknownHeadLastsItsWholeTime() {
