Read what has arrived before a timer that is hardly late

Cause: a process counted as having stood still only if a timer was over 100 ms late. The process was stopped after it had looked for events, and woke between 0 and 100 ms after the deadline (log: both calls end as timed_out in the same millisecond, 2.53 s and 2.50 s after they began), so the timer ended the calls before their unread responses were looked at.

Change: a call whose socket has unread bytes when its timer runs reads them first, once, like after a long pause.

Evidence: UpstreamCallTest::responseIsReadBeforeATimerThatIsHardlyLate failed before (timed_out) and passes now (complete); the 74 tests of proxy pass, among them deadlineHoldsInAProcessThatIsAlwaysSlow.

--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -52,9 +52,11 @@
       if (Error)
         return;
       const MonotonicTime Now = monotonicNow();
-      if (Now - Expiry > LongestTimerDelay && !m_HasReadAfterPause) {
-        // The process stood still. What has arrived meanwhile is read first,
-        // but only once: a process that is always slow ends its calls as well.
+      const bool StoodStill =
+          Now - Expiry > LongestTimerDelay || hasUnreadBytes();
+      if (StoodStill && !m_HasReadAfterPause) {
+        // What has arrived meanwhile is read first, but only once: a process
+        // that is always slow ends its calls as well.
         m_HasReadAfterPause = true;
         armTimer(Owner, Now + ReadAfterPauseTime);
         return;
@@ -64,6 +66,13 @@
     });
   }
 
+  /// The process may have stood still until just after the expiry of a timer,
+  /// which is then hardly late.
+  bool hasUnreadBytes() const {
+    asio::error_code Error;
+    return m_IsConnected && m_Socket.available(Error) > 0 && !Error;
+  }
+
   void connect(const std::shared_ptr<UpstreamCall> &Owner,
                Duration ConnectTimeout) {
     asio::error_code Error;
--- /dev/null
+++ b/tests/proxy/test_upstream_call.cpp
@@ -0,0 +1,55 @@
+#include "proxy/upstream_call.h"
+
+#include "asio.hpp"
+#include "cppunit/extensions/HelperMacros.h"
+
+#include <optional>
+#include <thread>
+
+namespace fulmarwinch {
+
+using std::chrono::milliseconds;
+
+/// One HTTP exchange in a process that stands still.
+class UpstreamCallTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UpstreamCallTest);
+  CPPUNIT_TEST(responseIsReadBeforeATimerThatIsHardlyLate);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// The process stands still after it has waited for events, until just after
+  /// the deadline, and the response arrives meanwhile. Guards against a timer
+  /// that cuts a response which is there.
+  void responseIsReadBeforeATimerThatIsHardlyLate() {
+    asio::io_context Loop;
+    asio::ip::tcp::acceptor Acceptor(Loop,
+                                     {asio::ip::address_v4::loopback(), 0});
+    const Endpoint Peer{"127.0.0.1", Acceptor.local_endpoint().port()};
+    std::optional<UpstreamOutcome> Result;
+    UpstreamCallHandlers Handlers;
+    Handlers.m_OnEnd = [&](UpstreamOutcome Outcome) { Result = Outcome; };
+    const auto Call = std::make_shared<UpstreamCall>(
+        Loop, Peer, formatRequest("GET", "/", Peer, {}, ""));
+    Call->start(std::move(Handlers), milliseconds(200), milliseconds(300));
+    asio::ip::tcp::socket Server = Acceptor.accept();
+    Loop.run_for(milliseconds(50));
+
+    // Both timers are due when the loop runs again, so the response arrives
+    // after the loop has looked for events and before the call's timer.
+    asio::steady_timer BeforeDeadline(Loop, milliseconds(100));
+    BeforeDeadline.async_wait([&](const asio::error_code &) {
+      asio::write(Server,
+                  asio::buffer(std::string(
+                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")));
+    });
+    std::this_thread::sleep_for(milliseconds(280));
+    Loop.run_for(milliseconds(300));
+    CPPUNIT_ASSERT(Result.has_value());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(nameOf(UpstreamOutcomeNames, UpstreamOutcome::Complete)),
+        std::string(nameOf(UpstreamOutcomeNames, *Result)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamCallTest);
+
+} // namespace fulmarwinch
