--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -284,4 +284,20 @@
   tickUntil(monotonicNow() + Time, [] { return false; });
 }
 
+ScriptedServer::Response shortResponse(int Status, const std::string &Fields) {
+  return {"HTTP/1.1 " + std::to_string(Status) +
+              " Any\r\nX-Id: 77\r\nX-Digest: d\r\n" + Fields +
+              "Content-Length: 4\r\n\r\nbody",
+          ScriptedServer::Response::ConnectionEnd::Close};
+}
+
+void addResponses(RelayFixture &Fixture, int Count,
+                  const ScriptedServer::Response &First,
+                  const ScriptedServer::Response &Second) {
+  for (int I = 0; I < Count; ++I) {
+    Fixture.m_FirstServer->addResponse(First);
+    Fixture.m_SecondServer->addResponse(Second);
+  }
+}
+
 } // namespace fulmarwinch
--- a/tests/proxy/relay_fixture.h
+++ b/tests/proxy/relay_fixture.h
@@ -120,6 +120,16 @@
   std::uint64_t m_Revision = 1;
 };
 
+/// Returns a complete response with a short body and the further header fields
+/// \p Fields, after which the server closes the connection.
+ScriptedServer::Response shortResponse(int Status, const std::string &Fields);
+
+/// Adds \p Count times \p First to the first server and \p Second to the second
+/// one.
+void addResponses(RelayFixture &Fixture, int Count,
+                  const ScriptedServer::Response &First,
+                  const ScriptedServer::Response &Second);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_TESTS_PROXY_RELAY_FIXTURE_H
--- a/tests/proxy/test_leaving_server.cpp
+++ b/tests/proxy/test_leaving_server.cpp
@@ -30,23 +30,6 @@
 
   using ConnectionEnd = ScriptedServer::Response::ConnectionEnd;
 
-  static ScriptedServer::Response response(int Status,
-                                           const std::string &Fields) {
-    return {"HTTP/1.1 " + std::to_string(Status) +
-                " Any\r\nX-Id: 77\r\nX-Digest: d\r\n" + Fields +
-                "Content-Length: 4\r\n\r\nbody",
-            ConnectionEnd::Close};
-  }
-
-  static void addResponses(RelayFixture &Fixture, int Count,
-                           const ScriptedServer::Response &First,
-                           const ScriptedServer::Response &Second) {
-    for (int I = 0; I < Count; ++I) {
-      Fixture.m_FirstServer->addResponse(First);
-      Fixture.m_SecondServer->addResponse(Second);
-    }
-  }
-
   static void rewriteEntry(RelayFixture &Fixture, const std::string &Id,
                            std::int64_t StartedAtMs) {
     BackendServer Entry = *Fixture.m_Fleet.find(Id);
@@ -62,8 +45,8 @@
     for (const int Status : {200, 500}) {
       RelayFixture Fixture;
       Fixture.configure(RequestKind::NonIdempotent, 1, false);
-      addResponses(Fixture, 40, response(Status, "X-Leaving: 1\r\n"),
-                   response(200, ""));
+      addResponses(Fixture, 40, shortResponse(Status, "X-Leaving: 1\r\n"),
+                   shortResponse(200, ""));
       for (int I = 0; I < 30; ++I)
         Fixture.request("", "payout");
       CPPUNIT_ASSERT_EQUAL(std::size_t{1},
@@ -170,8 +153,8 @@
   void misdirectedRequestIsNoNotice() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
-    addResponses(Fixture, 1, response(421, "X-Leaving: 1\r\n"),
-                 response(421, "X-Leaving: 1\r\n"));
+    addResponses(Fixture, 1, shortResponse(421, "X-Leaving: 1\r\n"),
+                 shortResponse(421, "X-Leaving: 1\r\n"));
     Fixture.request("", "payout");
     CPPUNIT_ASSERT(!Fixture.m_Fleet.find("s1")->m_Draining);
     CPPUNIT_ASSERT(!Fixture.m_Fleet.find("s2")->m_Draining);
@@ -191,7 +174,8 @@
       Fixture.configure(RequestKind::NonIdempotent, 1, false);
       const std::string Fields = std::string("X-Not-Run: 1\r\nRetry-After: ") +
                                  Pausing.m_Value + "\r\n";
-      addResponses(Fixture, 40, response(503, Fields), response(200, ""));
+      addResponses(Fixture, 40, shortResponse(503, Fields),
+                   shortResponse(200, ""));
       for (int I = 0; I < 20; ++I)
         CPPUNIT_ASSERT(Fixture.request("", "payout").find(" 200 ") !=
                        std::string::npos);
@@ -225,7 +209,7 @@
           "HTTP/1.1 503 Any\r\nX-Id: 77\r\nRetry-After: 20\r\n"
           "Content-Length: 40\r\n\r\npart",
           End};
-      addResponses(Fixture, 20, Broken, response(200, ""));
+      addResponses(Fixture, 20, Broken, shortResponse(200, ""));
       for (int I = 0; I < 15; ++I)
         Fixture.request();
       CPPUNIT_ASSERT_EQUAL(std::size_t{1},
@@ -239,7 +223,7 @@
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
     const ScriptedServer::Response Pause =
-        response(503, "X-Not-Run: 1\r\nRetry-After: 20\r\n");
+        shortResponse(503, "X-Not-Run: 1\r\nRetry-After: 20\r\n");
     addResponses(Fixture, 10, Pause, Pause);
     Fixture.request("", "payout");
     for (int I = 0; I < 5; ++I) {
@@ -265,9 +249,9 @@
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
     const ScriptedServer::Response Pause =
-        response(503, "X-Not-Run: 1\r\nRetry-After: 0.01\r\n");
+        shortResponse(503, "X-Not-Run: 1\r\nRetry-After: 0.01\r\n");
     addResponses(Fixture, 1, Pause, Pause);
-    addResponses(Fixture, 5, response(200, ""), response(200, ""));
+    addResponses(Fixture, 5, shortResponse(200, ""), shortResponse(200, ""));
     CPPUNIT_ASSERT(Fixture.request("", "payout").find("HTTP/1.1 503 ") !=
                    std::string::npos);
     for (const std::string Id : {"s1", "s2"})
--- a/tests/proxy/test_limited_server.cpp
+++ b/tests/proxy/test_limited_server.cpp
@@ -18,23 +18,6 @@
   CPPUNIT_TEST(misdirectedRequestNamesNoLimit);
   CPPUNIT_TEST_SUITE_END();
 
-  static ScriptedServer::Response response(int Status,
-                                           const std::string &Fields) {
-    return {"HTTP/1.1 " + std::to_string(Status) +
-                " Any\r\nX-Id: 77\r\nX-Digest: d\r\n" + Fields +
-                "Content-Length: 4\r\n\r\nbody",
-            ScriptedServer::Response::ConnectionEnd::Close};
-  }
-
-  static void addResponses(RelayFixture &Fixture, int Count,
-                           const ScriptedServer::Response &First,
-                           const ScriptedServer::Response &Second) {
-    for (int I = 0; I < Count; ++I) {
-      Fixture.m_FirstServer->addResponse(First);
-      Fixture.m_SecondServer->addResponse(Second);
-    }
-  }
-
   static std::size_t firstRequests(const RelayFixture &Fixture) {
     return Fixture.m_FirstServer->requests().size();
   }
@@ -44,8 +27,8 @@
   void limitedServerGetsNoMoreThanItTakes() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
-    addResponses(Fixture, 300, response(200, "X-Limit: 2.0\r\n"),
-                 response(200, ""));
+    addResponses(Fixture, 300, shortResponse(200, "X-Limit: 2.0\r\n"),
+                 shortResponse(200, ""));
     const MonotonicTime End = monotonicNow() + seconds(4);
     int Sent = 0;
     for (; Sent < 300 && monotonicNow() < End; ++Sent) {
@@ -93,7 +76,7 @@
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
     const ScriptedServer::Response Limited =
-        response(200, "X-Limit: 0.1\r\nX-Limit: 3\r\n");
+        shortResponse(200, "X-Limit: 0.1\r\nX-Limit: 3\r\n");
     addResponses(Fixture, 50, Limited, Limited);
     int Served = 0;
     for (int I = 0; I < 40; ++I) {
@@ -113,16 +96,16 @@
 
   static bool isLimited(const RelayFixture &Fixture,
                         const std::string &Server) {
-    return Fixture.m_Selector.availability().rateLimits().nextRequestAt(
-               Server, 0, monotonicNow()) != MonotonicTime{};
+    return Fixture.m_Selector.availability().rateLimits().isLimited(
+        Server, 0, monotonicNow());
   }
 
   void answerWithoutALimitEndsIt() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
-    addResponses(Fixture, 1, response(200, "X-Limit: 5\r\n"),
-                 response(200, "X-Limit: 5\r\n"));
-    addResponses(Fixture, 400, response(200, ""), response(200, ""));
+    addResponses(Fixture, 1, shortResponse(200, "X-Limit: 5\r\n"),
+                 shortResponse(200, "X-Limit: 5\r\n"));
+    addResponses(Fixture, 400, shortResponse(200, ""), shortResponse(200, ""));
     const MonotonicTime End = monotonicNow() + seconds(4);
     const auto AreBothUsed = [&] {
       return firstRequests(Fixture) > 1 &&
@@ -140,8 +123,8 @@
   void misdirectedRequestNamesNoLimit() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::NonIdempotent, 1, false);
-    addResponses(Fixture, 1, response(421, "X-Limit: 1\r\n"),
-                 response(421, "X-Limit: 1\r\n"));
+    addResponses(Fixture, 1, shortResponse(421, "X-Limit: 1\r\n"),
+                 shortResponse(421, "X-Limit: 1\r\n"));
     Fixture.request("", "payout");
     for (const char *Server : {"s1", "s2"})
       CPPUNIT_ASSERT(
