Tell a response that a close has ended from a delimited one

Change: a further outcome EndedByClose; hasResponse() covers both, and all callers ask it, so nothing else changes.

Evidence: closeIsToldFromADelimitedEnd; the tests of proxy and platform pass.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -328,8 +328,8 @@
                 {"model", Order.m_Model},
                 {"end", nameOf(UpstreamOutcomeNames, Outcome)},
                 {"status", std::int64_t{Status}}});
-  const bool IsAccepted = Outcome == UpstreamOutcome::Complete &&
-                          (Status == Ok || Status == Accepted);
+  const bool IsAccepted =
+      hasResponse(Outcome) && (Status == Ok || Status == Accepted);
   for (auto &[Service, Planner] : m_Planners) {
     if (IsAccepted && Order.m_Kind == MemberOrderKind::Leave)
       Planner.onLeaveConfirmed(Order);
@@ -421,8 +421,7 @@
       [this, Id = Server.m_Id, StartedAtMs = Server.m_StartedAtMs,
        Done = std::move(Done)](const BufferedResponse &Answer) {
         recordNotices(Id, StartedAtMs, Answer);
-        Done(Answer.m_Outcome == UpstreamOutcome::Complete &&
-                 Answer.m_Status == Ok,
+        Done(hasResponse(Answer.m_Outcome) && Answer.m_Status == Ok,
              Answer.m_Outcome);
       },
       [this, Id = Server.m_Id, StartedAtMs = Server.m_StartedAtMs] {
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -544,10 +544,11 @@
       return;
     }
     ++m_ArrivedAttempts;
+    m_LastOutcome = Outcome;
     if (Outcome == UpstreamOutcome::Reset ||
         Outcome == UpstreamOutcome::Truncated)
       onConnectionLost();
-    if (Outcome != UpstreamOutcome::Complete || !m_RejectedResponse.empty()) {
+    if (!hasResponse(Outcome) || !m_RejectedResponse.empty()) {
       onAttemptFailed(m_RejectedResponse.empty()
                           ? nameOf(UpstreamOutcomeNames, Outcome)
                           : m_RejectedResponse);
@@ -791,6 +792,9 @@
                           ? inMs(*m_FirstEventAt - m_ClientRequest.m_ReceivedAt)
                           : std::int64_t{-1}},
          {"gap_ms", inMs(m_LongestEventGap)},
+         {"response_end", m_LastOutcome
+                              ? nameOf(UpstreamOutcomeNames, *m_LastOutcome)
+                              : std::string_view()},
          {"total_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     RequestSummary Summary;
     Summary.m_Kind =
@@ -908,6 +912,8 @@
   unsigned m_ArrivedAttempts = 0;
   /// Attempts that a server may have executed.
   unsigned m_PossibleExecutions = 0;
+  /// How the last attempt that reached a server ended.
+  std::optional<UpstreamOutcome> m_LastOutcome;
   std::uint64_t m_PromptTokens = 0;
   /// Output tokens that the client stated, as an estimate or a maximum.
   std::uint64_t m_StatedOutputTokens = 0;
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -130,7 +130,8 @@
         return;
       }
       m_Parser.finish();
-      end(m_Parser.isComplete() ? UpstreamOutcome::Complete
+      // A response that is delimited otherwise has ended before.
+      end(m_Parser.isComplete() ? UpstreamOutcome::EndedByClose
                                 : UpstreamOutcome::Truncated);
       return;
     }
--- a/proxy/upstream_call.h
+++ b/proxy/upstream_call.h
@@ -19,8 +19,11 @@
 
 /// How an HTTP exchange with a backend server or the platform ended.
 enum class UpstreamOutcome {
-  /// The whole response arrived.
+  /// The whole response arrived, as its length, its chunks or its status tell.
   Complete,
+  /// The peer closed the connection, which ends a response that is not
+  /// delimited otherwise. Its head is whole; its body may be cut.
+  EndedByClose,
   /// The connection could not be established, so no byte was sent.
   NotConnected,
   /// The peer closed the connection before the end of the response.
@@ -35,8 +38,9 @@
   NotSent,
 };
 
-inline constexpr std::array<EnumName<UpstreamOutcome>, 7> UpstreamOutcomeNames{{
+inline constexpr std::array<EnumName<UpstreamOutcome>, 8> UpstreamOutcomeNames{{
     {UpstreamOutcome::Complete, "complete"},
+    {UpstreamOutcome::EndedByClose, "closed"},
     {UpstreamOutcome::NotConnected, "not_connected"},
     {UpstreamOutcome::Truncated, "truncated"},
     {UpstreamOutcome::Reset, "reset"},
@@ -45,6 +49,13 @@
     {UpstreamOutcome::NotSent, "not_sent"},
 }};
 
+/// True if the head of the response arrived and its body has ended. After
+/// EndedByClose the receiver must check that the body is whole.
+inline bool hasResponse(UpstreamOutcome Outcome) {
+  return Outcome == UpstreamOutcome::Complete ||
+         Outcome == UpstreamOutcome::EndedByClose;
+}
+
 /// Callbacks of one HTTP exchange. None is called after cancel().
 struct UpstreamCallHandlers {
   /// Called once the connection is established, before the first byte is sent.
--- a/tests/proxy/test_upstream_call.cpp
+++ b/tests/proxy/test_upstream_call.cpp
@@ -10,10 +10,11 @@
 
 using std::chrono::milliseconds;
 
-/// One HTTP exchange in a process that stands still.
+/// One HTTP exchange: how its end is read, also in a process that stands still.
 class UpstreamCallTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpstreamCallTest);
   CPPUNIT_TEST(responseIsReadBeforeATimerThatIsHardlyLate);
+  CPPUNIT_TEST(closeIsToldFromADelimitedEnd);
   CPPUNIT_TEST_SUITE_END();
 
   /// The process stands still after it has waited for events, until just after
@@ -48,6 +49,47 @@
         std::string(nameOf(UpstreamOutcomeNames, UpstreamOutcome::Complete)),
         std::string(nameOf(UpstreamOutcomeNames, *Result)));
   }
+
+  /// Returns the outcome of a call whose peer sends \p Response and closes.
+  static std::string outcomeOf(const std::string &Response) {
+    asio::io_context Loop;
+    asio::ip::tcp::acceptor Acceptor(Loop,
+                                     {asio::ip::address_v4::loopback(), 0});
+    const Endpoint Peer{"127.0.0.1", Acceptor.local_endpoint().port()};
+    std::optional<UpstreamOutcome> Result;
+    UpstreamCallHandlers Handlers;
+    Handlers.m_OnEnd = [&](UpstreamOutcome Outcome) { Result = Outcome; };
+    const std::string Request = formatRequest("GET", "/", Peer, {}, "");
+    const auto Call = std::make_shared<UpstreamCall>(Loop, Peer, Request);
+    Call->start(std::move(Handlers), milliseconds(500), milliseconds(5000));
+    asio::ip::tcp::socket Server = Acceptor.accept();
+    Loop.run_for(milliseconds(20));
+    // A socket with unread bytes would be reset by its close.
+    std::string Received(Request.size(), '\0');
+    asio::read(Server, asio::buffer(Received));
+    asio::write(Server, asio::buffer(Response));
+    Server.close();
+    while (!Result)
+      Loop.run_one();
+    return std::string(nameOf(UpstreamOutcomeNames, *Result));
+  }
+
+  /// Guards against the end of a connection that counts as the end that a
+  /// server has stated.
+  void closeIsToldFromADelimitedEnd() {
+    const std::string Status = "HTTP/1.1 200 OK\r\n";
+    for (const char *Rest :
+         {"Content-Length: 2\r\n\r\nab", "Content-Length: 0\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"})
+      CPPUNIT_ASSERT_EQUAL(std::string("complete"), outcomeOf(Status + Rest));
+    CPPUNIT_ASSERT_EQUAL(std::string("complete"),
+                         outcomeOf("HTTP/1.1 204 Any\r\n\r\n"));
+    for (const char *Rest : {"\r\n", "\r\nab", "Connection: close\r\n\r\nab"})
+      CPPUNIT_ASSERT_EQUAL(std::string("closed"), outcomeOf(Status + Rest));
+    for (const char *Rest : {"", "X-Any", "Content-Length: 2\r\n\r\na",
+                             "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"})
+      CPPUNIT_ASSERT_EQUAL(std::string("truncated"), outcomeOf(Status + Rest));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamCallTest);
