Read no further request after the last response of a connection

Callers saw: nothing; a request that crossed the end of its connection was counted and logged as a refused request without a route (404).

Cause: a read that was in progress when the connection began to close handed its bytes to the parser, whose message was complete, so the moved-from request was dispatched once more.

Change: no bytes are parsed once the last response is on its way.

Evidence: nothingIsReadAfterTheLastResponse failed before (one request with status 404 in the metrics) and passes now, with the tests of proxy.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -99,7 +99,8 @@
   }
 
   void parse() {
-    if (m_IsRequestInProgress || m_IsClosed || m_ReceivedBytes.empty())
+    if (m_IsRequestInProgress || m_CloseAfterWrite || m_IsClosed ||
+        m_ReceivedBytes.empty())
       return;
     const bool HadBegun = m_Parser.hasReceivedBytes();
     const std::size_t Consumed = m_Parser.parse(m_ReceivedBytes);
--- a/tests/proxy/test_planned_stop.cpp
+++ b/tests/proxy/test_planned_stop.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(requestOnTheWayOfANewConnectionIsServed);
   CPPUNIT_TEST(halfReadRequestIsServed);
   CPPUNIT_TEST(idleConnectionsAreClosed);
+  CPPUNIT_TEST(nothingIsReadAfterTheLastResponse);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char *Response =
@@ -108,6 +109,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), Fixture.receiveAll(Client));
     CPPUNIT_ASSERT(monotonicNow() - Start < milliseconds(500));
   }
+
+  /// A client sends a request after the one whose response ends the connection.
+  /// Guards against a request that is read and gets no response.
+  void nothingIsReadAfterTheLastResponse() {
+    RelayFixture Fixture;
+    configure(Fixture);
+    asio::ip::tcp::socket Client = Fixture.connectClient();
+    const std::string Text = Fixture.formatRequestBytes("", "");
+    asio::write(Client, asio::buffer(Text));
+    Fixture.runFor(milliseconds(100));
+    asio::write(Client, asio::buffer(Text));
+    Fixture.runFor(milliseconds(100));
+    CPPUNIT_ASSERT_MESSAGE(Fixture.m_Metrics.prometheusText(),
+                           Fixture.m_Metrics.prometheusText().find(
+                               "status=\"404\"") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Fixture.m_FirstServer->requests().size() +
+                             Fixture.m_SecondServer->requests().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
