Send what was passed on before an interrupted stream is closed

Callers saw: a stream that broke off without the events that had arrived just before, although these had been passed on to the connection.

Cause: ClientConnection::abort() closed the socket while output waited behind a write in progress, which discarded that output. It happens if the end of the attempt is found in the same read as the events.

Change: the pending output is written before the connection is closed; the terminating chunk is still missing.

Evidence: eventsBeforeTheInterruptionReachTheClient failed before and passes now, with the tests of proxy.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -348,7 +348,9 @@
 
 void ClientConnection::abort() {
   m_Impl->m_OnDisconnected = nullptr;
-  m_Impl->close();
+  m_Impl->m_KeepAlive = false;
+  m_Impl->m_CloseAfterWrite = true;
+  m_Impl->flush();
 }
 
 void ClientConnection::closeIfIdle() {
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -61,8 +61,9 @@
                    const HttpHeaders &Headers);
   void sendChunk(std::string_view Bytes);
   void endStream();
-  /// Closes the connection without the terminating chunk, so that the client
-  /// can tell that the response is incomplete.
+  /// Sends what was passed to sendChunk() and closes the connection without the
+  /// terminating chunk, so that the client can tell that the response is
+  /// incomplete.
   void abort();
 
   /// Closes the connection if no request or response is in progress.
