--- a/tests/platform/test_object_store_client.cpp
+++ b/tests/platform/test_object_store_client.cpp
@@ -15,16 +15,23 @@
   CPPUNIT_TEST(damagedWatchDropsNoChanges);
   CPPUNIT_TEST(oddEntryLeavesTheOthers);
   CPPUNIT_TEST(deeplyNestedEntryEndsNoProcess);
+  CPPUNIT_TEST(bodyThatACloseEndsIsReadIfItIsWhole);
+  CPPUNIT_TEST(damagedObjectIsNoObjectOfRevisionZero);
   CPPUNIT_TEST_SUITE_END();
 
   /// Store on loopback that sends one response on one connection.
   class OneResponseStore {
   public:
-    OneResponseStore(asio::io_context &Loop, const std::string &Body)
+    /// Without \p HasLength, only the end of the connection ends the body.
+    OneResponseStore(asio::io_context &Loop, const std::string &Body,
+                     bool HasLength = true)
         : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
           m_Connection(Loop),
-          m_Response("HTTP/1.1 200 OK\r\nContent-Length: " +
-                     std::to_string(Body.size()) + "\r\n\r\n" + Body) {
+          m_Response("HTTP/1.1 200 OK\r\n" +
+                     (HasLength ? "Content-Length: " +
+                                      std::to_string(Body.size()) + "\r\n"
+                                : std::string()) +
+                     "\r\n" + Body) {
       m_Acceptor.async_accept(m_Connection, [this](const asio::error_code &) {
         asio::async_read_until(m_Connection, m_Request, "\r\n\r\n",
                                [this](const asio::error_code &, std::size_t) {
@@ -46,9 +53,9 @@
     std::string m_Response;
   };
 
-  static ObjectsListed list(const std::string &Body) {
+  static ObjectsListed list(const std::string &Body, bool HasLength = true) {
     asio::io_context Loop;
-    OneResponseStore Store(Loop, Body);
+    OneResponseStore Store(Loop, Body, HasLength);
     platform::ObjectStoreClient Client(Loop, Store.endpoint());
     std::optional<ObjectsListed> Result;
     Client.list("servers",
@@ -70,6 +77,49 @@
     return *Result;
   }
 
+  static GetCompleted get(const std::string &Body, bool HasLength) {
+    asio::io_context Loop;
+    OneResponseStore Store(Loop, Body, HasLength);
+    platform::ObjectStoreClient Client(Loop, Store.endpoint());
+    std::optional<StoreCompletion> Result;
+    Client.start(GetObject{1, "servers/a"},
+                 [&](const StoreCompletion &Done) { Result = Done; });
+    while (!Result)
+      Loop.run_one();
+    return std::get<GetCompleted>(*Result);
+  }
+
+  /// Guards against a page that counts as whole because its connection ended,
+  /// and against a sound one that does not count.
+  void bodyThatACloseEndsIsReadIfItIsWhole() {
+    const std::string Whole =
+        "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4},"
+        "\"spec\":{}}],\"as_of\":5}";
+    const ObjectsListed Listed = list(Whole, false);
+    CPPUNIT_ASSERT(Listed.m_Outcome == StoreOutcome::Succeeded);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Listed.m_Objects.size());
+    for (std::size_t Cut = 0; Cut < Whole.size(); ++Cut)
+      CPPUNIT_ASSERT_MESSAGE(Whole.substr(0, Cut),
+                             list(Whole.substr(0, Cut), false).m_Outcome !=
+                                 StoreOutcome::Succeeded);
+  }
+
+  /// Guards against an object whose content is lost because its response was
+  /// cut or spoiled.
+  void damagedObjectIsNoObjectOfRevisionZero() {
+    const std::string Whole =
+        "{\"metadata\":{\"name\":\"a\",\"revision\":4},\"spec\":{}}";
+    for (const bool HasLength : {true, false}) {
+      const GetCompleted Read = get(Whole, HasLength);
+      CPPUNIT_ASSERT(Read.m_Outcome == StoreOutcome::Succeeded);
+      CPPUNIT_ASSERT_EQUAL(ObjectVersion{4}, Read.m_Version);
+      for (const std::string &Body :
+           {std::string(), std::string("{}"), Whole.substr(0, 30)})
+        CPPUNIT_ASSERT_MESSAGE(Body, get(Body, HasLength).m_Outcome !=
+                                         StoreOutcome::Succeeded);
+    }
+  }
+
   /// Guards against a node that takes all servers, or all evacuations, for
   /// deleted.
   void damagedListingIsNoEmptyList() {
