Split events whose lines end with CR

Callers saw: a stream whose lines end with CR alone arrived in one piece at its end, since no event of it was ever found.

Cause: EventSplitter knew LF and CR LF; the format of event streams names CR as well.

Change: a line ends with LF, CR LF or CR. An event that ends with CR is passed on at once; an LF that follows in a later read goes with the next bytes, so that the client receives the bytes of the server. Blank lines before an event belong to it and are no event of their own.

Evidence: linesEndWithCrAlone (failed before) and eventsDoNotDependOnReadBoundaries, at each boundary of two reads.

--- a/servers/retry/event_splitter.cpp
+++ b/servers/retry/event_splitter.cpp
@@ -7,9 +7,25 @@
 
 namespace {
 
+/// Characters that end a line, alone or as CR LF.
+constexpr std::string_view LineEnds = "\r\n";
+
+/// Returns the position after the line end at \p Position. A CR at the end of
+/// \p Bytes counts as a whole line end.
+std::size_t skipLineEnd(std::string_view Bytes, std::size_t Position) {
+  const bool IsPair = Bytes.substr(Position, LineEnds.size()) == LineEnds;
+  return Position + (IsPair ? LineEnds.size() : 1);
+}
+
+bool isLineEnd(std::string_view Bytes, std::size_t Position) {
+  return Position < Bytes.size() &&
+         LineEnds.find(Bytes[Position]) != std::string_view::npos;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view Event) {
-  for (std::string_view Line : split(Event, '\n')) {
-    removeSuffix(Line, "\r");
+  while (!Event.empty()) {
+    std::string_view Line = Event.substr(0, Event.find_first_of(LineEnds));
+    Event.remove_prefix(std::min(Event.size(), Line.size() + 1));
     if (!removePrefix(Line, "id:"))
       continue;
     removePrefix(Line, " ");
@@ -23,20 +39,25 @@
 /// Maximum size of one event. The events of model engines have some hundred
 /// bytes.
 constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
-/// Length of the longest end of an event, LF CR LF, without its last byte.
-constexpr std::size_t MaxPartialEnd = 2;
+/// Length of the longest end of an event, CR LF CR LF, without its last byte.
+constexpr std::size_t MaxPartialEnd = 3;
 
 /// Returns the size of the first complete event in \p Bytes, or 0 if there is
-/// none. The first \p Searched bytes contain no end of an event.
+/// none. The first \p Searched bytes contain no end of an event. Blank lines
+/// before an event belong to it.
 std::size_t firstEventSize(std::string_view Bytes, std::size_t Searched) {
-  for (std::size_t LineEnd = Bytes.find('\n', Searched);
-       LineEnd != std::string_view::npos;
-       LineEnd = Bytes.find('\n', LineEnd + 1)) {
-    std::size_t Next = LineEnd + 1;
-    if (Next < Bytes.size() && Bytes[Next] == '\r')
-      ++Next;
-    if (Next < Bytes.size() && Bytes[Next] == '\n')
-      return Next + 1;
+  const std::size_t Begin = Bytes.find_first_not_of(LineEnds);
+  if (Begin == std::string_view::npos)
+    return 0;
+  for (std::size_t End =
+           Bytes.find_first_of(LineEnds, std::max(Begin, Searched));
+       End != std::string_view::npos;
+       End = Bytes.find_first_of(LineEnds, End)) {
+    End = skipLineEnd(Bytes, End);
+    // An event that ends with CR is complete. If a LF follows later, it becomes
+    // the beginning of the next event.
+    if (isLineEnd(Bytes, End))
+      return skipLineEnd(Bytes, End);
   }
   return 0;
 }
--- a/servers/retry/event_splitter.h
+++ b/servers/retry/event_splitter.h
@@ -16,7 +16,7 @@
 };
 
 /// Splits a byte stream into complete server-sent events, so that an incomplete
-/// event is never forwarded to the client.
+/// event is never forwarded to the client. Lines end with LF, CR LF or CR.
 class EventSplitter {
 public:
   /// Appends received bytes and returns the events that are now complete.
--- a/tests/servers/retry/test_event_splitter.cpp
+++ b/tests/servers/retry/test_event_splitter.cpp
@@ -9,6 +9,8 @@
   CPPUNIT_TEST_SUITE(EventSplitterTest);
   CPPUNIT_TEST(incompleteEventIsBuffered);
   CPPUNIT_TEST(eventsDoNotDependOnReadBoundaries);
+  CPPUNIT_TEST(linesEndWithCrAlone);
+  CPPUNIT_TEST(lineEndOfTwoReadsIsNoBlankLine);
   CPPUNIT_TEST(resumedAttemptIsJoinedWithoutGapOrDuplicate);
   CPPUNIT_TEST(eventWithoutIdPreventsResumption);
   CPPUNIT_TEST_SUITE_END();
@@ -46,6 +48,35 @@
     }
   }
 
+  /// Guards against a stream whose events are held back until it ends.
+  void linesEndWithCrAlone() {
+    const std::string Stream = "id: 1\rdata: a\r\rid:2\rdata: b\r\r";
+    for (std::size_t ReadBoundary = 0; ReadBoundary <= Stream.size();
+         ++ReadBoundary) {
+      EventSplitter Splitter;
+      std::vector<RawEvent> Events =
+          Splitter.accept(Stream.substr(0, ReadBoundary));
+      for (RawEvent &Event : Splitter.accept(Stream.substr(ReadBoundary)))
+        Events.push_back(std::move(Event));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Events.size());
+      CPPUNIT_ASSERT(Events[0].m_Id == 1U && Events[1].m_Id == 2U);
+      CPPUNIT_ASSERT_EQUAL(Stream, Events[0].m_Bytes + Events[1].m_Bytes);
+      CPPUNIT_ASSERT(Splitter.incompleteEvent().empty());
+    }
+  }
+
+  /// The CR of the last line end arrives before its LF. Guards against a byte
+  /// that is lost or taken for a further event.
+  void lineEndOfTwoReadsIsNoBlankLine() {
+    EventSplitter Splitter;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Splitter.accept("id: 1\r\n\r").size());
+    CPPUNIT_ASSERT(Splitter.accept("\n").empty());
+    const auto Events = Splitter.accept("id: 2\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Events.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("\nid: 2\r\n\r\n"), Events[0].m_Bytes);
+    CPPUNIT_ASSERT(Events[0].m_Id == 2U);
+  }
+
   /// Guards against a client that receives an event twice or misses one.
   void resumedAttemptIsJoinedWithoutGapOrDuplicate() {
     using Verdict = EventSequenceFilter::Verdict;
