Forward no success without the digest of the server

Cause: the relay asked for the digest only when a stream was resumed.

Change: a 2xx without the digest field is an attempt that failed and may have run ("no_digest"); its body is not read.

Evidence: successWithoutDigestIsNotForwarded failed before.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -58,6 +58,7 @@
 constexpr Duration LongestTickGap = milliseconds(100);
 
 constexpr int Ok = 200;
+constexpr int FirstRedirection = 300;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int Misdirected = 421;
@@ -452,6 +453,10 @@
     m_Sequence.beginAttempt();
     if (EchoedId != m_Id)
       rejectResponse("foreign_response");
+    else if (isSuccess() &&
+             !findHeader(m_ResponseHead.m_Headers,
+                         m_Context.m_HeaderNames.m_ResponseDigest))
+      rejectResponse("no_digest");
     else if (m_IsStream && m_ResponseStarted && !hasHeadOfStream())
       rejectResponse("no_stream");
   }
@@ -557,6 +562,11 @@
     onComplete();
   }
 
+  bool isSuccess() const {
+    return m_ResponseHead.m_Status >= Ok &&
+           m_ResponseHead.m_Status < FirstRedirection;
+  }
+
   void onConnectionLost() {
     // The end of a server that leaves is no crash.
     const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
--- a/tests/proxy/test_interrupted_response.cpp
+++ b/tests/proxy/test_interrupted_response.cpp
@@ -9,12 +9,54 @@
 class InterruptedResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InterruptedResponseTest);
   CPPUNIT_TEST(eventsBeforeTheInterruptionReachTheClient);
+  CPPUNIT_TEST(successWithoutDigestIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
   static bool contains(const std::string &Text, const std::string &Part) {
     return Text.find(Part) != std::string::npos;
   }
 
+  struct Exchange {
+    std::string m_Received;
+    std::size_t m_Requests = 0;
+  };
+
+  /// Returns what the client receives if the first server that is asked sends
+  /// \p First, and the other one \p Second.
+  static Exchange exchange(RequestKind Kind, bool Resumable,
+                           const ScriptedServer::Response &First,
+                           const ScriptedServer::Response &Second = {""}) {
+    RelayFixture Fixture;
+    Fixture.configure(Kind, 2, Resumable);
+    for (ScriptedServer *Server :
+         {Fixture.m_FirstServer.get(), Fixture.m_SecondServer.get()}) {
+      Server->addResponse(First);
+      Server->onResponseChosen([&] {
+        Fixture.m_FirstServer->replaceResponses(Second);
+        Fixture.m_SecondServer->replaceResponses(Second);
+      });
+    }
+    Exchange Result;
+    Result.m_Received = Fixture.request();
+    Result.m_Requests = Fixture.m_FirstServer->requests().size() +
+                        Fixture.m_SecondServer->requests().size();
+    return Result;
+  }
+
+  /// Guards against a success that no server has signed.
+  void successWithoutDigestIsNotForwarded() {
+    const std::string Fields = "X-Id: 77\r\nContent-Length: 4\r\n\r\nbody";
+    for (const char *Status : {"200 OK\r\n", "201 Any\r\n", "206 Any\r\n"}) {
+      for (const RequestKind Kind :
+           {RequestKind::NonIdempotent, RequestKind::Streaming}) {
+        const Exchange Result =
+            exchange(Kind, false, {std::string("HTTP/1.1 ") + Status + Fields});
+        CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                               contains(Result.m_Received, "HTTP/1.1 502 "));
+      }
+    }
+  }
+
   /// Guards against events that were passed on and are lost with the connection
   /// of the client.
   void eventsBeforeTheInterruptionReachTheClient() {
