Complete a stream only if its server ended it after a whole event

Cause: the end of a connection was taken for the end of a response. A close ends a body without length or chunks, and finishStream() passed on the rest of an incomplete event and the last chunk. By the same way a stream without any event, and one that lacks an event which an earlier attempt had begun, were complete.

Change: findStreamFlaw() (servers/retry) decides whether a stream that has ended is complete: not inside an event, however it is delimited; not before the first event of an attempt, if only a close ended it; not before an event that an earlier attempt has shown. Such an attempt failed: the stream resumes elsewhere or is left unterminated, and the lost connection counts as evidence for a crash.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -6,6 +6,7 @@
 #include "proxy/upstream_call.h"
 #include "servers/retry/event_splitter.h"
 #include "servers/retry/prompt_parts.h"
+#include "servers/retry/response_flaw.h"
 #include "servers/routes/engine_times.h"
 
 #include "xxhash.h"
@@ -304,6 +305,7 @@
     m_SentAt = Now;
     m_RejectedResponse = {};
     m_HasOutput = false;
+    m_HasEvents = false;
     releaseBuffer();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
     for (const ContentHash Content : m_Contents)
@@ -420,6 +422,7 @@
   /// returned. The rest of the response is not read: it may have no end.
   void rejectResponse(std::string_view Cause) {
     m_RejectedResponse = Cause;
+    m_Sequence.endAttempt(m_EventCutter.isInsideEvent());
     releaseBuffer();
     m_Call->fail();
   }
@@ -502,6 +505,7 @@
   bool forwardEvent(const RawEvent &Event) {
     const MonotonicTime Now = monotonicNow();
     m_Context.m_StallDetector.onEvent(m_ChosenServer.m_Id, Now);
+    m_HasEvents = true;
     recordOutput();
     switch (m_Sequence.accept(Event)) {
     case EventSequenceFilter::Verdict::Duplicate:
@@ -550,16 +554,34 @@
     }
     ++m_ArrivedAttempts;
     m_LastOutcome = Outcome;
+    const bool HasEnded = hasResponse(Outcome);
+    const ResponseFlaw Flaw = HasEnded ? findFlaw(Outcome) : ResponseFlaw::None;
+    const bool IsInterrupted =
+        Outcome == UpstreamOutcome::EndedByClose && Flaw != ResponseFlaw::None;
     if (Outcome == UpstreamOutcome::Reset ||
-        Outcome == UpstreamOutcome::Truncated)
+        Outcome == UpstreamOutcome::Truncated || IsInterrupted)
       onConnectionLost();
-    if (!hasResponse(Outcome) || !m_RejectedResponse.empty()) {
-      onAttemptFailed(m_RejectedResponse.empty()
-                          ? nameOf(UpstreamOutcomeNames, Outcome)
-                          : m_RejectedResponse);
-      return;
-    }
-    onComplete();
+    if (!m_RejectedResponse.empty())
+      onAttemptFailed(m_RejectedResponse);
+    else if (!HasEnded)
+      onAttemptFailed(nameOf(UpstreamOutcomeNames, Outcome));
+    else if (Flaw != ResponseFlaw::None)
+      onAttemptFailed(nameOf(ResponseFlawNames, Flaw));
+    else
+      onComplete();
+  }
+
+  /// Checks a response that has ended. The head alone tells that a request has
+  /// not been executed.
+  ResponseFlaw findFlaw(UpstreamOutcome Outcome) const {
+    if (isNotExecuted() || !m_RejectedResponse.empty())
+      return ResponseFlaw::None;
+    const ResponseEnd End = Outcome == UpstreamOutcome::Complete
+                                ? ResponseEnd::Delimited
+                                : ResponseEnd::ConnectionClosed;
+    return m_IsStream
+               ? findStreamFlaw(m_EventCutter, m_Sequence, m_HasEvents, End)
+               : ResponseFlaw::None;
   }
 
   bool isSuccess() const {
@@ -567,6 +589,13 @@
            m_ResponseHead.m_Status < FirstRedirection;
   }
 
+  bool isNotExecuted() const {
+    return m_ResponseHead.m_Status == Misdirected ||
+           findHeader(m_ResponseHead.m_Headers,
+                      m_Context.m_HeaderNames.m_NotExecuted)
+               .has_value();
+  }
+
   void onConnectionLost() {
     // The end of a server that leaves is no crash.
     const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
@@ -582,11 +611,7 @@
   }
 
   void onComplete() {
-    const bool IsNotExecuted = m_ResponseHead.m_Status == Misdirected ||
-                               findHeader(m_ResponseHead.m_Headers,
-                                          m_Context.m_HeaderNames.m_NotExecuted)
-                                   .has_value();
-    if (IsNotExecuted) {
+    if (isNotExecuted()) {
       onNotExecuted();
       return;
     }
@@ -634,11 +659,6 @@
   }
 
   void finishStream() {
-    if (!m_Sequence.continuesStream() &&
-        !m_EventCutter.incompleteEvent().empty()) {
-      onAttemptFailed("no_stream");
-      return;
-    }
     if (m_Service->hasReplicaGroups())
       for (DemandEstimator *Demand : {&m_Context.m_DemandEstimator,
                                       &m_Context.m_ReturningDemandEstimator})
@@ -651,6 +671,7 @@
     releaseServer();
     if (!m_ResponseStarted)
       beginStream();
+    // Blank lines and comments after the last event.
     m_Client->sendChunk(m_EventCutter.incompleteEvent());
     end("complete", m_ResponseHead.m_Status);
     m_Client->endStream();
@@ -669,6 +690,8 @@
   /// Handles the end of an attempt that the server may have executed and that
   /// returned no response to forward.
   void onAttemptFailed(std::string_view Cause) {
+    if (m_IsStream)
+      m_Sequence.endAttempt(m_EventCutter.isInsideEvent());
     releaseServer();
     m_Context.m_Log.write(
         "attempt_failed",
@@ -943,6 +966,8 @@
   bool m_IsCrashWatchPending = false;
   /// The server has produced output for the current attempt.
   bool m_HasOutput = false;
+  /// The current attempt has returned an event.
+  bool m_HasEvents = false;
   /// Hashes of the request and of the prompt parts that others may share.
   std::vector<ContentHash> m_Contents;
 };
--- a/servers/retry/event_splitter.cpp
+++ b/servers/retry/event_splitter.cpp
@@ -90,15 +90,29 @@
   return Events;
 }
 
+bool EventSplitter::isInsideEvent() const {
+  if (m_HasFailed)
+    return true;
+  std::string_view Rest = m_IncompleteEvent;
+  while (!Rest.empty()) {
+    const std::size_t End = Rest.find_first_of(LineEnds);
+    const bool IsComment = Rest.front() == ':';
+    if (End == std::string_view::npos || (End > 0 && !IsComment))
+      return true;
+    Rest.remove_prefix(skipLineEnd(Rest, End));
+  }
+  return false;
+}
+
 EventSequenceFilter::Verdict
 EventSequenceFilter::accept(const RawEvent &Event) {
   if (!Event.m_Id) {
     if (!m_ContinuesStream)
       return Verdict::Gap;
     m_CanResume = false;
-    ++m_Delivered;
-    return Verdict::Deliver;
+    return deliver();
   }
+  m_IsReplaying = m_LastId && *Event.m_Id < *m_LastId;
   if (m_LastId && *Event.m_Id <= *m_LastId) {
     m_ContinuesStream = true;
     return Verdict::Duplicate;
@@ -106,12 +120,28 @@
   // IDs are consecutive within one attempt. The first event of a resumed
   // attempt has to follow the last event that was delivered.
   const bool IsNextId = m_LastId && *Event.m_Id == *m_LastId + 1;
-  if (m_LastId && !IsNextId)
+  if (m_LastId && !IsNextId) {
+    m_IsEventMissing = true;
     return Verdict::Gap;
+  }
   m_ContinuesStream = true;
   m_LastId = Event.m_Id;
+  return deliver();
+}
+
+EventSequenceFilter::Verdict EventSequenceFilter::deliver() {
   ++m_Delivered;
+  m_IsEventMissing = false;
   return Verdict::Deliver;
 }
 
+void EventSequenceFilter::beginAttempt() {
+  m_ContinuesStream = m_Delivered == 0;
+  m_IsReplaying = false;
+}
+
+void EventSequenceFilter::endAttempt(bool IsInsideEvent) {
+  m_IsEventMissing = m_IsEventMissing || (IsInsideEvent && !m_IsReplaying);
+}
+
 } // namespace fulmarwinch
--- a/servers/retry/event_splitter.h
+++ b/servers/retry/event_splitter.h
@@ -26,6 +26,9 @@
   bool hasFailed() const { return m_HasFailed; }
   /// Returns the bytes after the last complete event.
   const std::string &incompleteEvent() const { return m_IncompleteEvent; }
+  /// True if those bytes are part of an event, and not only blank lines and
+  /// comments, or if hasFailed().
+  bool isInsideEvent() const;
 
 private:
   std::string m_IncompleteEvent;
@@ -48,11 +51,18 @@
       : m_LastId(LastId) {}
 
   /// Must be called when the response of the next attempt begins.
-  void beginAttempt() { m_ContinuesStream = m_Delivered == 0; }
+  void beginAttempt();
+  /// Must be called when the response of an attempt has ended. \p IsInsideEvent
+  /// is true if it ended within an event.
+  void endAttempt(bool IsInsideEvent);
   /// True once an event of the current attempt has shown by its ID that the
   /// attempt goes on with the delivered events, and if there are none.
   bool continuesStream() const { return m_ContinuesStream; }
 
+  /// True if an attempt has shown that the stream has a further event, and none
+  /// has been delivered since.
+  bool isEventMissing() const { return m_IsEventMissing; }
+
   /// Decides about the next event of the current attempt. An event without an
   /// ID is a gap until the attempt has shown that it continues the stream.
   Verdict accept(const RawEvent &Event);
@@ -66,8 +76,13 @@
   bool canResume() const { return m_CanResume; }
 
 private:
+  Verdict deliver();
+
   std::optional<std::uint64_t> m_LastId;
   std::uint64_t m_Delivered = 0;
+  /// The current attempt repeats events before the last delivered one.
+  bool m_IsReplaying = false;
+  bool m_IsEventMissing = false;
   bool m_CanResume = true;
   bool m_ContinuesStream = true;
 };
--- /dev/null
+++ b/servers/retry/response_flaw.h
@@ -0,0 +1,51 @@
+#ifndef FULMARWINCH_SERVERS_RETRY_RESPONSE_FLAW_H
+#define FULMARWINCH_SERVERS_RETRY_RESPONSE_FLAW_H
+
+#include "core/enum_names.h"
+
+#include <array>
+
+namespace fulmarwinch {
+
+class EventSplitter;
+class EventSequenceFilter;
+
+/// What tells that a response has ended.
+enum class ResponseEnd {
+  /// Its length, its last chunk or its status.
+  Delimited,
+  /// Only the end of the connection, which an interruption causes as well.
+  ConnectionClosed,
+};
+
+/// Why a response that has ended is not complete, or cannot be taken for
+/// complete.
+enum class ResponseFlaw {
+  None,
+  /// A stream ended within an event.
+  InsideEvent,
+  /// The connection was closed before the first event of an attempt.
+  NoEvent,
+  /// A stream ended before an event that an earlier attempt has begun.
+  MissingEvent,
+  /// Bytes that are no event of the stream that was to be continued.
+  OtherStream,
+};
+
+inline constexpr std::array<EnumName<ResponseFlaw>, 5> ResponseFlawNames{{
+    {ResponseFlaw::None, "none"},
+    {ResponseFlaw::InsideEvent, "ends_inside_event"},
+    {ResponseFlaw::NoEvent, "closed_without_event"},
+    {ResponseFlaw::MissingEvent, "missing_event"},
+    {ResponseFlaw::OtherStream, "no_stream"},
+}};
+
+/// Checks a stream whose response has ended. \p HasEvents is true if the
+/// current attempt returned at least one event.
+ResponseFlaw findStreamFlaw(const EventSplitter &Splitter,
+                            const EventSequenceFilter &Sequence, bool HasEvents,
+                            ResponseEnd End);
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_SERVERS_RETRY_RESPONSE_FLAW_H
--- a/tests/proxy/test_interrupted_response.cpp
+++ b/tests/proxy/test_interrupted_response.cpp
@@ -8,14 +8,48 @@
 /// how a response without a length or chunks ends.
 class InterruptedResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InterruptedResponseTest);
-  CPPUNIT_TEST(eventsBeforeTheInterruptionReachTheClient);
+  CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
+  CPPUNIT_TEST(streamThatEndsInsideAnEventResumesElsewhere);
+  CPPUNIT_TEST(interruptedContinuationIsNotComplete);
+  CPPUNIT_TEST(eventThatWasBegunIsNotLeftOut);
+  CPPUNIT_TEST(wholeStreamWithoutLengthIsComplete);
+  CPPUNIT_TEST(emptyStreamIsCompleteOnlyIfItIsDelimited);
   CPPUNIT_TEST(successWithoutDigestIsNotForwarded);
+  CPPUNIT_TEST(headThatStopsIsNoResponse);
+  CPPUNIT_TEST(eventsBeforeTheInterruptionReachTheClient);
   CPPUNIT_TEST_SUITE_END();
 
+  using ConnectionEnd = ScriptedServer::Response::ConnectionEnd;
+
+  static constexpr const char *Head =
+      "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\n"
+      "Content-Type: text/event-stream\r\n";
+
+  static std::string untilClose(const std::string &Body) {
+    return std::string(Head) + "\r\n" + Body;
+  }
+
+  static std::string withLength(const std::string &Body) {
+    return std::string(Head) +
+           "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
+  /// Parts of streams that end inside an event, with each kind of line end.
+  static std::vector<std::string> cutStreams() {
+    return {"id: 1\ndata: a\n\nid: 2\nda",
+            "id: 1\ndata: a\n\nid: 2\ndata: cut\n",
+            "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: cut\r\n",
+            "id: 1\rdata: a\r\rid: 2\rdata: cut\r", "id: 1\ndata: a\n\n: comm"};
+  }
+
   static bool contains(const std::string &Text, const std::string &Part) {
     return Text.find(Part) != std::string::npos;
   }
 
+  static bool isComplete(const std::string &Received) {
+    return contains(Received, "\r\n0\r\n\r\n");
+  }
+
   struct Exchange {
     std::string m_Received;
     std::size_t m_Requests = 0;
@@ -43,6 +77,92 @@
     return Result;
   }
 
+  /// Guards against the end of the connection inside an event that the client
+  /// receives as the end of the stream, however the server delimits it.
+  void streamThatEndsInsideAnEventIsNotComplete() {
+    for (const std::string &Body : cutStreams())
+      for (const std::string &Response : {untilClose(Body), withLength(Body)}) {
+        const Exchange Result =
+            exchange(RequestKind::Streaming, false, {Response});
+        CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                               contains(Result.m_Received, "data: a"));
+        CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                               !contains(Result.m_Received, "id: 2") &&
+                                   !isComplete(Result.m_Received));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Result.m_Requests);
+      }
+    const Exchange FirstEvent = exchange(RequestKind::Streaming, false,
+                                         {untilClose("id: 1\ndata: cut")});
+    CPPUNIT_ASSERT_MESSAGE(FirstEvent.m_Received,
+                           contains(FirstEvent.m_Received, "HTTP/1.1 502 "));
+  }
+
+  void streamThatEndsInsideAnEventResumesElsewhere() {
+    const std::string Rest = "id: 2\ndata: next\n\n";
+    for (const std::string &Body : cutStreams())
+      for (const std::string &Response : {untilClose(Body), withLength(Body)}) {
+        const Exchange Result = exchange(RequestKind::Streaming, true,
+                                         {Response}, {withLength(Rest)});
+        CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                               contains(Result.m_Received, Rest) &&
+                                   !contains(Result.m_Received, "cut") &&
+                                   isComplete(Result.m_Received));
+      }
+  }
+
+  /// The server that resumes a stream breaks off as well.
+  void interruptedContinuationIsNotComplete() {
+    const Exchange Result = exchange(
+        RequestKind::Streaming, true,
+        {untilClose("id: 1\ndata: a\n\nid: 2\nda"), ConnectionEnd::Reset},
+        {untilClose("id: 2\ndata: b\n\nid: 3\ndata: cut")});
+    CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                           contains(Result.m_Received, "id: 2\ndata: b\n\n") &&
+                               !contains(Result.m_Received, "cut") &&
+                               !isComplete(Result.m_Received));
+  }
+
+  /// The first server breaks off inside event 2, and the second one answers
+  /// with a stream without events. Guards against a stream that lacks event 2.
+  void eventThatWasBegunIsNotLeftOut() {
+    for (const std::string &Second : {untilClose(""), withLength("")}) {
+      const Exchange Result = exchange(
+          RequestKind::Streaming, true,
+          {untilClose("id: 1\ndata: a\n\nid: 2\nda"), ConnectionEnd::Reset},
+          {Second});
+      CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                             contains(Result.m_Received, "data: a") &&
+                                 !isComplete(Result.m_Received));
+    }
+  }
+
+  /// Guards against a sound stream that is taken for an interrupted one.
+  void wholeStreamWithoutLengthIsComplete() {
+    for (const char *Body : {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                             "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+                             "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+                             "id: 1\ndata: a\n\nid: 2\ndata: b\n\n\n: end\n"}) {
+      const Exchange Result =
+          exchange(RequestKind::Streaming, true, {untilClose(Body)});
+      CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                             contains(Result.m_Received, "data: b") &&
+                                 isComplete(Result.m_Received));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Result.m_Requests);
+    }
+  }
+
+  /// A close tells nothing of a stream before its first event.
+  void emptyStreamIsCompleteOnlyIfItIsDelimited() {
+    const Exchange Closed =
+        exchange(RequestKind::Streaming, false, {untilClose("")});
+    CPPUNIT_ASSERT_MESSAGE(Closed.m_Received,
+                           contains(Closed.m_Received, "HTTP/1.1 502 "));
+    const Exchange Delimited =
+        exchange(RequestKind::Streaming, false, {withLength("")});
+    CPPUNIT_ASSERT_MESSAGE(Delimited.m_Received,
+                           isComplete(Delimited.m_Received));
+  }
+
   /// Guards against a success that no server has signed.
   void successWithoutDigestIsNotForwarded() {
     const std::string Fields = "X-Id: 77\r\nContent-Length: 4\r\n\r\nbody";
@@ -57,6 +177,21 @@
     }
   }
 
+  /// The server stops at each byte of the head and closes. Guards against a
+  /// success with an empty or short body, and against a second run.
+  void headThatStopsIsNoResponse() {
+    const std::string Whole = std::string(Head) + "X-Any: value\r\n\r\n";
+    for (std::size_t Cut = 0; Cut < Whole.size(); ++Cut)
+      for (const RequestKind Kind :
+           {RequestKind::NonIdempotent, RequestKind::Streaming}) {
+        const Exchange Result = exchange(Kind, false, {Whole.substr(0, Cut)},
+                                         shortResponse(200, ""));
+        CPPUNIT_ASSERT_MESSAGE(Result.m_Received,
+                               contains(Result.m_Received, "HTTP/1.1 502 "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Result.m_Requests);
+      }
+  }
+
   /// Guards against events that were passed on and are lost with the connection
   /// of the client.
   void eventsBeforeTheInterruptionReachTheClient() {
--- a/tests/servers/retry/test_event_splitter.cpp
+++ b/tests/servers/retry/test_event_splitter.cpp
@@ -11,8 +11,10 @@
   CPPUNIT_TEST(eventsDoNotDependOnReadBoundaries);
   CPPUNIT_TEST(linesEndWithCrAlone);
   CPPUNIT_TEST(lineEndOfTwoReadsIsNoBlankLine);
+  CPPUNIT_TEST(restOfAStreamIsInsideAnEventOrNot);
   CPPUNIT_TEST(resumedAttemptIsJoinedWithoutGapOrDuplicate);
   CPPUNIT_TEST(eventWithoutIdPreventsResumption);
+  CPPUNIT_TEST(eventThatWasBegunIsMissingUntilOneIsDelivered);
   CPPUNIT_TEST_SUITE_END();
 
   static RawEvent event(std::uint64_t Id) {
@@ -71,12 +73,34 @@
     EventSplitter Splitter;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Splitter.accept("id: 1\r\n\r").size());
     CPPUNIT_ASSERT(Splitter.accept("\n").empty());
+    CPPUNIT_ASSERT(!Splitter.isInsideEvent());
     const auto Events = Splitter.accept("id: 2\r\n\r\n");
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Events.size());
     CPPUNIT_ASSERT_EQUAL(std::string("\nid: 2\r\n\r\n"), Events[0].m_Bytes);
     CPPUNIT_ASSERT(Events[0].m_Id == 2U);
   }
 
+  void restOfAStreamIsInsideAnEventOrNot() {
+    const std::string Event = "id: 1\n\n";
+    for (const char *Rest :
+         {"i", "data: a\n", "data: a\r", "data: a\r\n", ": cut comment",
+          "\ndata: a", ": comment\nid: 2\n"}) {
+      EventSplitter Splitter;
+      Splitter.accept(Event + Rest);
+      CPPUNIT_ASSERT_MESSAGE(Rest, Splitter.isInsideEvent());
+    }
+    for (const char *Rest : {"", "\n", "\r\n", "\r", ": comment\n",
+                             "\n: comment\r: another\r\n"}) {
+      EventSplitter Splitter;
+      Splitter.accept(Event + Rest);
+      CPPUNIT_ASSERT_MESSAGE(Rest, !Splitter.isInsideEvent());
+      CPPUNIT_ASSERT_EQUAL(std::string(Rest), Splitter.incompleteEvent());
+    }
+    EventSplitter Oversized;
+    Oversized.accept(std::string(300000, 'x'));
+    CPPUNIT_ASSERT(Oversized.isInsideEvent());
+  }
+
   /// Guards against a client that receives an event twice or misses one.
   void resumedAttemptIsJoinedWithoutGapOrDuplicate() {
     using Verdict = EventSequenceFilter::Verdict;
@@ -101,6 +125,33 @@
     Sequence.accept({"data: x\n\n", std::nullopt});
     CPPUNIT_ASSERT(!Sequence.canResume());
   }
+
+  /// Guards against a stream that ends as complete although an earlier attempt
+  /// has shown a further event.
+  void eventThatWasBegunIsMissingUntilOneIsDelivered() {
+    EventSequenceFilter Sequence{std::nullopt};
+    Sequence.beginAttempt();
+    Sequence.accept(event(1));
+    Sequence.accept(event(2));
+    Sequence.endAttempt(false);
+    CPPUNIT_ASSERT(!Sequence.isEventMissing());
+    Sequence.beginAttempt();
+    Sequence.endAttempt(true);
+    CPPUNIT_ASSERT(Sequence.isEventMissing());
+    Sequence.beginAttempt();
+    Sequence.accept(event(2));
+    Sequence.endAttempt(false);
+    CPPUNIT_ASSERT(Sequence.isEventMissing());
+    Sequence.accept(event(3));
+    CPPUNIT_ASSERT(!Sequence.isEventMissing());
+    // An attempt that repeats event 1 broke off inside its event 2.
+    Sequence.beginAttempt();
+    Sequence.accept(event(1));
+    Sequence.endAttempt(true);
+    CPPUNIT_ASSERT(!Sequence.isEventMissing());
+    Sequence.accept(event(5));
+    CPPUNIT_ASSERT(Sequence.isEventMissing());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
