Check a body that only a close has ended for a cut

Callers saw: an empty or cut body with a length that the node had counted itself, so that it looked whole.

Cause: the same as for streams. Nothing frames such a body, and the relay frames it anew.

Change: findBodyFlaw() takes a success without any byte, and a body that is no JSON although its type says so, for cut, if only a close has ended it. Whatever a server has delimited itself is passed on as before, and so is a body in which nothing shows a cut.

Evidence: bodyWithoutLengthIsCheckedForACut failed before; wholeBodyWithoutLengthIsComplete passed before and passes.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -579,9 +579,12 @@
     const ResponseEnd End = Outcome == UpstreamOutcome::Complete
                                 ? ResponseEnd::Delimited
                                 : ResponseEnd::ConnectionClosed;
-    return m_IsStream
-               ? findStreamFlaw(m_EventCutter, m_Sequence, m_HasEvents, End)
-               : ResponseFlaw::None;
+    if (m_IsStream)
+      return findStreamFlaw(m_EventCutter, m_Sequence, m_HasEvents, End);
+    return findBodyFlaw(
+        m_ResponseHead.m_Status,
+        findHeader(m_ResponseHead.m_Headers, "Content-Type").value_or(""),
+        m_ResponseBody, End);
   }
 
   bool isSuccess() const {
--- a/servers/retry/response_flaw.h
+++ b/servers/retry/response_flaw.h
@@ -4,6 +4,7 @@
 #include "core/enum_names.h"
 
 #include <array>
+#include <string_view>
 
 namespace fulmarwinch {
 
@@ -30,14 +31,20 @@
   MissingEvent,
   /// Bytes that are no event of the stream that was to be continued.
   OtherStream,
+  /// The connection was closed before the first byte of the body.
+  NoBody,
+  /// The connection was closed within a JSON text.
+  IncompleteJson,
 };
 
-inline constexpr std::array<EnumName<ResponseFlaw>, 5> ResponseFlawNames{{
+inline constexpr std::array<EnumName<ResponseFlaw>, 7> ResponseFlawNames{{
     {ResponseFlaw::None, "none"},
     {ResponseFlaw::InsideEvent, "ends_inside_event"},
     {ResponseFlaw::NoEvent, "closed_without_event"},
     {ResponseFlaw::MissingEvent, "missing_event"},
     {ResponseFlaw::OtherStream, "no_stream"},
+    {ResponseFlaw::NoBody, "closed_without_body"},
+    {ResponseFlaw::IncompleteJson, "incomplete_json"},
 }};
 
 /// Checks a stream whose response has ended. \p HasEvents is true if the
@@ -46,6 +53,12 @@
                             const EventSequenceFilter &Sequence, bool HasEvents,
                             ResponseEnd End);
 
+/// Checks the body of a response that is not a stream. A body that only the end
+/// of the connection delimits may have been cut anywhere; it passes if nothing
+/// shows that.
+ResponseFlaw findBodyFlaw(int Status, std::string_view ContentType,
+                          std::string_view Body, ResponseEnd End);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_RETRY_RESPONSE_FLAW_H
--- a/tests/proxy/test_interrupted_response.cpp
+++ b/tests/proxy/test_interrupted_response.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(eventThatWasBegunIsNotLeftOut);
   CPPUNIT_TEST(wholeStreamWithoutLengthIsComplete);
   CPPUNIT_TEST(emptyStreamIsCompleteOnlyIfItIsDelimited);
+  CPPUNIT_TEST(bodyWithoutLengthIsCheckedForACut);
+  CPPUNIT_TEST(wholeBodyWithoutLengthIsComplete);
   CPPUNIT_TEST(successWithoutDigestIsNotForwarded);
   CPPUNIT_TEST(headThatStopsIsNoResponse);
   CPPUNIT_TEST(eventsBeforeTheInterruptionReachTheClient);
@@ -163,6 +165,49 @@
                            isComplete(Delimited.m_Received));
   }
 
+  static std::string bodyUntilClose(const std::string &Type,
+                                    const std::string &Body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\nContent-Type: " +
+           Type + "\r\n\r\n" + Body;
+  }
+
+  /// Guards against an empty or cut body that the client receives with a
+  /// length, and against a second run of a request that may not be repeated.
+  void bodyWithoutLengthIsCheckedForACut() {
+    for (const std::string &Response :
+         {bodyUntilClose("text/plain", ""),
+          bodyUntilClose("application/json", "{\"paid\":tr"),
+          bodyUntilClose("Application/JSON ; charset=utf-8", "[1,2"),
+          bodyUntilClose("application/problem+json", "{\"a\":\"")}) {
+      const Exchange Once = exchange(RequestKind::NonIdempotent, false,
+                                     {Response}, shortResponse(200, ""));
+      CPPUNIT_ASSERT_MESSAGE(Response,
+                             contains(Once.m_Received, "HTTP/1.1 502 "));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Once.m_Requests);
+      const Exchange Repeated = exchange(RequestKind::Idempotent, false,
+                                         {Response}, shortResponse(200, ""));
+      CPPUNIT_ASSERT_MESSAGE(Response,
+                             contains(Repeated.m_Received, "HTTP/1.1 200 ") &&
+                                 contains(Repeated.m_Received, "\r\n\r\nbody"));
+    }
+  }
+
+  void wholeBodyWithoutLengthIsComplete() {
+    for (const char *Type : {"text/plain", "application/json"}) {
+      const Exchange Result =
+          exchange(RequestKind::NonIdempotent, false,
+                   {bodyUntilClose(Type, "{\"paid\":true}")});
+      CPPUNIT_ASSERT_MESSAGE(
+          Result.m_Received,
+          contains(Result.m_Received, "HTTP/1.1 200 ") &&
+              contains(Result.m_Received, "{\"paid\":true}"));
+    }
+    const Exchange Failure = exchange(RequestKind::NonIdempotent, false,
+                                      {"HTTP/1.1 404 Any\r\nX-Id: 77\r\n\r\n"});
+    CPPUNIT_ASSERT_MESSAGE(Failure.m_Received,
+                           contains(Failure.m_Received, "HTTP/1.1 404 "));
+  }
+
   /// Guards against a success that no server has signed.
   void successWithoutDigestIsNotForwarded() {
     const std::string Fields = "X-Id: 77\r\nContent-Length: 4\r\n\r\nbody";
--- a/tests/servers/retry/test_response_flaw.cpp
+++ b/tests/servers/retry/test_response_flaw.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST_SUITE(ResponseFlawTest);
   CPPUNIT_TEST(streamEndsAfterAWholeEvent);
   CPPUNIT_TEST(continuationDeliversWhatWasBegun);
+  CPPUNIT_TEST(closeTellsNothingOfAnEmptyBody);
+  CPPUNIT_TEST(closeInsideAJsonTextShows);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr ResponseEnd Ends[] = {ResponseEnd::Delimited,
@@ -61,6 +63,43 @@
                          nameOfFlaw(findStreamFlaw(Splitter, Sequence, false,
                                                    ResponseEnd::Delimited)));
   }
+
+  static std::string bodyFlaw(int Status, const char *Type, const char *Body,
+                              ResponseEnd End) {
+    return nameOfFlaw(findBodyFlaw(Status, Type, Body, End));
+  }
+
+  void closeTellsNothingOfAnEmptyBody() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("closed_without_body"),
+        bodyFlaw(200, "text/plain", "", ResponseEnd::ConnectionClosed));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("none"),
+        bodyFlaw(404, "text/plain", "", ResponseEnd::ConnectionClosed));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), bodyFlaw(200, "text/plain", "",
+                                                       ResponseEnd::Delimited));
+  }
+
+  void closeInsideAJsonTextShows() {
+    for (const char *Type :
+         {"application/json", "Application/JSON",
+          "application/json ;charset=utf-8", "application/problem+json"})
+      for (const int Status : {200, 404, 500}) {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("incomplete_json"),
+            bodyFlaw(Status, Type, "{\"a\":", ResponseEnd::ConnectionClosed));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("none"),
+            bodyFlaw(Status, Type, "{\"a\":1}", ResponseEnd::ConnectionClosed));
+        // The server's own length says that this is its whole body.
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("none"),
+            bodyFlaw(Status, Type, "{\"a\":", ResponseEnd::Delimited));
+      }
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("none"),
+        bodyFlaw(200, "text/plain", "{\"a\":", ResponseEnd::ConnectionClosed));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseFlawTest);
