Give each request of a planned stop an answer before the process exits

Cause: the drain knew when the process had to exit, and the requests did not. A request was sent with its own deadline although the process would be gone before, and at the end of the grace period the loop just stopped: requests that waited, that a server had, and that were half read ended with a closed connection.

Change: PlannedStop (servers/dispatch) holds the schedule. Until the load balancer has reacted, the node serves as usual. Later it takes only what ends before the process does; the rest is refused at once as not run, with Retry-After 0, since another node can serve it. 600 ms before the end of the grace period each request still without a response gets a true one: 503 if no server may have run it or if it is half read, 504 otherwise; a stream is left unterminated. Servers are told no more time than that.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -137,10 +137,11 @@
   }
 
   /// Sends an error response to a request that has not been read completely.
-  void reject(int Status, std::string_view Reason) {
+  void reject(int Status, std::string_view Reason,
+              const HttpHeaders &Headers = {}) {
     m_IsRequestInProgress = true;
     m_Timer.cancel();
-    respond(Status, Reason, {}, "");
+    respond(Status, Reason, Headers, "");
   }
 
   std::string formatHead(int Status, std::string_view Reason,
@@ -358,6 +359,15 @@
     m_Impl->close();
 }
 
+void ClientConnection::rejectIncompleteRequest() {
+  Impl &Self = *m_Impl;
+  if (Self.m_IsClosed || Self.m_IsRequestInProgress || Self.m_CloseAfterWrite ||
+      !Self.m_Parser.hasReceivedBytes())
+    return;
+  Self.m_KeepAlive = false;
+  Self.reject(503, "Service Unavailable", {{"Retry-After", "0"}});
+}
+
 bool ClientConnection::isClosed() const { return m_Impl->m_IsClosed; }
 
 } // namespace fulmarwinch
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -68,6 +68,9 @@
 
   /// Closes the connection if no request or response is in progress.
   void closeIfIdle();
+  /// Rejects a request of which only a part has arrived, as not executed, and
+  /// closes the connection.
+  void rejectIncompleteRequest();
   bool isClosed() const;
 
 private:
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -48,13 +48,6 @@
   Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
-/// Time after which the load balancer sends no new connections to a node that
-/// is not ready: two failed readiness probes, one second apart. Idle
-/// connections are closed only after this time.
-constexpr Duration BalancerReactionTime = milliseconds(2600);
-/// Part of the grace period that is reserved for the exit of the process after
-/// the drain.
-constexpr Duration ExitMargin = milliseconds(350);
 constexpr const char *MetricsPath = "/metrics";
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
@@ -406,14 +399,16 @@
             m_RegistrationVersion = Put.m_Version;
           m_RegistrationTimer.expires_after(RegistrationRetryDelay);
           m_RegistrationTimer.async_wait([this](const asio::error_code &Error) {
-            if (!Error && !m_IsDraining)
+            if (!Error && !isDraining())
               registerNode();
           });
         });
   }
 
+  bool isDraining() const { return m_Context.m_PlannedStop.hasBegun(); }
+
   bool isReady() const {
-    return !m_IsDraining && m_Context.m_RouteTable &&
+    return !isDraining() && m_Context.m_RouteTable &&
            m_ServerWatcher.hasListed();
   }
 
@@ -424,7 +419,7 @@
                  ? m_Context.m_RouteTable->configuration().m_Limits
                  : ClientLimits();
     };
-    Hooks.m_IsDraining = [this] { return m_IsDraining; };
+    Hooks.m_IsDraining = [this] { return isDraining(); };
     Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
                                ClientRequest Request) {
       std::make_shared<RequestRelay>(m_Context, std::move(Client),
@@ -530,7 +525,7 @@
       m_NextCrashShareAt = Now + CrashSharePeriod;
       shareCrashRecords(Now);
     }
-    if (m_IsDraining)
+    if (isDraining())
       continueDrain(Now);
   }
 
@@ -586,10 +581,9 @@
   }
 
   void drain() {
-    if (m_IsDraining)
+    if (isDraining())
       return;
-    m_IsDraining = true;
-    m_DrainStartedAt = monotonicNow();
+    m_Context.m_PlannedStop.begin(monotonicNow(), m_Settings.m_GracePeriod);
     m_GroupCoordinator.stop();
     m_Log.write("draining",
                 {{"in_progress", static_cast<std::int64_t>(
@@ -597,17 +591,19 @@
   }
 
   void continueDrain(MonotonicTime Now) {
-    const Duration Elapsed = Now - m_DrainStartedAt;
-    if (Elapsed < BalancerReactionTime)
+    const PlannedStop &Stop = m_Context.m_PlannedStop;
+    if (Now < Stop.stopsAcceptingAt())
       return;
     m_ClientListener->stopAccepting();
     m_ClientListener->closeIdleConnections();
+    if (Now >= Stop.responsesDueAt())
+      m_ClientListener->rejectIncompleteRequests();
     if (m_Context.m_ActiveRequests.empty() &&
         m_ClientListener->hasNoConnections()) {
       finish("drained");
       return;
     }
-    if (Elapsed >= m_Settings.m_GracePeriod - ExitMargin)
+    if (Now >= Stop.exitsAt())
       finish("grace_over");
   }
 
@@ -655,8 +651,6 @@
   const MonotonicTime m_StartedAt = monotonicNow();
   std::uint64_t m_ConfigurationRevision = 0;
   ObjectVersion m_RegistrationVersion = 0;
-  bool m_IsDraining = false;
-  MonotonicTime m_DrainStartedAt{};
 };
 
 FrontNode::FrontNode(asio::io_context &Loop, EventLog &Log,
--- a/proxy/http_listener.cpp
+++ b/proxy/http_listener.cpp
@@ -1,7 +1,5 @@
 #include "proxy/http_listener.h"
 
-#include <vector>
-
 namespace fulmarwinch {
 
 namespace {
@@ -70,13 +68,23 @@
   m_Acceptor.close(Ignored);
 }
 
-void HttpListener::closeIdleConnections() {
-  std::vector<std::shared_ptr<ClientConnection>> OpenConnections;
+std::vector<std::shared_ptr<ClientConnection>>
+HttpListener::openConnections() const {
+  std::vector<std::shared_ptr<ClientConnection>> Result;
   for (const auto &[Key, Weak] : m_Connections)
     if (auto Connection = Weak.lock())
-      OpenConnections.push_back(std::move(Connection));
-  for (const auto &Connection : OpenConnections)
+      Result.push_back(std::move(Connection));
+  return Result;
+}
+
+void HttpListener::closeIdleConnections() {
+  for (const auto &Connection : openConnections())
     Connection->closeIfIdle();
 }
 
+void HttpListener::rejectIncompleteRequests() {
+  for (const auto &Connection : openConnections())
+    Connection->rejectIncompleteRequest();
+}
+
 } // namespace fulmarwinch
--- a/proxy/http_listener.h
+++ b/proxy/http_listener.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace fulmarwinch {
 
@@ -23,12 +24,15 @@
   void stopAccepting();
   /// Closes the connections that have no request in progress.
   void closeIdleConnections();
+  /// Rejects the requests that have begun to arrive and are not complete.
+  void rejectIncompleteRequests();
   /// True if no connection is open.
   bool hasNoConnections() const { return m_Connections.empty(); }
 
 private:
   void accept();
   void addConnection(asio::ip::tcp::socket Socket);
+  std::vector<std::shared_ptr<ClientConnection>> openConnections() const;
 
   asio::ip::tcp::acceptor m_Acceptor;
   asio::steady_timer m_AcceptRetryTimer;
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -232,6 +232,17 @@
     m_Deadline = m_ClientRequest.m_ReceivedAt + TimeLeft;
   }
 
+  /// Time at which the request gets a response, whether or not a server still
+  /// works on it.
+  MonotonicTime responseDueAt() const {
+    return std::min(m_Deadline, m_Context.m_PlannedStop.responsesDueAt());
+  }
+
+  /// True if this process lasts long enough to serve the request.
+  bool mayServe(MonotonicTime Now) const {
+    return m_Context.m_PlannedStop.mayServe(Now, m_Deadline);
+  }
+
   WindowedRetryBudget &budget() {
     return m_Context.m_RetryBudgets
         .try_emplace(m_Service->m_Name, m_Context.m_RetryBudgetSettings)
@@ -251,6 +262,10 @@
     m_Phase = Phase::AwaitingServer;
     const MonotonicTime Now = monotonicNow();
     m_PauseLeft.reset();
+    if (!mayHaveExecuted() && !mayServe(Now)) {
+      giveUp("stopping");
+      return;
+    }
     if (crashesServers(Now)) {
       giveUp("crashes_servers");
       return;
@@ -341,7 +356,7 @@
       onCallEnd(Outcome);
     };
     m_Call->start(std::move(Handlers), ConnectTimeout,
-                  m_Deadline - Now + milliseconds(50));
+                  responseDueAt() - Now + milliseconds(50));
   }
 
   /// True if the chosen server may still receive the request when the
@@ -399,7 +414,7 @@
     };
     Add("Connection", "close");
     Add(Names.m_DeadlineMs,
-        concat(std::max<std::int64_t>(1, inMs(m_Deadline - Now))));
+        concat(std::max<std::int64_t>(1, inMs(responseDueAt() - Now))));
     Add(Names.m_ExpectedServer, Chosen.m_Id);
     if (!m_Organisation.empty())
       Add(Names.m_Organisation, m_Organisation);
@@ -712,7 +727,7 @@
                              (m_Route->m_Resumable && m_Sequence.canResume());
     if ((mayHaveExecuted() && !mayRetry()) || !CanContinue ||
         m_PossibleExecutions >= m_Route->m_MaxAttempts ||
-        monotonicNow() >= m_Deadline) {
+        monotonicNow() >= responseDueAt()) {
       giveUp(Cause);
       return;
     }
@@ -736,8 +751,9 @@
     if (!mayHaveExecuted())
       reject(Cause);
     else
-      respondWithError(
-          monotonicNow() >= m_Deadline ? GatewayTimeout : BadGateway, Cause);
+      respondWithError(monotonicNow() >= responseDueAt() ? GatewayTimeout
+                                                         : BadGateway,
+                       Cause);
   }
 
   /// Rejects a request that no server has executed, with a Retry-After field.
@@ -747,6 +763,9 @@
   }
 
   double retryAfterSeconds() {
+    // Another node can serve the request at once.
+    if (!mayServe(monotonicNow()))
+      return 0.0;
     if (!m_PauseLeft)
       return usualRetryAfterSeconds();
     std::uniform_real_distribution<double> Spread(1.0, MaxPauseSpread);
@@ -860,13 +879,13 @@
                        TickGap > LongestTickGap && !m_HasSkippedTick;
     if (m_HasSkippedTick)
       return;
-    if (Now >= m_Deadline) {
+    if (Now >= responseDueAt()) {
       if (m_Call && m_Call->mayHaveSent()) {
         ++m_PossibleExecutions;
         ++m_ArrivedAttempts;
       }
       cancelCall();
-      giveUp("deadline");
+      giveUp(Now >= m_Deadline ? "deadline" : "stopping");
       return;
     }
     if (m_Phase == Phase::AwaitingServer) {
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -6,6 +6,7 @@
 #include "proxy/client_connection.h"
 #include "proxy/header_names.h"
 #include "servers/dispatch/overload_admission.h"
+#include "servers/dispatch/planned_stop.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
 #include "servers/replicas/demand_estimator.h"
@@ -69,6 +70,7 @@
   /// Shares of the requests that are admitted, by model; models without an
   /// entry are not overloaded.
   std::map<std::string, AdmittedShares> m_AdmittedShares;
+  PlannedStop m_PlannedStop;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
   /// Called repeatedly while a group seems to have stalled, with its head
--- a/soak/front_soak.py
+++ b/soak/front_soak.py
@@ -27,7 +27,10 @@
 # in which its requests are counted.
 LIMIT_S, CONTACT_S, LIMIT_WINDOW_S = 7.5, 3.0, 4.0
 ROUTES = {"once": "non_idempotent", "often": "idempotent",
-          "stream": "streaming"}
+          "stream": "streaming", "slow": "non_idempotent"}
+SLOW_TIMEOUT_MS = 7000
+# One in this many requests of a client takes the slow route.
+SLOW_PERIOD = 25
 
 
 class Record:
@@ -74,7 +77,9 @@
         self.version += 1
         routes = [{"name": name, "host": "h.example",
                    "path_prefix": f"/{name}/", "kind": kind, "service": "echo",
-                   "timeout_ms": 2000 + self.version % 3 * 200, "slo_ms": 400,
+                   "timeout_ms": SLOW_TIMEOUT_MS if name == "slow" else (
+                       2000 + self.version % 3 * 200),
+                   "slo_ms": 400,
                    "max_attempts": 2, "priority": 1, "public": False}
                   for name, kind in ROUTES.items()]
         self.store.put("config", "main", {
@@ -107,10 +112,14 @@
         self.request_count += 1
         request_id = f"r{self.request_count:06d}"
         route = self.random.choice(["once", "once", "often", "stream"])
+        deadline_ms = 3000
+        if self.random.randrange(SLOW_PERIOD) == 0:
+            route, deadline_ms = "slow", SLOW_TIMEOUT_MS
         record = self.records[request_id] = Record(node, route)
         body = request_id * self.random.choice([1, 20])
         data = (f"POST /{route}/x HTTP/1.1\r\nHost: h.example\r\n"
-                f"Request-Id: {request_id}\r\nDeadline-Ms: 3000\r\n"
+                f"Request-Id: {request_id}\r\n"
+                f"Deadline-Ms: {deadline_ms}\r\n"
                 f"Credential: key\r\nContent-Length: {len(body)}\r\n\r\n"
                 f"{body}").encode()
         process = node.process
@@ -281,6 +290,11 @@
                     record.broken or was_killed or stood_still):
                 self.violation(f"{request_id}: {record.outcome}, though "
                                f"{record.finished[0]} had finished it")
+            # A planned stop gives each request that it has passed on an answer.
+            if record.outcome == "closed" and record.arrivals and not (
+                    record.broken or was_killed or stood_still):
+                self.violation(f"{request_id} ({record.route}): closed, though "
+                               f"{record.arrivals[0][1]} had received it")
             if record.outcome == "silence" and not was_killed:
                 self.violation(f"{request_id}: no answer within 8 s")
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,8 @@
 DRAIN_S = 2.0
 CLIENT_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8601, 8602, 7680, 8609
 STREAM_EVENTS = 6
+# Longest time in which a server answers on the slow route.
+SLOW_S = 6.0
 
 
 def now():
@@ -229,6 +231,8 @@
             return
         record.runs.append(self.id)
         delay = self.world.random.uniform(0.003, 0.08)
+        if start_line.split(" ")[1].startswith("/slow/"):
+            delay = self.world.random.uniform(0.3, SLOW_S)
         if start_line.split(" ")[1].startswith("/stream/"):
             fields["Content-Type"] = "text/event-stream"
             fields["Transfer-Encoding"] = "chunked"
--- a/tests/proxy/test_planned_stop.cpp
+++ b/tests/proxy/test_planned_stop.cpp
@@ -15,6 +15,11 @@
   CPPUNIT_TEST(halfReadRequestIsServed);
   CPPUNIT_TEST(idleConnectionsAreClosed);
   CPPUNIT_TEST(nothingIsReadAfterTheLastResponse);
+  CPPUNIT_TEST(requestThatMayOutlastTheProcessIsForAnotherNode);
+  CPPUNIT_TEST(waitingRequestIsRejectedBeforeTheExit);
+  CPPUNIT_TEST(requestAtAServerGetsAResponseBeforeTheExit);
+  CPPUNIT_TEST(streamIsLeftUnterminatedAtTheExit);
+  CPPUNIT_TEST(halfReadRequestIsRejectedBeforeTheExit);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char *Response =
@@ -128,6 +133,118 @@
                          Fixture.m_FirstServer->requests().size() +
                              Fixture.m_SecondServer->requests().size());
   }
+
+  /// A node whose grace period of 2 s began \p Elapsed ago. Requests state that
+  /// 2 s are left, and the route's timeout is longer.
+  static void beginStop(RelayFixture &Fixture, Duration Elapsed) {
+    Fixture.m_Context.m_PlannedStop.begin(monotonicNow() - Elapsed,
+                                          milliseconds(2000));
+    TrafficConfiguration Configuration =
+        Fixture.m_Context.m_RouteTable->configuration();
+    Configuration.m_Routes.front().m_Timeout = milliseconds(20000);
+    Fixture.m_Context.m_RouteTable =
+        std::make_shared<RouteTable>(std::move(Configuration));
+  }
+
+  static std::vector<std::string> requestsOf(const RelayFixture &Fixture) {
+    std::vector<std::string> Result = Fixture.m_FirstServer->requests();
+    for (const std::string &Request : Fixture.m_SecondServer->requests())
+      Result.push_back(Request);
+    return Result;
+  }
+
+  static void assertStatus(const std::string &Received, int Status) {
+    CPPUNIT_ASSERT_MESSAGE(
+        Received,
+        Received.find("HTTP/1.1 " + std::to_string(Status) + " ") == 0);
+  }
+
+  static void assertRejected(const std::string &Received) {
+    assertStatus(Received, 503);
+    CPPUNIT_ASSERT_MESSAGE(Received, Received.find("Retry-After: 0\r\n") !=
+                                         std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(Received, Received.find("Connection: close\r\n") !=
+                                         std::string::npos);
+  }
+
+  /// Guards against a request that comes late in the grace period, is passed on
+  /// and is cut with the process.
+  void requestThatMayOutlastTheProcessIsForAnotherNode() {
+    RelayFixture Fixture;
+    configure(Fixture);
+    beginStop(Fixture, milliseconds(1350));
+    const MonotonicTime Start = monotonicNow();
+    assertRejected(Fixture.request());
+    CPPUNIT_ASSERT(monotonicNow() - Start < milliseconds(500));
+    CPPUNIT_ASSERT(requestsOf(Fixture).empty());
+  }
+
+  void waitingRequestIsRejectedBeforeTheExit() {
+    RelayFixture Fixture;
+    configure(Fixture);
+    beginStop(Fixture, milliseconds(1100));
+    TrafficConfiguration Configuration =
+        Fixture.m_Context.m_RouteTable->configuration();
+    Configuration.m_Routes.front().m_FirstByteObjective = milliseconds(60000);
+    Fixture.m_Context.m_RouteTable =
+        std::make_shared<RouteTable>(std::move(Configuration));
+    for (const char *Id : {"s1", "s2"})
+      Fixture.m_Fleet.remove(Id, 1000);
+    assertRejected(Fixture.request());
+    CPPUNIT_ASSERT(monotonicNow() < Fixture.m_Context.m_PlannedStop.exitsAt());
+  }
+
+  /// The server does not respond in time. Guards against a connection that is
+  /// closed without a response, and against work that the server does in vain.
+  void requestAtAServerGetsAResponseBeforeTheExit() {
+    for (const RequestKind Kind :
+         {RequestKind::NonIdempotent, RequestKind::Idempotent}) {
+      RelayFixture Fixture;
+      Fixture.configure(Kind, 2, false);
+      beginStop(Fixture, milliseconds(900));
+      assertStatus(Fixture.request(), 504);
+      CPPUNIT_ASSERT(monotonicNow() <
+                     Fixture.m_Context.m_PlannedStop.exitsAt());
+      const std::vector<std::string> Requests = requestsOf(Fixture);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Requests.size());
+      const std::string Field = "X-Left: ";
+      const std::size_t Position = Requests[0].find(Field);
+      CPPUNIT_ASSERT(Position != std::string::npos);
+      CPPUNIT_ASSERT(std::stoi(Requests[0].substr(Position + Field.size())) <
+                     600);
+    }
+  }
+
+  void streamIsLeftUnterminatedAtTheExit() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::Streaming, 2, true);
+    const ScriptedServer::Response Endless{
+        "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Digest: d\r\n\r\n"
+        "id: 1\ndata: a\n\n",
+        ScriptedServer::Response::ConnectionEnd::KeepOpen};
+    addResponses(Fixture, 1, Endless, Endless);
+    beginStop(Fixture, milliseconds(900));
+    const std::string Received = Fixture.request();
+    assertStatus(Received, 200);
+    CPPUNIT_ASSERT_MESSAGE(Received, Received.find("id: 1\ndata: a\n\n") !=
+                                         std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(Received,
+                           Received.find("\r\n0\r\n\r\n") == std::string::npos);
+    CPPUNIT_ASSERT(monotonicNow() < Fixture.m_Context.m_PlannedStop.exitsAt());
+  }
+
+  void halfReadRequestIsRejectedBeforeTheExit() {
+    RelayFixture Fixture;
+    configure(Fixture);
+    asio::ip::tcp::socket Client = Fixture.connectClient();
+    const std::string Text = Fixture.formatRequestBytes("", "");
+    asio::write(Client, asio::buffer(Text, 30));
+    Fixture.runFor(milliseconds(100));
+    Fixture.listener().rejectIncompleteRequests();
+    const std::string Received = Fixture.receiveAll(Client);
+    assertRejected(Received);
+    CPPUNIT_ASSERT(requestsOf(Fixture).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
