Check bodies that a close has ended in fulmarwinchd as well

A cut response of a plain service was passed on with status 200 and a length, and was recorded as the outcome of its idempotency key.

Cause: libcurl reports a response that only a close has ended as complete.

Streams end with their final chunk, as before.

Evidence: interruptedOutcomeIsUnknown fails without the check (200 and {"paid": instead of 502, outcome unknown); tellsAnEndByCloseFromADelimitedOne. The tests of node and drivers/http pass.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -149,9 +149,23 @@
   setMethodAndBody(ActiveTransfer);
 }
 
+/// True if neither a length nor chunks nor the status ends the response.
+bool isDelimitedByClose(const Transfer &ActiveTransfer) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  const int Status = ActiveTransfer.status();
+  const HttpHeaders &Headers = ActiveTransfer.m_ResponseHeaders;
+  return Status != NoContent && Status != NotModified &&
+         ActiveTransfer.m_Call.m_Method != "HEAD" &&
+         !findHeader(Headers, "Content-Length") &&
+         !findHeader(Headers, "Transfer-Encoding");
+}
+
 HttpCallResult makeResult(const Transfer &ActiveTransfer, CURLcode Code) {
   HttpCallResult Result;
   Result.m_Complete = Code == CURLE_OK;
+  Result.m_EndedByClose =
+      Result.m_Complete && isDelimitedByClose(ActiveTransfer);
   Result.m_Status = ActiveTransfer.status();
   if (Code != CURLE_OK)
     Result.m_Error = curl_easy_strerror(Code);
--- a/drivers/http/http_client.h
+++ b/drivers/http/http_client.h
@@ -17,6 +17,9 @@
 struct HttpCallResult {
   /// True if a complete response was received, whatever its status.
   bool m_Complete = false;
+  /// True if only the end of the connection ended the response, which an
+  /// interruption causes as well. The receiver checks that the body is whole.
+  bool m_EndedByClose = false;
   /// True if the call failed before any byte of the request was sent, so that
   /// the server cannot have processed it.
   bool m_NothingSent = false;
--- a/node/completion_relay.cpp
+++ b/node/completion_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/log.h"
+#include "node/body_check.h"
 
 #include "fmt/format.h"
 
@@ -299,9 +300,11 @@
   Facts.m_BytesSent = Result.m_NothingSent ? 0 : 1;
   Facts.m_HttpStatus = Result.m_Status;
   Facts.m_ReportedNotRun = m_Attempt.m_ReportedNotRun;
+  const bool IsStream = m_Request.m_IsStream && Result.m_Status == 200;
   Facts.m_ResponseComplete =
-      Result.m_Complete && (!m_Request.m_IsStream || Result.m_Status != 200 ||
-                            m_Splicer.isComplete());
+      Result.m_Complete &&
+      (IsStream ? m_Splicer.isComplete()
+                : isBodyWhole(Result, m_Attempt.m_Headers, m_Attempt.m_Body));
   const Outcome AttemptOutcome = classifyAttempt(Facts);
   const bool IsSuccess =
       AttemptOutcome == Outcome::Ran && Result.m_Status == 200;
--- a/node/service_relay.cpp
+++ b/node/service_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/log.h"
+#include "node/body_check.h"
 
 #include "fmt/format.h"
 
@@ -160,7 +161,7 @@
   Facts.m_BytesSent = Result.m_NothingSent ? 0 : 1;
   Facts.m_HttpStatus = Result.m_Status;
   Facts.m_ReportedNotRun = m_ReportedNotRun;
-  Facts.m_ResponseComplete = Result.m_Complete;
+  Facts.m_ResponseComplete = isBodyWhole(Result, m_Headers, m_Body);
   const Outcome AttemptOutcome = classifyAttempt(Facts);
   m_MayHaveRun = m_MayHaveRun || AttemptOutcome != Outcome::NotRun;
   m_HasSentBytes = m_HasSentBytes || !Result.m_NothingSent;
--- a/tests/drivers/http/test_http.cpp
+++ b/tests/drivers/http/test_http.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(reportsNothingSentIfConnectionIsRefused);
   CPPUNIT_TEST(cancelImmediatelyAfterStartEndsCall);
   CPPUNIT_TEST(neverResendsPostOnClosedConnection);
+  CPPUNIT_TEST(tellsAnEndByCloseFromADelimitedOne);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +185,45 @@
   const std::uint16_t m_Port = findFreePort();
   HttpServer m_Server;
   HttpClient m_Client;
+
+  /// Guards against the end of a connection that counts as the end of a
+  /// response that its server has stated.
+  void tellsAnEndByCloseFromADelimitedOne() {
+    const auto Call = [](const std::string &Response) {
+      asio::io_context Context;
+      asio::ip::tcp::acceptor Acceptor(Context,
+                                       {asio::ip::address_v4::loopback(), 0});
+      std::thread Server([&] {
+        asio::ip::tcp::socket Socket = Acceptor.accept();
+        std::string Request;
+        asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n");
+        asio::write(Socket, asio::buffer(Response));
+      });
+      HttpClient Client;
+      std::promise<HttpCallResult> Done;
+      HttpCall Get;
+      Get.m_Url =
+          fmt::format("http://127.0.0.1:{}/", Acceptor.local_endpoint().port());
+      Get.m_OnDone = [&](const HttpCallResult &Result) {
+        Done.set_value(Result);
+      };
+      Client.start(std::move(Get));
+      const HttpCallResult Result = Done.get_future().get();
+      Server.join();
+      return Result;
+    };
+    const std::string Status = "HTTP/1.1 200 OK\r\n";
+    for (const char *Rest :
+         {"Content-Length: 1\r\n\r\na",
+          "transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"}) {
+      const HttpCallResult Result = Call(Status + Rest);
+      CPPUNIT_ASSERT(Result.m_Complete && !Result.m_EndedByClose);
+    }
+    for (const char *Rest : {"\r\na", "Connection: close\r\n\r\n"}) {
+      const HttpCallResult Result = Call(Status + Rest);
+      CPPUNIT_ASSERT(Result.m_Complete && Result.m_EndedByClose);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
--- a/tests/node/test_payouts.cpp
+++ b/tests/node/test_payouts.cpp
@@ -1,11 +1,13 @@
 #include "core/time.h"
 #include "tests/node/gateway_fixture.h"
 
+#include "asio.hpp"
 #include "cppunit/extensions/HelperMacros.h"
 #include "fmt/format.h"
 
 #include <atomic>
 #include <future>
+#include <thread>
 
 namespace fulmarwinch {
 
@@ -14,6 +16,7 @@
   CPPUNIT_TEST_SUITE(PayoutsTest);
   CPPUNIT_TEST(repeatedPayoutReplaysOutcome);
   CPPUNIT_TEST(truncatedOutcomeIsNotReplayed);
+  CPPUNIT_TEST(interruptedOutcomeIsUnknown);
   CPPUNIT_TEST(lostStoreResponsesDoNotRepeatPayouts);
   CPPUNIT_TEST(storeOutageRefusesPayoutAsNotRun);
   CPPUNIT_TEST(everyPathSpellingRequiresIdempotencyKey);
@@ -62,6 +65,33 @@
     CPPUNIT_ASSERT_EQUAL(1, Calls.load());
   }
 
+  /// The service breaks off its response by closing the connection. Guards
+  /// against the part that is passed on, recorded and replayed as the whole
+  /// one.
+  void interruptedOutcomeIsUnknown() {
+    m_Fixture.m_Service.stop();
+    asio::io_context Context;
+    asio::ip::tcp::acceptor Acceptor(
+        Context, {asio::ip::address_v4::loopback(), m_Fixture.m_ServicePort});
+    std::thread Service([&] {
+      asio::ip::tcp::socket Socket = Acceptor.accept();
+      std::string Request;
+      asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n{}");
+      asio::write(Socket,
+                  asio::buffer(std::string(
+                      "HTTP/1.1 200 OK\r\n"
+                      "Content-Type: application/json\r\n\r\n{\"paid\":")));
+    });
+    const std::string Key = newKey();
+    const HttpClient::Response First = pay(Key, Json::object());
+    Service.join();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(First.m_Body, 502, First.m_Result.m_Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(First));
+    const HttpClient::Response Second = pay(Key, Json::object());
+    CPPUNIT_ASSERT(Second.m_Result.m_Status != 200);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(Second));
+  }
+
   /// Guards against payouts that run twice, and against wrong outcomes, when
   /// responses of the platform are lost after the write took effect.
   void lostStoreResponsesDoNotRepeatPayouts() {
