Ignore the entry of a head whose address has another process

Cause: four heads crashed while the store was down. After its return the store still held their entries, as open heads, for as long as servers may be silent.

Change: a listed server whose address a later process has, with a later change of its entry, is no member of its group. Its members leave and join anew at once, and a group with such a member closes. A later start alone is not enough, as it is the time of another clock.

Evidence: entryOfAnEndedHeadDoesNotHoldItsMembers and entryOfAnEndedMemberDoesNotCompleteAGroup failed before; clockOfAServerAloneDoesNotEndAnother.

--- a/servers/fleet/backend_server.h
+++ b/servers/fleet/backend_server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace fulmarwinch {
@@ -17,6 +18,9 @@
   std::string m_Ip;
   std::uint16_t m_Port = 0;
 
+  bool operator<(const Endpoint &Other) const {
+    return std::tie(m_Port, m_Ip) < std::tie(Other.m_Port, Other.m_Ip);
+  }
   bool operator==(const Endpoint &Other) const {
     return m_Ip == Other.m_Ip && m_Port == Other.m_Port;
   }
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -40,6 +40,8 @@
 ReplicaPlanner::plan(const ReplicaPlannerInput &Input) {
   m_Orders.clear();
   m_Groups = Input.m_Fleet->groups();
+  indexAddresses(Input);
+  removeEndedMembers(Input);
   removeOutdatedState(Input);
   for (const auto &[Id, Server] : Input.m_Fleet->servers())
     if (Server.m_Membership)
@@ -62,7 +64,7 @@
     const auto [Known, IsNew] =
         HasSuccessorByHead.emplace(Active.m_Head.m_Id, false);
     if (IsNew)
-      Known->second = hasSuccessor(Input, Active.m_Head);
+      Known->second = hasSuccessor(Active.m_Head);
     return Known->second;
   };
   for (auto Entry = m_Quarantines.begin(); Entry != m_Quarantines.end();) {
@@ -163,7 +165,7 @@
   // An unreachable head may be partitioned from this node and still serve.
   if (Input.m_UnreachableServers.count(Group.m_Head->m_Id) != 0 &&
       State != GroupMemberState::Broken) {
-    disband(Input, Group, !hasSuccessor(Input, processOf(*Group.m_Head)));
+    disband(Input, Group, true);
     return;
   }
   switch (State) {
@@ -208,7 +210,7 @@
     // longer serves requests for it.
     const bool HasLeft = Input.m_Fleet->find(LastHead->second.m_Id) ||
                          m_GroupsLeftByHead.count(Group.m_Key) != 0 ||
-                         hasSuccessor(Input, processOf(LastHead->second));
+                         hasSuccessor(processOf(LastHead->second));
     if (HasLeft) {
       disband(Input, Group, false);
       return;
@@ -312,15 +314,44 @@
   }
 }
 
-bool ReplicaPlanner::hasSuccessor(const ReplicaPlannerInput &Input,
-                                  const HeadProcess &Head) {
-  const auto &Servers = Input.m_Fleet->servers();
-  return !Head.m_Endpoint.m_Ip.empty() &&
-         std::any_of(Servers.begin(), Servers.end(), [&](const auto &Entry) {
-           const BackendServer &Server = Entry.second;
-           return Server.m_Endpoint == Head.m_Endpoint &&
-                  Server.m_StartedAtMs > Head.m_StartedAtMs;
-         });
+void ReplicaPlanner::indexAddresses(const ReplicaPlannerInput &Input) {
+  m_LatestByAddress.clear();
+  for (const auto &[Id, Server] : Input.m_Fleet->servers()) {
+    if (Server.m_Endpoint.m_Ip.empty())
+      continue;
+    const BackendServer *&Latest = m_LatestByAddress[Server.m_Endpoint];
+    if (!Latest || Latest->m_StartedAtMs < Server.m_StartedAtMs)
+      Latest = &Server;
+  }
+}
+
+bool ReplicaPlanner::hasSuccessor(const HeadProcess &Head) const {
+  const auto Latest = m_LatestByAddress.find(Head.m_Endpoint);
+  return Latest != m_LatestByAddress.end() &&
+         Latest->second->m_StartedAtMs > Head.m_StartedAtMs;
+}
+
+bool ReplicaPlanner::hasEnded(const BackendServer &Server) const {
+  const auto Latest = m_LatestByAddress.find(Server.m_Endpoint);
+  // The start times are those of the servers' clocks. A server that lives
+  // changes its entry after the last change of one that has ended.
+  return Latest != m_LatestByAddress.end() &&
+         Latest->second->m_StartedAtMs > Server.m_StartedAtMs &&
+         Latest->second->m_Revision > Server.m_Revision;
+}
+
+void ReplicaPlanner::removeEndedMembers(const ReplicaPlannerInput &Input) {
+  for (auto &[Key, Group] : m_Groups) {
+    if (Group.m_Head && hasEnded(*Group.m_Head)) {
+      m_LastKnownHeads.insert_or_assign(Key, *Group.m_Head);
+      Group.m_Head = nullptr;
+    }
+    for (std::string &Member : Group.m_Members) {
+      const BackendServer *Server = Input.m_Fleet->find(Member);
+      if (Server && hasEnded(*Server))
+        Member.clear();
+    }
+  }
 }
 
 void ReplicaPlanner::quarantine(const ReplicaPlannerInput &Input,
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -153,8 +153,13 @@
 
   /// True if a process that started later has the address of \p Head, which has
   /// therefore ended.
-  static bool hasSuccessor(const ReplicaPlannerInput &Input,
-                           const HeadProcess &Head);
+  bool hasSuccessor(const HeadProcess &Head) const;
+  /// The same for a server that is listed. Its entry may outlast it, above all
+  /// around an outage of the store.
+  bool hasEnded(const BackendServer &Server) const;
+  void indexAddresses(const ReplicaPlannerInput &Input);
+  /// Removes listed servers that have ended from the members of their groups.
+  void removeEndedMembers(const ReplicaPlannerInput &Input);
   void quarantine(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
                   const std::string &Member);
   /// Removes the state of ended groups, expired quarantines and finished loads.
@@ -295,6 +300,8 @@
   /// Group that each server last reported, by server ID.
   std::map<std::string, GroupKey> m_LastGroupByServer;
   std::map<GroupKey, ReplicaGroup> m_Groups;
+  /// Listed process that started last at each address.
+  std::map<Endpoint, const BackendServer *> m_LatestByAddress;
   /// Assigned model of each fabric domain; empty if domains run all models.
   std::map<std::string, std::string> m_ModelByDomain;
   /// One conversion in progress.
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -40,6 +40,9 @@
   CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
   CPPUNIT_TEST(limitedServerIsNoHeadIfAnotherMemberCanBe);
   CPPUNIT_TEST(nextLeaseHolderKnowsAHeadThatEndedBeforeItsTime);
+  CPPUNIT_TEST(entryOfAnEndedHeadDoesNotHoldItsMembers);
+  CPPUNIT_TEST(entryOfAnEndedMemberDoesNotCompleteAGroup);
+  CPPUNIT_TEST(clockOfAServerAloneDoesNotEndAnother);
   CPPUNIT_TEST_SUITE_END();
 
   FleetView m_Fleet;
@@ -391,6 +394,64 @@
     CPPUNIT_ASSERT(!m_Fleet.find(serverId(2))->m_Membership);
   }
 
+  /// Forms a group whose member \p Id has the address of
+  /// addServerAtAddressOfHead().
+  void openGroupWithAddress(ReplicaPlanner &Planner, const std::string &Id) {
+    addServers(1, 3, "small");
+    BackendServer Member = *m_Fleet.find(Id);
+    Member.m_Endpoint = {"10.0.0.7", 8088};
+    Member.m_StartedAtMs = 500;
+    updateEntry(Member);
+    runUntilSettled(Planner);
+    m_TrafficSeen = true;
+    CPPUNIT_ASSERT(
+        m_Fleet.groups().begin()->second.m_Head->m_Membership->m_State ==
+        GroupMemberState::Open);
+  }
+
+  /// The head crashes while the store is down, and its entry outlasts it for
+  /// seconds after the store's return. Guards against a group that counts as
+  /// open although another process has the address of its head.
+  void entryOfAnEndedHeadDoesNotHoldItsMembers() {
+    ReplicaPlanner Planner = newPlanner();
+    openGroupWithAddress(Planner, serverId(1));
+    addServerAtAddressOfHead(501);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         countOrders(plan(Planner), MemberOrderKind::Leave));
+    for (int I = 2; I <= 3; ++I) {
+      BackendServer Member = *m_Fleet.find(serverId(I));
+      Member.m_Membership.reset();
+      updateEntry(Member);
+    }
+    addServers(4, 4, "small");
+    m_Now += milliseconds(100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         countOrders(plan(Planner), MemberOrderKind::Join));
+    CPPUNIT_ASSERT(Planner.quarantineRecord().empty());
+  }
+
+  /// Guards against a head that keeps the requests of a group that stands
+  /// still.
+  void entryOfAnEndedMemberDoesNotCompleteAGroup() {
+    ReplicaPlanner Planner = newPlanner();
+    openGroupWithAddress(Planner, serverId(2));
+    addServerAtAddressOfHead(501);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         countOrders(plan(Planner), MemberOrderKind::Close));
+  }
+
+  /// The address of a gone server was given to a host whose clock is behind.
+  /// Guards against a live server that counts as ended because of that clock.
+  void clockOfAServerAloneDoesNotEndAnother() {
+    addServerAtAddressOfHead(501);
+    ReplicaPlanner Planner = newPlanner();
+    openGroupWithAddress(Planner, serverId(1));
+    const std::vector<MemberOrder> Orders = plan(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         countOrders(Orders, MemberOrderKind::Leave) +
+                             countOrders(Orders, MemberOrderKind::Close));
+  }
+
   /// Guards against servers that join a group while an unknown head may serve
   /// with them: an earlier version or a damaged object names no head.
   void quarantineOfAnUnknownHeadLastsItsWholeTime() {
