Play servers that leave and that ask for a pause in the randomised run

Cause: the randomised run had no front nodes, so nothing random asserted the two bounds on the decision code; only the soak of real processes did.

Change: NoticeSimulation plays four nodes with their fleet views and selectors against servers that leave, ask for pauses and restart, beside the run's crashes, pauses and partitions of nodes and outages of the store, whose entries are late or contradict the notice. The last check before the first byte moves from the relay to ServerAvailability::tryAcquire(), so that the relay and the run ask the same code; its behaviour is unchanged.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -367,18 +367,8 @@
     // The request states the time that was left when the server was chosen.
     if (Now - m_SentAt > ConnectTimeout)
       return false;
-    const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
-    if (!Server || Server->m_StartedAtMs != m_ChosenServer.m_StartedAtMs)
-      return false;
-    const Unavailability Reason = m_Context.m_Selector.availability().check(
-        m_Context.m_Fleet, *Server, Now);
-    // This request is the last one to a server that is resuming.
-    const bool IsAvailable = Reason == Unavailability::None ||
-                             Reason == Unavailability::BackedOff ||
-                             Reason == Unavailability::Resuming;
-    return IsAvailable &&
-           m_Context.m_Selector.availability().rateLimits().tryAcquire(
-               Server->m_Id, Server->m_StartedAtMs, Now);
+    return m_Context.m_Selector.availability().tryAcquire(m_Context.m_Fleet,
+                                                          m_ChosenServer, Now);
   }
 
   /// Records the prefill work for the chosen server. Prompts that fill at least
--- a/randomised/randomised_run.cpp
+++ b/randomised/randomised_run.cpp
@@ -58,6 +58,7 @@
               0,
               false},
       m_Streams(m_State), m_Payouts(m_State),
+      m_Notices(m_State, Seed, !Allowed.empty()),
       m_HighestRevisions(NodeCount, {0, 0}) {
   connectSimulations();
   chooseFaults(Allowed);
@@ -133,6 +134,7 @@
   m_Groups.step();
   m_Streams.step();
   m_Payouts.step();
+  m_Notices.step();
   if (!m_EnabledFaults.empty() &&
       m_Groups.drawWithProbability(FaultProbability))
     injectFault();
--- a/randomised/randomised_run.h
+++ b/randomised/randomised_run.h
@@ -1,6 +1,7 @@
 #ifndef FULMARWINCH_RANDOMISED_RANDOMISED_RUN_H
 #define FULMARWINCH_RANDOMISED_RANDOMISED_RUN_H
 
+#include "randomised/notice_simulation.h"
 #include "randomised/payout_simulation.h"
 #include "randomised/simulation_state.h"
 #include "randomised/stream_simulation.h"
@@ -55,6 +56,7 @@
   SimulationState m_State;
   StreamSimulation m_Streams;
   PayoutSimulation m_Payouts;
+  NoticeSimulation m_Notices;
   std::set<std::string> m_EnabledFaults;
   std::vector<ProposedChange> m_Plans;
   std::size_t m_RecordedChanges = 0;
--- a/servers/dispatch/server_availability.cpp
+++ b/servers/dispatch/server_availability.cpp
@@ -31,7 +31,10 @@
 }
 
 ServerAvailability::ServerAvailability(const AvailabilitySettings &Settings)
-    : m_Settings(Settings) {}
+    : m_Settings(Settings),
+      m_Random(static_cast<std::minstd_rand::result_type>(
+          Settings.m_RandomSeed ? *Settings.m_RandomSeed
+                                : std::random_device()())) {}
 
 Unavailability ServerAvailability::check(const FleetView &Fleet,
                                          const BackendServer &Server,
@@ -101,6 +104,21 @@
   return IsNew;
 }
 
+bool ServerAvailability::tryAcquire(const FleetView &Fleet,
+                                    const ChosenServer &Server,
+                                    MonotonicTime Now) {
+  const BackendServer *Entry = Fleet.find(Server.m_Id);
+  if (!Entry || Entry->m_StartedAtMs != Server.m_StartedAtMs)
+    return false;
+  const Unavailability Reason = check(Fleet, *Entry, Now);
+  // This request is the last one to a server that is resuming.
+  const bool IsAvailable = Reason == Unavailability::None ||
+                           Reason == Unavailability::BackedOff ||
+                           Reason == Unavailability::Resuming;
+  return IsAvailable &&
+         m_RateLimits.tryAcquire(Server.m_Id, Server.m_StartedAtMs, Now);
+}
+
 void ServerAvailability::removeEndedPauses(MonotonicTime Now) {
   for (auto Entry = m_RequestedPauses.begin();
        Entry != m_RequestedPauses.end();)
--- a/servers/dispatch/server_availability.h
+++ b/servers/dispatch/server_availability.h
@@ -68,6 +68,8 @@
   /// Minimum time between two requests to a server whose pause has ended, until
   /// it answers one of them.
   Duration m_ResumingInterval = std::chrono::milliseconds(200);
+  /// Seed of the random ends of pauses; a random one if unset.
+  std::optional<std::uint64_t> m_RandomSeed;
 };
 
 /// Parses the value of a Retry-After field in seconds, which may have a
@@ -89,6 +91,13 @@
   Unavailability check(const FleetView &Fleet, const BackendServer &Server,
                        MonotonicTime Now) const;
 
+  /// Must be called before the first byte of a request to \p Server is sent,
+  /// since what allowed its choice may have changed meanwhile. Returns false if
+  /// the process must not receive the request. Otherwise the request counts for
+  /// its rate limit.
+  bool tryAcquire(const FleetView &Fleet, const ChosenServer &Server,
+                  MonotonicTime Now);
+
   /// Time from which neither a pause that \p Server asked for nor its rate
   /// limit holds requests back; the epoch of the clock if there is neither, and
   /// the maximum if this node has no share of the limit.
@@ -151,7 +160,7 @@
   std::map<std::string, RequestedPause> m_RequestedPauses;
   std::map<std::string, unsigned> m_ConnectFailures;
   ServerRateLimits m_RateLimits;
-  std::minstd_rand m_Random{std::random_device()()};
+  std::minstd_rand m_Random;
 };
 
 } // namespace fulmarwinch
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-ServerSelector::ServerSelector(const SelectorSettings &Settings)
-    : m_Settings(Settings) {}
+ServerSelector::ServerSelector(const SelectorSettings &Settings,
+                               const AvailabilitySettings &Availability)
+    : m_Settings(Settings), m_Availability(Availability) {}
 
 std::optional<ChosenServer> ServerSelector::choose(const FleetView &Fleet,
                                                    const ServerQuery &Query) {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -83,7 +83,8 @@
 /// fleet, its own in-flight requests and those that its peers reported.
 class ServerSelector {
 public:
-  explicit ServerSelector(const SelectorSettings &Settings = {});
+  explicit ServerSelector(const SelectorSettings &Settings = {},
+                          const AvailabilitySettings &Availability = {});
 
   /// Returns a backend server for the request, or nothing if no server may
   /// receive it; noServerReason() then tells why.
