--- a/tests/proxy/test_upstream_call.cpp
+++ b/tests/proxy/test_upstream_call.cpp
@@ -17,21 +17,36 @@
   CPPUNIT_TEST(closeIsToldFromADelimitedEnd);
   CPPUNIT_TEST_SUITE_END();
 
+  /// A call that has been started, and its accepted connection at the server.
+  struct CallToServer {
+    CallToServer(const std::string &Request, Duration Timeout)
+        : m_Acceptor(m_Loop, {asio::ip::address_v4::loopback(), 0}),
+          m_Server(m_Loop) {
+      UpstreamCallHandlers Handlers;
+      Handlers.m_OnEnd = [this](UpstreamOutcome Outcome) {
+        m_Result = Outcome;
+      };
+      const Endpoint Peer{"127.0.0.1", m_Acceptor.local_endpoint().port()};
+      m_Call = std::make_shared<UpstreamCall>(m_Loop, Peer, Request);
+      m_Call->start(std::move(Handlers), milliseconds(200), Timeout);
+      m_Server = m_Acceptor.accept();
+    }
+
+    asio::io_context m_Loop;
+    asio::ip::tcp::acceptor m_Acceptor;
+    asio::ip::tcp::socket m_Server;
+    std::shared_ptr<UpstreamCall> m_Call;
+    std::optional<UpstreamOutcome> m_Result;
+  };
+
   /// The process stands still after it has waited for events, until just after
   /// the deadline, and the response arrives meanwhile. Guards against a timer
   /// that cuts a response which is there.
   void responseIsReadBeforeATimerThatIsHardlyLate() {
-    asio::io_context Loop;
-    asio::ip::tcp::acceptor Acceptor(Loop,
-                                     {asio::ip::address_v4::loopback(), 0});
-    const Endpoint Peer{"127.0.0.1", Acceptor.local_endpoint().port()};
-    std::optional<UpstreamOutcome> Result;
-    UpstreamCallHandlers Handlers;
-    Handlers.m_OnEnd = [&](UpstreamOutcome Outcome) { Result = Outcome; };
-    const auto Call = std::make_shared<UpstreamCall>(
-        Loop, Peer, formatRequest("GET", "/", Peer, {}, ""));
-    Call->start(std::move(Handlers), milliseconds(200), milliseconds(300));
-    asio::ip::tcp::socket Server = Acceptor.accept();
+    CallToServer Call(formatRequest("GET", "/", Endpoint(), {}, ""),
+                      milliseconds(300));
+    asio::io_context &Loop = Call.m_Loop;
+    asio::ip::tcp::socket &Server = Call.m_Server;
     Loop.run_for(milliseconds(50));
 
     // Both timers are due when the loop runs again, so the response arrives
@@ -44,34 +59,26 @@
     });
     std::this_thread::sleep_for(milliseconds(280));
     Loop.run_for(milliseconds(300));
-    CPPUNIT_ASSERT(Result.has_value());
+    CPPUNIT_ASSERT(Call.m_Result.has_value());
     CPPUNIT_ASSERT_EQUAL(
         std::string(nameOf(UpstreamOutcomeNames, UpstreamOutcome::Complete)),
-        std::string(nameOf(UpstreamOutcomeNames, *Result)));
+        std::string(nameOf(UpstreamOutcomeNames, *Call.m_Result)));
   }
 
   /// Returns the outcome of a call whose peer sends \p Response and closes.
   static std::string outcomeOf(const std::string &Response) {
-    asio::io_context Loop;
-    asio::ip::tcp::acceptor Acceptor(Loop,
-                                     {asio::ip::address_v4::loopback(), 0});
-    const Endpoint Peer{"127.0.0.1", Acceptor.local_endpoint().port()};
-    std::optional<UpstreamOutcome> Result;
-    UpstreamCallHandlers Handlers;
-    Handlers.m_OnEnd = [&](UpstreamOutcome Outcome) { Result = Outcome; };
-    const std::string Request = formatRequest("GET", "/", Peer, {}, "");
-    const auto Call = std::make_shared<UpstreamCall>(Loop, Peer, Request);
-    Call->start(std::move(Handlers), milliseconds(500), milliseconds(5000));
-    asio::ip::tcp::socket Server = Acceptor.accept();
-    Loop.run_for(milliseconds(20));
+    const std::string Request = formatRequest("GET", "/", Endpoint(), {}, "");
+    CallToServer Call(Request, milliseconds(5000));
+    asio::ip::tcp::socket &Server = Call.m_Server;
+    Call.m_Loop.run_for(milliseconds(20));
     // A socket with unread bytes would be reset by its close.
     std::string Received(Request.size(), '\0');
     asio::read(Server, asio::buffer(Received));
     asio::write(Server, asio::buffer(Response));
     Server.close();
-    while (!Result)
-      Loop.run_one();
-    return std::string(nameOf(UpstreamOutcomeNames, *Result));
+    while (!Call.m_Result)
+      Call.m_Loop.run_one();
+    return std::string(nameOf(UpstreamOutcomeNames, *Call.m_Result));
   }
 
   /// Guards against the end of a connection that counts as the end that a
--- a/tests/servers/retry/test_event_splitter.cpp
+++ b/tests/servers/retry/test_event_splitter.cpp
@@ -33,10 +33,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("id: 2"), Splitter.incompleteEvent());
   }
 
-  /// Guards against events that depend on how the network divided the bytes
-  /// into reads.
-  void eventsDoNotDependOnReadBoundaries() {
-    const std::string Stream = "id: 1\r\ndata: a\r\n\r\nid:2\ndata: b\n\n";
+  /// Splits \p Stream, which has events 1 and 2, in two reads at each position.
+  static void assertTwoEventsAtEachBoundary(const std::string &Stream) {
     for (std::size_t ReadBoundary = 0; ReadBoundary <= Stream.size();
          ++ReadBoundary) {
       EventSplitter Splitter;
@@ -47,24 +45,19 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Events.size());
       CPPUNIT_ASSERT(Events[0].m_Id == 1U && Events[1].m_Id == 2U);
       CPPUNIT_ASSERT_EQUAL(Stream, Events[0].m_Bytes + Events[1].m_Bytes);
+      CPPUNIT_ASSERT(Splitter.incompleteEvent().empty());
     }
   }
 
+  /// Guards against events that depend on how the network divided the bytes
+  /// into reads.
+  void eventsDoNotDependOnReadBoundaries() {
+    assertTwoEventsAtEachBoundary("id: 1\r\ndata: a\r\n\r\nid:2\ndata: b\n\n");
+  }
+
   /// Guards against a stream whose events are held back until it ends.
   void linesEndWithCrAlone() {
-    const std::string Stream = "id: 1\rdata: a\r\rid:2\rdata: b\r\r";
-    for (std::size_t ReadBoundary = 0; ReadBoundary <= Stream.size();
-         ++ReadBoundary) {
-      EventSplitter Splitter;
-      std::vector<RawEvent> Events =
-          Splitter.accept(Stream.substr(0, ReadBoundary));
-      for (RawEvent &Event : Splitter.accept(Stream.substr(ReadBoundary)))
-        Events.push_back(std::move(Event));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Events.size());
-      CPPUNIT_ASSERT(Events[0].m_Id == 1U && Events[1].m_Id == 2U);
-      CPPUNIT_ASSERT_EQUAL(Stream, Events[0].m_Bytes + Events[1].m_Bytes);
-      CPPUNIT_ASSERT(Splitter.incompleteEvent().empty());
-    }
+    assertTwoEventsAtEachBoundary("id: 1\rdata: a\r\rid:2\rdata: b\r\r");
   }
 
   /// The CR of the last line end arrives before its LF. Guards against a byte
