--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""A lease that is regained with its epoch makes the planner name a second
-group like one that serves."""
+"""An entry of another writer takes the place of the head of a group that
+serves."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
@@ -12,17 +13,27 @@
 from platform_standins import CASE_NOT_RUN, Node, Path, Store, run_case
 from server_standins import Fleet, Server, configuration
 
-# 1: cut and crash; crash: the crash only; 0: neither.
+# 1: another writer writes one entry; 0: it does not.
 TROUBLE = os.environ.get("TROUBLE", "1")
-CUT_S = 1.3
-# The crashed server is back after the lease has run out and before the cut
-# ends.
-RETURN_S = 1.17
-# Ids are the platform's to choose; what matters is their order.
-DOMAIN_A = ["i-1a00000001", "i-9a00000002", "i-9a00000003", "i-9a00000004"]
-DOMAIN_B = ["i-5b00000001", "i-5b00000002", "i-5b00000003", "i-5b00000004"]
-RETURNED = "i-5b00000005"
-GROUP_SIZE = 4
+# What is wrong with the entry: "rank" is missing from its group, or its
+# "service" is not named in the configuration.
+ODD_FIELD = os.environ.get("ODD_FIELD", "rank")
+GROUP_SIZE, DOMAINS, SERVERS_PER_DOMAIN = 4, 2, 5
+FOREIGN_ENTRY = "other-writer"
+
+
+def odd_entry(head):
+    entry = {"service": "llm", "address": "127.0.0.1:9", "zone": "a",
+             "version": "1", "slots": 26, "state": "ready",
+             "cold_remaining_ms": 0, "born": int(time.time() * 1000),
+             "seq_no": 0, "domain": head.domain, "staged": [], "models": []}
+    if ODD_FIELD == "rank":
+        entry["group"] = {"name": head.group["name"],
+                          "epoch": head.group["epoch"], "state": "broken"}
+    else:
+        entry["service"] = "not-named"
+        entry["address"] = f"127.0.0.1:{head.port}"
+    return entry
 
 
 async def run(record, nodes):
@@ -30,72 +41,37 @@
     await store.start()
     fleet = Fleet(store, record)
     store.put("config", "main", configuration(GROUP_SIZE))
-    paths = []
     for index in range(2):
         path = Path(store)
         await path.start()
-        paths.append(path)
         nodes.append(Node(f"front-{index}", path, 17340))
-    for server_id in DOMAIN_B:
-        await Server(fleet, server_id, "domain-b").start()
+    for domain in range(DOMAINS):
+        for number in range(SERVERS_PER_DOMAIN):
+            await Server(fleet, f"i-{domain + 1}a0000000{number}",
+                         f"domain-{domain}", staged=["m0"]).start()
     for node in nodes:
         node.start()
-    await fleet.wait_for_open_groups(1)
-
-    def holder():
-        taken = [(event["time_ms"], node) for node in nodes
-                 for event in node.events("lease_taken")]
-        return max(taken, key=lambda entry: entry[0])[1]
-
-    # Planned restart of the lease's holder, so that the lease changes hands.
-    first = holder()
-    record.write("planned restart of", first.name)
-    await first.terminate()
-    first.start()
-    await first.wait_until_ready()
-    # Planned growth: four servers of a second domain form a group.
-    for server_id in DOMAIN_A:
-        await Server(fleet, server_id, "domain-a").start()
-    await fleet.wait_for_open_groups(2)
-    record.write("groups open; lease held by", holder().name)
+    await fleet.wait_for_open_groups(DOMAINS)
 
     client, end = Client(record), asyncio.Event()
     load = asyncio.create_task(client.load(nodes, end))
     await asyncio.sleep(4)
-    if TROUBLE == "0":
-        await asyncio.sleep(2.6 + CUT_S)
-    else:
-        member = fleet.servers[DOMAIN_B[3]]
-        member.crash()
-        await asyncio.sleep(2.6)
-        if TROUBLE == "1":
-            path = holder().path
-            record.write("cut of", holder().name, "from the store for", CUT_S)
-            cut = asyncio.create_task(path.cut_after_renewal(CUT_S))
-            while path.is_open.is_set():
-                await asyncio.sleep(0.001)
-            await asyncio.sleep(RETURN_S)
-        await Server(fleet, RETURNED, "domain-b", member.port,
-                     ["m0"]).start()
-        record.write("server", RETURNED, "starts in the place of", member.id)
-        if TROUBLE == "1":
-            await cut
-            record.write("the cut ends")
-    await asyncio.sleep(8)
+    head = next(server for server in fleet.servers.values()
+                if server.group and server.group["state"] == "open")
+    if TROUBLE != "0":
+        entry = odd_entry(head)
+        store.put("servers", FOREIGN_ENTRY, entry)
+        record.write("entry", FOREIGN_ENTRY, "is written:", entry)
+    await asyncio.sleep(12)
     end.set()
     await load
-    for node in nodes:
-        for event in node.events("lease_taken", "lease_lost"):
-            record.write(node.name, event)
     served = client.count(200)
     print(f"{len(client.requests)} requests, {served} served; "
-          f"{len(fleet.partial_runs)} began to run in a group with a member "
-          "that had never been ready")
-    if served == 0:
+          f"{len(fleet.joins_of_two)} joins taken while the head of the "
+          "server's group served")
+    if not served:
         return CASE_NOT_RUN
-    for at, request_id, group, members in fleet.partial_runs:
-        record.write("PARTIAL:", request_id, "ran in", group, members)
-    return 1 if fleet.partial_runs else 0
+    return 1 if fleet.joins_of_two else 0
 
 
 run_case(FOLDER, run)
--- a/review/standins/client_standins.py
+++ b/review/standins/client_standins.py
@@ -10,13 +10,13 @@
     """Sends requests to a node, each one on a connection of its own."""
 
     def __init__(self, record):
-        self.record, self.sent = record, 0
+        self.record, self.sent, self.last_id = record, 0, ""
         # Sending time, node, status (0: no complete answer) of each request.
         self.requests = {}
 
     async def request(self, node, path, fields, body=b"", deadline_ms=5000):
         self.sent += 1
-        request_id = f"{self.sent:016x}"
+        request_id = self.last_id = f"{self.sent:016x}"
         head = {"Host": "review.example", "Request-Id": request_id,
                 "Deadline-Ms": deadline_ms, "Credential": KEY,
                 "Content-Length": len(body), **fields}
--- a/review/standins/server_standins.py
+++ b/review/standins/server_standins.py
@@ -66,6 +66,8 @@
         # Decides whether a request crashes its server.
         self.is_deadly = lambda fields: False
         self.on_crash = lambda server: None
+        # Events that a server writes on a deadly request before it crashes.
+        self.events_before_crash = 0
 
 
     async def wait_for_open_groups(self, count):
@@ -350,7 +352,8 @@
         if never_ready:
             self.fleet.partial_runs.append((now(), request_id, group["name"],
                                             never_ready))
-        if self.fleet.is_deadly(fields):
+        is_deadly = self.fleet.is_deadly(fields)
+        if is_deadly and self.fleet.events_before_crash == 0:
             self.crash()
             return
         writer.write(
@@ -364,5 +367,9 @@
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
             await writer.drain()
             await asyncio.sleep(0.04)
+            if is_deadly and \
+                    number - first + 1 == self.fleet.events_before_crash:
+                self.crash()
+                return
         writer.write(b"0\r\n\r\n")
         await writer.drain()
