--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -277,7 +277,7 @@
                 "bounds.budget_window_s=10\nbounds.budget_slack=136\n"
                 f"platform.address={path.address[0]}:{path.address[1]}\n"
                 "platform.form=objects\n")
-        self.process = None
+        self.process, self.is_lost = None, False
 
     def start(self):
         with open(os.path.join(self.directory, "log.txt"), "ab") as log:
@@ -332,6 +332,15 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
 
+def memory_mb(process):
+    """Returns the resident memory of a process."""
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
 CASE_NOT_RUN = 2
 MAX_CASE_S = 110
 
--- a/review/standins/server_standins.py
+++ b/review/standins/server_standins.py
@@ -68,6 +68,8 @@
         self.on_crash = lambda server: None
         # Events that a server writes on a deadly request before it crashes.
         self.events_before_crash = 0
+        # Events of an answer.
+        self.events = 10
 
 
     async def wait_for_open_groups(self, count):
@@ -362,7 +364,7 @@
             "Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode())
         first = int(fields.get("last-event-id", 0)) + 1
-        for number in range(first, 11):
+        for number in range(first, self.fleet.events + 1):
             event = f"id: {number}\ndata: {request_id}\n\n"
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
             await writer.drain()
