--- a/review/3/case.py
+++ b/review/3/case.py
@@ -44,7 +44,7 @@
     for index in range(2):
         path = Path(store)
         await path.start()
-        nodes.append(Node(f"front-{index}", path, 17340))
+        nodes.append(Node(f"front-{index}", path))
     for domain in range(DOMAINS):
         for number in range(SERVERS_PER_DOMAIN):
             await Server(fleet, f"i-{domain + 1}a0000000{number}",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,7 +35,7 @@
         path = Path(store)
         await path.start()
         paths.append(path)
-        nodes.append(Node(f"front-{index}", path, 17340))
+        nodes.append(Node(f"front-{index}", path))
     for server_id in DOMAIN_B:
         await Server(fleet, server_id, "domain-b").start()
     for node in nodes:
--- a/review/standins/deadly_requests.py
+++ b/review/standins/deadly_requests.py
@@ -42,7 +42,7 @@
     for index in range(2):
         path = Path(store)
         await path.start()
-        nodes.append(Node(f"front-{index}", path, 17340))
+        nodes.append(Node(f"front-{index}", path))
     started = 0
     returns = []
 
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -20,6 +20,8 @@
 # The command of deploy/system.toml, run in the root of the repository.
 PROGRAM = "target/fulmarwinch-front"
 METRICS_PORT = 9464
+# First port of port_range; the same on all machines.
+PEER_PORT = 17340
 STORE_ANSWER_S = 0.004
 
 
@@ -242,13 +244,15 @@
 
 
 def free_loopback_ip():
-    """Returns a loopback address on which the metrics port is free."""
+    """Returns a loopback address on which the fixed ports are free."""
     while True:
         ip = f"127.{random.randint(64, 200)}.{random.randint(0, 250)}." \
              f"{random.randint(1, 250)}"
-        with socket.socket() as probe:
+        with socket.socket() as metrics, \
+                socket.socket(type=socket.SOCK_DGRAM) as peers:
             try:
-                probe.bind((ip, METRICS_PORT))
+                metrics.bind((ip, METRICS_PORT))
+                peers.bind((ip, PEER_PORT))
                 return ip
             except OSError:
                 pass
@@ -257,7 +261,7 @@
 class Node:
     """A front node as a process, with settings as in DEPLOY.md."""
 
-    def __init__(self, name, path, peer_port, memory_mb=260):
+    def __init__(self, name, path, memory_mb=260):
         self.name, self.path = name, path
         self.ip = free_loopback_ip()
         self.front_port, self.ready_port = free_ports(self.ip, 2)
@@ -269,7 +273,7 @@
                 f"ip={self.ip}\nzone=a\nregion=r\nzones.a=r\n"
                 f"listen.front={self.ip}:{self.front_port}\n"
                 f"listen.ready_address={self.ip}:{self.ready_port}\n"
-                f"port_range={peer_port},{peer_port + 15}\n"
+                f"port_range={PEER_PORT},{PEER_PORT + 15}\n"
                 f"limits.memory_mb={memory_mb}\nlimits.max_fds=4100\n"
                 "limits.link_mbps=1000.0\nheartbeat_ms=1200\n"
                 "bounds.contact_ms=3000\nbounds.grace_s=8\n"
@@ -349,8 +353,15 @@
     """Runs a case and exits with its result: 1 if the rule was broken, 0 if
     it held, 2 if the case did not run. `run` gets the record and a list to
     which it adds the nodes that it creates."""
+    nodes = []
+
+    def end_at_once(*_):
+        for node in nodes:
+            node.end()
+        os._exit(CASE_NOT_RUN)
+
     async def main():
-        record, nodes = Record(folder), []
+        record = Record(folder)
         try:
             return await asyncio.wait_for(run(record, nodes), MAX_CASE_S)
         except asyncio.TimeoutError:
@@ -365,6 +376,7 @@
         # Ends without closing the connections of the stand-ins one by one.
         os._exit(await main())
 
+    signal.signal(signal.SIGTERM, end_at_once)
     try:
         asyncio.run(main_and_exit())
     except Exception as error:  # every failure of the case itself
