--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,8 +10,10 @@
 import deadly_requests
 from platform_standins import run_case
 
+# 1: the part crashes servers; 0: it is sound.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SHARED_PARTS = 4
 EVENTS_BEFORE_CRASH = int(os.environ.get("EVENTS_BEFORE_CRASH", "1"))
 
 run_case(FOLDER, lambda record, nodes: deadly_requests.run(
-    record, nodes, SHARED_PARTS, EVENTS_BEFORE_CRASH))
+    record, nodes, HAS_TROUBLE, SHARED_PARTS, EVENTS_BEFORE_CRASH))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,9 @@
 import deadly_requests
 from platform_standins import run_case
 
+# 1: the part crashes servers; 0: it is sound.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SHARED_PARTS = int(os.environ.get("SHARED_PARTS", "18"))
 
 run_case(FOLDER, lambda record, nodes: deadly_requests.run(
-    record, nodes, SHARED_PARTS, 0))
+    record, nodes, HAS_TROUBLE, SHARED_PARTS, 0))
--- a/review/standins/deadly_requests.py
+++ b/review/standins/deadly_requests.py
@@ -2,14 +2,11 @@
 that begins to write an answer on it."""
 
 import asyncio
-import os
 
 from client_standins import Client
 from platform_standins import CASE_NOT_RUN, Node, Path, Store, now
 from server_standins import Fleet, Server, configuration
 
-# 1: the part crashes servers; 0: it is sound.
-TROUBLE = os.environ.get("TROUBLE", "1")
 DEADLY_PART, SOUND_PART = "dead0001", "50a1d001"
 GROUP_SIZE, DOMAINS, SERVERS_PER_DOMAIN = 2, 2, 9
 DOWN_S = 3.0
@@ -30,13 +27,13 @@
     return ",".join(parts)
 
 
-async def run(record, nodes, shared_parts, events_before_crash):
-    """Returns the result of the case."""
+async def run(record, nodes, has_trouble, shared_parts, events_before_crash):
+    """Returns the result of the case. Without trouble the part is sound."""
     store = Store()
     await store.start()
     fleet = Fleet(store, record)
     fleet.events_before_crash = events_before_crash
-    fleet.is_deadly = lambda fields: TROUBLE != "0" and (
+    fleet.is_deadly = lambda fields: has_trouble and (
         f"{DEADLY_PART}:" in fields.get("prompt-prefix", ""))
     store.put("config", "main", configuration(GROUP_SIZE))
     for index in range(2):
