--- a/core/object_feed.h
+++ b/core/object_feed.h
@@ -15,7 +15,8 @@
 /// Object of the platform's store with its content.
 struct StoredObject {
   std::string m_Name;
-  std::uint64_t m_Revision = 0;
+  /// Position of its last change.
+  StorePosition m_Position;
   Json m_Content;
 };
 
@@ -23,10 +24,13 @@
 struct ObjectsListed {
   /// Succeeded or Unavailable.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  /// Store revision of the listing. A watch that starts from it misses no
+  /// Store position of the listing. A watch that starts from it misses no
   /// change.
-  std::uint64_t m_Revision = 0;
+  StorePosition m_Position;
   std::vector<StoredObject> m_Objects;
+  /// Era that the store named in its answer; 0 if there is no answer or it
+  /// names none.
+  StoreEra m_Era = 0;
 };
 
 /// Changed or deleted object in the result of a watch.
@@ -39,11 +43,14 @@
 /// before the time limit.
 struct ObjectsWatched {
   /// Succeeded, Unavailable, or NotFound if the store has compacted the changes
-  /// since the requested revision, so that the caller must list again.
+  /// since the requested position, so that the caller must list again.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  /// Store revision up to which the result contains all changes.
-  std::uint64_t m_Revision = 0;
+  /// Store position up to which the result contains all changes.
+  StorePosition m_Position;
   std::vector<ObjectChange> m_Changes;
+  /// Era that the store named in its answer; 0 if there is no answer or it
+  /// names none.
+  StoreEra m_Era = 0;
 };
 
 /// Lists and watches the objects of one kind with their content. Calls return
@@ -55,9 +62,8 @@
   /// Reads all objects of \p Kind.
   virtual void list(const std::string &Kind,
                     std::function<void(ObjectsListed)> Done) = 0;
-  /// Waits, at most for \p Wait, for changes of \p Kind after revision \p
-  /// Since.
-  virtual void watch(const std::string &Kind, std::uint64_t Since,
+  /// Waits, at most for \p Wait, for changes of \p Kind after \p Since.
+  virtual void watch(const std::string &Kind, StorePosition Since,
                      Duration Wait,
                      std::function<void(ObjectsWatched)> Done) = 0;
 };
--- a/core/object_store.h
+++ b/core/object_store.h
@@ -20,7 +20,7 @@
 /// object was deleted.
 struct StoreKey {
   std::string m_Key;
-  ObjectVersion m_Version = 0;
+  ObjectVersion m_Version;
 };
 
 /// Request for at most m_Limit keys that start with m_Prefix and follow
@@ -31,21 +31,21 @@
   std::size_t m_Limit = 1000;
 };
 
-/// Result of ListKeys. A watch that starts from m_Revision misses no change.
+/// Result of ListKeys. A watch that starts from m_Position misses no change.
 struct KeysListed {
   /// Succeeded or Unavailable.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  std::uint64_t m_Revision = 0;
+  StorePosition m_Position;
   std::vector<StoreKey> m_Keys;
   /// True if further keys match after the last one of m_Keys.
   bool m_HasMore = false;
 };
 
 /// Request to wait, at most for m_Timeout, for a change of a key that starts
-/// with m_Prefix after revision m_Since.
+/// with m_Prefix after m_Since.
 struct WatchKeys {
   std::string m_Prefix;
-  std::uint64_t m_Since = 0;
+  StorePosition m_Since;
   Duration m_Timeout = std::chrono::seconds(1);
 };
 
@@ -55,7 +55,7 @@
   /// Succeeded, Unavailable, or NotFound if the platform has compacted the
   /// changes since m_Since, so that the caller must list again.
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  std::uint64_t m_Revision = 0;
+  StorePosition m_Position;
   std::vector<StoreKey> m_Events;
 };
 
--- a/core/store_messages.h
+++ b/core/store_messages.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_CORE_STORE_MESSAGES_H
 
 #include "core/enum_names.h"
+#include "core/store_position.h"
 
 #include <array>
 #include <cstdint>
@@ -10,9 +11,10 @@
 
 namespace fulmarwinch {
 
-/// Version of an object in the platform's object API. The versions of a key
-/// only increase; 0 means that the object does not exist.
-using ObjectVersion = std::uint64_t;
+/// Version of an object in the platform's object API: the position of its last
+/// change. The versions of a key only increase within one era of the store; a
+/// default-constructed one means that the object does not exist.
+using ObjectVersion = StorePosition;
 
 /// ID of a store call, assigned by the code that requests the call. This code
 /// does no I/O: its caller, the driver, executes the call and passes back the
@@ -51,7 +53,7 @@
 struct PutObject {
   StoreCallId m_Id = 0;
   std::string m_Key;
-  ObjectVersion m_ExpectedVersion = 0;
+  ObjectVersion m_ExpectedVersion;
   std::string m_Value;
 };
 
@@ -59,7 +61,7 @@
 struct DeleteObject {
   StoreCallId m_Id = 0;
   std::string m_Key;
-  ObjectVersion m_ExpectedVersion = 0;
+  ObjectVersion m_ExpectedVersion;
 };
 
 /// Store call that the driver has to execute.
@@ -69,8 +71,11 @@
 struct GetCompleted {
   StoreCallId m_Id = 0;
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  ObjectVersion m_Version = 0;
+  ObjectVersion m_Version;
   std::string m_Value;
+  /// Era that the store named in its answer; 0 if there is no answer or it
+  /// names none.
+  StoreEra m_Era = 0;
 };
 
 /// Result of PutObject and DeleteObject: Succeeded, Conflict, NotFound,
@@ -79,7 +84,10 @@
 struct WriteCompleted {
   StoreCallId m_Id = 0;
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  ObjectVersion m_Version = 0;
+  ObjectVersion m_Version;
+  /// Era that the store named in its answer; 0 if there is no answer or it
+  /// names none.
+  StoreEra m_Era = 0;
 };
 
 } // namespace fulmarwinch
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -36,7 +36,7 @@
     return Result.m_NothingSent ? StoreOutcome::Unavailable
                                 : StoreOutcome::Unknown;
   if (Result.m_Status == StatusOk)
-    return Version != 0 ? StoreOutcome::Succeeded : StoreOutcome::Unknown;
+    return Version.exists() ? StoreOutcome::Succeeded : StoreOutcome::Unknown;
   if (Result.m_Status == StatusConflict)
     return StoreOutcome::Conflict;
   if (Result.m_Status == StatusNotFound)
@@ -47,7 +47,7 @@
 
 WriteCompleted makeWriteCompletion(StoreCallId Id, const HttpCallResult &Result,
                                    const Json &Body) {
-  const auto Version = fieldOr(Body, "version", ObjectVersion{0});
+  const auto Version = fieldOr(Body, "version", std::uint64_t{0});
   return {Id, outcomeOfWrite(Result, Version), Version};
 }
 
@@ -57,7 +57,7 @@
   Completion.m_Id = Id;
   if (Result.m_Complete && Result.m_Status == StatusNotFound)
     Completion.m_Outcome = StoreOutcome::NotFound;
-  const auto Version = fieldOr(Body, "version", ObjectVersion{0});
+  const auto Version = fieldOr(Body, "version", std::uint64_t{0});
   if (!isSuccess(Result) || Version == 0 || !Body.contains("value"))
     return Completion;
   const Json &Value = Body["value"];
@@ -72,7 +72,7 @@
   std::vector<StoreKey> Keys;
   for (const Json &Row : fieldOr(Body, Member, Json::array()))
     Keys.push_back({fieldOr(Row, "key", std::string()),
-                    fieldOr(Row, "version", ObjectVersion{0})});
+                    fieldOr(Row, "version", std::uint64_t{0})});
   return Keys;
 }
 
@@ -156,7 +156,7 @@
                                std::function<void(StoreCompletion)> Done) {
   HttpCall Call =
       makeCall("PUT", fmt::format("{}?expected={}", objectUrl(Action.m_Key),
-                                  Action.m_ExpectedVersion));
+                                  Action.m_ExpectedVersion.m_Revision));
   try {
     Call.m_Body = Json{{"value", Action.m_Value}}.dump();
   } catch (const Json::exception &) {
@@ -178,7 +178,7 @@
                                   std::function<void(StoreCompletion)> Done) {
   send(StoreCallKind::Delete,
        makeCall("DELETE", fmt::format("{}?expected={}", objectUrl(Action.m_Key),
-                                      Action.m_ExpectedVersion)),
+                                      Action.m_ExpectedVersion.m_Revision)),
        [Id = Action.m_Id, Done = std::move(Done)](const HttpCallResult &Result,
                                                   const Json &Body) {
          Done(makeWriteCompletion(Id, Result, Body));
@@ -198,7 +198,7 @@
         if (!isSuccess(Result) || !Body.is_object())
           return Done(std::move(Completion));
         Completion.m_Outcome = StoreOutcome::Succeeded;
-        Completion.m_Revision = fieldOr(Body, "revision", std::uint64_t{0});
+        Completion.m_Position = fieldOr(Body, "revision", std::uint64_t{0});
         Completion.m_Keys = parseKeys(Body, "objects");
         Completion.m_HasMore = fieldOr(Body, "more", false);
         Done(std::move(Completion));
@@ -212,7 +212,7 @@
   HttpCall Call = makeCall(
       "GET", fmt::format("http://{}/v1/watch?prefix={}&since={}&timeout_ms={}",
                          m_Options.m_Address, percentEncode(Request.m_Prefix),
-                         Request.m_Since, TimeoutMs.count()));
+                         Request.m_Since.m_Revision, TimeoutMs.count()));
   Call.m_TotalTimeout = Request.m_Timeout + m_Options.m_ReadTimeout;
   send(
       StoreCallKind::Watch, std::move(Call),
@@ -223,7 +223,7 @@
         if (!isSuccess(Result) || !Body.is_object())
           return Done(std::move(Completion));
         Completion.m_Outcome = StoreOutcome::Succeeded;
-        Completion.m_Revision = fieldOr(Body, "revision", std::uint64_t{0});
+        Completion.m_Position = fieldOr(Body, "revision", std::uint64_t{0});
         Completion.m_Events = parseKeys(Body, "events");
         Done(std::move(Completion));
       });
--- a/drivers/standin/object_table.cpp
+++ b/drivers/standin/object_table.cpp
@@ -18,14 +18,14 @@
   return Found == m_Objects.end() ? nullptr : &Found->second;
 }
 
-ObjectVersion ObjectTable::versionOf(const std::string &Key) const {
+std::uint64_t ObjectTable::versionOf(const std::string &Key) const {
   const Object *Current = find(Key);
   return Current ? Current->m_Version : 0;
 }
 
 ObjectTable::WriteResult ObjectTable::put(const std::string &Key,
-                                          ObjectVersion Expected, Json Value) {
-  const ObjectVersion Current = versionOf(Key);
+                                          std::uint64_t Expected, Json Value) {
+  const std::uint64_t Current = versionOf(Key);
   if (Current != Expected)
     return {StoreOutcome::Conflict, Current};
   ++m_Revision;
@@ -35,8 +35,8 @@
 }
 
 ObjectTable::WriteResult ObjectTable::remove(const std::string &Key,
-                                             ObjectVersion Expected) {
-  const ObjectVersion Current = versionOf(Key);
+                                             std::uint64_t Expected) {
+  const std::uint64_t Current = versionOf(Key);
   if (Current == 0)
     return {StoreOutcome::NotFound, 0};
   if (Current != Expected)
@@ -47,7 +47,7 @@
   return {StoreOutcome::Succeeded, m_Revision};
 }
 
-void ObjectTable::recordChange(const std::string &Key, ObjectVersion Version) {
+void ObjectTable::recordChange(const std::string &Key, std::uint64_t Version) {
   m_History.push_back({m_Revision, Key, Version});
   if (m_History.size() > m_HistoryLimit)
     m_History.pop_front();
--- a/drivers/standin/object_table.h
+++ b/drivers/standin/object_table.h
@@ -20,13 +20,13 @@
 class ObjectTable {
 public:
   struct Object {
-    ObjectVersion m_Version = 0;
+    std::uint64_t m_Version = 0;
     Json m_Value;
   };
 
   struct WriteResult {
     StoreOutcome m_Outcome = StoreOutcome::Succeeded;
-    ObjectVersion m_Version = 0;
+    std::uint64_t m_Version = 0;
   };
 
   /// Retains the last \p HistoryLimit changes for watches.
@@ -36,10 +36,10 @@
   const Object *find(const std::string &Key) const;
   /// Writes the object if its version is \p Expected, 0 for an object that does
   /// not exist; otherwise returns Conflict and the current version.
-  WriteResult put(const std::string &Key, ObjectVersion Expected, Json Value);
+  WriteResult put(const std::string &Key, std::uint64_t Expected, Json Value);
   /// Deletes the object if its version is \p Expected; otherwise returns
   /// Conflict and the current version, or NotFound.
-  WriteResult remove(const std::string &Key, ObjectVersion Expected);
+  WriteResult remove(const std::string &Key, std::uint64_t Expected);
 
   /// Returns at most \p Limit keys with \p Prefix that sort after \p After,
   /// with their versions, the revision, and whether there are more.
@@ -58,11 +58,11 @@
   struct Change {
     std::uint64_t m_Revision;
     std::string m_Key;
-    ObjectVersion m_Version;
+    std::uint64_t m_Version;
   };
 
-  ObjectVersion versionOf(const std::string &Key) const;
-  void recordChange(const std::string &Key, ObjectVersion Version);
+  std::uint64_t versionOf(const std::string &Key) const;
+  void recordChange(const std::string &Key, std::uint64_t Version);
 
   std::size_t m_HistoryLimit;
   std::uint64_t m_Revision = 0;
--- a/node/configuration_service.cpp
+++ b/node/configuration_service.cpp
@@ -28,7 +28,7 @@
 /// Returns the version of the configuration head object, or 0 if \p Keys does
 /// not contain it.
 ObjectVersion headVersion(const std::vector<StoreKey> &Keys) {
-  ObjectVersion Version = 0;
+  ObjectVersion Version;
   for (const StoreKey &Key : Keys)
     if (Key.m_Key == HeadKey)
       Version = std::max(Version, Key.m_Version);
@@ -155,10 +155,10 @@
 }
 
 void ConfigurationService::start(const WatchHead &Action) {
-  const WatchKeys Request{HeadKey, Action.m_AfterStoreRevision,
+  const WatchKeys Request{HeadKey, Action.m_AfterStorePosition,
                           Action.m_Timeout};
   m_Store.watch(Request, [this, Id = Action.m_Id](const KeysWatched &Response) {
-    const WatchCompleted Event{Id, Response.m_Outcome, Response.m_Revision,
+    const WatchCompleted Event{Id, Response.m_Outcome, Response.m_Position,
                                headVersion(Response.m_Events)};
     m_ControlThread.post(
         [this, Event] { execute(m_Replica.onWatch(Event, monotonicNow())); });
@@ -168,7 +168,7 @@
 void ConfigurationService::start(const ListHead &Action) {
   m_Store.list(
       {HeadKey, "", 1}, [this, Id = Action.m_Id](const KeysListed &Response) {
-        const ListCompleted Event{Id, Response.m_Outcome, Response.m_Revision,
+        const ListCompleted Event{Id, Response.m_Outcome, Response.m_Position,
                                   headVersion(Response.m_Keys)};
         m_ControlThread.post([this, Event] {
           execute(m_Replica.onList(Event, monotonicNow()));
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -4,6 +4,7 @@
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
+#include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
 #include "servers/dispatch/overload_admission.h"
 
@@ -75,8 +76,10 @@
 struct FrontNode::Impl {
   Impl(asio::io_context &Loop, EventLog &Log, const FrontSettings &Settings,
        const PlatformBinding &Platform)
-      : m_Loop(Loop), m_Log(Log), m_Settings(Settings), m_Platform(Platform),
-        m_TickTimer(Loop), m_LogFlushTimer(Loop), m_RegistrationTimer(Loop),
+      : m_Loop(Loop), m_Log(Log), m_Settings(Settings),
+        m_StoreSession(Loop, Platform, Log, m_Metrics),
+        m_Platform(m_StoreSession.bind(Platform)), m_TickTimer(Loop),
+        m_LogFlushTimer(Loop), m_RegistrationTimer(Loop),
         m_Context(Loop, Log, m_Metrics, Platform.m_HeaderNames, m_Fleet,
                   m_ServerSelector, m_StallDetector),
         m_PeerExchange(Loop, Log, m_ServerSelector, Settings.m_NodeName,
@@ -86,16 +89,16 @@
         m_ChangeRelay(Log, m_PeerExchange),
         m_Incarnation(concat(Settings.m_NodeName, "-", std::random_device()(),
                              "-", unixNow())),
-        m_GroupCoordinator(m_Context, Platform, Settings, m_Incarnation),
-        m_ServerWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
+        m_GroupCoordinator(m_Context, m_Platform, Settings, m_Incarnation),
+        m_ServerWatcher(Loop, m_StoreSession, Log, m_Metrics,
                         Platform.m_ServerKind, serverHandlers()),
-        m_ConfigurationWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
+        m_ConfigurationWatcher(Loop, m_StoreSession, Log, m_Metrics,
                                Platform.m_ConfigurationKind,
                                configurationHandlers()),
-        m_EvacuationWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
+        m_EvacuationWatcher(Loop, m_StoreSession, Log, m_Metrics,
                             Platform.m_EvacuationKind, evacuationHandlers()),
-        m_NodeWatcher(Loop, *Platform.m_ObjectFeed, Log, m_Metrics,
-                      NodeObjectKind, nodeHandlers(), nodeWatchSettings()) {
+        m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
+                      nodeHandlers(), nodeWatchSettings()) {
     setRetryBudgets(1);
     if (Settings.m_MemoryMb > 0.0) {
       const double Bytes = Settings.m_MemoryMb * BytesPerMb;
@@ -193,7 +196,7 @@
       // A server whose entry cannot be decoded is removed from the fleet.
       const bool Changed =
           Server ? m_Fleet.update(std::move(*Server), monotonicNow())
-                 : m_Fleet.remove(Object.m_Name, Object.m_Revision);
+                 : m_Fleet.remove(Object.m_Name, Object.m_Position);
       if (Changed)
         logServer(Object.m_Name);
       const auto Excluded = m_Fleet.excludedEntries().find(Object.m_Name);
@@ -208,18 +211,20 @@
     auto Server = m_Platform.m_DecodeServer(Object);
     if (Server.ok())
       return std::move(*Server);
-    m_Log.write("entry_unreadable",
-                {{"name", Object.m_Name},
-                 {"revision", static_cast<std::int64_t>(Object.m_Revision)},
-                 {"problem", toStdView(Server.status().message())}});
+    m_Log.write(
+        "entry_unreadable",
+        {{"name", Object.m_Name},
+         {"revision", static_cast<std::int64_t>(Object.m_Position.m_Revision)},
+         {"problem", toStdView(Server.status().message())}});
     return std::nullopt;
   }
 
   void logExcluded(const BackendServer &Server) {
-    m_Log.write("entry_excluded",
-                {{"name", Server.m_Id},
-                 {"revision", static_cast<std::int64_t>(Server.m_Revision)},
-                 {"service", Server.m_Service}});
+    m_Log.write(
+        "entry_excluded",
+        {{"name", Server.m_Id},
+         {"revision", static_cast<std::int64_t>(Server.m_Position.m_Revision)},
+         {"service", Server.m_Service}});
   }
 
   /// Sends the crash records to the peers if the changed entry of server \p Id
@@ -290,7 +295,7 @@
     m_Log.write(
         "server",
         {{"server", Id},
-         {"revision", static_cast<std::int64_t>(Server->m_Revision)},
+         {"revision", static_cast<std::int64_t>(Server->m_Position.m_Revision)},
          {"born", Server->m_StartedAtMs},
          {"service", Server->m_Service},
          {"domain", Server->m_FabricDomain},
@@ -329,13 +334,20 @@
     if (!Content.ok()) {
       m_Context.m_Metrics.increment("configurations_unreadable_total");
       m_Log.write("configuration_unreadable",
-                  {{"revision", static_cast<std::int64_t>(Object.m_Revision)},
+                  {{"revision",
+                    static_cast<std::int64_t>(Object.m_Position.m_Revision)},
                    {"problem", toStdView(Content.status().message())}});
       return;
     }
-    if (Object.m_Revision <= m_ConfigurationRevision)
+    if (Object.m_Position <= m_ConfigurationPosition) {
+      m_Log.write("configuration_outdated",
+                  {{"version", static_cast<std::int64_t>(Content->m_Version)},
+                   {"revision",
+                    static_cast<std::int64_t>(Object.m_Position.m_Revision)},
+                   {"era", static_cast<std::int64_t>(m_StoreSession.era())}});
       return;
-    m_ConfigurationRevision = Object.m_Revision;
+    }
+    m_ConfigurationPosition = Object.m_Position;
     m_Context.m_RouteTable = std::make_shared<RouteTable>(std::move(*Content));
     const TrafficConfiguration &Current =
         m_Context.m_RouteTable->configuration();
@@ -346,7 +358,8 @@
     m_Log.write(
         "configuration",
         {{"version", static_cast<std::int64_t>(Current.m_Version)},
-         {"revision", static_cast<std::int64_t>(Object.m_Revision)},
+         {"revision", static_cast<std::int64_t>(Object.m_Position.m_Revision)},
+         {"era", static_cast<std::int64_t>(m_StoreSession.era())},
          {"routes", static_cast<std::int64_t>(Current.m_Routes.size())}});
   }
 
@@ -535,6 +548,7 @@
         static_cast<double>(m_Fleet.excludedEntries().size()));
     Set("request_body_bytes", static_cast<double>(m_BodyBudget->used()));
     Set("request_body_bytes_limit", static_cast<double>(m_BodyBudget->limit()));
+    Set("store_era", static_cast<double>(m_StoreSession.era()));
     Set("nodes_known", static_cast<double>(m_NodeAddresses.size()));
     Set("lease_held", m_GroupCoordinator.holdsLease() ? 1.0 : 0.0);
     Set("log_lines_dropped", static_cast<double>(m_Log.discardedLines()));
@@ -679,11 +693,12 @@
   asio::io_context &m_Loop;
   EventLog &m_Log;
   FrontSettings m_Settings;
-  const PlatformBinding &m_Platform;
+  Metrics m_Metrics;
+  StoreSession m_StoreSession;
+  PlatformBinding m_Platform;
   asio::steady_timer m_TickTimer;
   asio::steady_timer m_LogFlushTimer;
   asio::steady_timer m_RegistrationTimer;
-  Metrics m_Metrics;
   FleetView m_Fleet;
   ServerSelector m_ServerSelector;
   StallDetector m_StallDetector;
@@ -711,8 +726,8 @@
   std::set<std::string> m_CrashProbes;
   std::map<GroupKey, MonotonicTime> m_StallReportedAt;
   const MonotonicTime m_StartedAt = monotonicNow();
-  std::uint64_t m_ConfigurationRevision = 0;
-  ObjectVersion m_RegistrationVersion = 0;
+  StorePosition m_ConfigurationPosition;
+  ObjectVersion m_RegistrationVersion;
 };
 
 FrontNode::FrontNode(asio::io_context &Loop, EventLog &Log,
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -142,7 +142,7 @@
   for (auto Entry = m_UnresponsiveServers.begin();
        Entry != m_UnresponsiveServers.end();) {
     const BackendServer *Server = m_Context.m_Fleet.find(Entry->first);
-    Entry = !Server || Server->m_Revision != Entry->second
+    Entry = !Server || Server->m_Position != Entry->second
                 ? m_UnresponsiveServers.erase(Entry)
                 : std::next(Entry);
   }
@@ -162,7 +162,7 @@
     Input.m_Service = &Service;
     Input.m_Now = Now;
     Input.m_TrafficSeen = m_Context.m_HasSentToGroup;
-    for (const auto &[Server, Revision] : m_UnresponsiveServers)
+    for (const auto &[Server, Position] : m_UnresponsiveServers)
       Input.m_UnreachableServers.insert(Server);
     Input.m_RateLimitedServers = rateLimitedServers(Now);
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
@@ -459,7 +459,7 @@
     m_ProbesInFlight.erase(Server);
     return;
   }
-  checkLiveness(*Entry, [this, Server, Report, Revision = Entry->m_Revision](
+  checkLiveness(*Entry, [this, Server, Report, Position = Entry->m_Position](
                             bool IsAlive, UpstreamOutcome Outcome) {
     m_ProbesInFlight.erase(Server);
     m_Context.m_Log.write("probe",
@@ -469,7 +469,7 @@
                            {"end", nameOf(UpstreamOutcomeNames, Outcome)}});
     if (IsAlive)
       return;
-    m_UnresponsiveServers[Server] = Revision;
+    m_UnresponsiveServers[Server] = Position;
     m_NextPlanAt = {};
     if (m_OnStallConfirmed)
       m_OnStallConfirmed({Report.m_HeadServer, Report.m_Group, true});
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -93,9 +93,9 @@
   std::uint64_t m_Epoch = 0;
   GroupKeySequence m_GroupKeys;
   std::map<std::string, ReplicaPlanner> m_Planners;
-  /// Servers that failed their probes, with the revision of their entry. A
+  /// Servers that failed their probes, with the position of their entry. A
   /// server is removed from the map when its entry changes or is deleted.
-  std::map<std::string, std::uint64_t> m_UnresponsiveServers;
+  std::map<std::string, StorePosition> m_UnresponsiveServers;
   std::set<std::string> m_ProbesInFlight;
   std::map<GroupKey, MonotonicTime> m_LastProbedAt;
   /// Reports that arrived soon after a round of probes of their group.
@@ -117,7 +117,7 @@
   /// lease epoch and after each failed write.
   bool m_IsQuarantineLoaded = false;
   bool m_IsQuarantineCallInFlight = false;
-  ObjectVersion m_QuarantineVersion = 0;
+  ObjectVersion m_QuarantineVersion;
   /// Quarantined servers as last read from or written to the store.
   QuarantineRecord m_StoredQuarantine;
   /// Orders that are sent only after the quarantine of their server was written
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -41,7 +41,7 @@
     scheduleRetry(true);
     return;
   }
-  onStoreAnswered(Result.m_Revision, true, SentAt);
+  onStoreAnswered(Result.m_Position, true, SentAt);
   m_HasListed = true;
   m_IsListing = false;
   m_Callbacks.m_OnListed(std::move(Result.m_Objects));
@@ -57,7 +57,7 @@
   }
   m_IsIdle = false;
   countCall(m_RelayFollower.storeCallReason());
-  const WatchCall Call{m_RelayFollower.revision(), Now, nextWatchTimeout(Now)};
+  const WatchCall Call{m_RelayFollower.position(), Now, nextWatchTimeout(Now)};
   m_Feed.watch(
       m_Kind, Call.m_Since, Call.m_Wait,
       [this, Call](const ObjectsWatched &Result) { onWatched(Call, Result); });
@@ -78,9 +78,10 @@
 void ObjectWatcher::onWatched(const WatchCall &Call,
                               const ObjectsWatched &Result) {
   if (Result.m_Outcome == StoreOutcome::NotFound) {
-    m_Log.write(
-        "store_history_gone",
-        {{"kind", m_Kind}, {"since", static_cast<std::int64_t>(Call.m_Since)}});
+    m_Log.write("store_history_gone",
+                {{"kind", m_Kind},
+                 {"since", static_cast<std::int64_t>(Call.m_Since.m_Revision)},
+                 {"era", static_cast<std::int64_t>(Result.m_Era)}});
     list(StoreCallReason::HistoryGone);
     return;
   }
@@ -91,8 +92,8 @@
   // Another node may have forwarded later changes while the watch call was in
   // flight; the returned ones are then outdated.
   const bool IsNew = !Result.m_Changes.empty() &&
-                     Result.m_Revision > m_RelayFollower.revision();
-  const std::uint64_t LastChange = m_RelayFollower.lastChangeRevision();
+                     Result.m_Position > m_RelayFollower.position();
+  const StorePosition LastChange = m_RelayFollower.lastChange();
   // The answer may have been on its way for long, so its arrival does not show
   // when the state was current. Without changes, the store held the call open
   // for the whole wait.
@@ -100,14 +101,14 @@
       Result.m_Changes.empty()
           ? std::min(monotonicNow(), Call.m_SentAt + Call.m_Wait)
           : Call.m_SentAt;
-  onStoreAnswered(Result.m_Revision, IsNew, CurrentAt);
+  onStoreAnswered(Result.m_Position, IsNew, CurrentAt);
   if (!IsNew) {
     watch();
     return;
   }
   applyChanges(Result.m_Changes);
   if (forwards() && m_PublishChanges)
-    m_PublishChanges({m_Kind, LastChange, Result.m_Revision, Result.m_Changes});
+    m_PublishChanges({m_Kind, LastChange, Result.m_Position, Result.m_Changes});
   m_Timer.expires_after(m_Settings.m_PauseAfterChanges);
   m_Timer.async_wait([this](const asio::error_code &Error) {
     if (!Error)
@@ -131,20 +132,19 @@
 }
 
 void ObjectWatcher::onForwardedChanges(const ObjectChangeBatch &Forwarded) {
-  const std::uint64_t LastChange = m_RelayFollower.lastChangeRevision();
-  if (m_IsListing || !m_RelayFollower.onRelayedChanges(Forwarded.m_FromRevision,
-                                                       Forwarded.m_ToRevision))
+  const StorePosition LastChange = m_RelayFollower.lastChange();
+  if (m_IsListing ||
+      !m_RelayFollower.onRelayedChanges(Forwarded.m_From, Forwarded.m_To))
     return;
   applyChanges(Forwarded.m_Changes);
   if (forwards() && m_PublishChanges)
-    m_PublishChanges(
-        {m_Kind, LastChange, Forwarded.m_ToRevision, Forwarded.m_Changes});
+    m_PublishChanges({m_Kind, LastChange, Forwarded.m_To, Forwarded.m_Changes});
 }
 
-void ObjectWatcher::onForwardedFreshness(std::uint64_t LastChange,
-                                         std::uint64_t Revision, Duration Age) {
+void ObjectWatcher::onForwardedFreshness(StorePosition LastChange,
+                                         StorePosition Position, Duration Age) {
   if (!m_IsListing)
-    m_RelayFollower.onRelayConfirmation(LastChange, Revision, Age,
+    m_RelayFollower.onRelayConfirmation(LastChange, Position, Age,
                                         monotonicNow());
 }
 
@@ -176,14 +176,14 @@
   });
 }
 
-void ObjectWatcher::onStoreAnswered(std::uint64_t Revision, bool HadChanges,
+void ObjectWatcher::onStoreAnswered(StorePosition Position, bool HadChanges,
                                     MonotonicTime CurrentAt) {
   if (m_IsStoreUnreachable)
     m_Log.write("store_regained",
                 {{"kind", m_Kind}, {"age_ms", inMs(stateAge())}});
   m_IsStoreUnreachable = false;
   m_ConsecutiveFailures = 0;
-  m_RelayFollower.onStoreResponse(Revision, HadChanges, CurrentAt);
+  m_RelayFollower.onStoreResponse(Position, HadChanges, CurrentAt);
 }
 
 } // namespace fulmarwinch
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -74,12 +74,10 @@
   Duration stateAge() const {
     return monotonicNow() - m_RelayFollower.lastCurrentAt();
   }
-  /// Store revision up to which all changes are known.
-  std::uint64_t revision() const { return m_RelayFollower.revision(); }
-  /// Revision of the last change of this kind.
-  std::uint64_t lastChangeRevision() const {
-    return m_RelayFollower.lastChangeRevision();
-  }
+  /// Store position up to which all changes are known.
+  StorePosition position() const { return m_RelayFollower.position(); }
+  /// Position of the last change of this kind.
+  StorePosition lastChange() const { return m_RelayFollower.lastChange(); }
   const std::string &kind() const { return m_Kind; }
 
   /// Sets the part of this node in the distribution of changes.
@@ -93,16 +91,16 @@
   /// Applies changes that another node forwarded, unless earlier changes are
   /// missing or a listing is in flight, which would undo them.
   void onForwardedChanges(const ObjectChangeBatch &Forwarded);
-  /// Handles a message of another node that \p Revision was current \p Age ago
-  /// and that this kind last changed at revision \p LastChange.
-  void onForwardedFreshness(std::uint64_t LastChange, std::uint64_t Revision,
+  /// Handles a message of another node that \p Position was current \p Age ago
+  /// and that this kind last changed at \p LastChange.
+  void onForwardedFreshness(StorePosition LastChange, StorePosition Position,
                             Duration Age);
   /// Resumes watching the store once the forwarded information is too old.
   void tick(MonotonicTime Now);
 
 private:
   struct WatchCall {
-    std::uint64_t m_Since = 0;
+    StorePosition m_Since;
     MonotonicTime m_SentAt{};
     Duration m_Wait{0};
   };
@@ -119,8 +117,8 @@
   void scheduleRetry(bool RetriesList);
   /// Time for which the store may hold the next watch call open.
   Duration nextWatchTimeout(MonotonicTime Now) const;
-  /// \p CurrentAt is a time at which the store was at \p Revision or later.
-  void onStoreAnswered(std::uint64_t Revision, bool HadChanges,
+  /// \p CurrentAt is a time at which the store was at \p Position or later.
+  void onStoreAnswered(StorePosition Position, bool HadChanges,
                        MonotonicTime CurrentAt);
   void applyChanges(const std::vector<ObjectChange> &Changes);
 
--- a/proxy/zone_change_relay.cpp
+++ b/proxy/zone_change_relay.cpp
@@ -49,7 +49,7 @@
   for (const ObjectWatcher *Watcher : m_Watchers)
     if (Watcher->hasListed())
       Kinds[Watcher->kind()] = {
-          Watcher->lastChangeRevision(), Watcher->revision(),
+          Watcher->lastChange().m_Revision, Watcher->position().m_Revision,
           std::chrono::duration_cast<milliseconds>(Watcher->stateAge())
               .count()};
   m_Peers.sendFeed(m_Plan.m_Receivers, {{"vouch", std::move(Kinds)}});
--- a/randomised/configuration_cluster.cpp
+++ b/randomised/configuration_cluster.cpp
@@ -288,9 +288,9 @@
                                          MonotonicTime Deadline) {
   const bool IsUnavailable = !isStoreReachable(Node) || m_Store.m_IsUnavailable;
   const ObjectVersion Version =
-      m_Store.headVersionIfChangedSince(Call.m_AfterStoreRevision);
+      m_Store.headVersionIfChangedSince(Call.m_AfterStorePosition);
   constexpr Duration PollInterval = std::chrono::milliseconds(5);
-  if (!IsUnavailable && Version == 0 && m_Now < Deadline) {
+  if (!IsUnavailable && !Version.exists() && m_Now < Deadline) {
     scheduleOnNode(Node, std::min(PollInterval, Duration(Deadline - m_Now)),
                    [=] { completeWatch(Node, Call, Deadline); });
     return;
@@ -298,7 +298,7 @@
   const WatchCompleted Response{
       Call.m_Id,
       IsUnavailable ? StoreOutcome::Unavailable : StoreOutcome::Succeeded,
-      m_Store.revision(), IsUnavailable ? 0 : Version};
+      m_Store.revision(), IsUnavailable ? ObjectVersion() : Version};
   scheduleOnNode(Node, randomMessageDelay(), [this, Node, Response] {
     if (isStoreReachable(Node))
       execute(Node, m_Nodes[Node].m_Replica->onWatch(Response, m_Now));
--- a/randomised/fake_configuration_store.cpp
+++ b/randomised/fake_configuration_store.cpp
@@ -33,7 +33,8 @@
 
 ObjectVersion FakeConfigurationStore::versionOf(const std::string &Key) const {
   const auto Object = m_Objects.find(Key);
-  return Object == m_Objects.end() ? 0 : Object->second.back().m_Version;
+  return Object == m_Objects.end() ? ObjectVersion()
+                                   : Object->second.back().m_Version;
 }
 
 std::string FakeConfigurationStore::valueOf(const std::string &Key) const {
@@ -42,10 +43,10 @@
 }
 
 ObjectVersion
-FakeConfigurationStore::headVersionIfChangedSince(std::uint64_t Since) const {
+FakeConfigurationStore::headVersionIfChangedSince(StorePosition Since) const {
   const auto Object = m_Objects.find(ConfigurationHeadKey);
   if (Object == m_Objects.end() ||
-      Object->second.back().m_StoreRevision <= Since)
+      Object->second.back().m_StorePosition <= Since)
     return 0;
   return Object->second.back().m_Version;
 }
@@ -55,7 +56,7 @@
   if (versionOf(Call.m_Key) != Call.m_ExpectedVersion)
     return false;
   m_Objects[Call.m_Key].push_back(
-      {Call.m_ExpectedVersion + 1, ++m_Revision, Call.m_Value});
+      {Call.m_ExpectedVersion.next(), ++m_Revision, Call.m_Value});
   if (Call.m_Key == ConfigurationHeadKey)
     recordAcceptedHead(Call.m_Value, Now);
   return true;
--- a/randomised/fake_configuration_store.h
+++ b/randomised/fake_configuration_store.h
@@ -37,7 +37,7 @@
   std::uint64_t revision() const { return m_Revision; }
   /// Returns the version of the configuration head if it changed after the
   /// store revision \p Since, else 0.
-  ObjectVersion headVersionIfChangedSince(std::uint64_t Since) const;
+  ObjectVersion headVersionIfChangedSince(StorePosition Since) const;
   ObjectVersion versionOf(const std::string &Key) const;
   std::string valueOf(const std::string &Key) const;
 
@@ -57,8 +57,8 @@
 
 private:
   struct StoredVersion {
-    ObjectVersion m_Version = 0;
-    std::uint64_t m_StoreRevision = 0;
+    ObjectVersion m_Version;
+    StorePosition m_StorePosition = 0;
     std::string m_Value;
   };
   bool applyWrite(const PutObject &Call, MonotonicTime Now);
--- a/randomised/fake_store.cpp
+++ b/randomised/fake_store.cpp
@@ -15,10 +15,11 @@
   if (const auto *Put = std::get_if<PutObject>(&Action)) {
     const auto Object = m_Objects.find(Put->m_Key);
     const ObjectVersion StoredVersion =
-        Object == m_Objects.end() ? 0 : Object->second.m_Version;
+        Object == m_Objects.end() ? ObjectVersion() : Object->second.m_Version;
     if (StoredVersion != Put->m_ExpectedVersion)
       return WriteCompleted{Put->m_Id, StoreOutcome::Conflict, StoredVersion};
-    m_Objects[Put->m_Key] = {++m_LastVersion, Put->m_Value};
+    m_LastVersion = m_LastVersion.next();
+    m_Objects[Put->m_Key] = {m_LastVersion, Put->m_Value};
     return WriteCompleted{Put->m_Id, StoreOutcome::Succeeded, m_LastVersion};
   }
   const auto &Delete = std::get<DeleteObject>(Action);
--- a/randomised/fake_store.h
+++ b/randomised/fake_store.h
@@ -16,7 +16,7 @@
 class FakeStore {
 public:
   struct Object {
-    ObjectVersion m_Version = 0;
+    ObjectVersion m_Version;
     std::string m_Value;
   };
 
@@ -30,7 +30,7 @@
 
 private:
   std::map<std::string, Object> m_Objects;
-  ObjectVersion m_LastVersion = 0;
+  ObjectVersion m_LastVersion;
   std::size_t m_WriteCount = 0;
   std::size_t m_ReadCount = 0;
 };
--- a/randomised/notice_simulation.cpp
+++ b/randomised/notice_simulation.cpp
@@ -69,7 +69,7 @@
   Entry.m_Slots = 64;
   Entry.m_StartedAtMs = Stored.m_StartedAtMs;
   Entry.m_Draining = IsDraining;
-  Entry.m_Revision = ++m_Revision;
+  Entry.m_Position = ++m_Revision;
   m_StoreEntries[Stored.m_Id] = Entry;
 }
 
--- a/servers/audit/audit_trail.h
+++ b/servers/audit/audit_trail.h
@@ -70,7 +70,7 @@
   std::uint64_t m_PageNumber = 0;
   /// Last page as stored.
   AuditPage m_StoredPage;
-  ObjectVersion m_StoredVersion = 0;
+  ObjectVersion m_StoredVersion;
   std::uint64_t m_WriteSequence = 0;
 
   /// Page content that is being written; present until the outcome of the write
--- a/servers/configuration/configuration_replica.cpp
+++ b/servers/configuration/configuration_replica.cpp
@@ -51,7 +51,7 @@
                                    Peers, m_Options.m_WatchersPerZone));
   Actions NextActions;
   if (m_IsWatcher && !WasWatcher) {
-    m_WatchAfterStoreRevision.reset();
+    m_WatchAfterStorePosition.reset();
     m_WatchCall.reset();
     startWatch(NextActions, Now);
   }
@@ -62,9 +62,9 @@
   if (!m_IsWatcher || m_WatchCall)
     return;
   const StoreCallId Id = beginStoreCall(m_WatchCall, Now);
-  if (m_WatchAfterStoreRevision)
+  if (m_WatchAfterStorePosition)
     NextActions.push_back(
-        WatchHead{Id, *m_WatchAfterStoreRevision, m_Options.m_WatchTimeout});
+        WatchHead{Id, *m_WatchAfterStorePosition, m_Options.m_WatchTimeout});
   else
     NextActions.push_back(ListHead{Id});
 }
@@ -110,7 +110,7 @@
   if (!endStoreCall(m_WatchCall, Event.m_Id, QueriedAt))
     return NextActions;
   if (Event.m_Outcome == StoreOutcome::NotFound) {
-    m_WatchAfterStoreRevision.reset();
+    m_WatchAfterStorePosition.reset();
     startWatch(NextActions, Now);
     return NextActions;
   }
@@ -118,8 +118,9 @@
     onStoreFailure(Now);
     return NextActions;
   }
-  m_WatchAfterStoreRevision =
-      std::max(m_WatchAfterStoreRevision.value_or(0), Event.m_StoreRevision);
+  m_WatchAfterStorePosition =
+      std::max(m_WatchAfterStorePosition.value_or(StorePosition()),
+               Event.m_StorePosition);
   onHeadVersionReported(Event.m_HeadVersion, QueriedAt, NextActions, Now);
   return NextActions;
 }
@@ -134,7 +135,7 @@
     onStoreFailure(Now);
     return NextActions;
   }
-  m_WatchAfterStoreRevision = Event.m_StoreRevision;
+  m_WatchAfterStorePosition = Event.m_StorePosition;
   onHeadVersionReported(Event.m_HeadVersion, QueriedAt, NextActions, Now);
   return NextActions;
 }
--- a/servers/configuration/configuration_replica.h
+++ b/servers/configuration/configuration_replica.h
@@ -99,7 +99,7 @@
   /// Newest version of the head that the store reported, and the time at which
   /// the last query for it was sent.
   struct ReportedHeadVersion {
-    ObjectVersion m_Version = 0;
+    ObjectVersion m_Version;
     MonotonicTime m_QueriedAt;
   };
 
@@ -144,13 +144,13 @@
   std::optional<StoreCall> m_GetCall;
   /// Store revision after which the next WatchHead call waits for a change;
   /// unset if ListHead has to be called first.
-  std::optional<std::uint64_t> m_WatchAfterStoreRevision;
+  std::optional<StorePosition> m_WatchAfterStorePosition;
   ReportedHeadVersion m_ReportedHead;
   /// Newest version of the head whose content has been applied.
-  ObjectVersion m_AppliedHeadVersion = 0;
+  ObjectVersion m_AppliedHeadVersion;
   /// Head whose snapshot is being read, and the version of that head.
   std::optional<ConfigurationHead> m_HeadAwaitingSnapshot;
-  ObjectVersion m_HeadVersionAwaitingSnapshot = 0;
+  ObjectVersion m_HeadVersionAwaitingSnapshot;
   /// Earliest time of the next store call after a failure.
   std::optional<MonotonicTime> m_StoreRetryAt;
   /// Time of the last update request to a peer that is not answered yet.
--- a/servers/configuration/configuration_writer.h
+++ b/servers/configuration/configuration_writer.h
@@ -128,7 +128,7 @@
   std::optional<MonotonicTime> m_RetryAt;
   Duration m_RetryDelay;
   ConfigurationHead m_Head;
-  ObjectVersion m_HeadVersion = 0;
+  ObjectVersion m_HeadVersion;
   /// Head with the change, to be written over m_HeadVersion.
   ConfigurationHead m_NextHead;
   std::uint64_t m_Sequence = 0;
--- a/servers/configuration/replica_messages.h
+++ b/servers/configuration/replica_messages.h
@@ -27,10 +27,10 @@
 absl::StatusOr<ConfigurationUpdate> parseUpdate(const Json &Object);
 
 /// Store call that waits until configuration/head has changed after the store
-/// revision m_AfterStoreRevision, but at most m_Timeout.
+/// position m_AfterStorePosition, but at most m_Timeout.
 struct WatchHead {
   StoreCallId m_Id = 0;
-  std::uint64_t m_AfterStoreRevision = 0;
+  StorePosition m_AfterStorePosition;
   Duration m_Timeout{0};
 };
 
@@ -39,10 +39,10 @@
 struct WatchCompleted {
   StoreCallId m_Id = 0;
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  /// Store revision up to which the answer covers all changes.
-  std::uint64_t m_StoreRevision = 0;
+  /// Store position up to which the answer covers all changes.
+  StorePosition m_StorePosition;
   /// Version of the head after its last change, or 0 if it did not change.
-  ObjectVersion m_HeadVersion = 0;
+  ObjectVersion m_HeadVersion;
 };
 
 /// Store call that lists configuration/head to get its version and the store
@@ -55,8 +55,8 @@
 struct ListCompleted {
   StoreCallId m_Id = 0;
   StoreOutcome m_Outcome = StoreOutcome::Unavailable;
-  std::uint64_t m_StoreRevision = 0;
-  ObjectVersion m_HeadVersion = 0;
+  StorePosition m_StorePosition;
+  ObjectVersion m_HeadVersion;
 };
 
 /// Requests all changes after the revision m_AfterRevision from a peer.
--- a/servers/feed/change_batch.cpp
+++ b/servers/feed/change_batch.cpp
@@ -44,11 +44,11 @@
   return Result;
 }
 
-std::vector<ObjectChange> decodeChanges(const Json &Changes) {
+std::vector<ObjectChange> decodeChanges(const Json &Changes, StoreEra Era) {
   std::vector<ObjectChange> Result;
   for (const Json &Change : Changes)
     Result.push_back({{fieldOr(Change, "name", std::string()),
-                       fieldOr(Change, "revision", std::uint64_t{0}),
+                       {Era, fieldOr(Change, "revision", std::uint64_t{0})},
                        fieldOr(Change, "content", Json())},
                       fieldOr(Change, "deleted", false)});
   return Result;
@@ -61,7 +61,7 @@
   Json Changes = Json::array();
   for (const ObjectChange &Change : Batch.m_Changes)
     Changes.push_back({{"name", Change.m_Object.m_Name},
-                       {"revision", Change.m_Object.m_Revision},
+                       {"revision", Change.m_Object.m_Position.m_Revision},
                        {"content", Change.m_Object.m_Content},
                        {"deleted", Change.m_Deleted}});
   const std::vector<std::uint8_t> Raw = Json::to_cbor(Changes);
@@ -77,8 +77,9 @@
         Bytes.begin() + static_cast<std::ptrdiff_t>(
                             std::min(Bytes.size(), (Index + 1) * PartBytes));
     Parts.push_back({{"kind", Batch.m_Kind},
-                     {"from", Batch.m_FromRevision},
-                     {"to", Batch.m_ToRevision},
+                     {"era", Batch.m_To.m_Era},
+                     {"from", Batch.m_From.m_Revision},
+                     {"to", Batch.m_To.m_Revision},
                      {"part", Index},
                      {"parts", PartCount},
                      {"size", Raw.size()},
@@ -91,8 +92,9 @@
 ChangeBatchAssembler::addPart(const Json &Part) {
   ObjectChangeBatch Batch;
   Batch.m_Kind = fieldOr(Part, "kind", std::string());
-  Batch.m_FromRevision = fieldOr(Part, "from", std::uint64_t{0});
-  Batch.m_ToRevision = fieldOr(Part, "to", std::uint64_t{0});
+  const auto Era = fieldOr(Part, "era", StoreEra{0});
+  Batch.m_From = {Era, fieldOr(Part, "from", std::uint64_t{0})};
+  Batch.m_To = {Era, fieldOr(Part, "to", std::uint64_t{0})};
   const auto PartCount = fieldOr(Part, "parts", std::size_t{0});
   const auto Index = fieldOr(Part, "part", PartCount);
   const auto Bytes = Part.is_object() ? Part.find("bytes") : Part.end();
@@ -100,7 +102,7 @@
       PartCount > MaxDecodedBytes / PartBytes || Bytes == Part.end() ||
       !Bytes->is_binary())
     return std::nullopt;
-  const BatchKey Key{Batch.m_Kind, Batch.m_FromRevision, Batch.m_ToRevision};
+  const BatchKey Key{Batch.m_Kind, Batch.m_From, Batch.m_To};
   const auto [Known, IsNew] = m_PartialBatches.try_emplace(Key);
   if (IsNew)
     Known->second.m_StartedAs = ++m_StartedBatches;
@@ -119,7 +121,7 @@
       Raw ? Json::from_cbor(*Raw, true, false) : Json(Json::value_t::discarded);
   if (!Changes.is_array())
     return std::nullopt;
-  Batch.m_Changes = decodeChanges(Changes);
+  Batch.m_Changes = decodeChanges(Changes, Era);
   return Batch;
 }
 
--- a/servers/feed/change_batch.h
+++ b/servers/feed/change_batch.h
@@ -17,10 +17,10 @@
 /// to each other.
 struct ObjectChangeBatch {
   std::string m_Kind;
-  /// The batch contains every change of the kind after revision m_FromRevision,
-  /// up to and including revision m_ToRevision.
-  std::uint64_t m_FromRevision = 0;
-  std::uint64_t m_ToRevision = 0;
+  /// The batch contains every change of the kind after m_From, up to and
+  /// including m_To. Both are of one era.
+  StorePosition m_From;
+  StorePosition m_To;
   std::vector<ObjectChange> m_Changes;
 };
 
@@ -40,8 +40,8 @@
   std::optional<ObjectChangeBatch> addPart(const Json &Part);
 
 private:
-  /// Kind, first and last revision of a batch.
-  using BatchKey = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+  /// Kind, first and last position of a batch.
+  using BatchKey = std::tuple<std::string, StorePosition, StorePosition>;
   struct PartialBatch {
     std::uint64_t m_StartedAs = 0;
     std::map<std::size_t, std::vector<std::uint8_t>> m_Parts;
--- a/servers/feed/relay_follower.cpp
+++ b/servers/feed/relay_follower.cpp
@@ -4,35 +4,35 @@
 
 namespace fulmarwinch {
 
-void RelayFollower::onStoreResponse(std::uint64_t Revision, bool HadChanges,
+void RelayFollower::onStoreResponse(StorePosition Position, bool HadChanges,
                                     MonotonicTime CurrentAt) {
-  m_Revision = std::max(m_Revision, Revision);
+  m_Position = std::max(m_Position, Position);
   if (HadChanges)
-    m_LastChangeRevision = std::max(m_LastChangeRevision, Revision);
+    m_LastChange = std::max(m_LastChange, Position);
   m_LastCurrentAt = std::max(m_LastCurrentAt, CurrentAt);
   m_HasGap = false;
 }
 
-bool RelayFollower::onRelayedChanges(std::uint64_t From, std::uint64_t To) {
-  if (To <= m_Revision)
+bool RelayFollower::onRelayedChanges(StorePosition From, StorePosition To) {
+  if (To <= m_Position)
     return false;
-  if (From > m_Revision) {
+  if (From > m_Position) {
     m_HasGap = true;
     return false;
   }
-  m_Revision = To;
-  m_LastChangeRevision = To;
+  m_Position = To;
+  m_LastChange = To;
   return true;
 }
 
-void RelayFollower::onRelayConfirmation(std::uint64_t LastChange,
-                                        std::uint64_t Revision, Duration Age,
+void RelayFollower::onRelayConfirmation(StorePosition LastChange,
+                                        StorePosition Position, Duration Age,
                                         MonotonicTime Now) {
-  if (LastChange > m_Revision) {
+  if (LastChange > m_Position) {
     m_HasGap = true;
     return;
   }
-  m_Revision = std::max(m_Revision, Revision);
+  m_Position = std::max(m_Position, Position);
   m_LastCurrentAt = std::max(m_LastCurrentAt, Now - Age);
 }
 
--- a/servers/feed/relay_follower.h
+++ b/servers/feed/relay_follower.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_SERVERS_FEED_RELAY_FOLLOWER_H
 
 #include "core/enum_names.h"
+#include "core/store_position.h"
 #include "core/time.h"
 
 #include <array>
@@ -47,21 +48,21 @@
   void setFollowing(bool Following) { m_Following = Following; }
   void setMaxStaleness(Duration MaxStaleness) { m_MaxStaleness = MaxStaleness; }
 
-  /// Must be called when the store has returned all changes up to \p Revision.
+  /// Must be called when the store has returned all changes up to \p Position.
   /// \p HadChanges is true if any of them is of the kind that this object
-  /// follows. \p CurrentAt is a time at which the store was at that revision or
+  /// follows. \p CurrentAt is a time at which the store was at that position or
   /// later.
-  void onStoreResponse(std::uint64_t Revision, bool HadChanges,
+  void onStoreResponse(StorePosition Position, bool HadChanges,
                        MonotonicTime CurrentAt);
-  /// Must be called when the relay has forwarded all changes after revision \p
-  /// From up to \p To. Returns true if they follow the known revision without a
-  /// gap and are new.
-  bool onRelayedChanges(std::uint64_t From, std::uint64_t To);
+  /// Must be called when the relay has forwarded all changes after \p From up
+  /// to \p To. Returns true if they follow the known position without a gap and
+  /// are new.
+  bool onRelayedChanges(StorePosition From, StorePosition To);
   /// Must be called when the relay has confirmed that it read the store up to
-  /// \p Revision, at a time \p Age ago, and that no entry of the followed kind
-  /// changed after revision \p LastChange. The revision of the store increases
-  /// with changes of all kinds.
-  void onRelayConfirmation(std::uint64_t LastChange, std::uint64_t Revision,
+  /// \p Position, at a time \p Age ago, and that no entry of the followed kind
+  /// changed after \p LastChange. The revision of the store increases with
+  /// changes of all kinds.
+  void onRelayConfirmation(StorePosition LastChange, StorePosition Position,
                            Duration Age, MonotonicTime Now);
 
   /// True if no store call is needed now, since the state from the relay is
@@ -70,10 +71,10 @@
   /// Reason why a store call is needed; meaningless if needsNoStoreCall().
   StoreCallReason storeCallReason() const;
 
-  /// Revision up to which all changes of the followed kind are known.
-  std::uint64_t revision() const { return m_Revision; }
-  /// Revision of the last known change of the followed kind.
-  std::uint64_t lastChangeRevision() const { return m_LastChangeRevision; }
+  /// Position up to which all changes of the followed kind are known.
+  StorePosition position() const { return m_Position; }
+  /// Position of the last known change of the followed kind.
+  StorePosition lastChange() const { return m_LastChange; }
   /// Latest time at which the known state was current in the store.
   MonotonicTime lastCurrentAt() const { return m_LastCurrentAt; }
 
@@ -82,8 +83,8 @@
   bool m_Following = false;
   /// The relay announced changes that have not arrived here.
   bool m_HasGap = false;
-  std::uint64_t m_Revision = 0;
-  std::uint64_t m_LastChangeRevision = 0;
+  StorePosition m_Position;
+  StorePosition m_LastChange;
   MonotonicTime m_LastCurrentAt{};
 };
 
--- a/servers/fleet/backend_server.h
+++ b/servers/fleet/backend_server.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_SERVERS_FLEET_BACKEND_SERVER_H
 
 #include "core/enum_names.h"
+#include "core/store_position.h"
 #include "core/time.h"
 
 #include <array>
@@ -89,8 +90,8 @@
   /// Models whose weights are staged on the host, ready to load.
   std::vector<std::string> m_StagedModels;
   std::optional<GroupMembership> m_Membership;
-  /// Store revision of the entry from which this state was decoded.
-  std::uint64_t m_Revision = 0;
+  /// Store position of the entry from which this state was decoded.
+  StorePosition m_Position;
 
   /// True if the weights of \p Model are staged on the host, so that the server
   /// can join a group without loading from the weight store.
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -32,7 +32,7 @@
     if (Known != OldServers.end()) {
       // Keep an unchanged entry: its remaining cold time counts from when the
       // entry was first received.
-      if (Known->second.m_Revision >= Server.m_Revision) {
+      if (Known->second.m_Position >= Server.m_Position) {
         m_Servers.insert(std::move(*Known));
         OldServers.erase(Known);
         continue;
@@ -52,13 +52,13 @@
 
 bool FleetView::update(BackendServer Server, MonotonicTime Now) {
   if (!isServiceNamed(Server.m_Service)) {
-    const bool Changed = remove(Server.m_Id, Server.m_Revision);
+    const bool Changed = remove(Server.m_Id, Server.m_Position);
     m_ExcludedEntries[Server.m_Id] = std::move(Server);
     return Changed;
   }
   m_ExcludedEntries.erase(Server.m_Id);
   const auto Known = m_Servers.find(Server.m_Id);
-  if (Known != m_Servers.end() && Known->second.m_Revision >= Server.m_Revision)
+  if (Known != m_Servers.end() && Known->second.m_Position >= Server.m_Position)
     return false;
   m_GroupsAreCurrent = false;
   const auto Leaving = m_LeavingProcesses.find(Server.m_Id);
@@ -77,10 +77,10 @@
   return true;
 }
 
-bool FleetView::remove(const std::string &Id, std::uint64_t Revision) {
+bool FleetView::remove(const std::string &Id, StorePosition Position) {
   m_ExcludedEntries.erase(Id);
   const auto Known = m_Servers.find(Id);
-  if (Known == m_Servers.end() || Known->second.m_Revision > Revision)
+  if (Known == m_Servers.end() || Known->second.m_Position > Position)
     return false;
   m_GroupsAreCurrent = false;
   storeUnlistedMember(std::move(Known->second));
@@ -100,7 +100,7 @@
   m_UnlistedMembers.erase(std::min_element(
       m_UnlistedMembers.begin(), m_UnlistedMembers.end(),
       [](const auto &Left, const auto &Right) {
-        return Left.second.m_Revision < Right.second.m_Revision;
+        return Left.second.m_Position < Right.second.m_Position;
       }));
 }
 
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -38,9 +38,9 @@
   /// Applies one new or changed entry. Returns false if the view already has
   /// this or a later revision.
   bool update(BackendServer Server, MonotonicTime Now);
-  /// Removes a server whose entry was deleted at \p Revision. Returns false if
+  /// Removes a server whose entry was deleted at \p Position. Returns false if
   /// the server is unknown or its entry is newer.
-  bool remove(const std::string &Id, std::uint64_t Revision);
+  bool remove(const std::string &Id, StorePosition Position);
 
   /// Must be called when the process of the server \p Id that started at \p
   /// StartedAtMs has said that it leaves. It counts as draining from then on,
--- a/servers/groups/domain_controller.h
+++ b/servers/groups/domain_controller.h
@@ -74,7 +74,7 @@
   bool m_MustRead = true;
   bool m_HasStoredAssignment = false;
   Assignment m_StoredAssignment;
-  ObjectVersion m_StoredVersion = 0;
+  ObjectVersion m_StoredVersion;
   Assignment m_PendingWrite;
   std::uint64_t m_WriteSequence = 0;
   /// The outcome of the write of m_PendingWrite is unknown and the object has
--- a/servers/idempotency/claim_batcher.h
+++ b/servers/idempotency/claim_batcher.h
@@ -116,7 +116,7 @@
   ClaimBucket m_Bucket;
   /// Content that the update in flight stores.
   ClaimBucket m_BucketInUpdate;
-  ObjectVersion m_Version = 0;
+  ObjectVersion m_Version;
   bool m_IsBucketKnown = false;
   bool m_NeedsRead = false;
   bool m_IsBatchDelayDisabled = false;
--- a/servers/idempotency/claim_registry.h
+++ b/servers/idempotency/claim_registry.h
@@ -20,7 +20,7 @@
 /// Key and version of a bucket object in the result of a list call.
 struct ListedClaimBucket {
   std::string m_Key;
-  ObjectVersion m_Version = 0;
+  ObjectVersion m_Version;
 };
 
 /// Claims of idempotency keys on one node. Thread-safe: the buckets are divided
--- a/servers/lease/shard_lease.h
+++ b/servers/lease/shard_lease.h
@@ -90,7 +90,7 @@
   /// Record and version of the last read or applied write. There is no record
   /// if the object does not exist.
   std::optional<LeaseRecord> m_LastRecord;
-  ObjectVersion m_LastVersion = 0;
+  ObjectVersion m_LastVersion;
   bool m_HasRead = false;
   bool m_WasDeleted = false;
   std::uint64_t m_HighestEpoch = 0;
--- a/servers/measurement/control_cost.cpp
+++ b/servers/measurement/control_cost.cpp
@@ -84,7 +84,8 @@
     }
     const auto &Put = std::get<PutObject>(Action);
     m_Controller.onWriteCompleted(
-        {Put.m_Id, StoreOutcome::Succeeded, Put.m_ExpectedVersion + 1}, m_Now);
+        {Put.m_Id, StoreOutcome::Succeeded, Put.m_ExpectedVersion.next()},
+        m_Now);
   }
 
   void completeOrder(const EngineOrder &Order) {
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -332,7 +332,7 @@
   // changes its entry after the last change of one that has ended.
   return Latest != m_LatestByAddress.end() &&
          Latest->second->m_StartedAtMs > Server.m_StartedAtMs &&
-         Latest->second->m_Revision > Server.m_Revision;
+         Latest->second->m_Position > Server.m_Position;
 }
 
 void ReplicaPlanner::removeEndedMembers(const ReplicaPlannerInput &Input) {
--- a/tests/drivers/platform/test_http_object_store.cpp
+++ b/tests/drivers/platform/test_http_object_store.cpp
@@ -55,7 +55,8 @@
   /// after it was deleted and created again: its version must not recur.
   void versionIncreasesAcrossDeletion() {
     const ObjectVersion First = put("a", 0, "1").m_Version;
-    CPPUNIT_ASSERT(remove("a", First + 1).m_Outcome == StoreOutcome::Conflict);
+    CPPUNIT_ASSERT(remove("a", First.next()).m_Outcome ==
+                   StoreOutcome::Conflict);
     CPPUNIT_ASSERT(remove("a", First).m_Outcome == StoreOutcome::Succeeded);
     CPPUNIT_ASSERT(remove("a", First).m_Outcome == StoreOutcome::NotFound);
     CPPUNIT_ASSERT(put("a", 0, "2").m_Version > First);
@@ -136,7 +137,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Completion.m_Events.size());
     CPPUNIT_ASSERT_EQUAL(std::string("lease/1"), Completion.m_Events[0].m_Key);
     CPPUNIT_ASSERT_EQUAL(Version, Completion.m_Events[0].m_Version);
-    CPPUNIT_ASSERT_EQUAL(Version, Completion.m_Revision);
+    CPPUNIT_ASSERT_EQUAL(Version, Completion.m_Position);
   }
 
   /// Guards against a watch that ends without changes and is reported as an
@@ -169,7 +170,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Rest.m_Keys.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a/3"), Rest.m_Keys[0].m_Key);
     CPPUNIT_ASSERT(!Rest.m_HasMore);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Rest.m_Revision);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(4), Rest.m_Position);
   }
 
   /// Guards against a VM list that shows changes before its configured lag has
--- a/tests/platform/test_object_store_client.cpp
+++ b/tests/platform/test_object_store_client.cpp
@@ -133,7 +133,7 @@
         list(R"({"items":[{"metadata":{"name":"i-1","revision":3},"spec":{}}],
                  "has_more":false,"as_of":5})");
     CPPUNIT_ASSERT(Sound.m_Outcome == StoreOutcome::Succeeded);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Sound.m_Revision);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(5), Sound.m_Position);
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), Sound.m_Objects.front().m_Name);
   }
 
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -161,7 +161,7 @@
     Server.m_Zone = "a";
     Server.m_Slots = 8;
     Server.m_Endpoint = {"127.0.0.1", findFreePort()};
-    Server.m_Revision = ++m_Revision;
+    Server.m_Position = ++m_Revision;
     *Servers[I] =
         std::make_unique<ScriptedServer>(m_Loop, Server.m_Endpoint.m_Port);
     m_SecondServerPort = Server.m_Endpoint.m_Port;
@@ -207,7 +207,7 @@
     BackendServer Server = *m_Fleet.find(Id);
     Server.m_Membership =
         GroupMembership{{"m.1." + Id, 1}, 0, GroupMemberState::Open};
-    Server.m_Revision = ++m_Revision;
+    Server.m_Position = ++m_Revision;
     m_Fleet.update(Server, monotonicNow());
   }
 }
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -27,10 +27,10 @@
             std::function<void(ObjectsListed)> Done) override {
     ObjectsListed Result;
     Result.m_Outcome = StoreOutcome::Succeeded;
-    Result.m_Revision = m_Revision;
+    Result.m_Position = m_Revision;
     asio::post(m_Loop, [Done = std::move(Done), Result] { Done(Result); });
   }
-  void watch(const std::string &, std::uint64_t, Duration Wait,
+  void watch(const std::string &, StorePosition, Duration Wait,
              std::function<void(ObjectsWatched)> Done) override {
     ++m_WatchCalls;
     if (!m_Answers)
@@ -41,7 +41,7 @@
         [this, Timer, Done = std::move(Done)](const asio::error_code &) {
           ObjectsWatched Result;
           Result.m_Outcome = StoreOutcome::Succeeded;
-          Result.m_Revision = m_Revision;
+          Result.m_Position = m_Revision;
           Done(Result);
         });
   }
@@ -62,7 +62,7 @@
             std::function<void(ObjectsListed)> Done) override {
     m_OnListed = std::move(Done);
   }
-  void watch(const std::string &, std::uint64_t Since, Duration,
+  void watch(const std::string &, StorePosition Since, Duration,
              std::function<void(ObjectsWatched)> Done) override {
     m_WatchedSince = Since;
     m_OnWatched = std::move(Done);
@@ -70,7 +70,7 @@
 
   std::function<void(ObjectsListed)> m_OnListed;
   std::function<void(ObjectsWatched)> m_OnWatched;
-  std::uint64_t m_WatchedSince = 0;
+  StorePosition m_WatchedSince;
 };
 
 /// One node with the watch on one kind of objects. Its event loop only runs
--- a/tests/proxy/test_deadly_prompt_part.cpp
+++ b/tests/proxy/test_deadly_prompt_part.cpp
@@ -67,7 +67,7 @@
   static void restartServer(RelayFixture &Fixture, const std::string &Id) {
     BackendServer Restarted = *Fixture.m_Fleet.find(Id);
     ++Restarted.m_StartedAtMs;
-    ++Restarted.m_Revision;
+    ++Restarted.m_Position.m_Revision;
     Fixture.m_Fleet.update(Restarted, monotonicNow());
     Fixture.m_Context.m_CrashDetector.onServerEntryChanged(
         Id, Restarted.m_StartedAtMs);
@@ -212,7 +212,7 @@
       for (const char *Id : {"s1", "s2"}) {
         BackendServer Server = *Fixture.m_Fleet.find(Id);
         Server.m_Draining = IsDraining;
-        ++Server.m_Revision;
+        ++Server.m_Position.m_Revision;
         Fixture.m_Fleet.update(Server, monotonicNow());
       }
     };
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -105,7 +105,7 @@
       Server.m_FabricDomain = "d1";
       Server.m_StartedAtMs = 1000;
       Server.m_Membership = GroupMembership{{"m.1.1", 100001}, Rank, State};
-      Server.m_Revision += 100;
+      Server.m_Position.m_Revision += 100;
       m_Fixture.m_Fleet.update(Server, monotonicNow());
     }
 
--- a/tests/proxy/test_leaving_server.cpp
+++ b/tests/proxy/test_leaving_server.cpp
@@ -35,7 +35,7 @@
     BackendServer Entry = *Fixture.m_Fleet.find(Id);
     Entry.m_StartedAtMs = StartedAtMs;
     Entry.m_Draining = false;
-    ++Entry.m_Revision;
+    ++Entry.m_Position.m_Revision;
     Fixture.m_Fleet.update(Entry, monotonicNow());
   }
 
@@ -83,7 +83,7 @@
     CPPUNIT_ASSERT(
         !Fixture.m_Fleet.acceptsNewWork(*Fixture.m_Fleet.find("s1")));
     const BackendServer Known = *Fixture.m_Fleet.find("s1");
-    Fixture.m_Fleet.remove("s1", Known.m_Revision);
+    Fixture.m_Fleet.remove("s1", Known.m_Position);
     Fixture.m_Fleet.update(Known, monotonicNow());
     rewriteEntry(Fixture, "s1", 0);
     CPPUNIT_ASSERT(
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -193,7 +193,7 @@
     Second.m_Service = "plain";
     Second.m_Zone = "a";
     Second.m_Slots = 8;
-    Second.m_Revision = 2000;
+    Second.m_Position = 2000;
     Second.m_Endpoint = {"127.0.0.1", Fixture.m_SecondServerPort};
     asio::steady_timer AddServerTimer(Fixture.m_Loop,
                                       std::chrono::milliseconds(30));
--- a/tests/servers/configuration/test_distribution.cpp
+++ b/tests/servers/configuration/test_distribution.cpp
@@ -147,7 +147,7 @@
     auto NextActions =
         Replica.onList({ListId, StoreOutcome::Succeeded, 10, 0}, Now);
     const auto Watch = std::get<WatchHead>(NextActions.at(0));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), Watch.m_AfterStoreRevision);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(10), Watch.m_AfterStorePosition);
     CPPUNIT_ASSERT(Replica.freshness().mayAcceptNewWork(Now));
     Now += std::chrono::seconds(1);
     NextActions =
--- a/tests/servers/dispatch/test_server_availability.cpp
+++ b/tests/servers/dispatch/test_server_availability.cpp
@@ -40,7 +40,7 @@
     Server.m_Slots = 8;
     Server.m_StartedAtMs = StartedAtMs;
     Server.m_Draining = Draining;
-    Server.m_Revision = ++m_Revision;
+    Server.m_Position = ++m_Revision;
     m_Fleet.update(std::move(Server), m_Now);
     return *m_Fleet.find(Id);
   }
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -47,7 +47,7 @@
     Server.m_FabricDomain = "d";
     Server.m_Draining = Draining;
     Server.m_Membership = GroupMembership{{Group, Epoch}, Rank, State};
-    Server.m_Revision = ++m_Revision;
+    Server.m_Position = ++m_Revision;
     m_Fleet.update(std::move(Server), m_Now);
   }
 
@@ -99,7 +99,7 @@
     BackendServer Restarted;
     Restarted.m_Id = "w2";
     Restarted.m_Service = "llm";
-    Restarted.m_Revision = ++m_Revision;
+    Restarted.m_Position = ++m_Revision;
     m_Fleet.update(Restarted, m_Now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose(Selector));
   }
@@ -247,7 +247,7 @@
       updateGroup("h", "w", "m.1.1", 1);
       BackendServer Cold = *m_Fleet.find("h");
       Cold.m_RemainingColdTime = seconds(3);
-      Cold.m_Revision = ++m_Revision;
+      Cold.m_Position = ++m_Revision;
       m_Fleet.update(Cold, m_Now);
       int Sent = 0;
       for (int Ms = 0; Ms < 1000; Ms += 10) {
--- a/tests/servers/feed/test_relay_follower.cpp
+++ b/tests/servers/feed/test_relay_follower.cpp
@@ -37,7 +37,7 @@
     }
     // Entries of other kinds have changed meanwhile.
     CPPUNIT_ASSERT(State.onRelayedChanges(7, 90));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{90}, State.revision());
+    CPPUNIT_ASSERT_EQUAL(StorePosition(90), State.position());
     CPPUNIT_ASSERT(State.needsNoStoreCall(Now));
   }
 
@@ -62,7 +62,7 @@
     State.onRelayConfirmation(8, 8, milliseconds(10), m_Start);
     CPPUNIT_ASSERT(!State.needsNoStoreCall(m_Start));
     CPPUNIT_ASSERT(!State.onRelayedChanges(8, 9));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, State.revision());
+    CPPUNIT_ASSERT_EQUAL(StorePosition(7), State.position());
     State.onStoreResponse(9, true, m_Start);
     CPPUNIT_ASSERT(State.needsNoStoreCall(m_Start));
   }
@@ -72,7 +72,7 @@
     RelayFollower State = followerAt(7);
     CPPUNIT_ASSERT(!State.onRelayedChanges(3, 6));
     CPPUNIT_ASSERT(!State.onRelayedChanges(3, 7));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, State.revision());
+    CPPUNIT_ASSERT_EQUAL(StorePosition(7), State.position());
     CPPUNIT_ASSERT(State.needsNoStoreCall(m_Start));
   }
 };
--- a/tests/servers/fleet/test_fleet_view.cpp
+++ b/tests/servers/fleet/test_fleet_view.cpp
@@ -23,7 +23,7 @@
                               bool Draining = false) {
     BackendServer Result;
     Result.m_Id = Id;
-    Result.m_Revision = Revision;
+    Result.m_Position = Revision;
     Result.m_Draining = Draining;
     return Result;
   }
--- a/tests/servers/idempotency/test_claims_random.cpp
+++ b/tests/servers/idempotency/test_claims_random.cpp
@@ -198,7 +198,7 @@
     if (Stored.m_Version != Put.m_ExpectedVersion)
       return StoreOutcome::Conflict;
     checkOutcomesUnchanged(Stored.m_Value, Put.m_Value);
-    Stored = {Stored.m_Version + 1, Put.m_Value};
+    Stored = {Stored.m_Version.next(), Put.m_Value};
     Version = Stored.m_Version;
     return StoreOutcome::Succeeded;
   }
--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -72,7 +72,7 @@
   static std::string serverId(int Index) { return "s" + std::to_string(Index); }
 
   void updateEntry(BackendServer Server) {
-    Server.m_Revision = ++m_Revision;
+    Server.m_Position = ++m_Revision;
     m_Fleet.update(std::move(Server), m_Now);
   }
 
