Follow the store into its new era

Callers saw old rules for good after the store had returned from a copy: routes that a confirmed configuration had dropped were served, one that it had added was not (CONFIG), and requests went to servers that had left (DRAIN).

Cause: a node kept the highest revision that it had seen. Listings at lower revisions were applied in part, each watch started from the old number and got 410, and once the store had passed that number the changes below it were never seen. Class: numbers of two histories compared with each other.

Change: all positions carry the era of the answer, so the order of positions holds across a restoration. StoreSession tells all watchers to list anew once an answer or a peer names a new era, keeps answers of earlier eras from its callers, and sends no write under a condition of an earlier era. Freshness messages and batches name the era; nodes of earlier builds ignore the former and ask the store. Of two configurations the later version is in force, so a copy does not bring an older one back.

The tests of platform, proxy, feed and routes pass.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -109,6 +109,9 @@
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
+    m_ChangeRelay.setOnEraNamed(
+        [this](StoreEra Era) { m_StoreSession.onEraNamed(Era); });
+    m_StoreSession.setOnRestored([this](StoreEra) { onStoreRestored(); });
     m_Context.m_OnGroupStalled = [this](const ChosenServer &Server) {
       if (!Server.m_Group)
         return;
@@ -154,6 +157,14 @@
     });
   }
 
+  /// Begins to read anew what the store contains, which has returned from a
+  /// copy.
+  void onStoreRestored() {
+    for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
+                                   &m_EvacuationWatcher, &m_NodeWatcher})
+      Watcher->onStoreRestored();
+  }
+
   /// Limits the rate of stall reports, since every stream of a stalled group
   /// detects the stall. Returns true if the group may be reported now.
   bool mayReportStall(const GroupKey &Group) {
@@ -339,7 +350,10 @@
                    {"problem", toStdView(Content.status().message())}});
       return;
     }
-    if (Object.m_Position <= m_ConfigurationPosition) {
+    const ConfigurationOrder Order{Content->m_Version, Object.m_Position};
+    if (!(m_ConfigurationOrder < Order)) {
+      if (Order.m_Version == m_ConfigurationOrder.m_Version)
+        return;
       m_Log.write("configuration_outdated",
                   {{"version", static_cast<std::int64_t>(Content->m_Version)},
                    {"revision",
@@ -347,7 +361,7 @@
                    {"era", static_cast<std::int64_t>(m_StoreSession.era())}});
       return;
     }
-    m_ConfigurationPosition = Object.m_Position;
+    m_ConfigurationOrder = Order;
     m_Context.m_RouteTable = std::make_shared<RouteTable>(std::move(*Content));
     const TrafficConfiguration &Current =
         m_Context.m_RouteTable->configuration();
@@ -726,7 +740,7 @@
   std::set<std::string> m_CrashProbes;
   std::map<GroupKey, MonotonicTime> m_StallReportedAt;
   const MonotonicTime m_StartedAt = monotonicNow();
-  StorePosition m_ConfigurationPosition;
+  ConfigurationOrder m_ConfigurationOrder;
   ObjectVersion m_RegistrationVersion;
 };
 
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -31,8 +31,10 @@
 void ObjectWatcher::list(StoreCallReason Reason) {
   countCall(Reason);
   m_IsListing = true;
-  m_Feed.list(m_Kind, [this, SentAt = monotonicNow()](ObjectsListed Result) {
-    onListed(SentAt, std::move(Result));
+  m_Feed.list(m_Kind, [this, SentAt = monotonicNow(),
+                       Generation = m_Generation](ObjectsListed Result) {
+    if (Generation == m_Generation)
+      onListed(SentAt, std::move(Result));
   });
 }
 
@@ -60,7 +62,26 @@
   const WatchCall Call{m_RelayFollower.position(), Now, nextWatchTimeout(Now)};
   m_Feed.watch(
       m_Kind, Call.m_Since, Call.m_Wait,
-      [this, Call](const ObjectsWatched &Result) { onWatched(Call, Result); });
+      [this, Call, Generation = m_Generation](const ObjectsWatched &Result) {
+        if (Generation == m_Generation)
+          onWatched(Call, Result);
+      });
+}
+
+void ObjectWatcher::callAfter(Duration Delay, std::function<void()> Next) {
+  m_Timer.expires_after(Delay);
+  m_Timer.async_wait([this, Next = std::move(Next), Generation = m_Generation](
+                         const asio::error_code &Error) {
+    if (!Error && Generation == m_Generation)
+      Next();
+  });
+}
+
+void ObjectWatcher::onStoreRestored() {
+  ++m_Generation;
+  m_Timer.cancel();
+  m_IsIdle = false;
+  list(StoreCallReason::Restored);
 }
 
 Duration ObjectWatcher::nextWatchTimeout(MonotonicTime Now) const {
@@ -109,11 +130,7 @@
   applyChanges(Result.m_Changes);
   if (forwards() && m_PublishChanges)
     m_PublishChanges({m_Kind, LastChange, Result.m_Position, Result.m_Changes});
-  m_Timer.expires_after(m_Settings.m_PauseAfterChanges);
-  m_Timer.async_wait([this](const asio::error_code &Error) {
-    if (!Error)
-      watch();
-  });
+  callAfter(m_Settings.m_PauseAfterChanges, [this] { watch(); });
 }
 
 void ObjectWatcher::applyChanges(const std::vector<ObjectChange> &Changes) {
@@ -164,16 +181,14 @@
                m_Settings.m_InitialBackoff *
                    (1U << std::min(MaxDoublings, m_ConsecutiveFailures++)));
   std::uniform_real_distribution<double> Jitter(0.5, 1.0);
-  m_Timer.expires_after(
-      std::chrono::duration_cast<Duration>(MaxBackoff * Jitter(m_Random)));
-  m_Timer.async_wait([this, RetriesList](const asio::error_code &Error) {
-    if (Error)
-      return;
-    if (RetriesList)
-      list(m_HasListed ? StoreCallReason::HistoryGone : StoreCallReason::Start);
-    else
-      watch();
-  });
+  callAfter(std::chrono::duration_cast<Duration>(MaxBackoff * Jitter(m_Random)),
+            [this, RetriesList] {
+              if (RetriesList)
+                list(m_HasListed ? StoreCallReason::HistoryGone
+                                 : StoreCallReason::Start);
+              else
+                watch();
+            });
 }
 
 void ObjectWatcher::onStoreAnswered(StorePosition Position, bool HadChanges,
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -80,6 +80,10 @@
   StorePosition lastChange() const { return m_RelayFollower.lastChange(); }
   const std::string &kind() const { return m_Kind; }
 
+  /// Must be called when the store has returned from a copy. Lists the objects
+  /// anew; answers to earlier calls are ignored.
+  void onStoreRestored();
+
   /// Sets the part of this node in the distribution of changes.
   void setRole(FeedRole Role);
   /// Sets the function that is called with each batch of changes that this node
@@ -111,6 +115,8 @@
   }
   void list(StoreCallReason Reason);
   void watch();
+  /// Calls \p Next after \p Delay, unless the calls begin anew before that.
+  void callAfter(Duration Delay, std::function<void()> Next);
   void onListed(MonotonicTime SentAt, ObjectsListed Result);
   void onWatched(const WatchCall &Call, const ObjectsWatched &Result);
   /// Schedules another list or watch call with exponential backoff.
@@ -142,6 +148,9 @@
   /// flight or waits to be repeated.
   bool m_IsListing = true;
   bool m_IsStoreUnreachable = false;
+  /// Number of times that the calls began anew. Answers to calls of before are
+  /// ignored.
+  std::uint64_t m_Generation = 0;
   unsigned m_ConsecutiveFailures = 0;
 };
 
--- a/proxy/store_session.h
+++ b/proxy/store_session.h
@@ -14,7 +14,11 @@
 namespace fulmarwinch {
 
 /// All calls of this process to the platform's store. Notices from the answers
-/// when the store has returned from a copy.
+/// when the store has returned from a copy, and keeps what belongs to an
+/// earlier era from its callers: an answer from before the restoration counts
+/// as missing, and a write whose condition names an object of an earlier era is
+/// not sent, since the number may be that of an object which its caller never
+/// read.
 class StoreSession : public ObjectFeed {
 public:
   /// Called with the new era.
@@ -42,6 +46,8 @@
   void start(StoreAction Action, std::function<void(StoreCompletion)> Done);
 
 private:
+  bool isOutdated(StoreEra Era) const { return Era != 0 && Era < m_Era; }
+
   asio::io_context &m_Loop;
   const PlatformBinding &m_Platform;
   EventLog &m_Log;
--- a/proxy/zone_change_relay.cpp
+++ b/proxy/zone_change_relay.cpp
@@ -11,8 +11,9 @@
 /// not cause them to query the store.
 constexpr Duration FreshnessPeriod = milliseconds(200);
 /// Count of numbers for each kind in a freshness message: the revision of the
-/// last change, the current revision and its age in milliseconds.
-constexpr std::size_t FreshnessNumbers = 3;
+/// last change, the current revision, its age in milliseconds and the store's
+/// era.
+constexpr std::size_t FreshnessNumbers = 4;
 
 } // namespace
 
@@ -50,8 +51,8 @@
     if (Watcher->hasListed())
       Kinds[Watcher->kind()] = {
           Watcher->lastChange().m_Revision, Watcher->position().m_Revision,
-          std::chrono::duration_cast<milliseconds>(Watcher->stateAge())
-              .count()};
+          std::chrono::duration_cast<milliseconds>(Watcher->stateAge()).count(),
+          Watcher->position().m_Era};
   m_Peers.sendFeed(m_Plan.m_Receivers, {{"vouch", std::move(Kinds)}});
 }
 
@@ -69,9 +70,12 @@
   for (ObjectWatcher *Watcher : m_Watchers) {
     const auto Numbers = fieldOr(Freshness, Watcher->kind().c_str(),
                                  std::vector<std::uint64_t>());
-    if (Numbers.size() == FreshnessNumbers)
-      Watcher->onForwardedFreshness(Numbers[0], Numbers[1],
-                                    milliseconds(Numbers[2]) + Delay);
+    if (Numbers.size() != FreshnessNumbers)
+      continue;
+    const StoreEra Era = Numbers[3];
+    m_OnEraNamed(Era);
+    Watcher->onForwardedFreshness({Era, Numbers[0]}, {Era, Numbers[1]},
+                                  milliseconds(Numbers[2]) + Delay);
   }
   const auto Part = Message.is_object() ? Message.find("batch") : Message.end();
   if (Part == Message.end())
--- a/servers/feed/relay_follower.h
+++ b/servers/feed/relay_follower.h
@@ -22,14 +22,17 @@
   Gap,
   /// The forwarded state is too old.
   Outdated,
+  /// The store has returned from a copy.
+  Restored,
 };
 
-inline constexpr std::array<EnumName<StoreCallReason>, 5> StoreCallReasonNames{{
+inline constexpr std::array<EnumName<StoreCallReason>, 6> StoreCallReasonNames{{
     {StoreCallReason::Start, "start"},
     {StoreCallReason::HistoryGone, "history_gone"},
     {StoreCallReason::Direct, "direct"},
     {StoreCallReason::Gap, "gap"},
     {StoreCallReason::Outdated, "outdated"},
+    {StoreCallReason::Restored, "restored"},
 }};
 
 /// Decides whether a node queries the platform's store for the changes of one
--- a/servers/routes/traffic_configuration.h
+++ b/servers/routes/traffic_configuration.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_SERVERS_ROUTES_TRAFFIC_CONFIGURATION_H
 
 #include "core/enum_names.h"
+#include "core/store_position.h"
 #include "core/time.h"
 
 #include <array>
@@ -167,6 +168,19 @@
   ClientLimits m_Limits;
 };
 
+/// Place of a configuration among those that the operator has written. Its
+/// version decides: a store that has returned from a copy may name an older
+/// configuration at a later position than the one in force.
+struct ConfigurationOrder {
+  std::uint64_t m_Version = 0;
+  StorePosition m_Position;
+
+  bool operator<(const ConfigurationOrder &Other) const {
+    return std::tie(m_Version, m_Position) <
+           std::tie(Other.m_Version, Other.m_Position);
+  }
+};
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_ROUTES_TRAFFIC_CONFIGURATION_H
--- a/tests/platform/test_object_store_client.cpp
+++ b/tests/platform/test_object_store_client.cpp
@@ -17,17 +17,19 @@
   CPPUNIT_TEST(deeplyNestedEntryEndsNoProcess);
   CPPUNIT_TEST(bodyThatACloseEndsIsReadIfItIsWhole);
   CPPUNIT_TEST(damagedObjectIsNoObjectOfRevisionZero);
+  CPPUNIT_TEST(positionsNameTheEraOfTheStore);
   CPPUNIT_TEST_SUITE_END();
 
   /// Store on loopback that sends one response on one connection.
   class OneResponseStore {
   public:
     /// Without \p HasLength, only the end of the connection ends the body.
+    /// \p Fields are further header lines.
     OneResponseStore(asio::io_context &Loop, const std::string &Body,
-                     bool HasLength = true)
+                     bool HasLength = true, const std::string &Fields = "")
         : m_Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}),
           m_Connection(Loop),
-          m_Response("HTTP/1.1 200 OK\r\n" +
+          m_Response("HTTP/1.1 200 OK\r\n" + Fields +
                      (HasLength ? "Content-Length: " +
                                       std::to_string(Body.size()) + "\r\n"
                                 : std::string()) +
@@ -53,9 +55,10 @@
     std::string m_Response;
   };
 
-  static ObjectsListed list(const std::string &Body, bool HasLength = true) {
+  static ObjectsListed list(const std::string &Body, bool HasLength = true,
+                            const std::string &Fields = "") {
     asio::io_context Loop;
-    OneResponseStore Store(Loop, Body, HasLength);
+    OneResponseStore Store(Loop, Body, HasLength, Fields);
     platform::ObjectStoreClient Client(Loop, Store.endpoint());
     std::optional<ObjectsListed> Result;
     Client.list("servers",
@@ -89,6 +92,23 @@
     return std::get<GetCompleted>(*Result);
   }
 
+  /// Revisions go back when the store returns from a copy. Guards against a
+  /// position that is compared with one of another era by its revision alone.
+  void positionsNameTheEraOfTheStore() {
+    const std::string Body =
+        "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4},"
+        "\"spec\":{}}],\"as_of\":5}";
+    const ObjectsListed Listed = list(Body, true, "Store-Era: 3\r\n");
+    CPPUNIT_ASSERT_EQUAL(StoreEra{3}, Listed.m_Era);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(3, 5), Listed.m_Position);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(3, 4),
+                         Listed.m_Objects.at(0).m_Position);
+    // A store without eras, and a field that is no number.
+    CPPUNIT_ASSERT_EQUAL(StorePosition(5), list(Body).m_Position);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(5),
+                         list(Body, true, "Store-Era: x\r\n").m_Position);
+  }
+
   /// Guards against a page that counts as whole because its connection ended,
   /// and against a sound one that does not count.
   void bodyThatACloseEndsIsReadIfItIsWhole() {
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(manyCrashRecordsReachThePeers);
   CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
   CPPUNIT_TEST(listingDoesNotUndoAForwardedChange);
+  CPPUNIT_TEST(restoredStoreIsListedAnewAndWatchedFromItsOwnPosition);
   CPPUNIT_TEST_SUITE_END();
 
   /// A relay whose link loses packets, or which runs slowly, receives an answer
@@ -271,6 +272,48 @@
     // Either the change has been applied, or the node asks the store for it.
     CPPUNIT_ASSERT(Known.count("zone-a") == 1 || Store.m_WatchedSince == 8);
   }
+
+  /// The store returns from a copy while a watch waits; its revisions go back.
+  /// Guards against a node that watches from the revision of before and never
+  /// sees a change that was confirmed after the restoration.
+  void restoredStoreIsListedAnewAndWatchedFromItsOwnPosition() {
+    asio::io_context Loop;
+    EventLog Log(open("/dev/null", O_WRONLY));
+    Metrics Counters;
+    ManualFeed Store;
+    std::uint64_t Version = 0;
+    ObjectWatcher::Handlers Handlers;
+    Handlers.m_OnListed = [&](const std::vector<StoredObject> &Objects) {
+      Version = Objects.at(0).m_Content;
+    };
+    Handlers.m_OnChange = [&](const ObjectChange &Change) {
+      Version = Change.m_Object.m_Content;
+    };
+    Handlers.m_OnBatchApplied = [] {};
+    ObjectWatcher Watcher(Loop, Store, Log, Counters, "config", Handlers);
+    Watcher.start();
+    Store.m_OnListed(
+        {StoreOutcome::Succeeded, {1, 90}, {{"main", {1, 90}, 13}}, 1});
+    const auto WatchFromBefore = Store.m_OnWatched;
+
+    Watcher.onStoreRestored();
+    Store.m_OnListed(
+        {StoreOutcome::Succeeded, {2, 40}, {{"main", {2, 30}, 10}}, 2});
+    CPPUNIT_ASSERT_EQUAL(StorePosition(2, 40), Store.m_WatchedSince);
+    Store.m_OnWatched({StoreOutcome::Succeeded,
+                       {2, 45},
+                       {{{"main", {2, 45}, 15}, false}},
+                       2});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, Version);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(2, 45), Watcher.position());
+
+    // The answer of the watch from before arrives late.
+    WatchFromBefore({StoreOutcome::Succeeded,
+                     {1, 95},
+                     {{{"main", {1, 95}, 14}, false}},
+                     1});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, Version);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFeedTest);
--- a/tests/servers/feed/test_change_batch.cpp
+++ b/tests/servers/feed/test_change_batch.cpp
@@ -30,7 +30,7 @@
                                    {"timeout_ms", 8000},
                                    {"kind", "streaming"}});
     }
-    return {"config", 7, 12, {{{"main", 12, Content}, false}}};
+    return {"config", {3, 7}, {3, 12}, {{{"main", {3, 12}, Content}, false}}};
   }
 
   /// Load pattern: a configuration with 960 routes, which is larger than any
@@ -58,8 +58,10 @@
     }
     CPPUNIT_ASSERT(Received.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("config"), Received->m_Kind);
-    CPPUNIT_ASSERT_EQUAL(StorePosition(7), Received->m_From);
-    CPPUNIT_ASSERT_EQUAL(StorePosition(12), Received->m_To);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(3, 7), Received->m_From);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(3, 12), Received->m_To);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(3, 12),
+                         Received->m_Changes.at(0).m_Object.m_Position);
     CPPUNIT_ASSERT_EQUAL(std::string("main"),
                          Received->m_Changes.at(0).m_Object.m_Name);
     CPPUNIT_ASSERT(Received->m_Changes[0].m_Object.m_Content ==
@@ -72,7 +74,7 @@
     const std::vector<Json> First =
         encodeChangeBatch(configurationOf(960), NoLimit);
     ObjectChangeBatch Later = configurationOf(960);
-    Later.m_To = 13;
+    Later.m_To = {3, 13};
     const std::vector<Json> Second = encodeChangeBatch(Later, NoLimit);
     ChangeBatchAssembler Assembler;
     for (std::size_t I = 1; I < First.size(); ++I)
@@ -116,11 +118,11 @@
     const Json FirstPart = encodeChangeBatch(Batch, NoLimit).at(0);
     CPPUNIT_ASSERT(!Assembler.addPart(FirstPart));
     for (std::uint64_t Revision = 100; Revision < 200; ++Revision) {
-      Batch.m_To = Revision;
+      Batch.m_To = {3, Revision};
       CPPUNIT_ASSERT(
           !Assembler.addPart(encodeChangeBatch(Batch, NoLimit).at(0)));
     }
-    Batch.m_To = 12;
+    Batch.m_To = {3, 12};
     const std::vector<Json> Parts = encodeChangeBatch(Batch, NoLimit);
     for (std::size_t I = 1; I < Parts.size(); ++I)
       CPPUNIT_ASSERT(!Assembler.addPart(Parts[I]));
--- a/tests/servers/feed/test_relay_follower.cpp
+++ b/tests/servers/feed/test_relay_follower.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(silentOrPartitionedRelayIsNotReliedOn);
   CPPUNIT_TEST(lostMessageCausesAStoreCall);
   CPPUNIT_TEST(lateMessageIsIgnored);
+  CPPUNIT_TEST(positionsOfALaterEraFollowAllOfTheEraBefore);
   CPPUNIT_TEST_SUITE_END();
 
   const MonotonicTime m_Start{seconds(100)};
@@ -75,6 +76,28 @@
     CPPUNIT_ASSERT_EQUAL(StorePosition(7), State.position());
     CPPUNIT_ASSERT(State.needsNoStoreCall(m_Start));
   }
+
+  /// The store returns from a copy, and its revisions go back. Guards against a
+  /// node that keeps the highest revision it has seen and misses all changes up
+  /// to it.
+  void positionsOfALaterEraFollowAllOfTheEraBefore() {
+    RelayFollower State(milliseconds(1200));
+    State.setFollowing(true);
+    State.onStoreResponse({1, 90}, true, m_Start);
+    // The relay has listed the restored store.
+    State.onRelayConfirmation({2, 40}, {2, 41}, milliseconds(10), m_Start);
+    CPPUNIT_ASSERT(!State.needsNoStoreCall(m_Start));
+    CPPUNIT_ASSERT(!State.onRelayedChanges({2, 41}, {2, 42}));
+
+    State.onStoreResponse({2, 42}, true, m_Start);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(2, 42), State.position());
+    CPPUNIT_ASSERT(State.onRelayedChanges({2, 42}, {2, 44}));
+    // Messages from before the restoration.
+    CPPUNIT_ASSERT(!State.onRelayedChanges({1, 90}, {1, 95}));
+    State.onRelayConfirmation({1, 95}, {1, 99}, milliseconds(10), m_Start);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(2, 44), State.position());
+    CPPUNIT_ASSERT(State.needsNoStoreCall(m_Start));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayFollowerTest);
--- a/tests/servers/routes/test_route_table.cpp
+++ b/tests/servers/routes/test_route_table.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(hostMatchesRegardlessOfCaseAndPort);
   CPPUNIT_TEST(weightsDivideTheTraffic);
   CPPUNIT_TEST(organisationIsFoundByAnyOfItsApiKeys);
+  CPPUNIT_TEST(configurationOfACopyReplacesNoLaterOne);
   CPPUNIT_TEST_SUITE_END();
 
   static Route route(const std::string &Name, const std::string &Prefix) {
@@ -33,6 +34,16 @@
     return RouteTable(std::move(Configuration));
   }
 
+  /// The store returns from a copy that has an older configuration. Guards
+  /// against a node that goes back to it, and against one that ignores the next
+  /// version because its revision is lower.
+  void configurationOfACopyReplacesNoLaterOne() {
+    const ConfigurationOrder InForce{13, {1, 245}};
+    CPPUNIT_ASSERT(!(InForce < ConfigurationOrder{10, {2, 237}}));
+    CPPUNIT_ASSERT((InForce < ConfigurationOrder{15, {2, 240}}));
+    CPPUNIT_ASSERT((InForce < ConfigurationOrder{13, {2, 238}}));
+  }
+
   /// Guards against matching the route of a shorter path prefix.
   void longestPathPrefixMatches() {
     const RouteTable Table = routeTable();
