Give each era of the store epochs of its own

Cause: the epoch is stored in the lease, so it went back with the store, and a conditional write succeeded against a record that its writer had never read, since the version was given out again. A challenger that read the copy's released record took the lease beside the holder whose record was lost. Class: a number that must not recur was kept only where it can be forgotten.

Change: a lease that is acquired in an era has at least the era's first epoch, which is above all epochs of the eras before; group keys follow from it. In a new era a process forgets what it read, acts no longer as the holder, and challenges for a lease that nobody has acquired in that era only after all leases of before have ended and all entries of the copy have been written again or removed: three report periods (heartbeat_ms, now read) and 0.7 s. A record of an earlier epoch is never taken for the own one. A process that starts waits as well, unless the record is of this era or the system starts for the first time (bootstrap, now read).

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -111,7 +111,8 @@
       m_ChangeRelay.addWatcher(*Watcher);
     m_ChangeRelay.setOnEraNamed(
         [this](StoreEra Era) { m_StoreSession.onEraNamed(Era); });
-    m_StoreSession.setOnRestored([this](StoreEra) { onStoreRestored(); });
+    m_StoreSession.setOnRestored(
+        [this](StoreEra Era) { onStoreRestored(Era); });
     m_Context.m_OnGroupStalled = [this](const ChosenServer &Server) {
       if (!Server.m_Group)
         return;
@@ -159,7 +160,8 @@
 
   /// Begins to read anew what the store contains, which has returned from a
   /// copy.
-  void onStoreRestored() {
+  void onStoreRestored(StoreEra Era) {
+    m_GroupCoordinator.onStoreRestored(Era);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       Watcher->onStoreRestored();
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -34,6 +34,11 @@
   /// Time after which the head of a group that lost a member stops serving
   /// without an order.
   Duration m_GroupBreakDelay = std::chrono::seconds(5);
+  /// Period in which each backend server writes its entry to the store. An
+  /// entry that was not written for three periods is removed.
+  Duration m_ServerReportPeriod = std::chrono::milliseconds(1200);
+  /// True if the whole system starts for the first time.
+  bool m_IsFirstStart = false;
   /// Retry budget of all nodes together: in each window at most this share of
   /// the requests, plus m_RetryBudgetSlack, may be retries.
   double m_RetryBudgetRatio = 0.2;
@@ -43,6 +48,15 @@
   Duration m_RetryBudgetWindow = std::chrono::seconds(10);
 };
 
+/// Time after which a store that has returned from a copy shows no entry of a
+/// backend server as it was when the copy was made: those that were not written
+/// again have been removed.
+inline Duration restorationTime(const FrontSettings &Settings) {
+  constexpr int PeriodsUntilRemoval = 3;
+  constexpr Duration RemovalMargin = std::chrono::milliseconds(400);
+  return Settings.m_ServerReportPeriod * PeriodsUntilRemoval + RemovalMargin;
+}
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_FRONT_SETTINGS_H
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -36,6 +36,9 @@
 /// lease. Without it, each node would call the store five times a second during
 /// a store outage.
 constexpr Duration MaxLeaseBackoff = milliseconds(1200);
+/// Time after which the entries that were read at the end of a restoration have
+/// been applied.
+constexpr Duration RestorationMargin = milliseconds(300);
 /// Key of the store's object that lists the quarantined servers.
 constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
 constexpr int Ok = 200;
@@ -44,8 +47,10 @@
 /// Settings of the lease on group formation. The lease is short, because no
 /// groups are formed until a new holder replaces a failed one. Renewal costs
 /// two store writes a second.
-LeaseSettings leaseSettings() {
+LeaseSettings leaseSettings(const FrontSettings &Node) {
   LeaseSettings Settings;
+  Settings.m_RestorationDelay = restorationTime(Node) + RestorationMargin;
+  Settings.m_IsFirstStart = Node.m_IsFirstStart;
   Settings.m_LeaseDuration = milliseconds(1600);
   Settings.m_RenewPeriod = milliseconds(500);
   Settings.m_RetryPeriod = milliseconds(200);
@@ -62,7 +67,7 @@
                                    const FrontSettings &Settings,
                                    std::string Incarnation)
     : m_Context(Context), m_Platform(Platform), m_Settings(Settings),
-      m_Lease(leaseSettings(), "groups", std::move(Incarnation)) {}
+      m_Lease(leaseSettings(Settings), "groups", std::move(Incarnation)) {}
 
 void GroupCoordinator::setLiveNodes(
     const std::vector<RelayCandidate> &LiveNodes) {
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -46,6 +46,10 @@
   /// Probes \p Server until it responds, up to ProbeAttempts times.
   void checkLiveness(const BackendServer &Server, LivenessHandler Done,
                      unsigned Attempt = 1);
+  /// Must be called when the store has returned from a copy.
+  void onStoreRestored(StoreEra Era) {
+    m_Lease.onStoreEra(Era, monotonicNow());
+  }
   /// Releases the lease and makes no further attempt to acquire it.
   void stop() { m_Lease.stop(); }
   bool holdsLease() const { return m_HoldsLease; }
--- a/randomised/fake_store.cpp
+++ b/randomised/fake_store.cpp
@@ -3,6 +3,20 @@
 namespace fulmarwinch {
 
 StoreResponse FakeStore::execute(const StoreAction &Action) {
+  StoreResponse Response = executeInThisEra(Action);
+  std::visit([this](auto &Completed) { Completed.m_Era = era(); }, Response);
+  return Response;
+}
+
+void FakeStore::returnFrom(const FakeStore &Copy) {
+  const StoreEra Next = era() + 1;
+  m_Objects = Copy.m_Objects;
+  m_LastVersion = {Next, Copy.m_LastVersion.m_Revision};
+  for (auto &[Key, Stored] : m_Objects)
+    Stored.m_Version.m_Era = Next;
+}
+
+StoreResponse FakeStore::executeInThisEra(const StoreAction &Action) {
   if (const auto *Get = std::get_if<GetObject>(&Action)) {
     ++m_ReadCount;
     const auto Object = m_Objects.find(Get->m_Key);
@@ -16,7 +30,7 @@
     const auto Object = m_Objects.find(Put->m_Key);
     const ObjectVersion StoredVersion =
         Object == m_Objects.end() ? ObjectVersion() : Object->second.m_Version;
-    if (StoredVersion != Put->m_ExpectedVersion)
+    if (StoredVersion.m_Revision != Put->m_ExpectedVersion.m_Revision)
       return WriteCompleted{Put->m_Id, StoreOutcome::Conflict, StoredVersion};
     m_LastVersion = m_LastVersion.next();
     m_Objects[Put->m_Key] = {m_LastVersion, Put->m_Value};
@@ -26,7 +40,8 @@
   const auto Object = m_Objects.find(Delete.m_Key);
   if (Object == m_Objects.end())
     return WriteCompleted{Delete.m_Id, StoreOutcome::NotFound, 0};
-  if (Object->second.m_Version != Delete.m_ExpectedVersion)
+  if (Object->second.m_Version.m_Revision !=
+      Delete.m_ExpectedVersion.m_Revision)
     return WriteCompleted{Delete.m_Id, StoreOutcome::Conflict,
                           Object->second.m_Version};
   m_Objects.erase(Object);
--- a/randomised/fake_store.h
+++ b/randomised/fake_store.h
@@ -11,7 +11,8 @@
 
 using StoreResponse = std::variant<GetCompleted, WriteCompleted>;
 
-/// In-memory object store with conditional updates. The caller simulates
+/// In-memory object store with conditional updates. It names no era before it
+/// first returns from a copy. The caller simulates
 /// delays and lost messages.
 class FakeStore {
 public:
@@ -24,11 +25,18 @@
   /// differs from the stored one returns Conflict.
   StoreResponse execute(const StoreAction &Action);
 
+  /// Begins a new era with the objects and the last version of \p Copy, an
+  /// earlier state of this store.
+  void returnFrom(const FakeStore &Copy);
+  StoreEra era() const { return m_LastVersion.m_Era; }
+
   const std::map<std::string, Object> &objects() const { return m_Objects; }
   std::size_t writeCount() const { return m_WriteCount; }
   std::size_t readCount() const { return m_ReadCount; }
 
 private:
+  StoreResponse executeInThisEra(const StoreAction &Action);
+
   std::map<std::string, Object> m_Objects;
   ObjectVersion m_LastVersion;
   std::size_t m_WriteCount = 0;
--- a/servers/lease/lease_record.cpp
+++ b/servers/lease/lease_record.cpp
@@ -4,6 +4,16 @@
 
 namespace fulmarwinch {
 
+namespace {
+
+/// Number of epochs in each era. The epoch of a group, a multiple of that of
+/// its lease, still fits into a double for 80,000 eras.
+constexpr std::uint64_t EpochsPerEra = std::uint64_t{1} << 20U;
+
+} // namespace
+
+std::uint64_t firstEpochOf(StoreEra Era) { return Era * EpochsPerEra; }
+
 absl::StatusOr<LeaseRecord> parseLeaseRecord(std::string_view Text) {
   const absl::StatusOr<Json> Object = parseJson(Text, "lease object");
   if (!Object.ok())
--- a/servers/lease/lease_record.h
+++ b/servers/lease/lease_record.h
@@ -1,6 +1,7 @@
 #ifndef FULMARWINCH_SERVERS_LEASE_LEASE_RECORD_H
 #define FULMARWINCH_SERVERS_LEASE_LEASE_RECORD_H
 
+#include "core/store_position.h"
 #include "core/time.h"
 
 #include "absl/status/statusor.h"
@@ -28,6 +29,11 @@
   Duration m_Duration{};
 };
 
+/// Lowest epoch of the leases that are acquired in \p Era of the store. Epochs
+/// of an era are higher than all of the eras before, also than those that the
+/// store no longer contains.
+std::uint64_t firstEpochOf(StoreEra Era);
+
 /// Parses the value of a lease object. Returns an error if the text is not JSON
 /// or lacks the writer, the epoch or the duration.
 absl::StatusOr<LeaseRecord> parseLeaseRecord(std::string_view Text);
--- a/servers/lease/lease_settings.h
+++ b/servers/lease/lease_settings.h
@@ -24,6 +24,15 @@
   Duration m_BackupPollPeriod = std::chrono::seconds(6);
   /// Additional delay of a challenge, per rank of the node.
   Duration m_ChallengeDelayPerRank = std::chrono::seconds(3);
+  /// Minimum time between noticing that the store has returned from a copy and
+  /// challenging for a lease that nobody has acquired since. It covers the
+  /// lease of a holder whose record the copy lacks, and the time after which
+  /// the copy no longer shows states that others have written since it was
+  /// made.
+  Duration m_RestorationDelay{0};
+  /// True if the whole system starts for the first time, so that no lease can
+  /// have been lost by a restoration before this process started.
+  bool m_IsFirstStart = false;
   /// Maximum number of ranks for which a challenge is delayed.
   std::size_t m_MaxDelayedRanks = 4;
   /// Time after which a holder that is not the preferred node of a shard hands
--- a/servers/lease/shard_lease.cpp
+++ b/servers/lease/shard_lease.cpp
@@ -15,6 +15,31 @@
   m_NodeCount = std::max<std::size_t>(NodeCount, 1);
 }
 
+void ShardLease::onStoreEra(StoreEra Era, MonotonicTime Now) {
+  if (Era <= m_Era)
+    return;
+  const bool IsFirst = m_Era == 0;
+  m_Era = Era;
+  if (!IsFirst || !m_Settings.m_IsFirstStart)
+    m_RestorationOverAt =
+        Now + std::max(m_Settings.m_RestorationDelay,
+                       extendByClockDrift(m_Settings.m_LeaseDuration));
+  if (IsFirst && !m_HasRead)
+    return;
+  m_Phase = Phase::Idle;
+  m_CallId = 0;
+  m_NextCallAt = Now;
+  m_LastRecord.reset();
+  m_LastVersion = {};
+  m_HasRead = false;
+  m_WasDeleted = false;
+  m_NeedsRead = true;
+  m_UnresolvedWrites.clear();
+  m_OwnsLease = false;
+  m_IsHandingOver = false;
+  m_HeldUntil = MonotonicTime{};
+}
+
 Duration ShardLease::pollPeriod() const {
   if (m_Rank == 0)
     return m_Settings.m_PreferredPollPeriod;
@@ -41,7 +66,8 @@
 }
 
 bool ShardLease::mayChallenge(MonotonicTime Now) const {
-  return m_HasRead && Now - m_UnchangedSince >= challengeDelay();
+  return m_HasRead && Now >= m_RestorationOverAt + rankDelay() &&
+         Now - m_UnchangedSince >= challengeDelay();
 }
 
 bool ShardLease::mustRelease() const {
@@ -86,7 +112,7 @@
   m_SentRecord.m_Writer = m_Writer;
   m_SentRecord.m_Epoch = IsRenewal || Release
                              ? std::max<std::uint64_t>(HighestEpoch, 1)
-                             : HighestEpoch + 1;
+                             : std::max(HighestEpoch + 1, firstEpochOf(m_Era));
   m_SentRecord.m_Sequence = ++m_Sequence;
   m_SentRecord.m_Duration = m_Settings.m_LeaseDuration;
   m_UnresolvedWrites[m_Sequence] = Now;
@@ -98,6 +124,7 @@
 }
 
 void ShardLease::onGetCompleted(const GetCompleted &Event, MonotonicTime Now) {
+  onStoreEra(Event.m_Era, Now);
   if (m_Phase != Phase::Reading || Event.m_Id != m_CallId)
     return;
   m_Phase = Phase::Idle;
@@ -149,7 +176,11 @@
   m_LastVersion = Version;
   m_UnchangedSince = Now;
   m_HighestEpoch = std::max(m_HighestEpoch, Record ? Record->m_Epoch : 0);
-  if (Record && Record->m_Writer == m_Writer) {
+  // Whoever acquired the lease in this era has waited for the end of the
+  // restoration.
+  if (Record && isOfThisEra(*Record))
+    m_RestorationOverAt = MonotonicTime{};
+  if (Record && Record->m_Writer == m_Writer && isOfThisEra(*Record)) {
     confirmOwnWrite(Record->m_Sequence);
     scheduleNext(Now, Duration::zero());
     return;
@@ -179,6 +210,7 @@
 
 void ShardLease::onWriteCompleted(const WriteCompleted &Event,
                                   MonotonicTime Now) {
+  onStoreEra(Event.m_Era, Now);
   if (m_Phase != Phase::Writing || Event.m_Id != m_CallId)
     return;
   m_Phase = Phase::Idle;
--- a/servers/lease/shard_lease.h
+++ b/servers/lease/shard_lease.h
@@ -28,6 +28,11 @@
   /// Rank 0 is the preferred node.
   void setRank(std::size_t Rank, std::size_t NodeCount);
 
+  /// Must be called when an answer of the store or another node has named \p
+  /// Era; answers to the own calls are read by this class. In a new era the
+  /// lease is lost and all that was read of it is forgotten.
+  void onStoreEra(StoreEra Era, MonotonicTime Now);
+
   /// Returns the store call that is due at \p Now, with the call ID \p Id, or
   /// nothing.
   std::optional<StoreAction> nextCall(MonotonicTime Now, StoreCallId Id);
@@ -67,6 +72,11 @@
   /// may challenge for the lease.
   Duration challengeDelay() const;
   bool mayChallenge(MonotonicTime Now) const;
+  /// True if \p Record was written by a holder of the current era. Another one
+  /// is from the copy, or was written late under a condition of before.
+  bool isOfThisEra(const LeaseRecord &Record) const {
+    return Record.m_Epoch >= firstEpochOf(m_Era);
+  }
   bool mustRelease() const;
   StoreAction startRead(MonotonicTime Now, StoreCallId Id);
   StoreAction startWrite(MonotonicTime Now, StoreCallId Id, bool Release);
@@ -93,6 +103,10 @@
   ObjectVersion m_LastVersion;
   bool m_HasRead = false;
   bool m_WasDeleted = false;
+  StoreEra m_Era = 0;
+  /// Time before which this node does not challenge for a lease that may have
+  /// a holder whom the store does not name.
+  MonotonicTime m_RestorationOverAt{};
   std::uint64_t m_HighestEpoch = 0;
   MonotonicTime m_UnchangedSince{};
   MonotonicTime m_LastReadAt{};
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -252,7 +252,8 @@
       "node=n1\nzone=a\nip=10.1.0.40\nlisten.front=10.1.0.40:8227\n"
       "listen.ready_address=10.1.0.40:8220\nport_range=7340,7355\n"
       "platform.address=10.200.1.7:8223\nbounds.grace_s=8\n"
-      "bounds.stall_ms=5000\nbounds.budget_slack=136\nunknown=x\n";
+      "bounds.stall_ms=5000\nbounds.budget_slack=136\nheartbeat_ms=900\n"
+      "bootstrap=true\nunknown=x\n";
 
   void settingsAreParsed() {
     const auto Parsed = platform::parseFrontSettings(SettingsText);
@@ -260,6 +261,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("n1"), Parsed->m_NodeName);
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{7340}, Parsed->m_PeerPort);
     CPPUNIT_ASSERT(Parsed->m_GroupBreakDelay == std::chrono::seconds(5));
+    CPPUNIT_ASSERT(Parsed->m_ServerReportPeriod ==
+                   std::chrono::milliseconds(900));
+    CPPUNIT_ASSERT(Parsed->m_IsFirstStart);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(136.0, Parsed->m_RetryBudgetSlack, 0.001);
   }
 
--- a/tests/servers/lease/test_shard_lease.cpp
+++ b/tests/servers/lease/test_shard_lease.cpp
@@ -18,6 +18,10 @@
   CPPUNIT_TEST(leasesSpreadOverAllNodes);
   CPPUNIT_TEST(readsOfManyNodesStayFewWhileTheHolderRenews);
   CPPUNIT_TEST(nodeOfLowRankTakesOverWhenAllBeforeItAreCutOff);
+  CPPUNIT_TEST(restoredStoreGrantsNoEpochTwice);
+  CPPUNIT_TEST(holderOfTheLostSpanActsAlone);
+  CPPUNIT_TEST(lateWriteOfTheEraBeforeTakesNoLease);
+  CPPUNIT_TEST(newProcessWaitsOnlyWhereTheCopyMayLackALease);
   CPPUNIT_TEST_SUITE_END();
 
   static MonotonicTime at(std::int64_t Milliseconds) {
@@ -107,6 +111,125 @@
     CPPUNIT_ASSERT(Answer.m_Outcome == StoreOutcome::Conflict);
   }
 
+  /// Executes the due calls of \p Lease until \p Until and returns the time at
+  /// which it held the lease; \p Until if it never did.
+  MonotonicTime runUntilHeld(ShardLease &Lease, FakeStore &Store,
+                             MonotonicTime From, MonotonicTime Until) {
+    for (MonotonicTime Now = From; Now < Until;
+         Now += std::chrono::milliseconds(50)) {
+      executeDueCalls(Lease, Store, Now);
+      if (Lease.isHeld(Now))
+        return Now;
+    }
+    return Until;
+  }
+
+  /// The store returns from a copy that was made before the last change of the
+  /// holder. Guards against an epoch that two processes hold, whose groups then
+  /// have the same keys.
+  void restoredStoreGrantsNoEpochTwice() {
+    FakeStore Store;
+    ShardLease First({}, "r.0", "a#1");
+    ShardLease Second({}, "r.0", "b#1");
+    ShardLease Third({}, "r.0", "c#1");
+    executeDueCalls(First, Store, at(0));
+    First.stop();
+    executeDueCalls(First, Store, at(100));
+    const FakeStore Copy = Store;
+    runUntilHeld(Second, Store, at(200), at(10000));
+    CPPUNIT_ASSERT(Second.isHeld(at(200)));
+
+    Store.returnFrom(Copy);
+    runUntilHeld(Third, Store, at(300), at(30000));
+    CPPUNIT_ASSERT(Third.epoch() > Second.epoch());
+    // A second restoration loses that lease as well.
+    Store.returnFrom(Copy);
+    ShardLease Fourth({}, "r.0", "d#1");
+    runUntilHeld(Fourth, Store, at(30000), at(60000));
+    CPPUNIT_ASSERT(Fourth.epoch() > Third.epoch());
+  }
+
+  /// The copy names no holder, while the one of the lost span acts until its
+  /// lease ends by its clock. Guards against a second holder beside it.
+  void holderOfTheLostSpanActsAlone() {
+    FakeStore Store;
+    ShardLease First({}, "r.0", "a#1");
+    executeDueCalls(First, Store, at(0));
+    First.stop();
+    executeDueCalls(First, Store, at(100));
+    const FakeStore Copy = Store;
+    ShardLease Holder({}, "r.0", "b#1");
+    ShardLease Next({}, "r.0", "c#1");
+    executeDueCalls(Holder, Store, at(200));
+    executeDueCalls(Next, Store, at(210));
+    CPPUNIT_ASSERT(Holder.isHeld(at(210)));
+
+    Store.returnFrom(Copy);
+    const MonotonicTime HeldAt = runUntilHeld(Next, Store, at(250), at(30000));
+    CPPUNIT_ASSERT(HeldAt < at(30000));
+    CPPUNIT_ASSERT(!Holder.isHeld(HeldAt));
+
+    // A holder that hears of the restoration acts no longer.
+    FakeStore Later = Store;
+    Store.returnFrom(Later);
+    CPPUNIT_ASSERT(Next.isHeld(HeldAt));
+    Next.onStoreEra(Store.era(), HeldAt);
+    CPPUNIT_ASSERT(!Next.isHeld(HeldAt));
+    CPPUNIT_ASSERT(!Next.ownsLease());
+  }
+
+  /// A write whose answer was lost is executed after the restoration, since the
+  /// version that it expects was given out again. Guards against its writer
+  /// taking the lease of a holder that it never read for its own.
+  void lateWriteOfTheEraBeforeTakesNoLease() {
+    FakeStore Store;
+    ShardLease First({}, "r.0", "a#1");
+    executeDueCalls(First, Store, at(0));
+    const FakeStore Copy = Store;
+    executeDueCalls(First, Store, at(2000));
+    const StoreAction Late = dueCall(First, at(4000));
+    First.onWriteCompleted({m_NextId, StoreOutcome::Unknown, {}}, at(4100));
+
+    Store.returnFrom(Copy);
+    ShardLease Second({}, "r.0", "b#1");
+    const MonotonicTime HeldAt =
+        runUntilHeld(Second, Store, at(4100), at(30000));
+    CPPUNIT_ASSERT(Second.isHeld(HeldAt));
+    Store.execute(Late);
+    const MonotonicTime Later = HeldAt + std::chrono::milliseconds(10);
+    executeDueCalls(First, Store, Later);
+    CPPUNIT_ASSERT(!First.isHeld(Later));
+    // The holder finds the record of another era in place of its own.
+    const MonotonicTime Renewal = HeldAt + std::chrono::milliseconds(2100);
+    executeDueCalls(Second, Store, Renewal);
+    CPPUNIT_ASSERT(!Second.isHeld(Renewal));
+    CPPUNIT_ASSERT(runUntilHeld(Second, Store, Renewal, at(60000)) < at(60000));
+  }
+
+  /// A process that starts does not know when the store returned. Guards
+  /// against one that takes the lease at once, and against a wait at each start
+  /// of a process.
+  void newProcessWaitsOnlyWhereTheCopyMayLackALease() {
+    FakeStore Store;
+    Store.returnFrom(FakeStore());
+    LeaseSettings Settings;
+    Settings.m_RestorationDelay = std::chrono::seconds(9);
+    ShardLease First(Settings, "r.0", "a#1");
+    CPPUNIT_ASSERT(runUntilHeld(First, Store, at(0), at(30000)) >= at(9000));
+    First.stop();
+    executeDueCalls(First, Store, at(30000));
+    ShardLease Second(Settings, "r.0", "b#1");
+    executeDueCalls(Second, Store, at(31000));
+    CPPUNIT_ASSERT(Second.isHeld(at(31000)));
+
+    FakeStore Empty;
+    Empty.returnFrom(FakeStore());
+    Settings.m_IsFirstStart = true;
+    ShardLease OfTheFirstStart(Settings, "r.0", "c#1");
+    executeDueCalls(OfTheFirstStart, Empty, at(0));
+    CPPUNIT_ASSERT(OfTheFirstStart.isHeld(at(0)));
+  }
+
   /// Guards against two holders after two nodes challenge at the same time.
   void onlyOneOfTwoChallengersAcquiresTheLease() {
     FakeStore Store;
