Let a copy of the store undo nothing that a node has seen

After a restoration requests reached servers that had said that they leave (DRAIN), and an evacuation that had been confirmed was not in force.

Cause: the entries of a store that returns are as old as its copy until their writers have written them again. A node took them for the latest state: servers that drained were ready again, those that had left were back, those that had come were missing, as were evacuations and nodes.

Change: between noticing a restoration and three report periods later a listing may be outdated (ListingTrust). Evacuations and nodes of before and of the copy both hold. Then the objects are listed once more, and the store decides alone.

--- a/core/object_feed.h
+++ b/core/object_feed.h
@@ -33,6 +33,11 @@
   StoreEra m_Era = 0;
 };
 
+/// Whether a listing shows the latest state of the objects. A store that has
+/// returned from a copy shows states as old as the copy, and lacks objects,
+/// until their writers have written them again.
+enum class ListingTrust { Latest, MayBeOutdated };
+
 /// Changed or deleted object in the result of a watch.
 struct ObjectChange {
   StoredObject m_Object;
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -7,6 +7,7 @@
 #include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
 #include "servers/dispatch/overload_admission.h"
+#include "servers/feed/known_objects.h"
 
 #include "asio.hpp"
 
@@ -47,8 +48,9 @@
 constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watch on the store's node objects. The delays are long,
 /// because nodes rarely change and an outdated list only affects latency.
-ObjectWatcherSettings nodeWatchSettings() {
+ObjectWatcherSettings nodeWatchSettings(const FrontSettings &Node) {
   ObjectWatcherSettings Settings;
+  Settings.m_RestorationTime = restorationTime(Node);
   Settings.m_WatchTimeout = std::chrono::seconds(10);
   Settings.m_PauseAfterChanges = milliseconds(700);
   Settings.m_ForwardingWatchTimeout = std::chrono::seconds(5);
@@ -56,6 +58,12 @@
   Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
+/// Settings of the watches on the entries of servers and on evacuations.
+ObjectWatcherSettings entryWatchSettings(const FrontSettings &Node) {
+  ObjectWatcherSettings Settings;
+  Settings.m_RestorationTime = restorationTime(Node);
+  return Settings;
+}
 constexpr const char *MetricsPath = "/metrics";
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
@@ -91,14 +99,16 @@
                              "-", unixNow())),
         m_GroupCoordinator(m_Context, m_Platform, Settings, m_Incarnation),
         m_ServerWatcher(Loop, m_StoreSession, Log, m_Metrics,
-                        Platform.m_ServerKind, serverHandlers()),
+                        Platform.m_ServerKind, serverHandlers(),
+                        entryWatchSettings(Settings)),
         m_ConfigurationWatcher(Loop, m_StoreSession, Log, m_Metrics,
                                Platform.m_ConfigurationKind,
                                configurationHandlers()),
         m_EvacuationWatcher(Loop, m_StoreSession, Log, m_Metrics,
-                            Platform.m_EvacuationKind, evacuationHandlers()),
+                            Platform.m_EvacuationKind, evacuationHandlers(),
+                            entryWatchSettings(Settings)),
         m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
-                      nodeHandlers(), nodeWatchSettings()) {
+                      nodeHandlers(), nodeWatchSettings(Settings)) {
     setRetryBudgets(1);
     if (Settings.m_MemoryMb > 0.0) {
       const double Bytes = Settings.m_MemoryMb * BytesPerMb;
@@ -197,8 +207,8 @@
       for (const StoredObject &Object : Objects)
         if (auto Server = readServer(Object))
           Servers.push_back(std::move(*Server));
-      for (const std::string &Id :
-           m_Fleet.replaceAll(std::move(Servers), monotonicNow()))
+      for (const std::string &Id : m_Fleet.replaceAll(
+               std::move(Servers), monotonicNow(), m_ServerWatcher.trust()))
         logServer(Id);
       for (const auto &[Id, Server] : m_Fleet.excludedEntries())
         logExcluded(Server);
@@ -382,20 +392,24 @@
   ObjectWatcher::Handlers evacuationHandlers() {
     ObjectWatcher::Handlers Result;
     Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
-      m_EvacuatedZones.clear();
+      std::map<std::string, Evacuation> Zones;
       for (const StoredObject &Object : Objects)
-        m_EvacuatedZones.insert(Object.m_Name);
+        Zones.emplace(Object.m_Name, Evacuation());
+      m_Evacuations.replaceAll(std::move(Zones), m_EvacuationWatcher.trust());
     };
     Result.m_OnChange = [this](const ObjectChange &Change) {
       if (Change.m_Deleted)
-        m_EvacuatedZones.erase(Change.m_Object.m_Name);
+        m_Evacuations.remove(Change.m_Object.m_Name);
       else
-        m_EvacuatedZones.insert(Change.m_Object.m_Name);
+        m_Evacuations.set(Change.m_Object.m_Name, {});
       m_Log.write("evacuation", {{"zone", Change.m_Object.m_Name},
                                  {"in_force", !Change.m_Deleted}});
     };
     Result.m_OnBatchApplied = [this] {
-      m_Fleet.setEvacuatedZones(m_EvacuatedZones);
+      std::set<std::string> Zones;
+      for (const auto &[Zone, Content] : m_Evacuations.objects())
+        Zones.insert(Zone);
+      m_Fleet.setEvacuatedZones(std::move(Zones));
     };
     return Result;
   }
@@ -403,20 +417,22 @@
   ObjectWatcher::Handlers nodeHandlers() {
     ObjectWatcher::Handlers Result;
     Result.m_OnListed = [this](const std::vector<StoredObject> &Objects) {
-      m_NodeAddresses.clear();
+      std::map<std::string, PeerAddress> Addresses;
       for (const StoredObject &Object : Objects)
-        readNode(Object);
+        if (const auto Address = readNode(Object))
+          Addresses.emplace(Object.m_Name, *Address);
+      m_Nodes.replaceAll(std::move(Addresses), m_NodeWatcher.trust());
     };
     Result.m_OnChange = [this](const ObjectChange &Change) {
       if (Change.m_Deleted)
-        m_NodeAddresses.erase(Change.m_Object.m_Name);
-      else
-        readNode(Change.m_Object);
+        m_Nodes.remove(Change.m_Object.m_Name);
+      else if (const auto Address = readNode(Change.m_Object))
+        m_Nodes.set(Change.m_Object.m_Name, *Address);
     };
     Result.m_OnBatchApplied = [this] {
-      m_PeerExchange.setPeers(m_NodeAddresses);
+      m_PeerExchange.setPeers(m_Nodes.objects());
       std::vector<std::string> Names;
-      for (const auto &[Name, Address] : m_NodeAddresses)
+      for (const auto &[Name, Address] : m_Nodes.objects())
         Names.push_back(Name);
       setRetryBudgets(std::max<std::size_t>(1, Names.size()));
       m_ServerSelector.setNodes(m_Settings.m_NodeName, std::move(Names),
@@ -425,12 +441,14 @@
     return Result;
   }
 
-  void readNode(const StoredObject &Object) {
-    if (const auto Address =
-            parseEndpoint(fieldOr(Object.m_Content, "address", std::string())))
-      m_NodeAddresses[Object.m_Name] = {
-          *Address, fieldOr(Object.m_Content, "zone", std::string()),
-          fieldOr(Object.m_Content, "link_mbps", 0.0)};
+  static std::optional<PeerAddress> readNode(const StoredObject &Object) {
+    const auto Address =
+        parseEndpoint(fieldOr(Object.m_Content, "address", std::string()));
+    if (!Address)
+      return std::nullopt;
+    return PeerAddress{*Address,
+                       fieldOr(Object.m_Content, "zone", std::string()),
+                       fieldOr(Object.m_Content, "link_mbps", 0.0)};
   }
 
   void setRetryBudgets(std::size_t NodeCount) {
@@ -565,7 +583,7 @@
     Set("request_body_bytes", static_cast<double>(m_BodyBudget->used()));
     Set("request_body_bytes_limit", static_cast<double>(m_BodyBudget->limit()));
     Set("store_era", static_cast<double>(m_StoreSession.era()));
-    Set("nodes_known", static_cast<double>(m_NodeAddresses.size()));
+    Set("nodes_known", static_cast<double>(m_Nodes.objects().size()));
     Set("lease_held", m_GroupCoordinator.holdsLease() ? 1.0 : 0.0);
     Set("log_lines_dropped", static_cast<double>(m_Log.discardedLines()));
     std::map<std::string, double> OpenGroups;
@@ -605,6 +623,8 @@
       m_GroupCoordinator.setLiveNodes(LiveNodes);
       m_ChangeRelay.tick(Now, LiveNodes, m_GroupCoordinator.holdsLease());
     }
+    for (const std::string &Id : m_Fleet.removeMissing(Now))
+      logServer(Id);
     if (Now >= m_NextAdmissionAt) {
       m_NextAdmissionAt = Now + AdmissionPeriod;
       updateAdmission(Now);
@@ -730,8 +750,10 @@
   std::unique_ptr<HttpListener> m_ClientListener;
   std::unique_ptr<HttpListener> m_ReadinessListener;
   std::unique_ptr<HttpListener> m_MetricsListener;
-  std::set<std::string> m_EvacuatedZones;
-  std::map<std::string, PeerAddress> m_NodeAddresses;
+  /// An evacuation has no content; its name is the zone.
+  struct Evacuation {};
+  KnownObjects<Evacuation> m_Evacuations;
+  KnownObjects<PeerAddress> m_Nodes;
   std::shared_ptr<MemoryBudget> m_BodyBudget =
       std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
   MonotonicTime m_NextRelayCheckAt{};
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -78,6 +78,12 @@
 }
 
 void ObjectWatcher::onStoreRestored() {
+  if (m_Settings.m_RestorationTime > Duration::zero())
+    m_RestoredAt = monotonicNow();
+  listAnew();
+}
+
+void ObjectWatcher::listAnew() {
   ++m_Generation;
   m_Timer.cancel();
   m_IsIdle = false;
@@ -166,6 +172,11 @@
 }
 
 void ObjectWatcher::tick(MonotonicTime Now) {
+  if (m_RestoredAt && Now - *m_RestoredAt >= m_Settings.m_RestorationTime) {
+    m_RestoredAt.reset();
+    listAnew();
+    return;
+  }
   if (m_IsIdle && !m_RelayFollower.needsNoStoreCall(Now))
     watch();
 }
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -12,6 +12,7 @@
 #include "asio/steady_timer.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -42,6 +43,10 @@
   /// Maximum age of a state received from a relay before a follower queries the
   /// store itself. It exceeds the maximum age on the relay by the same time.
   Duration m_MaxAgeFromRelay = std::chrono::milliseconds(1300);
+  /// Time after a restoration of the store after which its objects have been
+  /// written again by their writers or removed. They are then listed once more.
+  /// Zero if a listing needs no trust.
+  Duration m_RestorationTime{0};
 };
 
 /// Tracks the objects of one kind in the store. It lists them once, then
@@ -68,6 +73,10 @@
   void setPauseAfterChanges(Duration Pause) {
     m_Settings.m_PauseAfterChanges = Pause;
   }
+  /// Whether the store shows the latest state of the objects.
+  ListingTrust trust() const {
+    return m_RestoredAt ? ListingTrust::MayBeOutdated : ListingTrust::Latest;
+  }
   /// True once the objects were listed successfully.
   bool hasListed() const { return m_HasListed; }
   /// Time since the known objects were last confirmed to match the store.
@@ -99,7 +108,8 @@
   /// and that this kind last changed at \p LastChange.
   void onForwardedFreshness(StorePosition LastChange, StorePosition Position,
                             Duration Age);
-  /// Resumes watching the store once the forwarded information is too old.
+  /// Resumes watching the store once the forwarded information is too old, and
+  /// lists the objects once more at the end of a restoration.
   void tick(MonotonicTime Now);
 
 private:
@@ -114,6 +124,8 @@
     return m_Role == FeedRole::Relay || m_Role == FeedRole::Source;
   }
   void list(StoreCallReason Reason);
+  /// Lists the objects now; answers to earlier calls are ignored.
+  void listAnew();
   void watch();
   /// Calls \p Next after \p Delay, unless the calls begin anew before that.
   void callAfter(Duration Delay, std::function<void()> Next);
@@ -148,6 +160,9 @@
   /// flight or waits to be repeated.
   bool m_IsListing = true;
   bool m_IsStoreUnreachable = false;
+  /// Time at which the last restoration was noticed; unset once the objects
+  /// were written again.
+  std::optional<MonotonicTime> m_RestoredAt;
   /// Number of times that the calls began anew. Answers to calls of before are
   /// ignored.
   std::uint64_t m_Generation = 0;
--- a/servers/fleet/backend_server.h
+++ b/servers/fleet/backend_server.h
@@ -90,6 +90,8 @@
   /// Models whose weights are staged on the host, ready to load.
   std::vector<std::string> m_StagedModels;
   std::optional<GroupMembership> m_Membership;
+  /// Number of the server's report; increases with each one of the process.
+  std::uint64_t m_ReportNumber = 0;
   /// Store position of the entry from which this state was decoded.
   StorePosition m_Position;
 
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -12,12 +12,49 @@
 /// Maximum number of leaving processes to remember. Most have ended long before
 /// that many others have left.
 constexpr std::size_t MaxLeavingProcesses = 4096;
+/// Maximum number of removed entries to remember. They are needed if the store
+/// returns from a copy, which is some seconds old.
+constexpr std::size_t MaxRemovedEntries = 4096;
+/// Time after which a server that the restored store lacks counts as gone.
+constexpr Duration MissingEntryTime = std::chrono::milliseconds(2500);
+
+/// True if \p Next shows a later state of its server than \p Known. Within an
+/// era of the store its order decides. An entry of a new era may be older than
+/// one of the era before; then the order of the server's own reports decides.
+bool isLaterState(const BackendServer &Next, const BackendServer &Known) {
+  if (Next.m_Position.m_Era <= Known.m_Position.m_Era)
+    return Next.m_Position > Known.m_Position;
+  if (Next.m_StartedAtMs != Known.m_StartedAtMs)
+    return Next.m_StartedAtMs > Known.m_StartedAtMs;
+  return Next.m_ReportNumber > Known.m_ReportNumber;
+}
+
+bool isSameReport(const BackendServer &Left, const BackendServer &Right) {
+  return Left.m_StartedAtMs == Right.m_StartedAtMs &&
+         Left.m_ReportNumber == Right.m_ReportNumber;
+}
+
+/// Removes the entry with the lowest notice number from \p Entries if there are
+/// more than \p MaxEntries.
+template <typename EntryType>
+void removeOldest(std::map<std::string, EntryType> &Entries,
+                  std::size_t MaxEntries) {
+  if (Entries.size() <= MaxEntries)
+    return;
+  Entries.erase(std::min_element(
+      Entries.begin(), Entries.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.m_Notice < Right.second.m_Notice;
+      }));
+}
 
 } // namespace
 
 std::vector<std::string>
-FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now) {
+FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now,
+                      ListingTrust Trust) {
   m_GroupsAreCurrent = false;
+  m_MissingUntil.clear();
+  const bool MayBeOutdated = Trust == ListingTrust::MayBeOutdated;
   std::map<std::string, BackendServer> OldServers;
   OldServers.swap(m_Servers);
   m_ExcludedEntries.clear();
@@ -32,17 +69,29 @@
     if (Known != OldServers.end()) {
       // Keep an unchanged entry: its remaining cold time counts from when the
       // entry was first received.
-      if (Known->second.m_Position >= Server.m_Position) {
+      if (MayBeOutdated ? !isLaterState(Server, Known->second)
+                        : Known->second.m_Position >= Server.m_Position) {
+        if (isSameReport(Server, Known->second))
+          Known->second.m_Position = Server.m_Position;
         m_Servers.insert(std::move(*Known));
         OldServers.erase(Known);
         continue;
       }
       OldServers.erase(Known);
+    } else if (!MayBeOutdated) {
+      m_RemovedEntries.erase(Id);
+    } else if (isOutdated(Server)) {
+      continue;
     }
     Changed.push_back(Id);
     update(std::move(Server), Now);
   }
   for (auto &[Id, Server] : OldServers) {
+    if (MayBeOutdated) {
+      m_MissingUntil[Id] = Now + MissingEntryTime;
+      m_Servers.emplace(Id, std::move(Server));
+      continue;
+    }
     m_ColdUntil.erase(Id);
     Changed.push_back(Id);
     storeUnlistedMember(std::move(Server));
@@ -57,10 +106,11 @@
     return Changed;
   }
   m_ExcludedEntries.erase(Server.m_Id);
-  const auto Known = m_Servers.find(Server.m_Id);
-  if (Known != m_Servers.end() && Known->second.m_Position >= Server.m_Position)
+  m_MissingUntil.erase(Server.m_Id);
+  if (isOutdated(Server))
     return false;
   m_GroupsAreCurrent = false;
+  m_RemovedEntries.erase(Server.m_Id);
   const auto Leaving = m_LeavingProcesses.find(Server.m_Id);
   if (Leaving != m_LeavingProcesses.end()) {
     if (Leaving->second.m_StartedAtMs == Server.m_StartedAtMs)
@@ -83,12 +133,44 @@
   if (Known == m_Servers.end() || Known->second.m_Position > Position)
     return false;
   m_GroupsAreCurrent = false;
+  m_MissingUntil.erase(Id);
+  recordRemoval(Known->second);
   storeUnlistedMember(std::move(Known->second));
   m_Servers.erase(Known);
   m_ColdUntil.erase(Id);
   return true;
 }
 
+std::vector<std::string> FleetView::removeMissing(MonotonicTime Now) {
+  std::vector<std::string> Missing;
+  for (const auto &[Id, Until] : m_MissingUntil)
+    if (Until <= Now)
+      Missing.push_back(Id);
+  for (const std::string &Id : Missing) {
+    m_MissingUntil.erase(Id);
+    if (const BackendServer *Server = find(Id))
+      remove(Id, Server->m_Position);
+  }
+  return Missing;
+}
+
+bool FleetView::isOutdated(const BackendServer &Server) const {
+  const auto Known = m_Servers.find(Server.m_Id);
+  if (Known != m_Servers.end())
+    return !isLaterState(Server, Known->second);
+  const auto Removed = m_RemovedEntries.find(Server.m_Id);
+  if (Removed == m_RemovedEntries.end())
+    return false;
+  const BackendServer &Last = Removed->second.m_LastState;
+  return Server.m_Position.m_Era > Last.m_Position.m_Era &&
+         !isLaterState(Server, Last);
+}
+
+void FleetView::recordRemoval(const BackendServer &Server) {
+  m_RemovedEntries[Server.m_Id] = {Server, ++m_LastNotice};
+  removeOldest(m_RemovedEntries, MaxRemovedEntries);
+}
+
 void FleetView::storeUnlistedMember(BackendServer Server) {
   // A draining server whose entry is gone has stopped as announced, so it is
   // not stored as a member that may still be running.
@@ -156,12 +238,7 @@
       Known->second.m_StartedAtMs == StartedAtMs)
     return false;
   m_LeavingProcesses[Id] = {StartedAtMs, ++m_LastNotice};
-  if (m_LeavingProcesses.size() > MaxLeavingProcesses)
-    m_LeavingProcesses.erase(
-        std::min_element(m_LeavingProcesses.begin(), m_LeavingProcesses.end(),
-                         [](const auto &Left, const auto &Right) {
-                           return Left.second.m_Notice < Right.second.m_Notice;
-                         }));
+  removeOldest(m_LeavingProcesses, MaxLeavingProcesses);
   const auto Server = m_Servers.find(Id);
   if (Server != m_Servers.end() &&
       Server->second.m_StartedAtMs == StartedAtMs) {
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef FULMARWINCH_SERVERS_FLEET_FLEET_VIEW_H
 #define FULMARWINCH_SERVERS_FLEET_FLEET_VIEW_H
 
+#include "core/object_feed.h"
 #include "servers/fleet/backend_server.h"
 
 #include <cstdint>
@@ -32,11 +33,17 @@
   FleetView &operator=(const FleetView &) = delete;
 
   /// Replaces all entries by the result of a list call to the store. Returns
-  /// the IDs of servers whose entry is new, changed or deleted.
-  std::vector<std::string> replaceAll(std::vector<BackendServer> Servers,
-                                      MonotonicTime Now);
+  /// the IDs of servers whose entry is new, changed or deleted. A listing that
+  /// may be outdated replaces only what its servers reported later, and
+  /// servers that it lacks are removed by removeMissing().
+  std::vector<std::string>
+  replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now,
+             ListingTrust Trust = ListingTrust::Latest);
+  /// Removes the servers that an outdated listing lacked and whose entry has
+  /// not returned in time. Returns their IDs.
+  std::vector<std::string> removeMissing(MonotonicTime Now);
   /// Applies one new or changed entry. Returns false if the view already has
-  /// this or a later revision.
+  /// this or a later state.
   bool update(BackendServer Server, MonotonicTime Now);
   /// Removes a server whose entry was deleted at \p Position. Returns false if
   /// the server is unknown or its entry is newer.
@@ -86,6 +93,11 @@
 
 private:
   bool isServiceNamed(const std::string &Service) const;
+  /// True if \p Server is a state from before one that this view has seen, of a
+  /// server that it knows or that was removed.
+  bool isOutdated(const BackendServer &Server) const;
+  /// Records that the entry of \p Server was removed.
+  void recordRemoval(const BackendServer &Server);
   /// Stores the last entry of a group member whose store entry is gone.
   void storeUnlistedMember(BackendServer Server);
 
@@ -104,6 +116,16 @@
   };
   std::map<std::string, LeavingProcess> m_LeavingProcesses;
   std::uint64_t m_LastNotice = 0;
+  /// Last report of a server whose entry was removed.
+  struct RemovedEntry {
+    BackendServer m_LastState;
+    /// Number of the notice; increases with time.
+    std::uint64_t m_Notice = 0;
+  };
+  std::map<std::string, RemovedEntry> m_RemovedEntries;
+  /// Servers that the last outdated listing lacked, with the time at which they
+  /// count as gone.
+  std::map<std::string, MonotonicTime> m_MissingUntil;
   mutable std::map<GroupKey, ReplicaGroup> m_Groups;
   mutable bool m_GroupsAreCurrent = false;
 };
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
   CPPUNIT_TEST(listingDoesNotUndoAForwardedChange);
   CPPUNIT_TEST(restoredStoreIsListedAnewAndWatchedFromItsOwnPosition);
+  CPPUNIT_TEST(objectsAreListedAgainAtTheEndOfARestoration);
   CPPUNIT_TEST_SUITE_END();
 
   /// A relay whose link loses packets, or which runs slowly, receives an answer
@@ -314,6 +315,31 @@
                      1});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, Version);
   }
+
+  /// Guards against a node that takes a copy of the store for its latest state,
+  /// and against one that never lists again what was not written again.
+  void objectsAreListedAgainAtTheEndOfARestoration() {
+    asio::io_context Loop;
+    EventLog Log(open("/dev/null", O_WRONLY));
+    Metrics Counters;
+    ManualFeed Store;
+    ObjectWatcherSettings Settings;
+    Settings.m_RestorationTime = seconds(4);
+    ObjectWatcher Watcher(Loop, Store, Log, Counters, "servers",
+                          FeedNode::handlers(), Settings);
+    Watcher.start();
+    Store.m_OnListed({StoreOutcome::Succeeded, {1, 90}, {}, 1});
+    CPPUNIT_ASSERT(Watcher.trust() == ListingTrust::Latest);
+    Watcher.onStoreRestored();
+    CPPUNIT_ASSERT(Watcher.trust() == ListingTrust::MayBeOutdated);
+    Store.m_OnListed({StoreOutcome::Succeeded, {2, 40}, {}, 2});
+    Store.m_OnListed = nullptr;
+    Watcher.tick(monotonicNow() + seconds(3));
+    CPPUNIT_ASSERT(!Store.m_OnListed);
+    Watcher.tick(monotonicNow() + seconds(4));
+    CPPUNIT_ASSERT(Store.m_OnListed);
+    CPPUNIT_ASSERT(Watcher.trust() == ListingTrust::Latest);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangeFeedTest);
--- a/tests/servers/fleet/test_fleet_view.cpp
+++ b/tests/servers/fleet/test_fleet_view.cpp
@@ -15,6 +15,10 @@
   CPPUNIT_TEST(unchangedEntryDoesNotRestartColdTime);
   CPPUNIT_TEST(endpointsAreValidated);
   CPPUNIT_TEST(entriesOfUnnamedServicesAreExcluded);
+  CPPUNIT_TEST(entryOfACopyBringsNoLeavingServerBack);
+  CPPUNIT_TEST(serverThatTheCopyLacksIsKeptForAWhile);
+  CPPUNIT_TEST(removedEntryOfACopyIsNoServer);
+  CPPUNIT_TEST(listingAtTheEndOfARestorationDecides);
   CPPUNIT_TEST_SUITE_END();
 
   MonotonicTime m_Now{seconds(1000)};
@@ -40,6 +44,91 @@
     CPPUNIT_ASSERT(!Fleet.find("a"));
   }
 
+  /// Report \p Number of the process of server \p Id that started at
+  /// \p StartedAtMs.
+  static BackendServer report(const std::string &Id, StorePosition Position,
+                              std::int64_t StartedAtMs, std::uint64_t Number,
+                              bool Draining = false) {
+    BackendServer Result = server(Id, 0, Draining);
+    Result.m_Position = Position;
+    Result.m_StartedAtMs = StartedAtMs;
+    Result.m_ReportNumber = Number;
+    return Result;
+  }
+
+  /// A server has said that it leaves, and the store returns from a copy in
+  /// which it is ready. Guards against requests to it, and against one that is
+  /// ignored because its next report has a lower revision.
+  void entryOfACopyBringsNoLeavingServerBack() {
+    FleetView Fleet;
+    Fleet.update(report("a", {1, 90}, 1000, 12, true), m_Now);
+    Fleet.update(report("b", {1, 91}, 1000, 4), m_Now);
+    Fleet.replaceAll({report("a", {2, 40}, 1000, 9), //
+                      report("b", {2, 41}, 1000, 4)},
+                     m_Now, ListingTrust::MayBeOutdated);
+    CPPUNIT_ASSERT(!Fleet.acceptsNewWork(*Fleet.find("a")));
+    CPPUNIT_ASSERT(Fleet.update(report("b", {2, 45}, 1000, 5, true), m_Now));
+    CPPUNIT_ASSERT(!Fleet.acceptsNewWork(*Fleet.find("b")));
+    // The process that follows at the ID takes requests.
+    CPPUNIT_ASSERT(Fleet.update(report("a", {2, 46}, 2000, 1), m_Now));
+    CPPUNIT_ASSERT(Fleet.acceptsNewWork(*Fleet.find("a")));
+  }
+
+  /// A server registered after the copy was made. Guards against requests that
+  /// find no server until it has written its entry again, and against a server
+  /// that stays for good after it has ended.
+  void serverThatTheCopyLacksIsKeptForAWhile() {
+    FleetView Fleet;
+    Fleet.update(report("back", {1, 90}, 1000, 1), m_Now);
+    Fleet.update(report("gone", {1, 91}, 1000, 1), m_Now);
+    Fleet.replaceAll({}, m_Now, ListingTrust::MayBeOutdated);
+    CPPUNIT_ASSERT(Fleet.find("back") && Fleet.find("gone"));
+    CPPUNIT_ASSERT(Fleet.removeMissing(m_Now + seconds(2)).empty());
+    Fleet.update(report("back", {2, 40}, 1000, 2), m_Now + seconds(2));
+    CPPUNIT_ASSERT(Fleet.removeMissing(m_Now + seconds(3)) ==
+                   std::vector<std::string>{"gone"});
+    CPPUNIT_ASSERT(Fleet.find("back") && !Fleet.find("gone"));
+  }
+
+  /// A server's entry was removed, and the copy has it again. Guards against
+  /// requests to a server that has left.
+  void removedEntryOfACopyIsNoServer() {
+    FleetView Fleet;
+    Fleet.update(report("left", {1, 80}, 1000, 7), m_Now);
+    Fleet.update(report("lapsed", {1, 81}, 1000, 7), m_Now);
+    Fleet.remove("left", {1, 90});
+    Fleet.remove("lapsed", {1, 91});
+    // Within an era the store's order decides.
+    CPPUNIT_ASSERT(Fleet.update(report("lapsed", {1, 92}, 1000, 8), m_Now));
+    Fleet.remove("lapsed", {1, 93});
+
+    Fleet.replaceAll(
+        {report("left", {2, 40}, 1000, 7), report("lapsed", {2, 41}, 1000, 7)},
+        m_Now, ListingTrust::MayBeOutdated);
+    CPPUNIT_ASSERT(!Fleet.find("left") && !Fleet.find("lapsed"));
+    CPPUNIT_ASSERT(Fleet.update(report("lapsed", {2, 50}, 1000, 9), m_Now));
+    CPPUNIT_ASSERT(Fleet.find("lapsed"));
+  }
+
+  /// A server returned to an earlier state while the store was away, so that
+  /// its entry did not change again. Guards against a state that is kept for
+  /// good.
+  void listingAtTheEndOfARestorationDecides() {
+    FleetView Fleet;
+    Fleet.update(report("kept", {1, 90}, 1000, 12, true), m_Now);
+    Fleet.update(report("removed", {1, 91}, 1000, 5), m_Now);
+    Fleet.update(report("missing", {1, 92}, 1000, 5), m_Now);
+    Fleet.remove("removed", {1, 93});
+    const std::vector<BackendServer> Listing{
+        report("kept", {2, 40}, 1000, 9), report("removed", {2, 41}, 1000, 5)};
+    Fleet.replaceAll(Listing, m_Now, ListingTrust::MayBeOutdated);
+    CPPUNIT_ASSERT(Fleet.find("kept")->m_Draining);
+    Fleet.replaceAll(Listing, m_Now + seconds(4));
+    CPPUNIT_ASSERT(!Fleet.find("kept")->m_Draining);
+    CPPUNIT_ASSERT(Fleet.find("removed"));
+    CPPUNIT_ASSERT(!Fleet.find("missing"));
+  }
+
   /// Guards against a server that remains in the view although its entry was
   /// deleted while the change history of the store was unavailable.
   void listReturnsChangedServers() {
