Write again what the system has lost in a copy

After a restoration a server that had been told to leave could be taken into a group while the head of its last one might still serve (TWO), since the quarantine was lost; nodes that had started in the lost span were not known to their peers.

Cause: the quarantine and the registration of a node were written once and never again. The users' operator and servers write theirs again; what the system has written is gone.

Change: when a restoration is noticed, a node that has quarantined servers adds them to the record of the copy, without a lease: the next holder, who waits for the end of the restoration, reads them. Each node registers anew. A failed read of the quarantine is repeated after 200 ms instead of at the next tick.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -172,6 +172,9 @@
   /// copy.
   void onStoreRestored(StoreEra Era) {
     m_GroupCoordinator.onStoreRestored(Era);
+    m_RegistrationVersion = {};
+    if (!isDraining())
+      registerNode();
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       Watcher->onStoreRestored();
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -39,6 +39,8 @@
 /// Time after which the entries that were read at the end of a restoration have
 /// been applied.
 constexpr Duration RestorationMargin = milliseconds(300);
+/// Delay after a failed read of the quarantine.
+constexpr Duration QuarantineRetryDelay = milliseconds(200);
 /// Key of the store's object that lists the quarantined servers.
 constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
 constexpr int Ok = 200;
@@ -79,6 +81,13 @@
                   LiveNodes.size());
 }
 
+void GroupCoordinator::onStoreRestored(StoreEra Era) {
+  const MonotonicTime Now = monotonicNow();
+  m_Lease.onStoreEra(Era, Now);
+  m_IsQuarantineLoaded = false;
+  mergeInto(m_QuarantineToRestore, quarantineRecord(Now));
+}
+
 void GroupCoordinator::tick(MonotonicTime Now) {
   advanceLease(Now);
   const bool IsHolder = m_Lease.isHeld(Now);
@@ -98,8 +107,10 @@
         IsHolder ? "lease_taken" : "lease_lost",
         {{"lease", "groups"}, {"epoch", static_cast<std::int64_t>(m_Epoch)}});
   }
+  if (!m_QuarantineToRestore.empty())
+    restoreQuarantine(Now);
   if (IsHolder && !m_IsQuarantineLoaded)
-    loadQuarantine();
+    loadQuarantine(Now);
   std::map<GroupKey, StallReport> Deferred;
   Deferred.swap(m_DeferredReports);
   for (const auto &[Group, Report] : Deferred)
@@ -215,8 +226,8 @@
          {"converting_domains", Number(Supply.m_ConvertingDomains)}});
 }
 
-void GroupCoordinator::loadQuarantine() {
-  if (m_IsQuarantineCallInFlight)
+void GroupCoordinator::loadQuarantine(MonotonicTime Now) {
+  if (m_IsQuarantineCallInFlight || Now < m_NextQuarantineReadAt)
     return;
   m_IsQuarantineCallInFlight = true;
   m_Platform.m_StartStoreCall(
@@ -224,8 +235,10 @@
         m_IsQuarantineCallInFlight = false;
         const auto &Read = std::get<GetCompleted>(Result);
         if (Read.m_Outcome != StoreOutcome::Succeeded &&
-            Read.m_Outcome != StoreOutcome::NotFound)
-          return; // the next tick repeats the read
+            Read.m_Outcome != StoreOutcome::NotFound) {
+          m_NextQuarantineReadAt = monotonicNow() + QuarantineRetryDelay;
+          return;
+        }
         m_IsQuarantineLoaded = true;
         m_QuarantineVersion = Read.m_Version;
         m_StoredQuarantine.clear();
@@ -237,14 +250,10 @@
       });
 }
 
-QuarantineRecord GroupCoordinator::quarantineRecord() const {
+QuarantineRecord GroupCoordinator::quarantineRecord(MonotonicTime Now) const {
   QuarantineRecord Result;
   for (const auto &[Service, Planner] : m_Planners)
-    for (const auto &[Server, Head] : Planner.quarantineRecord()) {
-      const auto [Known, IsNew] = Result.emplace(Server, Head);
-      if (!IsNew && !(Known->second == Head))
-        Known->second = {};
-    }
+    mergeInto(Result, Planner.quarantineRecord(Now));
   return Result;
 }
 
@@ -261,29 +270,54 @@
 void GroupCoordinator::storeQuarantine() {
   if (m_IsQuarantineCallInFlight)
     return;
+  writeQuarantine(quarantineRecord(), [this, Epoch = m_Epoch](bool IsStored) {
+    if (!IsStored) {
+      m_OrdersAwaitingQuarantine.clear();
+      return;
+    }
+    if (!m_HoldsLease || Epoch != m_Epoch)
+      return;
+    std::vector<MemberOrder> Orders;
+    Orders.swap(m_OrdersAwaitingQuarantine);
+    for (const MemberOrder &Order : Orders)
+      if (isQuarantineStored(Order.m_Server))
+        sendOrder(Order);
+  });
+}
+
+void GroupCoordinator::restoreQuarantine(MonotonicTime Now) {
+  if (m_IsQuarantineCallInFlight)
+    return;
+  if (!m_IsQuarantineLoaded) {
+    loadQuarantine(Now);
+    return;
+  }
+  QuarantineRecord Record = m_StoredQuarantine;
+  mergeInto(Record, m_QuarantineToRestore);
+  writeQuarantine(Record, [this](bool IsStored) {
+    if (IsStored)
+      m_QuarantineToRestore.clear();
+  });
+}
+
+void GroupCoordinator::writeQuarantine(const QuarantineRecord &Record,
+                                       std::function<void(bool)> Done) {
   m_IsQuarantineCallInFlight = true;
-  const QuarantineRecord Record = quarantineRecord();
   m_Platform.m_StartStoreCall(
       PutObject{0, QuarantineKey, m_QuarantineVersion, toJson(Record).dump()},
-      [this, Record, Epoch = m_Epoch](const StoreCompletion &Result) {
+      [this, Record, Done = std::move(Done)](const StoreCompletion &Result) {
         m_IsQuarantineCallInFlight = false;
         const auto &Written = std::get<WriteCompleted>(Result);
-        if (Written.m_Outcome != StoreOutcome::Succeeded) {
+        const bool IsStored = Written.m_Outcome == StoreOutcome::Succeeded;
+        if (IsStored) {
+          m_QuarantineVersion = Written.m_Version;
+          m_StoredQuarantine = Record;
+        } else {
           // Another node may have written the object, or the outcome is
           // unknown, so it is read again.
           m_IsQuarantineLoaded = false;
-          m_OrdersAwaitingQuarantine.clear();
-          return;
         }
-        m_QuarantineVersion = Written.m_Version;
-        m_StoredQuarantine = Record;
-        if (!m_HoldsLease || Epoch != m_Epoch)
-          return;
-        std::vector<MemberOrder> Orders;
-        Orders.swap(m_OrdersAwaitingQuarantine);
-        for (const MemberOrder &Order : Orders)
-          if (isQuarantineStored(Order.m_Server))
-            sendOrder(Order);
+        Done(IsStored);
       });
 }
 
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -47,9 +47,7 @@
   void checkLiveness(const BackendServer &Server, LivenessHandler Done,
                      unsigned Attempt = 1);
   /// Must be called when the store has returned from a copy.
-  void onStoreRestored(StoreEra Era) {
-    m_Lease.onStoreEra(Era, monotonicNow());
-  }
+  void onStoreRestored(StoreEra Era);
   /// Releases the lease and makes no further attempt to acquire it.
   void stop() { m_Lease.stop(); }
   bool holdsLease() const { return m_HoldsLease; }
@@ -59,12 +57,20 @@
   void planServices(MonotonicTime Now);
   void logSupply(const std::vector<ModelSupply> &Supplies);
   /// Reads the quarantined servers from the store.
-  void loadQuarantine();
+  void loadQuarantine(MonotonicTime Now);
   /// Writes the quarantined servers to the store, then sends
   /// m_OrdersAwaitingQuarantine.
   void storeQuarantine();
-  /// The quarantine of all services.
-  QuarantineRecord quarantineRecord() const;
+  /// Writes m_QuarantineToRestore to the store again, in addition to what it
+  /// contains. Needs no lease: the next holder reads it when it has one.
+  void restoreQuarantine(MonotonicTime Now);
+  /// Starts to replace the stored quarantine by \p Record. \p Done is called
+  /// with whether that succeeded; otherwise it has to be read again.
+  void writeQuarantine(const QuarantineRecord &Record,
+                       std::function<void(bool)> Done);
+  /// The quarantine of all services at \p Now.
+  QuarantineRecord
+  quarantineRecord(MonotonicTime Now = MonotonicTime::min()) const;
   /// True if the store has the quarantine of \p Server, with its head.
   bool isQuarantineStored(const std::string &Server) const;
   void sendOrder(const MemberOrder &Order);
@@ -121,6 +127,11 @@
   /// lease epoch and after each failed write.
   bool m_IsQuarantineLoaded = false;
   bool m_IsQuarantineCallInFlight = false;
+  /// Earliest time of the next read after one that failed.
+  MonotonicTime m_NextQuarantineReadAt{};
+  /// Servers that this node had quarantined when the store returned from a
+  /// copy.
+  QuarantineRecord m_QuarantineToRestore;
   ObjectVersion m_QuarantineVersion;
   /// Quarantined servers as last read from or written to the store.
   QuarantineRecord m_StoredQuarantine;
--- a/servers/replicas/quarantine_record.cpp
+++ b/servers/replicas/quarantine_record.cpp
@@ -4,6 +4,14 @@
 
 namespace fulmarwinch {
 
+void mergeInto(QuarantineRecord &Record, const QuarantineRecord &Other) {
+  for (const auto &[Server, Head] : Other) {
+    const auto [Known, IsNew] = Record.emplace(Server, Head);
+    if (!IsNew && !(Known->second == Head))
+      Known->second = {};
+  }
+}
+
 Json toJson(const QuarantineRecord &Record) {
   Json Servers = Json::array();
   std::map<std::string, Json> RowByHead;
--- a/servers/replicas/quarantine_record.h
+++ b/servers/replicas/quarantine_record.h
@@ -27,6 +27,10 @@
 /// lease holder hands the record to the next one through the store.
 using QuarantineRecord = std::map<std::string, HeadProcess>;
 
+/// Adds the servers of \p Other to \p Record. The head of a server that both
+/// name with different heads is not known.
+void mergeInto(QuarantineRecord &Record, const QuarantineRecord &Other);
+
 /// Encodes \p Record as an object with the fields `servers`, the names of all
 /// servers, and `heads`, the known heads with their members. Nodes of earlier
 /// versions read only `servers`.
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -24,10 +24,11 @@
                              Head};
 }
 
-QuarantineRecord ReplicaPlanner::quarantineRecord() const {
+QuarantineRecord ReplicaPlanner::quarantineRecord(MonotonicTime Now) const {
   QuarantineRecord Record;
   for (const auto &[Server, Active] : m_Quarantines)
-    Record.emplace(Server, Active.m_Head);
+    if (Active.m_Until > Now)
+      Record.emplace(Server, Active.m_Head);
   return Record;
 }
 
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -118,8 +118,10 @@
 
   /// Servers whose last group may still be served by an unreachable head. They
   /// join no group until the time has passed after which that head stops
-  /// serving, or until it is known to have ended.
-  QuarantineRecord quarantineRecord() const;
+  /// serving, or until it is known to have ended. Those that end by \p Now are
+  /// left out.
+  QuarantineRecord
+  quarantineRecord(MonotonicTime Now = MonotonicTime::min()) const;
 
   /// Reports that a server refused a join order or did not respond to it.
   void onJoinFailed(const MemberOrder &Order, MonotonicTime Now);
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(headThatFailsAfterItsProbeIsProbedAgain);
   CPPUNIT_TEST(probeShowsThatAServerLeaves);
   CPPUNIT_TEST(leaseThatReturnsWithItsEpochRepeatsNoGroupKey);
+  CPPUNIT_TEST(quarantineThatTheCopyLacksIsWrittenAgain);
   CPPUNIT_TEST_SUITE_END();
 
   /// Longer than the lease on group formation.
@@ -178,6 +179,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.ordersToTheMember());
   }
 
+  /// The store returns from a copy that was made before a server was
+  /// quarantined. Guards against the next lease holder taking the server into a
+  /// group while the head of its last one may serve.
+  void quarantineThatTheCopyLacksIsWrittenAgain() {
+    World Test;
+    Test.loseHead();
+    Test.answerQuarantineWrite();
+    Test.m_AnswerQuarantineWrite = nullptr;
+    Test.m_WrittenQuarantine.clear();
+    Test.m_StoredQuarantine =
+        toJson({{"s9", {"i-old", {"127.0.0.1", 1}, 5}}}).dump();
+    Test.m_Coordinator->onStoreRestored(1);
+    Test.runFor(milliseconds(100));
+    CPPUNIT_ASSERT(!Test.m_Coordinator->holdsLease());
+    CPPUNIT_ASSERT(Test.m_AnswerQuarantineWrite != nullptr);
+    const QuarantineRecord Written = parseQuarantineRecord(
+        *parseJson(Test.m_WrittenQuarantine, "quarantine record"));
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), Written.at("s2").m_Id);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-old"), Written.at("s9").m_Id);
+
+    // A write that failed is repeated, one that succeeded is not.
+    const auto FailedWrite = std::exchange(Test.m_AnswerQuarantineWrite, {});
+    FailedWrite(WriteCompleted{0, StoreOutcome::Unknown, {}});
+    Test.runFor(milliseconds(300));
+    CPPUNIT_ASSERT(Test.m_AnswerQuarantineWrite != nullptr);
+    const auto Write = std::exchange(Test.m_AnswerQuarantineWrite, {});
+    Write(WriteCompleted{0, StoreOutcome::Succeeded, 9});
+    Test.runFor(milliseconds(300));
+    CPPUNIT_ASSERT(Test.m_AnswerQuarantineWrite == nullptr);
+  }
+
   /// The member waited for an earlier head when it was taken into this group.
   /// Guards against a record that names the earlier head, which would let the
   /// next lease holder release the member while this head may serve.
