Let the soak's store return from copies

Change: the store keeps copies of itself, names its era, answers 410 to a watch from a revision that it does not have, and returns from a copy of 0.5 to 8 s as one more fault; the operator and the servers write again what they wrote, and entries of servers that have ended lapse. New checks: no lease epoch is held by two processes, and the version that was confirmed last is in force on all nodes 2.5 s later. The checks of before stay.

--- a/soak/front_soak.py
+++ b/soak/front_soak.py
@@ -5,7 +5,7 @@
 
 Clients use open connections until the process is gone, while signals,
 restarts, configuration changes and troubles of servers and of the store come
-in series and overlap. Exits with 1 if a promise was broken; the folder with
+in series and overlap; the store may return from a copy. Exits with 1 if a promise was broken; the folder with
 the logs of that run is kept and printed. Runs on 127.SEED.0.0/16, so several
 runs with different seeds may share a machine.
 """
@@ -19,8 +19,8 @@
 import sys
 import tempfile
 
-from world import (CLIENT_PORT, DRAIN_S, READY_PORT, STREAM_EVENTS, Node,
-                   Server, Store, now, read_message)
+from world import (CLIENT_PORT, DRAIN_S, HEARTBEAT_S, LAPSE_S, READY_PORT,
+                   STREAM_EVENTS, Node, Server, Store, now, read_message)
 
 NODES, SERVERS, CONNECTIONS = 3, 6, 8
 # Length of a server's rate limit, the time from which it holds, and the window
@@ -86,12 +86,16 @@
                    "slo_ms": 400,
                    "max_attempts": 2, "priority": 1, "public": False}
                   for name, kind in ROUTES.items()]
-        self.store.put("config", "main", {
+        # A route of this version only shows which one is in force.
+        routes.append(dict(routes[1], name="version",
+                           path_prefix=f"/version-{self.version}/"))
+        self.configuration = {
             "version": self.version, "routes": routes,
             "services": [{"name": "echo", "health_path": "/health"}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 4000},
-            "tenants": [{"name": "org", "api_keys": ["key"]}]})
+            "tenants": [{"name": "org", "api_keys": ["key"]}]}
+        self.store.put("config", "main", self.configuration)
 
     # Clients
 
@@ -251,6 +255,32 @@
         else:
             self.store.busy_until = until
 
+    async def restore_store(self, _):
+        """The store is away and returns from a copy; what the operator and the
+        servers wrote is written again."""
+        until = now() + self.random.uniform(0.1, 2.0)
+        self.store.silent_until = max(self.store.silent_until, until)
+        await asyncio.sleep(until - now())
+        if not self.store.copies:
+            return
+        self.store.restore(self.random.uniform(0.5, 8.0))
+        era = self.store.era
+        await asyncio.sleep(self.random.uniform(0, 0.2))
+        self.store.put("config", "main", self.configuration)
+        for server in self.servers:
+            asyncio.create_task(self.write_entry_again(server))
+        await asyncio.sleep(LAPSE_S)
+        living = {server.id for server in self.servers if not server.has_ended}
+        for kind, name in list(self.store.objects):
+            if era == self.store.era and kind == "servers" and (
+                    name not in living):
+                self.store.delete(kind, name)
+
+    async def write_entry_again(self, server):
+        await asyncio.sleep(self.random.uniform(0, HEARTBEAT_S))
+        if not server.has_ended:
+            server.write_entry()
+
     async def change_configuration(self, _):
         for _ in range(self.random.choice([1, 4])):
             self.write_configuration()
@@ -265,6 +295,7 @@
                  (self.pause_server, self.servers),
                  (self.limit_server, self.servers),
                  (self.reset_server, self.servers), (self.break_store, [None]),
+                 (self.restore_store, [None]),
                  (self.change_configuration, [None])]
         tasks = []
         while now() < self.ends_at - 5:
@@ -347,6 +378,56 @@
                                    f"{allowed} are allowed")
                     break
 
+    def judge_leases(self):
+        """No lease epoch is held by two processes."""
+        holders = {}
+        for node in self.nodes:
+            process = 0
+            with open(node.log_path, encoding="utf-8") as log:
+                for line in log:
+                    try:
+                        event = json.loads(line)
+                    except json.JSONDecodeError:
+                        continue  # a killed process may cut its last line
+                    process += event.get("event") == "started"
+                    if event.get("event") == "lease_taken":
+                        holders.setdefault(event["epoch"], set()).add(
+                            (node.name, process))
+        for epoch, processes in holders.items():
+            if len(processes) > 1:
+                self.violation(f"lease epoch {epoch} was held by "
+                               f"{sorted(processes)}")
+
+    async def status_of(self, node, path):
+        """Status of a request that is sent on a connection of its own; 0 if
+        there is no answer."""
+        try:
+            reader, writer = await asyncio.open_connection(node.ip,
+                                                           CLIENT_PORT)
+            self.request_count += 1
+            request_id = f"r{self.request_count:06d}"
+            self.records[request_id] = Record(node, "often")
+            writer.write(f"POST {path} HTTP/1.1\r\nHost: h.example\r\n"
+                         f"Request-Id: {request_id}\r\nDeadline-Ms: 3000\r\n"
+                         "Credential: key\r\nContent-Length: 0\r\n\r\n"
+                         .encode())
+            message = await asyncio.wait_for(read_message(reader),
+                                             DEFAULT_ANSWER_S)
+            writer.close()
+            return int(message[0].split(" ")[1]) if message else 0
+        except (OSError, asyncio.TimeoutError):
+            return 0
+
+    async def check_configuration(self):
+        """The version that was confirmed last is in force on all nodes."""
+        for node in self.nodes:
+            statuses = [await self.status_of(
+                node, f"/version-{self.version - age}/x") for age in (0, 1)]
+            if statuses[0] == 404 or statuses[1] == 200:
+                self.violation(f"{node.name} answers {statuses} on the routes "
+                               f"of versions {self.version} and "
+                               f"{self.version - 1}")
+
     async def check_recovery(self):
         for node in self.nodes:
             served = 0
@@ -382,7 +463,9 @@
         await asyncio.gather(*clients)
         for node in self.nodes:
             await self.wait_until_ready(node)
+        self.write_configuration()
         await asyncio.sleep(2.5)
+        await self.check_configuration()
         await self.check_recovery()
         self.judge_records()
         self.judge_notices()
@@ -390,6 +473,7 @@
         self.judge_limits()
         for node in self.nodes:
             node.kill()
+        self.judge_leases()
 
     async def wait_until_ready(self, node):
         for _ in range(600):
@@ -423,7 +507,7 @@
     print(f"seed {seed}: {len(world.records)} requests "
           f"{json.dumps(outcomes, sort_keys=True)}, {len(world.faults)} "
           f"faults, {len(world.notices)} notices, {len(world.pauses)} pauses, "
-          f"{len(world.limits)} limits: "
+          f"{len(world.limits)} limits, {world.store.era - 1} restorations: "
           f"{len(world.violations)} violations", flush=True)
     if not world.violations:
         shutil.rmtree(world.directory)
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,11 @@
 DRAIN_S = 2.0
 CLIENT_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8601, 8602, 7680, 8609
 STREAM_EVENTS = 6
+# Time between two copies of the store, and age of the oldest one.
+COPY_PERIOD_S, OLDEST_COPY_S = 0.25, 9.0
+# Period in which servers write their entries, and time after which the entry of
+# one that has ended is removed.
+HEARTBEAT_S, LAPSE_S = 1.2, 3.6
 # Longest time in which a server answers on the slow route.
 SLOW_S = 6.0
 
@@ -70,10 +75,35 @@
         self.changed = asyncio.Event()
         self.silent_until = 0.0
         self.busy_until = 0.0
+        self.era = 1
+        # Earlier states as (time, revision, objects).
+        self.copies = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip,
                                                  STORE_PORT)
+        self.copier = asyncio.create_task(self.keep_copies())
+
+    async def keep_copies(self):
+        while True:
+            self.copies.append((now(), self.revision,
+                                json.loads(json.dumps(list(
+                                    self.objects.items())))))
+            self.copies = [copy for copy in self.copies
+                           if copy[0] > now() - OLDEST_COPY_S]
+            await asyncio.sleep(COPY_PERIOD_S)
+
+    def restore(self, age):
+        """Returns to the copy that is about `age` seconds old."""
+        _, self.revision, objects = min(
+            self.copies, key=lambda copy: abs(now() - age - copy[0]))
+        self.objects = {tuple(key): item for key, item in objects}
+        self.events = [event for event in self.events
+                       if event[0] <= self.revision]
+        self.copies = []
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -104,7 +134,8 @@
                 if now() >= self.busy_until:
                     status, body = await self.handle(message)
                 writer.write(http_response(
-                    status, {"Content-Type": "application/json"},
+                    status, {"Content-Type": "application/json",
+                             "Store-Era": str(self.era)},
                     json.dumps(body).encode()))
                 await writer.drain()
             elif message:
@@ -124,6 +155,8 @@
             item = self.objects.get((kind, name))
             return (200, item) if item else (404, {})
         if method == "GET" and "watch" in parameters:
+            if int(parameters["watch"]) > self.revision:
+                return 410, {}
             return 200, await self.watch(kind, int(parameters["watch"]),
                                          int(parameters["wait_ms"]) / 1000)
         if method == "GET":
@@ -146,8 +179,10 @@
         return 200, self.put(kind, name, body["spec"])
 
     async def watch(self, kind, since, wait):
-        end = now() + wait
+        end, era = now() + wait, self.era
         while True:
+            if era != self.era:
+                raise ConnectionResetError
             events = [event for revision, other, event in self.events
                       if other == kind and revision > since]
             if events or now() >= end:
@@ -168,8 +203,8 @@
     async def start(self):
         self.world.server_count += 1
         self.id = f"i-{self.world.server_count:04d}"
-        self.born = self.world.server_count
-        self.leaving = False
+        self.born, self.reports = self.world.server_count, 0
+        self.leaving, self.has_ended = False, False
         self.pause_until = self.reset_until = self.limit_until = 0.0
         self.limit = 0.0
         self.listener = await asyncio.start_server(self.serve, self.ip,
@@ -177,14 +212,16 @@
         self.write_entry()
 
     def write_entry(self):
+        self.reports += 1
         self.world.store.put("servers", self.id, {
             "service": "echo", "address": f"{self.ip}:{self.port}",
             "zone": "a", "version": "v1", "slots": 64, "born": self.born,
-            "cold_remaining_ms": 0, "seq_no": 0,
+            "cold_remaining_ms": 0, "seq_no": self.reports,
             "state": "draining" if self.leaving else "ready"})
 
     async def stop(self):
         """Ends the process; requests in progress are reset."""
+        self.has_ended = True
         self.listener.close()
         for writer in list(self.connections):
             writer.transport.abort()
@@ -269,6 +306,7 @@
         # the node stood still.
         self.killed_processes, self.stopped_processes = {}, set()
         self.freezes = []
+        self.log_path = os.path.join(world.directory, f"{self.name}.log")
         self.settings = os.path.join(world.directory, f"{self.name}.conf")
         with open(self.settings, "w", encoding="ascii") as file:
             file.write(f"node={self.name}\nzone=a\nip={self.ip}\n"
@@ -279,13 +317,13 @@
                        f"bounds.grace_s={GRACE_S}\nlimits.memory_mb=256\n"
                        "bounds.stall_ms=5000\nbounds.retry_budget_ratio=0.2\n"
                        "bounds.budget_slack=100\nbounds.budget_window_s=10\n"
-                       "limits.link_mbps=100\n")
+                       "limits.link_mbps=100\n"
+                       f"heartbeat_ms={HEARTBEAT_S * 1000:.0f}\n")
 
     def start(self):
         self.killed = self.stopping = False
         self.term_at, self.started_at = None, now()
-        with open(os.path.join(self.world.directory, f"{self.name}.log"),
-                  "ab") as log:
+        with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [PROGRAM, "--settings", self.settings], stdout=log, stderr=log)
 
