Name the era of our own platform interface

Change: each answer of the platform has an era; a conditional write names the era of the version that it expects and gets 409 in another one. The stand-in keeps copies and returns to them (control: copy, restore).

Result: versionsOfARestoredStoreNameItsEra needs the new control to compile; watchAnswerOfANewEraIsFollowedByAListing fails without the change to the replica, which would watch on.

--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -30,6 +30,21 @@
                    Status) != NotExecutedStatuses.end();
 }
 
+StoreEra eraOf(const Json &Body) { return fieldOr(Body, "era", StoreEra{0}); }
+
+/// Reads the version in \p Row of an answer of \p Era. It is 0 for an object
+/// that does not exist.
+ObjectVersion versionOf(const Json &Row, StoreEra Era) {
+  const auto Revision = fieldOr(Row, "version", std::uint64_t{0});
+  return Revision == 0 ? ObjectVersion() : ObjectVersion(Era, Revision);
+}
+
+/// Query parameters that make a write conditional on \p Expected.
+std::string conditionOn(ObjectVersion Expected) {
+  return fmt::format("?expected={}&era={}", Expected.m_Revision,
+                     Expected.m_Era);
+}
+
 StoreOutcome outcomeOfWrite(const HttpCallResult &Result,
                             ObjectVersion Version) {
   if (!Result.m_Complete)
@@ -47,18 +62,19 @@
 
 WriteCompleted makeWriteCompletion(StoreCallId Id, const HttpCallResult &Result,
                                    const Json &Body) {
-  const auto Version = fieldOr(Body, "version", std::uint64_t{0});
-  return {Id, outcomeOfWrite(Result, Version), Version};
+  const ObjectVersion Version = versionOf(Body, eraOf(Body));
+  return {Id, outcomeOfWrite(Result, Version), Version, eraOf(Body)};
 }
 
 GetCompleted makeGetCompletion(StoreCallId Id, const HttpCallResult &Result,
                                const Json &Body) {
   GetCompleted Completion;
   Completion.m_Id = Id;
+  Completion.m_Era = eraOf(Body);
   if (Result.m_Complete && Result.m_Status == StatusNotFound)
     Completion.m_Outcome = StoreOutcome::NotFound;
-  const auto Version = fieldOr(Body, "version", std::uint64_t{0});
-  if (!isSuccess(Result) || Version == 0 || !Body.contains("value"))
+  const ObjectVersion Version = versionOf(Body, Completion.m_Era);
+  if (!isSuccess(Result) || !Version.exists() || !Body.contains("value"))
     return Completion;
   const Json &Value = Body["value"];
   Completion.m_Outcome = StoreOutcome::Succeeded;
@@ -71,8 +87,8 @@
 std::vector<StoreKey> parseKeys(const Json &Body, const char *Member) {
   std::vector<StoreKey> Keys;
   for (const Json &Row : fieldOr(Body, Member, Json::array()))
-    Keys.push_back({fieldOr(Row, "key", std::string()),
-                    fieldOr(Row, "version", std::uint64_t{0})});
+    Keys.push_back(
+        {fieldOr(Row, "key", std::string()), versionOf(Row, eraOf(Body))});
   return Keys;
 }
 
@@ -154,9 +170,8 @@
 
 void HttpObjectStore::startPut(const PutObject &Action,
                                std::function<void(StoreCompletion)> Done) {
-  HttpCall Call =
-      makeCall("PUT", fmt::format("{}?expected={}", objectUrl(Action.m_Key),
-                                  Action.m_ExpectedVersion.m_Revision));
+  HttpCall Call = makeCall("PUT", objectUrl(Action.m_Key) +
+                                      conditionOn(Action.m_ExpectedVersion));
   try {
     Call.m_Body = Json{{"value", Action.m_Value}}.dump();
   } catch (const Json::exception &) {
@@ -177,8 +192,8 @@
 void HttpObjectStore::startDelete(const DeleteObject &Action,
                                   std::function<void(StoreCompletion)> Done) {
   send(StoreCallKind::Delete,
-       makeCall("DELETE", fmt::format("{}?expected={}", objectUrl(Action.m_Key),
-                                      Action.m_ExpectedVersion.m_Revision)),
+       makeCall("DELETE", objectUrl(Action.m_Key) +
+                              conditionOn(Action.m_ExpectedVersion)),
        [Id = Action.m_Id, Done = std::move(Done)](const HttpCallResult &Result,
                                                   const Json &Body) {
          Done(makeWriteCompletion(Id, Result, Body));
@@ -198,7 +213,8 @@
         if (!isSuccess(Result) || !Body.is_object())
           return Done(std::move(Completion));
         Completion.m_Outcome = StoreOutcome::Succeeded;
-        Completion.m_Position = fieldOr(Body, "revision", std::uint64_t{0});
+        Completion.m_Position = {eraOf(Body),
+                                 fieldOr(Body, "revision", std::uint64_t{0})};
         Completion.m_Keys = parseKeys(Body, "objects");
         Completion.m_HasMore = fieldOr(Body, "more", false);
         Done(std::move(Completion));
@@ -223,7 +239,8 @@
         if (!isSuccess(Result) || !Body.is_object())
           return Done(std::move(Completion));
         Completion.m_Outcome = StoreOutcome::Succeeded;
-        Completion.m_Position = fieldOr(Body, "revision", std::uint64_t{0});
+        Completion.m_Position = {eraOf(Body),
+                                 fieldOr(Body, "revision", std::uint64_t{0})};
         Completion.m_Events = parseKeys(Body, "events");
         Done(std::move(Completion));
       });
--- a/drivers/standin/object_table.cpp
+++ b/drivers/standin/object_table.cpp
@@ -47,6 +47,12 @@
   return {StoreOutcome::Succeeded, m_Revision};
 }
 
+void ObjectTable::returnFrom(const ObjectTable &Copy) {
+  const StoreEra Next = m_Era + 1;
+  *this = ObjectTable(Copy);
+  m_Era = Next;
+}
+
 void ObjectTable::recordChange(const std::string &Key, std::uint64_t Version) {
   m_History.push_back({m_Revision, Key, Version});
   if (m_History.size() > m_HistoryLimit)
@@ -66,7 +72,10 @@
   }
   const bool HasMore =
       Next != m_Objects.end() && startsWith(Next->first, Prefix);
-  return {{"revision", m_Revision}, {"objects", Objects}, {"more", HasMore}};
+  return {{"revision", m_Revision},
+          {"era", m_Era},
+          {"objects", Objects},
+          {"more", HasMore}};
 }
 
 std::optional<Json> ObjectTable::changesSince(const std::string &Prefix,
--- a/drivers/standin/object_table.h
+++ b/drivers/standin/object_table.h
@@ -53,6 +53,12 @@
                                    std::uint64_t Since) const;
 
   std::uint64_t revision() const { return m_Revision; }
+  /// Number of times that the table has returned from a copy.
+  StoreEra era() const { return m_Era; }
+
+  /// Returns to the state of \p Copy, an earlier state of this table, and
+  /// begins a new era. Revisions after that of the copy are given out again.
+  void returnFrom(const ObjectTable &Copy);
 
 private:
   struct Change {
@@ -66,6 +72,7 @@
 
   std::size_t m_HistoryLimit;
   std::uint64_t m_Revision = 0;
+  StoreEra m_Era = 0;
   std::map<std::string, Object> m_Objects;
   std::deque<Change> m_History;
 };
--- a/drivers/standin/platform_standin.cpp
+++ b/drivers/standin/platform_standin.cpp
@@ -66,11 +66,13 @@
                            : Value.dump().size();
 }
 
-HttpResponse writeResponse(const ObjectTable::WriteResult &Result) {
+HttpResponse writeResponse(const ObjectTable::WriteResult &Result,
+                           StoreEra Era) {
   if (Result.m_Outcome == StoreOutcome::NotFound)
-    return makeErrorResponse(404, "no such object");
+    return makeJsonResponse(404, {{"error", "no such object"}, {"era", Era}});
   const int Status = Result.m_Outcome == StoreOutcome::Succeeded ? 200 : 409;
-  return makeJsonResponse(Status, {{"version", Result.m_Version}});
+  return makeJsonResponse(Status,
+                          {{"version", Result.m_Version}, {"era", Era}});
 }
 
 } // namespace
@@ -119,6 +121,19 @@
   m_WeightStore.setBandwidth(fieldOr(m_Settings, "weight_bytes_per_s", 1e9));
   if (Settings.contains("vms"))
     applyVmChanges(Settings["vms"]);
+  if (Settings.contains("copy"))
+    m_Copies.insert_or_assign(fieldOr(Settings, "copy", std::string()),
+                              m_Objects);
+  const auto Copy = m_Copies.find(fieldOr(Settings, "restore", std::string()));
+  if (Copy != m_Copies.end())
+    restore(Copy->second);
+}
+
+void PlatformStandin::restore(const ObjectTable &Copy) {
+  m_Objects.returnFrom(Copy);
+  for (const WatchRequest &PendingWatch : m_PendingWatches)
+    PendingWatch.m_Exchange->respond(makeErrorResponse(503, "restored"));
+  m_PendingWatches.clear();
 }
 
 void PlatformStandin::applyVmChanges(const Json &Vms) {
@@ -150,6 +165,7 @@
   return {{"counts", m_Counters},
           {"settings", m_Settings},
           {"revision", m_Objects.revision()},
+          {"era", m_Objects.era()},
           {"watches_waiting", m_PendingWatches.size()},
           {"loads_running", Loads}};
 }
@@ -222,6 +238,10 @@
     return list(Request);
   if (Kind == "vms")
     return listVms();
+  if (namesAnotherEra(Request)) {
+    incrementCounter("conflicts");
+    return makeJsonResponse(409, {{"era", m_Objects.era()}});
+  }
   HttpResponse Response = Kind == "put" ? put(Request) : remove(Request);
   if (Response.m_Status == 200)
     answerChangedWatches();
@@ -239,14 +259,21 @@
       });
 }
 
+bool PlatformStandin::namesAnotherEra(const HttpRequest &Request) const {
+  return queryNumber(Request, "expected", 0) != 0 &&
+         queryNumber(Request, "era", m_Objects.era()) != m_Objects.era();
+}
+
 HttpResponse PlatformStandin::get(const HttpRequest &Request) {
   const std::string Key = objectKeyOf(Request);
   const ObjectTable::Object *Found = m_Objects.find(Key);
   if (!Found)
-    return makeErrorResponse(404, "no such object");
-  return makeJsonResponse(
-      200,
-      {{"key", Key}, {"version", Found->m_Version}, {"value", Found->m_Value}});
+    return makeJsonResponse(
+        404, {{"error", "no such object"}, {"era", m_Objects.era()}});
+  return makeJsonResponse(200, {{"key", Key},
+                                {"version", Found->m_Version},
+                                {"value", Found->m_Value},
+                                {"era", m_Objects.era()}});
 }
 
 HttpResponse PlatformStandin::put(const HttpRequest &Request) {
@@ -257,12 +284,14 @@
     return makeErrorResponse(413, "the value is larger than 1 MB");
   return writeResponse(m_Objects.put(objectKeyOf(Request),
                                      queryNumber(Request, "expected", 0),
-                                     (*Body)["value"]));
+                                     (*Body)["value"]),
+                       m_Objects.era());
 }
 
 HttpResponse PlatformStandin::remove(const HttpRequest &Request) {
   return writeResponse(m_Objects.remove(objectKeyOf(Request),
-                                        queryNumber(Request, "expected", 0)));
+                                        queryNumber(Request, "expected", 0)),
+                       m_Objects.era());
 }
 
 HttpResponse PlatformStandin::list(const HttpRequest &Request) {
@@ -308,8 +337,10 @@
   }
   if (Events->empty() && !HasTimedOut)
     return false;
-  PendingWatch.m_Exchange->respond(makeJsonResponse(
-      200, {{"revision", m_Objects.revision()}, {"events", *Events}}));
+  PendingWatch.m_Exchange->respond(
+      makeJsonResponse(200, {{"revision", m_Objects.revision()},
+                             {"era", m_Objects.era()},
+                             {"events", *Events}}));
   return true;
 }
 
--- a/drivers/standin/platform_standin.h
+++ b/drivers/standin/platform_standin.h
@@ -31,6 +31,8 @@
   void stop();
 
   /// Changes the faults, limits and VMs that \p Settings names.
+  /// "copy" keeps a copy of the objects under the given name, and "restore"
+  /// returns to the copy of that name.
   void control(const Json &Settings);
 
   /// Returns the settings, the call counters, the revision, and the numbers of
@@ -50,6 +52,10 @@
   void handleApiCall(const HttpExchangePtr &Exchange, const std::string &Kind);
   HttpResponse executeCall(const HttpExchangePtr &Exchange,
                            const std::string &Kind);
+  /// Returns to a copy of the objects, and ends all pending watches.
+  void restore(const ObjectTable &Copy);
+  /// True if \p Request is conditional on a version of another era.
+  bool namesAnotherEra(const HttpRequest &Request) const;
   HttpResponse get(const HttpRequest &Request);
   HttpResponse put(const HttpRequest &Request);
   HttpResponse remove(const HttpRequest &Request);
@@ -65,6 +71,7 @@
 
   std::mutex m_Mutex;
   ObjectTable m_Objects;
+  std::map<std::string, ObjectTable> m_Copies;
   std::map<std::string, std::uint64_t> m_Counters;
   CallRateLimiter m_WriteRate;
   CallRateLimiter m_ReadRate;
--- a/servers/configuration/configuration_replica.cpp
+++ b/servers/configuration/configuration_replica.cpp
@@ -118,9 +118,16 @@
     onStoreFailure(Now);
     return NextActions;
   }
-  m_WatchAfterStorePosition =
-      std::max(m_WatchAfterStorePosition.value_or(StorePosition()),
-               Event.m_StorePosition);
+  const StorePosition WatchedFrom =
+      m_WatchAfterStorePosition.value_or(StorePosition());
+  if (Event.m_StorePosition.m_Era != WatchedFrom.m_Era) {
+    // The store has returned from a copy, so changes before the position that
+    // was watched from are missing in the answer.
+    m_WatchAfterStorePosition.reset();
+    startWatch(NextActions, Now);
+    return NextActions;
+  }
+  m_WatchAfterStorePosition = std::max(WatchedFrom, Event.m_StorePosition);
   onHeadVersionReported(Event.m_HeadVersion, QueriedAt, NextActions, Now);
   return NextActions;
 }
--- a/tests/drivers/platform/test_http_object_store.cpp
+++ b/tests/drivers/platform/test_http_object_store.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(watchBeforeRetainedHistoryIsNotFound);
   CPPUNIT_TEST(listsKeysInPagesWithoutGaps);
   CPPUNIT_TEST(listsVmsWithConfiguredLag);
+  CPPUNIT_TEST(versionsOfARestoredStoreNameItsEra);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,6 +64,30 @@
     CPPUNIT_ASSERT(put("a", First, "3").m_Outcome == StoreOutcome::Conflict);
   }
 
+  /// The platform returns from a copy and gives versions out again. Guards
+  /// against a conditional write that succeeds against an object which its
+  /// writer has never read, and against a watch that misses what changed.
+  void versionsOfARestoredStoreNameItsEra() {
+    const ObjectVersion First = put("a", 0, "1").m_Version;
+    m_Platform.control({{"copy", "early"}});
+    const ObjectVersion Lost = put("a", First, "2").m_Version;
+    m_Platform.control({{"restore", "early"}});
+    CPPUNIT_ASSERT(watch("a", Lost, Duration::zero()).m_Outcome ==
+                   StoreOutcome::NotFound);
+    const GetCompleted Read = get("a");
+    CPPUNIT_ASSERT_EQUAL(StoreEra{1}, Read.m_Era);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Read.m_Value);
+    CPPUNIT_ASSERT_EQUAL(StorePosition(1, First.m_Revision), Read.m_Version);
+
+    const ObjectVersion Recurred = put("a", Read.m_Version, "3").m_Version;
+    CPPUNIT_ASSERT_EQUAL(Lost.m_Revision, Recurred.m_Revision);
+    const WriteCompleted OfTheEraBefore = put("a", Lost, "4");
+    CPPUNIT_ASSERT(OfTheEraBefore.m_Outcome == StoreOutcome::Conflict);
+    CPPUNIT_ASSERT_EQUAL(StoreEra{1}, OfTheEraBefore.m_Era);
+    CPPUNIT_ASSERT_EQUAL(StoreEra{1}, get("missing").m_Era);
+    CPPUNIT_ASSERT_EQUAL(Recurred, list("a", "", 1).m_Keys.at(0).m_Version);
+  }
+
   /// Guards against a write that was applied but is reported as not executed,
   /// or sent again, because its response was lost.
   void appliedWriteWithLostResponseIsUnknown() {
@@ -232,7 +257,7 @@
     return Done.get_future().get();
   }
 
-  KeysWatched watch(const std::string &Prefix, std::uint64_t Since,
+  KeysWatched watch(const std::string &Prefix, StorePosition Since,
                     Duration Timeout) {
     std::promise<KeysWatched> Done;
     m_Store.watch(
--- a/tests/servers/configuration/test_distribution.cpp
+++ b/tests/servers/configuration/test_distribution.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(isolatedZoneCountsAsPartitioned);
   CPPUNIT_TEST(partitionedNodeStopsNewWorkInTime);
   CPPUNIT_TEST(nodesReplacedDuringPartitionRefuseNewWork);
+  CPPUNIT_TEST(watchAnswerOfANewEraIsFollowedByAListing);
   CPPUNIT_TEST(staleReadAfterWatchGapIsNotFresh);
   CPPUNIT_TEST(delayedPingAnswerIsNotFresh);
   CPPUNIT_TEST(ageCountsFromSendingOfPing);
@@ -163,6 +164,29 @@
     CPPUNIT_ASSERT(!Replica.freshness().mayAcceptNewWork(Now));
   }
 
+  /// The platform returns from a copy while a watch waits, and has passed the
+  /// revision that was watched from when it answers. Guards against a watcher
+  /// that misses a head which was stored below that revision.
+  void watchAnswerOfANewEraIsFollowedByAListing() {
+    MonotonicTime Now{std::chrono::seconds(1)};
+    ConfigurationReplicaOptions Options;
+    Options.m_Node = "n";
+    Options.m_Zone = "z";
+    ConfigurationReplica Replica(Options, Now);
+    const auto FirstActions = Replica.setPeers({}, {}, Now);
+    const StoreCallId ListId = std::get<ListHead>(FirstActions.at(0)).m_Id;
+    auto NextActions =
+        Replica.onList({ListId, StoreOutcome::Succeeded, 90, {}}, Now);
+    const auto Watch = std::get<WatchHead>(NextActions.at(0));
+    NextActions = Replica.onWatch(
+        {Watch.m_Id, StoreOutcome::Succeeded, {1, 95}, {}}, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NextActions.size());
+    const StoreCallId SecondListId = std::get<ListHead>(NextActions.at(0)).m_Id;
+    NextActions = Replica.onList(
+        {SecondListId, StoreOutcome::Succeeded, {1, 95}, {1, 40}}, Now);
+    CPPUNIT_ASSERT(std::holds_alternative<GetObject>(NextActions.at(0)));
+  }
+
   /// Guards against a delayed ping answer that makes a configuration look
   /// newer, and against one that confirms a revision this node has not applied
   /// yet.
