Let the random run's store return from copies

Change: NoticeSimulation keeps copies of the entries and returns to one as a fault; living servers write theirs again within 1.2 s, entries of ended ones go after 3.6 s, and nodes read with ListingTrust. New check: no node sends a request to a server 2 s or more after it has read that the server leaves.

--- a/randomised/notice_simulation.cpp
+++ b/randomised/notice_simulation.cpp
@@ -22,6 +22,16 @@
 /// Time after which a pause holds that a node was told.
 constexpr std::int64_t PauseReactionMs = 500;
 constexpr unsigned MaxArrivalsInPause = 2;
+/// Probability that a fault is a restoration of the store.
+constexpr double RestorationProbability = 0.05;
+constexpr std::int64_t CopyPeriodMs = 1000;
+constexpr std::size_t MaxCopies = 9;
+/// Time within which a living server writes its entry again after a
+/// restoration, and times after which the entry of one that has ended is
+/// removed and a node takes the store's state for the latest.
+constexpr std::int64_t WriteAgainMs = 1200;
+constexpr std::int64_t EntryRemovalMs = 3600;
+constexpr std::int64_t RestorationMs = 4000;
 constexpr const char *ServiceName = "plain";
 
 } // namespace
@@ -57,23 +67,62 @@
   Started.m_StartedAtMs = static_cast<std::int64_t>(m_StartedProcesses);
   Started.m_IsUp = true;
   Started.m_StoresLeavingAtMs = Started.m_EndsAtMs = Started.m_StartsAtMs =
-      Never;
-  storeEntry(Started, false);
+      Started.m_WritesAgainAtMs = Never;
+  storeEntry(Started);
 }
 
-void NoticeSimulation::storeEntry(const Server &Stored, bool IsDraining) {
+void NoticeSimulation::storeEntry(Server &Stored) {
   BackendServer Entry;
   Entry.m_Id = Stored.m_Id;
   Entry.m_Service = ServiceName;
   Entry.m_Zone = "a";
   Entry.m_Slots = 64;
   Entry.m_StartedAtMs = Stored.m_StartedAtMs;
-  Entry.m_Draining = IsDraining;
-  Entry.m_Position = ++m_Revision;
+  Entry.m_Draining = Stored.m_HasStoredLeaving;
+  Entry.m_ReportNumber = ++Stored.m_Reports;
+  Entry.m_Position = {m_Era, ++m_Revision};
   m_StoreEntries[Stored.m_Id] = Entry;
 }
 
+void NoticeSimulation::restoreStore() {
+  if (m_Copies.empty())
+    return;
+  const StoreCopy &Copy = m_Copies[m_Random() % m_Copies.size()];
+  ++m_Era;
+  m_Revision = Copy.m_Revision;
+  m_StoreEntries = Copy.m_Entries;
+  for (auto &[Id, Entry] : m_StoreEntries)
+    Entry.m_Position.m_Era = m_Era;
+  m_Copies.clear();
+  const std::int64_t Now = m_State.m_Groups.nowMs();
+  for (Server &Current : m_Servers)
+    if (Current.m_IsUp)
+      Current.m_WritesAgainAtMs = Now + randomMs(WriteAgainMs);
+  m_RestorationEndsAtMs = Now + EntryRemovalMs;
+  m_State.m_EventLog.count("notice restoration");
+}
+
+void NoticeSimulation::endRestoration() {
+  m_RestorationEndsAtMs = Never;
+  for (auto Entry = m_StoreEntries.begin(); Entry != m_StoreEntries.end();) {
+    const bool IsAlive = std::any_of(
+        m_Servers.begin(), m_Servers.end(), [&](const Server &Current) {
+          return Current.m_IsUp && Current.m_Id == Entry->first;
+        });
+    Entry = IsAlive ? std::next(Entry) : m_StoreEntries.erase(Entry);
+  }
+}
+
 void NoticeSimulation::step() {
+  const std::int64_t Now = m_State.m_Groups.nowMs();
+  if (Now >= m_NextCopyAtMs) {
+    m_NextCopyAtMs = Now + CopyPeriodMs;
+    m_Copies.push_back({m_Revision, m_StoreEntries});
+    if (m_Copies.size() > MaxCopies)
+      m_Copies.pop_front();
+  }
+  if (Now >= m_RestorationEndsAtMs)
+    endRestoration();
   if (m_HasFaults && drawWithProbability(FaultProbability))
     injectFault();
   advanceServers();
@@ -92,6 +141,10 @@
 void NoticeSimulation::injectFault() {
   const std::int64_t Now = m_State.m_Groups.nowMs();
   Server &Target = m_Servers[m_Random() % m_Servers.size()];
+  if (drawWithProbability(RestorationProbability)) {
+    restoreStore();
+    return;
+  }
   if (!Target.m_IsUp || Target.m_IsLeaving)
     return;
   if (drawWithProbability(0.5)) {
@@ -111,12 +164,17 @@
   for (Server &Current : m_Servers) {
     if (Current.m_IsUp && Now >= Current.m_StoresLeavingAtMs) {
       Current.m_StoresLeavingAtMs = Never;
-      storeEntry(Current, true);
+      Current.m_HasStoredLeaving = true;
+      storeEntry(Current);
+    }
+    if (Current.m_IsUp && Now >= Current.m_WritesAgainAtMs) {
+      Current.m_WritesAgainAtMs = Never;
+      storeEntry(Current);
     }
     // An entry also changes for other reasons, while it still says that the
     // server serves.
     if (Current.m_IsUp && drawWithProbability(EntryChangeProbability))
-      storeEntry(Current, m_StoreEntries[Current.m_Id].m_Draining);
+      storeEntry(Current);
     if (Current.m_IsUp && Now >= Current.m_EndsAtMs) {
       Current.m_IsUp = false;
       Current.m_EndsAtMs = Never;
@@ -143,6 +201,8 @@
     AvailabilitySettings Settings;
     Settings.m_RandomSeed = m_Random();
     Current.m_StartCount = StartCount;
+    Current.m_Era = m_Era;
+    Current.m_RestoredAtMs = -RestorationMs;
     Current.m_Fleet = std::make_unique<FleetView>();
     Current.m_Selector =
         std::make_unique<ServerSelector>(SelectorSettings(), Settings);
@@ -151,17 +211,33 @@
     return;
   const bool ReachesStore =
       !m_State.m_IsStoreUnavailable && m_State.m_NodePartitions[Index] == 0;
-  if (ReachesStore && (IsNew || drawWithProbability(ReadProbability))) {
-    std::vector<BackendServer> Entries;
-    for (const auto &[Id, Entry] : m_StoreEntries)
-      Entries.push_back(Entry);
-    Current.m_Fleet->replaceAll(std::move(Entries),
-                                m_State.m_Groups.nodeTime(Index));
-  }
+  if (ReachesStore && (IsNew || drawWithProbability(ReadProbability)))
+    readStore(Index);
+  Current.m_Fleet->removeMissing(m_State.m_Groups.nodeTime(Index));
   while (drawWithProbability(RequestProbability))
     sendRequest(Index);
 }
 
+void NoticeSimulation::readStore(std::size_t Index) {
+  Node &Reader = m_Nodes[Index];
+  const std::int64_t Now = m_State.m_Groups.nowMs();
+  if (Reader.m_Era != m_Era) {
+    Reader.m_Era = m_Era;
+    Reader.m_RestoredAtMs = Now;
+  }
+  std::vector<BackendServer> Entries;
+  for (const auto &[Id, Entry] : m_StoreEntries) {
+    Entries.push_back(Entry);
+    if (Entry.m_Draining)
+      m_ReadLeavingAtMs.emplace(
+          Pair{Index, Reader.m_StartCount, Id, Entry.m_StartedAtMs}, Now);
+  }
+  Reader.m_Fleet->replaceAll(
+      std::move(Entries), m_State.m_Groups.nodeTime(Index),
+      Now - Reader.m_RestoredAtMs < RestorationMs ? ListingTrust::MayBeOutdated
+                                                  : ListingTrust::Latest);
+}
+
 void NoticeSimulation::sendRequest(std::size_t Index) {
   Node &Sender = m_Nodes[Index];
   ServerQuery Query;
@@ -224,6 +300,15 @@
                                "{} ms after its notice",
                                Receiver.m_Id, Current.m_Node,
                                Current.m_SentByClientAtMs - Noticed->second));
+  const auto ReadLeaving = m_ReadLeavingAtMs.find(Processes);
+  if (ReadLeaving != m_ReadLeavingAtMs.end() &&
+      Current.m_SentByClientAtMs > ReadLeaving->second + DrainMs)
+    m_State.m_EventLog.recordViolation(
+        "store leaving",
+        fmt::format("{} got a request from n{} that a client sent {} ms after "
+                    "the node had read that it leaves",
+                    Receiver.m_Id, Current.m_Node,
+                    Current.m_SentByClientAtMs - ReadLeaving->second));
   for (Pause &Told : m_Pauses[Processes])
     if (Now > Told.m_ToldAtMs + PauseReactionMs && Now < Told.m_UntilMs &&
         ++Told.m_Arrivals > MaxArrivalsInPause)
--- a/randomised/notice_simulation.h
+++ b/randomised/notice_simulation.h
@@ -5,6 +5,8 @@
 #include "servers/dispatch/server_selector.h"
 
 #include <cstdint>
+#include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -36,14 +38,20 @@
     std::int64_t m_StartedAtMs = 0;
     bool m_IsUp = false;
     bool m_IsLeaving = false;
+    bool m_HasStoredLeaving = false;
+    std::uint64_t m_Reports = 0;
     std::int64_t m_PausesUntilMs = 0;
     /// Times of the next changes; the maximum if there is none.
     std::int64_t m_StoresLeavingAtMs = 0;
     std::int64_t m_EndsAtMs = 0;
     std::int64_t m_StartsAtMs = 0;
+    std::int64_t m_WritesAgainAtMs = 0;
   };
   struct Node {
     int m_StartCount = -1;
+    /// Era of the store that the process has noticed, and when it did.
+    StoreEra m_Era = 0;
+    std::int64_t m_RestoredAtMs = 0;
     std::unique_ptr<FleetView> m_Fleet;
     std::unique_ptr<ServerSelector> m_Selector;
   };
@@ -61,6 +69,11 @@
   };
   /// A process of a node and a process of a server.
   using Pair = std::tuple<std::size_t, int, std::string, std::int64_t>;
+  /// Entries of the store at an earlier time.
+  struct StoreCopy {
+    std::uint64_t m_Revision = 0;
+    std::map<std::string, BackendServer> m_Entries;
+  };
   struct Pause {
     std::int64_t m_ToldAtMs = 0;
     std::int64_t m_UntilMs = 0;
@@ -71,7 +84,13 @@
   bool drawWithProbability(double Probability);
   static Pair pairOf(const Exchange &Sent);
   void startServer(Server &Started, bool KeepsId);
-  void storeEntry(const Server &Stored, bool IsDraining);
+  void storeEntry(Server &Stored);
+  /// Returns the store to one of its copies and begins a new era.
+  void restoreStore();
+  /// Removes entries of servers that have ended, once the living ones have
+  /// written theirs again.
+  void endRestoration();
+  void readStore(std::size_t Index);
   void injectFault();
   void advanceServers();
   void advanceNode(std::size_t Index);
@@ -90,9 +109,15 @@
   std::vector<Exchange> m_Exchanges;
   std::map<std::string, BackendServer> m_StoreEntries;
   std::uint64_t m_Revision = 0;
+  StoreEra m_Era = 0;
+  std::deque<StoreCopy> m_Copies;
+  std::int64_t m_NextCopyAtMs = 0;
+  std::int64_t m_RestorationEndsAtMs = std::numeric_limits<std::int64_t>::max();
   std::uint64_t m_StartedProcesses = 0;
   /// Time at which a node first passed on that the process leaves.
   std::map<Pair, std::int64_t> m_NoticedAtMs;
+  /// Time at which a node first read in the store that the process leaves.
+  std::map<Pair, std::int64_t> m_ReadLeavingAtMs;
   std::map<Pair, std::vector<Pause>> m_Pauses;
 };
 
