Read an era that a relay names from the store

Cause: a node took the era in a freshness message for the store's. One wrong datagram with a high number would have made all later answers of the store count as outdated, for good.

Change: a relay that names a later era makes its follower list at once, since a watch from a position of the era before may wait for changes after a revision that was given out again. Only an answer of the store begins an era.

Result: eraThatARelayNamesIsReadFromTheStore fails without the listing: the watcher would watch from the old position. The tests of proxy (116) and feed (19) pass.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -119,8 +119,6 @@
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
-    m_ChangeRelay.setOnEraNamed(
-        [this](StoreEra Era) { m_StoreSession.onEraNamed(Era); });
     m_StoreSession.setOnRestored(
         [this](StoreEra Era) { onStoreRestored(Era); });
     m_Context.m_OnGroupStalled = [this](const ChosenServer &Server) {
--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -58,7 +58,13 @@
     return;
   }
   m_IsIdle = false;
-  countCall(m_RelayFollower.storeCallReason());
+  const StoreCallReason Reason = m_RelayFollower.storeCallReason();
+  if (Reason == StoreCallReason::Restored) {
+    // The position to watch from is of an earlier era.
+    list(Reason);
+    return;
+  }
+  countCall(Reason);
   const WatchCall Call{m_RelayFollower.position(), Now, nextWatchTimeout(Now)};
   m_Feed.watch(
       m_Kind, Call.m_Since, Call.m_Wait,
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -45,7 +45,7 @@
   Duration m_MaxAgeFromRelay = std::chrono::milliseconds(1300);
   /// Time after a restoration of the store after which its objects have been
   /// written again by their writers or removed. They are then listed once more.
-  /// Zero if a listing needs no trust.
+  /// Zero if each listing counts as the latest state.
   Duration m_RestorationTime{0};
 };
 
--- a/proxy/store_session.h
+++ b/proxy/store_session.h
@@ -33,9 +33,7 @@
   void setOnRestored(RestorationHandler OnRestored) {
     m_OnRestored = std::move(OnRestored);
   }
-  /// Must be called with each era that another node names.
-  void onEraNamed(StoreEra Era);
-  /// Latest era that an answer or another node has named; 0 if none has.
+  /// Latest era that an answer has named; 0 if none has.
   StoreEra era() const { return m_Era; }
 
   void list(const std::string &Kind,
@@ -46,6 +44,7 @@
   void start(StoreAction Action, std::function<void(StoreCompletion)> Done);
 
 private:
+  void onEraNamed(StoreEra Era);
   bool isOutdated(StoreEra Era) const { return Era != 0 && Era < m_Era; }
 
   asio::io_context &m_Loop;
--- a/proxy/zone_change_relay.cpp
+++ b/proxy/zone_change_relay.cpp
@@ -73,7 +73,6 @@
     if (Numbers.size() != FreshnessNumbers)
       continue;
     const StoreEra Era = Numbers[3];
-    m_OnEraNamed(Era);
     Watcher->onForwardedFreshness({Era, Numbers[0]}, {Era, Numbers[1]},
                                   milliseconds(Numbers[2]) + Delay);
   }
--- a/proxy/zone_change_relay.h
+++ b/proxy/zone_change_relay.h
@@ -4,7 +4,6 @@
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
 
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -20,11 +19,6 @@
 
   /// Adds the watcher of one kind of objects, which must outlive this object.
   void addWatcher(ObjectWatcher &Watcher);
-  /// Sets the function that is called with each era of the store that another
-  /// node names.
-  void setOnEraNamed(std::function<void(StoreEra)> OnEraNamed) {
-    m_OnEraNamed = std::move(OnEraNamed);
-  }
   /// Plans the part of this node among \p LiveNodes. \p IsLeaseHolder is true
   /// if it holds the lease on group formation.
   void tick(MonotonicTime Now, const std::vector<RelayCandidate> &LiveNodes,
@@ -42,7 +36,6 @@
   EventLog &m_Log;
   PeerExchange &m_Peers;
   std::vector<ObjectWatcher *> m_Watchers;
-  std::function<void(StoreEra)> m_OnEraNamed = [](StoreEra) {};
   FeedPlan m_Plan;
   MonotonicTime m_NextFreshnessAt{};
   ChangeBatchAssembler m_Assembler;
--- a/servers/feed/relay_follower.cpp
+++ b/servers/feed/relay_follower.cpp
@@ -11,15 +11,22 @@
     m_LastChange = std::max(m_LastChange, Position);
   m_LastCurrentAt = std::max(m_LastCurrentAt, CurrentAt);
   m_HasGap = false;
+  m_HasMissedEra = false;
+}
+
+bool RelayFollower::isBehind(StorePosition Named) {
+  if (Named <= m_Position)
+    return false;
+  m_HasGap = true;
+  m_HasMissedEra |= Named.m_Era > m_Position.m_Era;
+  return true;
 }
 
 bool RelayFollower::onRelayedChanges(StorePosition From, StorePosition To) {
   if (To <= m_Position)
     return false;
-  if (From > m_Position) {
-    m_HasGap = true;
+  if (isBehind(From))
     return false;
-  }
   m_Position = To;
   m_LastChange = To;
   return true;
@@ -28,10 +35,8 @@
 void RelayFollower::onRelayConfirmation(StorePosition LastChange,
                                         StorePosition Position, Duration Age,
                                         MonotonicTime Now) {
-  if (LastChange > m_Position) {
-    m_HasGap = true;
+  if (isBehind(LastChange))
     return;
-  }
   m_Position = std::max(m_Position, Position);
   m_LastCurrentAt = std::max(m_LastCurrentAt, Now - Age);
 }
@@ -43,6 +48,8 @@
 StoreCallReason RelayFollower::storeCallReason() const {
   if (!m_Following)
     return StoreCallReason::Direct;
+  if (m_HasMissedEra)
+    return StoreCallReason::Restored;
   return m_HasGap ? StoreCallReason::Gap : StoreCallReason::Outdated;
 }
 
--- a/servers/feed/relay_follower.h
+++ b/servers/feed/relay_follower.h
@@ -22,7 +22,8 @@
   Gap,
   /// The forwarded state is too old.
   Outdated,
-  /// The store has returned from a copy.
+  /// The store has returned from a copy, or another node has named a later era
+  /// of it.
   Restored,
 };
 
@@ -82,10 +83,16 @@
   MonotonicTime lastCurrentAt() const { return m_LastCurrentAt; }
 
 private:
+  /// Must be called with each position that another node names. Returns true if
+  /// changes up to it are missing here.
+  bool isBehind(StorePosition Named);
+
   Duration m_MaxStaleness;
   bool m_Following = false;
   /// The relay announced changes that have not arrived here.
   bool m_HasGap = false;
+  /// Another node has named an era of the store that is not known here.
+  bool m_HasMissedEra = false;
   StorePosition m_Position;
   StorePosition m_LastChange;
   MonotonicTime m_LastCurrentAt{};
--- a/tests/proxy/test_change_feed.cpp
+++ b/tests/proxy/test_change_feed.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(callThatBeganInAPartitionEndsSoonAfterIt);
   CPPUNIT_TEST(listingDoesNotUndoAForwardedChange);
   CPPUNIT_TEST(restoredStoreIsListedAnewAndWatchedFromItsOwnPosition);
+  CPPUNIT_TEST(eraThatARelayNamesIsReadFromTheStore);
   CPPUNIT_TEST(objectsAreListedAgainAtTheEndOfARestoration);
   CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +317,30 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, Version);
   }
 
+  /// A relay names an era that its follower does not know. Guards against a
+  /// follower that waits for changes after a revision which the store has given
+  /// out again, and against one that believes a datagram instead of the store.
+  void eraThatARelayNamesIsReadFromTheStore() {
+    asio::io_context Loop;
+    EventLog Log(open("/dev/null", O_WRONLY));
+    Metrics Counters;
+    ManualFeed Store;
+    ObjectWatcher Watcher(Loop, Store, Log, Counters, "config",
+                          FeedNode::handlers());
+    Watcher.start();
+    Store.m_OnListed({StoreOutcome::Succeeded, {1, 90}, {}, 1});
+    Watcher.setRole(FeedRole::Follower);
+    Watcher.onForwardedFreshness({1, 90}, {1, 92}, Duration::zero());
+    Store.m_OnWatched({StoreOutcome::Succeeded, {1, 92}, {}, 1});
+    Store.m_OnListed = nullptr;
+    Watcher.onForwardedFreshness({7, 40}, {7, 95}, Duration::zero());
+    Watcher.tick(monotonicNow());
+    CPPUNIT_ASSERT(Store.m_OnListed);
+    // The store is still of the era before.
+    Store.m_OnListed({StoreOutcome::Succeeded, {1, 93}, {}, 1});
+    CPPUNIT_ASSERT_EQUAL(StorePosition(1, 93), Watcher.position());
+  }
+
   /// Guards against a node that takes a copy of the store for its latest state,
   /// and against one that never lists again what was not written again.
   void objectsAreListedAgainAtTheEndOfARestoration() {
--- a/tests/proxy/test_store_session.cpp
+++ b/tests/proxy/test_store_session.cpp
@@ -55,6 +55,12 @@
   }
 
 private:
+  /// Lets the store answer a call in \p Era.
+  void answerInEra(StoreEra Era) {
+    m_Session->list("config", [](const ObjectsListed &) {});
+    m_Store.m_OnListed({StoreOutcome::Succeeded, {Era, 1}, {}, Era});
+  }
+
   void startWrite(ObjectVersion Expected) {
     m_Session->start(PutObject{5, "lease/groups", Expected, "{}"},
                      [this](const StoreCompletion &Result) {
@@ -64,14 +70,15 @@
     m_Loop.poll();
   }
 
-  /// Guards against a node that takes the first answer after its start for a
-  /// restoration, or notices one that only another node has seen too late.
+  /// Guards against a node that takes the first answer after its start, or a
+  /// late one, for a restoration.
   void restorationIsNoticedOnce() {
-    m_Session->onEraNamed(4);
+    answerInEra(4);
     CPPUNIT_ASSERT(m_Restorations.empty());
-    m_Session->onEraNamed(5);
-    m_Session->onEraNamed(5);
-    m_Session->onEraNamed(4);
+    answerInEra(5);
+    answerInEra(5);
+    answerInEra(4);
+    answerInEra(0);
     CPPUNIT_ASSERT(m_Restorations == std::vector<StoreEra>{5});
     CPPUNIT_ASSERT_EQUAL(StoreEra{5}, m_Session->era());
   }
@@ -79,7 +86,7 @@
   /// Guards against a listing from before the restoration that replaces the
   /// state after it.
   void answerOfAnEarlierEraCountsAsMissing() {
-    m_Session->onEraNamed(5);
+    answerInEra(5);
     StoreOutcome Outcome = StoreOutcome::Succeeded;
     m_Session->list("config", [&](const ObjectsListed &Result) {
       Outcome = Result.m_Outcome;
@@ -91,7 +98,7 @@
   /// Version numbers are given out again. Guards against a conditional write
   /// that succeeds against an object which its writer has never read.
   void conditionOfAnEarlierEraIsNotSent() {
-    m_Session->onEraNamed(5);
+    answerInEra(5);
     startWrite({4, 37});
     CPPUNIT_ASSERT_EQUAL(0, m_Store.m_Calls);
     CPPUNIT_ASSERT(m_Written->m_Outcome == StoreOutcome::Conflict);
@@ -103,7 +110,7 @@
   /// The store returns from a copy between the call and its execution. Guards
   /// against a writer that believes it has replaced the object that it read.
   void writeThatCrossedARestorationHasNoKnownOutcome() {
-    m_Session->onEraNamed(4);
+    answerInEra(4);
     startWrite({4, 37});
     m_Store.m_OnCompleted(
         WriteCompleted{5, StoreOutcome::Succeeded, {5, 38}, 5});
--- a/tests/servers/feed/test_relay_follower.cpp
+++ b/tests/servers/feed/test_relay_follower.cpp
@@ -87,6 +87,7 @@
     // The relay has listed the restored store.
     State.onRelayConfirmation({2, 40}, {2, 41}, milliseconds(10), m_Start);
     CPPUNIT_ASSERT(!State.needsNoStoreCall(m_Start));
+    CPPUNIT_ASSERT(State.storeCallReason() == StoreCallReason::Restored);
     CPPUNIT_ASSERT(!State.onRelayedChanges({2, 41}, {2, 42}));
 
     State.onStoreResponse({2, 42}, true, m_Start);
