--- a/proxy/store_session.cpp
+++ b/proxy/store_session.cpp
@@ -2,6 +2,9 @@
 
 #include "asio/post.hpp"
 
+#include <utility>
+#include <variant>
+
 namespace fulmarwinch {
 
 namespace {
