Move no position of an entry back with an older listing

Cause: an unchanged entry takes the position of the listing that shows it again, so that it counts as read in the new era. A listing that is older than a change which a relay has forwarded moved the position back within an era, and a change in between was then applied after the later one. Only servers that do not count their reports are concerned. Found on reading the change.

Change: the later of the two positions stays.

--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -72,7 +72,8 @@
       if (MayBeOutdated ? !isLaterState(Server, Known->second)
                         : Known->second.m_Position >= Server.m_Position) {
         if (isSameReport(Server, Known->second))
-          Known->second.m_Position = Server.m_Position;
+          Known->second.m_Position =
+              std::max(Known->second.m_Position, Server.m_Position);
         m_Servers.insert(std::move(*Known));
         OldServers.erase(Known);
         continue;
--- a/tests/servers/fleet/test_fleet_view.cpp
+++ b/tests/servers/fleet/test_fleet_view.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(unchangedEntryDoesNotRestartColdTime);
   CPPUNIT_TEST(endpointsAreValidated);
   CPPUNIT_TEST(entriesOfUnnamedServicesAreExcluded);
+  CPPUNIT_TEST(olderListingOfTheSameReportMovesNoPositionBack);
   CPPUNIT_TEST(entryOfACopyBringsNoLeavingServerBack);
   CPPUNIT_TEST(serverThatTheCopyLacksIsKeptForAWhile);
   CPPUNIT_TEST(removedEntryOfACopyIsNoServer);
@@ -56,6 +57,17 @@
     return Result;
   }
 
+  /// A listing is older than a change that a relay has forwarded, and the
+  /// server does not count its reports. Guards against an older change that is
+  /// applied after it.
+  void olderListingOfTheSameReportMovesNoPositionBack() {
+    FleetView Fleet;
+    Fleet.update(report("a", {1, 9}, 1000, 0, true), m_Now);
+    Fleet.replaceAll({report("a", {1, 7}, 1000, 0)}, m_Now);
+    CPPUNIT_ASSERT(!Fleet.update(report("a", {1, 8}, 1000, 0), m_Now));
+    CPPUNIT_ASSERT(!Fleet.acceptsNewWork(*Fleet.find("a")));
+  }
+
   /// A server has said that it leaves, and the store returns from a copy in
   /// which it is ready. Guards against requests to it, and against one that is
   /// ignored because its next report has a lower revision.
