Build the settings of the node watch on those of the entries

Cause: both set the time of a restoration in the same way.

Change: nodeWatchSettings() begins with entryWatchSettings().

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -46,11 +46,16 @@
 constexpr Duration AdmissionPeriod = milliseconds(200);
 /// Period in which a node sends its crash records to a random peer.
 constexpr Duration CrashSharePeriod = milliseconds(500);
+/// Settings of the watches on the entries of servers and on evacuations.
+ObjectWatcherSettings entryWatchSettings(const FrontSettings &Node) {
+  ObjectWatcherSettings Settings;
+  Settings.m_RestorationTime = restorationTime(Node);
+  return Settings;
+}
 /// Settings of the watch on the store's node objects. The delays are long,
 /// because nodes rarely change and an outdated list only affects latency.
 ObjectWatcherSettings nodeWatchSettings(const FrontSettings &Node) {
-  ObjectWatcherSettings Settings;
-  Settings.m_RestorationTime = restorationTime(Node);
+  ObjectWatcherSettings Settings = entryWatchSettings(Node);
   Settings.m_WatchTimeout = std::chrono::seconds(10);
   Settings.m_PauseAfterChanges = milliseconds(700);
   Settings.m_ForwardingWatchTimeout = std::chrono::seconds(5);
@@ -58,12 +63,6 @@
   Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
-/// Settings of the watches on the entries of servers and on evacuations.
-ObjectWatcherSettings entryWatchSettings(const FrontSettings &Node) {
-  ObjectWatcherSettings Settings;
-  Settings.m_RestorationTime = restorationTime(Node);
-  return Settings;
-}
 constexpr const char *MetricsPath = "/metrics";
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
