Sum the in-flight requests of peers by server

Cause: the slot usage of a candidate looked up its server in the report of each peer, for each request and for each waiting request in each tick of 20 ms. With 64 peers most of the time of a choice went there.

Change: PeerLoad keeps the sum by server and updates it when a report changes. The nodes without a report are counted once per choice. Same results: the sums are of integers.

--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -63,6 +63,7 @@
   m_NoServerReason = NoServerReason::NoneEligible;
   m_NextRequestAt = MonotonicTime::max();
   m_PassedOver.fill(0);
+  const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
   for (const auto &[Id, Server] : Fleet.servers()) {
     if (!isEligible(Fleet, Query, Server))
       continue;
@@ -81,7 +82,7 @@
                                          : NoServerReason::AllRateLimited);
       continue;
     }
-    const double SlotUsage = slotUsage(Server, Query);
+    const double SlotUsage = slotUsage(Server, Query, NodesWithoutReport);
     if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
@@ -112,13 +113,15 @@
 GroupSupply ServerSelector::groupSupply(const FleetView &Fleet,
                                         const ServerQuery &Query) const {
   GroupSupply Result;
+  const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
   for (const auto &[Key, Group] : Fleet.groups()) {
     if (Group.m_Model != Query.m_Model || !Group.m_Head ||
         !isEligible(Fleet, Query, *Group.m_Head) ||
         isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
       continue;
     ++Result.m_Groups;
-    Result.m_MeanSlotUsage += slotUsage(*Group.m_Head, Query);
+    Result.m_MeanSlotUsage +=
+        slotUsage(*Group.m_Head, Query, NodesWithoutReport);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
@@ -176,22 +179,22 @@
   return MemberCount == Model->m_GroupSize;
 }
 
+double ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
+  return static_cast<double>(std::count_if(
+      m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
+        return Now - Entry.second < m_Settings.m_MissingReportGrace;
+      }));
+}
+
 double ServerSelector::slotUsage(const BackendServer &Server,
-                                 const ServerQuery &Query) const {
+                                 const ServerQuery &Query,
+                                 double NodesWithoutReport) const {
   const ServiceSpec &Service = *Query.m_Service;
   const unsigned Slots = Service.hasReplicaGroups()
                              ? Service.m_Engine.m_Slots
                              : std::max(1U, Server.m_Slots);
   const double OwnInFlight = ownInFlight(Server.m_Id);
-  double PeerInFlight = 0.0;
-  for (const auto &[Peer, InFlight] : m_PeerInFlight) {
-    const auto Entry = InFlight.find(Server.m_Id);
-    PeerInFlight += Entry == InFlight.end() ? 0.0 : Entry->second;
-  }
-  const auto NodesWithoutReport = static_cast<double>(std::count_if(
-      m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
-        return Query.m_Now - Entry.second < m_Settings.m_MissingReportGrace;
-      }));
+  const double PeerInFlight = m_PeerLoad.inFlight(Server.m_Id);
   return (OwnInFlight * (1.0 + NodesWithoutReport) + PeerInFlight) / Slots;
 }
 
@@ -237,9 +240,8 @@
 }
 
 void ServerSelector::setPeerInFlight(const std::string &Peer,
-                                     std::map<std::string, unsigned> Load) {
-  const auto [Known, IsNew] =
-      m_PeerInFlight.insert_or_assign(Peer, std::move(Load));
+                                     PeerLoad::Report Load) {
+  const bool IsNew = m_PeerLoad.setReport(Peer, std::move(Load));
   m_NoReportSince.erase(Peer);
   if (IsNew)
     updateLiveNodes();
@@ -247,7 +249,7 @@
 
 void ServerSelector::onPeerReportsStopped(const std::string &Peer,
                                           MonotonicTime Now) {
-  m_PeerInFlight.erase(Peer);
+  m_PeerLoad.removeReport(Peer);
   m_NoReportSince.emplace(Peer, Now);
   updateLiveNodes();
 }
@@ -260,7 +262,7 @@
   std::map<std::string, MonotonicTime> PreviousNoReportSince;
   PreviousNoReportSince.swap(m_NoReportSince);
   for (const std::string &Node : m_Nodes) {
-    if (Node == m_OwnNode || m_PeerInFlight.count(Node) != 0)
+    if (Node == m_OwnNode || m_PeerLoad.hasReport(Node))
       continue;
     const auto Known = PreviousNoReportSince.find(Node);
     m_NoReportSince[Node] =
@@ -272,7 +274,7 @@
 void ServerSelector::updateLiveNodes() {
   std::vector<std::string> LiveNodes;
   for (const std::string &Node : m_Nodes)
-    if (Node == m_OwnNode || m_PeerInFlight.count(Node) != 0)
+    if (Node == m_OwnNode || m_PeerLoad.hasReport(Node))
       LiveNodes.push_back(Node);
   m_Availability.rateLimits().setNodes(m_OwnNode, m_Nodes.size(),
                                        std::move(LiveNodes));
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_SERVERS_DISPATCH_SERVER_SELECTOR_H
 
 #include "core/enum_names.h"
+#include "servers/dispatch/peer_load.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
 #include "servers/fleet/fleet_view.h"
@@ -120,8 +121,7 @@
   const ServerAvailability &availability() const { return m_Availability; }
 
   /// Replaces the in-flight requests reported by a peer, by server.
-  void setPeerInFlight(const std::string &Peer,
-                       std::map<std::string, unsigned> Load);
+  void setPeerInFlight(const std::string &Peer, PeerLoad::Report Load);
   /// Must be called when the load reports of \p Peer have stopped.
   void onPeerReportsStopped(const std::string &Peer, MonotonicTime Now);
   /// Sets the names of this node and of all nodes. A node without a load report
@@ -154,7 +154,11 @@
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
   void updateLiveNodes();
-  double slotUsage(const BackendServer &Server, const ServerQuery &Query) const;
+  /// Number of nodes without a load report that are assumed to be as loaded as
+  /// this one.
+  double nodesWithoutReport(MonotonicTime Now) const;
+  double slotUsage(const BackendServer &Server, const ServerQuery &Query,
+                   double NodesWithoutReport) const;
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
 
@@ -166,7 +170,7 @@
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
   PrefillBacklog m_Backlog;
   std::map<std::string, unsigned> m_OwnInFlight;
-  std::map<std::string, std::map<std::string, unsigned>> m_PeerInFlight;
+  PeerLoad m_PeerLoad;
   std::string m_OwnNode;
   std::vector<std::string> m_Nodes;
   /// Start of the time without a load report, by node.
