Cache the servers that serve a model until the fleet changes

Cause: each choice looked up all members of all groups by ID, and each check of availability copied the key of the group. Entries change far less often than requests arrive.

Change: EligibleServers keeps the servers for each service and model until the fleet view has changed, which FleetView::changeCount() tells. The requests in flight and the prefill backlogs are kept in hash maps. Same choices.

--- a/servers/dispatch/peer_load.h
+++ b/servers/dispatch/peer_load.h
@@ -1,9 +1,10 @@
 #ifndef FULMARWINCH_SERVERS_DISPATCH_PEER_LOAD_H
 #define FULMARWINCH_SERVERS_DISPATCH_PEER_LOAD_H
 
+#include "absl/container/flat_hash_map.h"
+
 #include <map>
 #include <string>
-#include <unordered_map>
 
 namespace fulmarwinch {
 
@@ -29,7 +30,7 @@
 
   std::map<std::string, Report> m_Reports;
   /// Sum of the reports; servers without requests are absent.
-  std::unordered_map<std::string, unsigned> m_InFlight;
+  absl::flat_hash_map<std::string, unsigned> m_InFlight;
 };
 
 } // namespace fulmarwinch
--- a/servers/dispatch/prefill_backlog.cpp
+++ b/servers/dispatch/prefill_backlog.cpp
@@ -6,8 +6,8 @@
 
 void PrefillBacklog::addPrompt(const std::string &Server, Duration PrefillTime,
                                MonotonicTime Now) {
-  for (auto Entry = m_BacklogEnd.begin(); Entry != m_BacklogEnd.end();)
-    Entry = Entry->second <= Now ? m_BacklogEnd.erase(Entry) : std::next(Entry);
+  absl::erase_if(m_BacklogEnd,
+                 [&](const auto &Entry) { return Entry.second <= Now; });
   MonotonicTime &BacklogEnd =
       m_BacklogEnd.try_emplace(Server, Now).first->second;
   BacklogEnd += PrefillTime;
--- a/servers/dispatch/prefill_backlog.h
+++ b/servers/dispatch/prefill_backlog.h
@@ -3,7 +3,8 @@
 
 #include "core/time.h"
 
-#include <map>
+#include "absl/container/flat_hash_map.h"
+
 #include <string>
 
 namespace fulmarwinch {
@@ -25,7 +26,7 @@
 
 private:
   /// Time at which the prefill backlog ends, by server.
-  std::map<std::string, MonotonicTime> m_BacklogEnd;
+  absl::flat_hash_map<std::string, MonotonicTime> m_BacklogEnd;
 };
 
 } // namespace fulmarwinch
--- a/servers/dispatch/server_availability.cpp
+++ b/servers/dispatch/server_availability.cpp
@@ -43,9 +43,8 @@
     return Unavailability::Draining;
   if (Fleet.isEvacuated(Server.m_Zone))
     return Unavailability::Evacuated;
-  const auto Group = Server.m_Membership
-                         ? std::optional<GroupKey>(Server.m_Membership->m_Group)
-                         : std::nullopt;
+  const GroupKey *Group =
+      Server.m_Membership ? &Server.m_Membership->m_Group : nullptr;
   if (isSuspected(Server.m_Id, Group, Now))
     return Unavailability::Suspected;
   if (const RequestedPause *Pause = findPause(Server)) {
@@ -149,11 +148,12 @@
 
 bool ServerAvailability::isSuspected(const ChosenServer &Server,
                                      MonotonicTime Now) const {
-  return isSuspected(Server.m_Id, Server.m_Group, Now);
+  return isSuspected(Server.m_Id, Server.m_Group ? &*Server.m_Group : nullptr,
+                     Now);
 }
 
 bool ServerAvailability::isSuspected(const std::string &Server,
-                                     const std::optional<GroupKey> &Group,
+                                     const GroupKey *Group,
                                      MonotonicTime Now) const {
   const auto Entry = m_Suspicions.find(Server);
   if (Entry == m_Suspicions.end() || Entry->second.m_Until <= Now)
--- a/servers/dispatch/server_availability.h
+++ b/servers/dispatch/server_availability.h
@@ -146,8 +146,7 @@
     MonotonicTime m_LastDispatchAt{};
   };
 
-  bool isSuspected(const std::string &Server,
-                   const std::optional<GroupKey> &Group,
+  bool isSuspected(const std::string &Server, const GroupKey *Group,
                    MonotonicTime Now) const;
   /// The active or ended pause of the process of \p Server, or null.
   const RequestedPause *findPause(const BackendServer &Server) const;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -64,8 +64,12 @@
   m_NextRequestAt = MonotonicTime::max();
   m_PassedOver.fill(0);
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
-  for (const auto &[Id, Server] : Fleet.servers()) {
-    if (!isEligible(Fleet, Query, Server))
+  const std::vector<const BackendServer *> &EligibleServers =
+      m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model);
+  Candidates.reserve(EligibleServers.size());
+  for (const BackendServer *Eligible : EligibleServers) {
+    const BackendServer &Server = *Eligible;
+    if (Query.m_TriedServers.count(Server.m_Id) != 0)
       continue;
     const Unavailability Reason =
         m_Availability.check(Fleet, Server, Query.m_Now);
@@ -94,7 +98,8 @@
       continue;
     }
     Candidates.push_back(
-        {&Server, SlotUsage, m_Backlog.remainingPrefillTime(Id, Query.m_Now)});
+        {&Server, SlotUsage,
+         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now)});
   }
   return Candidates;
 }
@@ -116,7 +121,8 @@
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
   for (const auto &[Key, Group] : Fleet.groups()) {
     if (Group.m_Model != Query.m_Model || !Group.m_Head ||
-        !isEligible(Fleet, Query, *Group.m_Head) ||
+        !isEligible(Fleet, *Query.m_Service, Query.m_Model, *Group.m_Head) ||
+        Query.m_TriedServers.count(Group.m_Head->m_Id) != 0 ||
         isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
       continue;
     ++Result.m_Groups;
@@ -147,38 +153,6 @@
                    Candidates.end());
 }
 
-bool ServerSelector::isEligible(const FleetView &Fleet,
-                                const ServerQuery &Query,
-                                const BackendServer &Server) const {
-  if (Server.m_Service != Query.m_Service->m_Name ||
-      Query.m_TriedServers.count(Server.m_Id) != 0)
-    return false;
-  if (!Query.m_Service->hasReplicaGroups())
-    return true;
-  if (!Server.m_Membership || Server.m_Membership->m_Rank != 0 ||
-      Server.m_Membership->m_State != GroupMemberState::Open)
-    return false;
-  const ReplicaGroup &Group = Fleet.groups().at(Server.m_Membership->m_Group);
-  if (Group.m_Model != Query.m_Model)
-    return false;
-  // The head of a group that has lost a member still accepts requests, but its
-  // streams stall.
-  const ModelSpec *Model = Query.m_Service->m_Engine.findModel(Group.m_Model);
-  if (!Model)
-    return false;
-  // A member that is only partitioned from the store continues to work, so
-  // members without a store entry count. The lease holder probes them and
-  // closes the group if one does not respond.
-  std::size_t MemberCount = Fleet.membersWithoutEntry(Group.m_Key).size();
-  for (const std::string &Id : Group.m_Members) {
-    const BackendServer *Member = Fleet.find(Id);
-    if (Member && Member->m_Draining)
-      return false;
-    MemberCount += Member ? 1 : 0;
-  }
-  return MemberCount == Model->m_GroupSize;
-}
-
 double ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
   return static_cast<double>(std::count_if(
       m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -2,12 +2,15 @@
 #define FULMARWINCH_SERVERS_DISPATCH_SERVER_SELECTOR_H
 
 #include "core/enum_names.h"
+#include "servers/dispatch/eligible_servers.h"
 #include "servers/dispatch/peer_load.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
+#include "absl/container/flat_hash_map.h"
+
 #include <array>
 #include <map>
 #include <optional>
@@ -132,8 +135,8 @@
   /// Number of in-flight requests of this node on \p Server.
   unsigned ownInFlight(const std::string &Server) const;
   /// Number of in-flight requests of this node, by server.
-  const std::map<std::string, unsigned> &ownInFlightByServer() const {
-    return m_OwnInFlight;
+  PeerLoad::Report ownInFlightByServer() const {
+    return {m_OwnInFlight.begin(), m_OwnInFlight.end()};
   }
 
 private:
@@ -143,10 +146,6 @@
     Duration m_Backlog{0};
   };
 
-  /// True if \p Server serves the service and model of the request with all
-  /// members of its group, whether or not it may be sent requests now.
-  bool isEligible(const FleetView &Fleet, const ServerQuery &Query,
-                  const BackendServer &Server) const;
   /// Returns the servers that may receive the request, and records why others
   /// may not.
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
@@ -168,8 +167,9 @@
   MonotonicTime m_NextRequestAt{};
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
+  EligibleServers m_EligibleServers;
   PrefillBacklog m_Backlog;
-  std::map<std::string, unsigned> m_OwnInFlight;
+  absl::flat_hash_map<std::string, unsigned> m_OwnInFlight;
   PeerLoad m_PeerLoad;
   std::string m_OwnNode;
   std::vector<std::string> m_Nodes;
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -52,7 +52,7 @@
 std::vector<std::string>
 FleetView::replaceAll(std::vector<BackendServer> Servers, MonotonicTime Now,
                       ListingTrust Trust) {
-  m_GroupsAreCurrent = false;
+  ++m_ChangeCount;
   m_MissingUntil.clear();
   const bool MayBeOutdated = Trust == ListingTrust::MayBeOutdated;
   std::map<std::string, BackendServer> OldServers;
@@ -110,7 +110,7 @@
   m_MissingUntil.erase(Server.m_Id);
   if (isOutdated(Server))
     return false;
-  m_GroupsAreCurrent = false;
+  ++m_ChangeCount;
   m_RemovedEntries.erase(Server.m_Id);
   const auto Leaving = m_LeavingProcesses.find(Server.m_Id);
   if (Leaving != m_LeavingProcesses.end()) {
@@ -133,7 +133,7 @@
   const auto Known = m_Servers.find(Id);
   if (Known == m_Servers.end() || Known->second.m_Position > Position)
     return false;
-  m_GroupsAreCurrent = false;
+  ++m_ChangeCount;
   m_MissingUntil.erase(Id);
   recordRemoval(Known->second);
   storeUnlistedMember(std::move(Known->second));
@@ -204,7 +204,7 @@
   if (m_Services == Names)
     return;
   m_Services = std::move(Names);
-  m_GroupsAreCurrent = false;
+  ++m_ChangeCount;
   std::map<std::string, BackendServer> Entries;
   Entries.swap(m_ExcludedEntries);
   for (auto Entry = m_Servers.begin(); Entry != m_Servers.end();) {
@@ -244,7 +244,7 @@
   if (Server != m_Servers.end() &&
       Server->second.m_StartedAtMs == StartedAtMs) {
     Server->second.m_Draining = true;
-    m_GroupsAreCurrent = false;
+    ++m_ChangeCount;
   }
   return true;
 }
@@ -262,7 +262,7 @@
 }
 
 const std::map<GroupKey, ReplicaGroup> &FleetView::groups() const {
-  if (m_GroupsAreCurrent)
+  if (m_GroupsChangeCount == m_ChangeCount)
     return m_Groups;
   m_Groups.clear();
   for (const auto &[Id, Server] : m_Servers) {
@@ -281,7 +281,7 @@
     if (Membership.m_Rank == 0)
       Group.m_Head = &Server;
   }
-  m_GroupsAreCurrent = true;
+  m_GroupsChangeCount = m_ChangeCount;
   return m_Groups;
 }
 
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -90,6 +90,9 @@
   /// result is valid until the next change of the view. It is cached until
   /// then, since every dispatch uses it.
   const std::map<GroupKey, ReplicaGroup> &groups() const;
+  /// Number of changes so far of what servers() and groups() return. Results
+  /// that were computed from them are valid while it stays the same.
+  std::uint64_t changeCount() const { return m_ChangeCount; }
 
 private:
   bool isServiceNamed(const std::string &Service) const;
@@ -127,7 +130,9 @@
   /// count as gone.
   std::map<std::string, MonotonicTime> m_MissingUntil;
   mutable std::map<GroupKey, ReplicaGroup> m_Groups;
-  mutable bool m_GroupsAreCurrent = false;
+  std::uint64_t m_ChangeCount = 1;
+  /// Value of m_ChangeCount for which m_Groups was built.
+  mutable std::uint64_t m_GroupsChangeCount = 0;
 };
 
 /// Returns the model part of a group name. Group names have the form
