--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -82,7 +82,8 @@
       continue;
     }
     const double SlotUsage = slotUsage(Server, Query);
-    if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
+    if (SlotUsage >=
+            std::min(m_Settings.m_MaxSlotUsage, Query.m_MaxSlotUsage) ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
       m_NoServerReason = NoServerReason::AllFull;
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -8,6 +8,7 @@
 #include "servers/routes/traffic_configuration.h"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,9 @@
   /// Random number, uniform in [0, 1), so that nodes with the same view do not
   /// all choose the same server.
   double m_RandomDraw = 0.0;
+  /// Estimated in-flight requests per slot from which a server is too full for
+  /// this request, if that is less than SelectorSettings::m_MaxSlotUsage.
+  double m_MaxSlotUsage = std::numeric_limits<double>::infinity();
   MonotonicTime m_Now{};
 };
 
