Send late requests to a second server

Change: SecondAttempt holds back what a second server returns until its first event or whole answer, or until the first attempt has failed. The relay then adopts it and cancels the other one. Lost connections and refusals of both attempts are recorded by the same functions. The share of second attempts is 0 unless FrontSettings says otherwise.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -109,6 +109,9 @@
         m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
                       nodeHandlers(), nodeWatchSettings(Settings)) {
     setRetryBudgets(1);
+    SecondAttemptSettings SecondAttempts;
+    SecondAttempts.m_MaxShare = Settings.m_SecondAttemptShare;
+    m_Context.m_SecondAttempts = SecondAttemptPolicy(SecondAttempts);
     if (Settings.m_MemoryMb > 0.0) {
       const double Bytes = Settings.m_MemoryMb * BytesPerMb;
       m_Context.m_MaxBufferedBytes =
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -46,6 +46,9 @@
   /// m_RetryBudgetRatio.
   double m_RetryBudgetSlack = 50.0;
   Duration m_RetryBudgetWindow = std::chrono::seconds(10);
+  /// Maximum number of second attempts for slow responses per request, from 0
+  /// (none are sent) to MaxSecondAttemptShare.
+  double m_SecondAttemptShare = 0.0;
 };
 
 /// Time after which a store that has returned from a copy shows no entry of a
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -2,6 +2,8 @@
 #include "core/text.h"
 #include "proxy/http_fields.h"
 #include "proxy/request_metrics.h"
+#include "proxy/second_attempt.h"
+#include "proxy/second_attempt_choice.h"
 #include "proxy/server_notices.h"
 #include "proxy/upstream_call.h"
 #include "servers/retry/event_splitter.h"
@@ -57,6 +59,9 @@
 
 /// Time between two ticks from which the process counts as having stood still.
 constexpr Duration LongestTickGap = milliseconds(100);
+/// Time between two decisions about a second attempt that was not sent. Each
+/// decision looks at all servers.
+constexpr Duration SecondAttemptInterval = milliseconds(100);
 
 constexpr int Ok = 200;
 constexpr int FirstRedirection = 300;
@@ -113,6 +118,7 @@
         sharedPartHashes(header(m_Context.m_HeaderNames.m_PromptParts));
     m_Contents.push_back(contentHash());
     budget().onRequest(monotonicNow());
+    m_Context.m_SecondAttempts.onRequest(m_Service->m_Name, monotonicNow());
     if (m_Service->hasReplicaGroups()) {
       m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
@@ -328,22 +334,29 @@
     return m_Route->m_FirstByteObjective / RejectAfterDivisor;
   }
 
-  void send(const ChosenServer &Chosen, MonotonicTime Now) {
+  /// Resets what is known about the current attempt.
+  void beginAttempt(const ChosenServer &Chosen, MonotonicTime SentAt) {
     m_Phase = Phase::Sent;
     m_ChosenServer = Chosen;
     m_TriedServers.insert(Chosen.m_Id);
-    m_SentAt = Now;
+    m_SentAt = SentAt;
     m_RejectedResponse = {};
     m_HasOutput = false;
     m_HasFinished = false;
+    m_HasHead = false;
     m_HasEvents = false;
+    m_IsLate = false;
     releaseBuffer();
+  }
+
+  void send(const ChosenServer &Chosen, MonotonicTime Now) {
+    beginAttempt(Chosen, Now);
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
     for (const ContentHash Content : m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
       m_Context.m_HasSentToGroup = true;
-      recordPrompt(Now);
+      recordPrompt(Chosen, Now);
     }
     m_Context.m_Log.write(
         "sent",
@@ -357,10 +370,18 @@
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
          {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
-    const bool NoBody = m_ClientRequest.m_Head.m_Method == "HEAD";
     m_Call = std::make_shared<UpstreamCall>(m_Context.m_Loop, Chosen.m_Endpoint,
                                             requestHead(Chosen, Now), body(),
-                                            NoBody);
+                                            expectsNoBody());
+    m_Call->start(callHandlers(), ConnectTimeout,
+                  responseDueAt() - Now + milliseconds(50));
+  }
+
+  bool expectsNoBody() const {
+    return m_ClientRequest.m_Head.m_Method == "HEAD";
+  }
+
+  UpstreamCallHandlers callHandlers() {
     UpstreamCallHandlers Handlers;
     Handlers.m_MaySend = [this] { return maySend(); };
     // A previous call invokes no handlers after its end or cancellation, so
@@ -372,8 +393,140 @@
     Handlers.m_OnEnd = [this, Owner = m_Owner.lock()](UpstreamOutcome Outcome) {
       onCallEnd(Outcome);
     };
-    m_Call->start(std::move(Handlers), ConnectTimeout,
-                  responseDueAt() - Now + milliseconds(50));
+    return Handlers;
+  }
+
+  LatencyKey latencyKey() const { return {m_Service->m_Name, m_Model}; }
+
+  /// True if the current attempt has returned something that can be passed on.
+  bool hasAnswer() const {
+    return m_ResponseStarted || m_HasEvents || (m_HasHead && !m_IsStream);
+  }
+
+  /// Sends the request to a second server as well if the first one is late.
+  void considerSecondAttempt(MonotonicTime Now) {
+    const SecondAttemptPolicy &Policy = m_Context.m_SecondAttempts;
+    if (!Policy.isEnabled() || m_HasSecondAttempt || !mayRetry() ||
+        hasAnswer() || Now < m_NextSecondAttemptAt ||
+        !Policy.isLate(latencyKey(), m_Route->m_FirstByteObjective,
+                       Now - m_SentAt, Now))
+      return;
+    m_NextSecondAttemptAt = Now + SecondAttemptInterval;
+    LateRequest Late;
+    Late.m_Id = m_Id;
+    Late.m_Organisation = m_Organisation;
+    Late.m_Priority = m_Route->m_Priority;
+    Late.m_Server = m_ChosenServer.m_Id;
+    Late.m_Query = query(Now);
+    Late.m_IsNewlyLate = !m_IsLate;
+    m_IsLate = true;
+    WaitingAttempt &Attempt = Late.m_Attempt;
+    Attempt.m_Key = latencyKey();
+    Attempt.m_LatencyObjective = m_Route->m_FirstByteObjective;
+    Attempt.m_Waited = Now - m_SentAt;
+    Attempt.m_TimeLeft = responseDueAt() - Now;
+    Attempt.m_MayRunMoreThanOnce = mayRetry();
+    Attempt.m_HasAnswer = hasAnswer();
+    // A request whose earlier attempt was lost may have caused that.
+    Attempt.m_IsContentSuspected =
+        mayHaveExecuted() || isSuspected(m_Context, m_Contents, Now);
+    Attempt.m_ReachedServers = m_ArrivedAttempts + 1;
+    Attempt.m_MaxAttempts = m_Route->m_MaxAttempts;
+    if (const auto Chosen = chooseSecondServer(m_Context, budget(), Late))
+      sendSecondAttempt(*Chosen, Now);
+  }
+
+  void sendSecondAttempt(const ChosenServer &Chosen, MonotonicTime Now) {
+    m_HasSecondAttempt = true;
+    m_TriedServers.insert(Chosen.m_Id);
+    if (m_Service->hasReplicaGroups())
+      recordPrompt(Chosen, Now);
+    SecondAttemptRequest Request;
+    Request.m_Id = m_Id;
+    Request.m_Server = Chosen;
+    Request.m_Head = requestHead(Chosen, Now);
+    Request.m_Body = body();
+    Request.m_ExpectsNoBody = expectsNoBody();
+    Request.m_IsStreaming = m_Route->m_Kind == RequestKind::Streaming;
+    Request.m_Sequence = m_Sequence;
+    Request.m_Contents = m_Contents;
+    Request.m_SentAt = Now;
+    Request.m_ConnectTimeout = ConnectTimeout;
+    Request.m_Timeout = responseDueAt() - Now + milliseconds(50);
+    Request.m_MaxBodyBytes = MaxBufferedResponseBytes;
+    m_SecondAttempt =
+        std::make_shared<SecondAttempt>(m_Context, std::move(Request));
+    SecondAttemptHandlers Handlers;
+    Handlers.m_MaySend = [this] { return maySendSecondAttempt(); };
+    Handlers.m_OnWon = [this] { onSecondAttemptWon(); };
+    Handlers.m_OnEnded = [this,
+                          Owner = m_Owner.lock()](SecondAttemptResult Result) {
+      onSecondAttemptEnded(Result);
+    };
+    m_SecondAttempt->start(std::move(Handlers));
+  }
+
+  bool maySendSecondAttempt() {
+    // It has become the only attempt.
+    if (!m_SecondAttempt)
+      return maySend();
+    const MonotonicTime Now = monotonicNow();
+    return Now - m_SecondAttempt->sentAt() <= ConnectTimeout &&
+           !m_Context.m_PlannedStop.hasBegun() &&
+           !isOverloaded(m_Context, query(Now)) &&
+           m_Context.m_Selector.availability().tryAcquire(
+               m_Context.m_Fleet, m_SecondAttempt->server(), Now);
+  }
+
+  void onSecondAttemptEnded(SecondAttemptResult Result) {
+    if (Result == SecondAttemptResult::NotSent)
+      m_TriedServers.erase(m_SecondAttempt->server().m_Id);
+    m_ArrivedAttempts += m_SecondAttempt->mayHaveArrived() ? 1 : 0;
+    m_PossibleExecutions += Result == SecondAttemptResult::Failed ? 1 : 0;
+    m_SecondAttempt = nullptr;
+  }
+
+  void onSecondAttemptWon() {
+    recordNoAnswer(monotonicNow());
+    if (m_IsStream && m_HasHead)
+      m_Sequence.endAttempt(m_EventCutter.isInsideEvent());
+    if (m_Call->mayHaveSent()) {
+      ++m_ArrivedAttempts;
+      ++m_PossibleExecutions;
+    }
+    m_Call->cancel();
+    releaseServer();
+    adoptSecondAttempt(SecondAttemptResult::Won);
+  }
+
+  /// Goes on with the second attempt as the only one. Returns false if there is
+  /// none.
+  bool adoptSecondAttempt(SecondAttemptResult Result) {
+    if (!m_SecondAttempt)
+      return false;
+    const std::shared_ptr<SecondAttempt> Adopted = std::move(m_SecondAttempt);
+    m_SecondAttempt = nullptr;
+    beginAttempt(Adopted->server(), Adopted->sentAt());
+    m_Call = Adopted->call();
+    Adopted->adopt(callHandlers(), Result);
+    return true;
+  }
+
+  void cancelSecondAttempt() {
+    if (!m_SecondAttempt)
+      return;
+    const std::shared_ptr<SecondAttempt> Loser = std::move(m_SecondAttempt);
+    m_SecondAttempt = nullptr;
+    Loser->cancel();
+    m_ArrivedAttempts += Loser->mayHaveArrived() ? 1 : 0;
+    m_PossibleExecutions += Loser->mayHaveArrived() ? 1 : 0;
+  }
+
+  /// Records that the current attempt is cancelled without an answer.
+  void recordNoAnswer(MonotonicTime Now) {
+    if (!hasAnswer())
+      m_Context.m_SecondAttempts.onNoAnswer(
+          latencyKey(), m_Route->m_FirstByteObjective, Now - m_SentAt, Now);
   }
 
   /// True if the chosen server may still receive the request when the
@@ -391,13 +544,13 @@
   /// Records the prefill work for the chosen server. Prompts that fill at least
   /// half a prefill chunk are also announced to the peers; shorter ones are
   /// not, since each message goes to all peers.
-  void recordPrompt(MonotonicTime Now) {
+  void recordPrompt(const ChosenServer &Server, MonotonicTime Now) {
     const EngineSpec &Engine = m_Service->m_Engine;
     const Duration PrefillTime = prefillTime(Engine, m_Model, m_PromptTokens);
-    m_Context.m_Selector.onPromptSent(m_ChosenServer.m_Id, PrefillTime, Now);
+    m_Context.m_Selector.onPromptSent(Server.m_Id, PrefillTime, Now);
     if (m_PromptTokens * 2 >= Engine.m_PrefillChunkTokens &&
         m_Context.m_OnLongPrompt)
-      m_Context.m_OnLongPrompt(m_ChosenServer.m_Id, PrefillTime);
+      m_Context.m_OnLongPrompt(Server.m_Id, PrefillTime);
   }
 
   /// The body of the request, which further attempts may need as well.
@@ -479,6 +632,7 @@
 
   void onHead(HttpMessageHead Head) {
     m_ResponseHead = std::move(Head);
+    m_HasHead = true;
     const std::string EchoedId = findHeader(m_ResponseHead.m_Headers,
                                             m_Context.m_HeaderNames.m_RequestId)
                                      .value_or(m_Id);
@@ -562,6 +716,8 @@
       break;
     }
     if (!m_ResponseStarted) {
+      cancelSecondAttempt();
+      m_Context.m_SecondAttempts.onAnswer(latencyKey(), Now - m_SentAt, Now);
       m_FirstEventAt = Now;
       if (m_Service->hasReplicaGroups())
         m_Context.m_FirstEventLatency.record(
@@ -647,14 +803,8 @@
   }
 
   void onConnectionLost() {
-    // The end of a server that leaves is no crash.
-    const BackendServer *Server = m_Context.m_Fleet.find(m_ChosenServer.m_Id);
-    if (Server && Server->m_Draining)
+    if (!recordLostConnection(m_Context, m_ChosenServer, m_Contents))
       return;
-    for (const ContentHash Content : m_Contents)
-      m_Context.m_CrashDetector.onConnectionLost(Content, m_ChosenServer.m_Id,
-                                                 m_ChosenServer.m_StartedAtMs,
-                                                 monotonicNow());
     m_IsCrashWatchPending = true;
     if (m_Context.m_OnConnectionLost)
       m_Context.m_OnConnectionLost(m_ChosenServer);
@@ -693,6 +843,13 @@
       retryOrEnd("server_error", true);
       return;
     }
+    if (m_HasSecondAttempt && (m_SecondAttempt || mayHaveExecuted()) &&
+        isRejection(m_ResponseHead.m_Status)) {
+      // The client may take the status as a promise that the request has not
+      // run, but the other server may have run it.
+      onAttemptFailed("rejected");
+      return;
+    }
     if (m_Sequence.deliveredCount() > 0) {
       // The attempt should have resumed a stream, but the response is not a
       // stream.
@@ -701,27 +858,14 @@
     }
     m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordFinish();
+    const MonotonicTime Now = monotonicNow();
+    m_Context.m_SecondAttempts.onAnswer(latencyKey(), Now - m_SentAt, Now);
     forwardResponse(m_ResponseHead, m_ResponseBody);
   }
 
   void onNotExecuted() {
-    const MonotonicTime Now = monotonicNow();
     releaseServer();
-    const std::string AtFault =
-        findHeader(m_ResponseHead.m_Headers,
-                   m_Context.m_HeaderNames.m_FailedServer)
-            .value_or("");
-    if (m_ResponseHead.m_Status == Misdirected || (!AtFault.empty()))
-      m_Context.m_Selector.availability().onSuspected(
-          m_ChosenServer.m_Id, m_ChosenServer.m_Group, Now);
-    else
-      m_Context.m_Selector.availability().onNoFreeSlot(m_ChosenServer.m_Id,
-                                                       Now);
-    m_Context.m_Log.write("not_run",
-                          {{"id", m_Id},
-                           {"server", m_ChosenServer.m_Id},
-                           {"status", std::int64_t{m_ResponseHead.m_Status}},
-                           {"at_fault", AtFault}});
+    recordRefusal(m_Context, m_ChosenServer, m_ResponseHead, m_Id);
     retryOrEnd("not_run", false);
   }
 
@@ -772,6 +916,8 @@
 
   void retryOrEnd(std::string_view Cause, bool MayHaveExecuted) {
     m_PossibleExecutions += MayHaveExecuted ? 1 : 0;
+    if (adoptSecondAttempt(SecondAttemptResult::Continued))
+      return;
     const bool CanContinue = m_Sequence.deliveredCount() == 0 ||
                              (m_Route->m_Resumable && m_Sequence.canResume());
     if ((mayHaveExecuted() && !mayRetry()) || !CanContinue ||
@@ -858,8 +1004,11 @@
   }
 
   void cancelCall() {
-    if (m_Call)
+    cancelSecondAttempt();
+    if (m_Call) {
+      recordNoAnswer(monotonicNow());
       m_Call->cancel();
+    }
     releaseServer();
   }
 
@@ -879,6 +1028,7 @@
     if (m_Phase == Phase::Ended)
       return;
     m_Phase = Phase::Ended;
+    cancelSecondAttempt();
     m_ClientRequest.m_Body = std::make_shared<RequestBody>();
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Log.write(
@@ -942,6 +1092,7 @@
       dispatch();
       return;
     }
+    considerSecondAttempt(Now);
     if (m_Service->hasReplicaGroups() && mayRetry())
       checkForStall(Now);
   }
@@ -969,7 +1120,8 @@
       if (Silence < StallThreshold * UnconfirmedStallFactor)
         return;
     }
-    if (m_PossibleExecutions + 1 >= m_Route->m_MaxAttempts)
+    // The second attempt goes on anyway.
+    if (m_SecondAttempt || m_PossibleExecutions + 1 >= m_Route->m_MaxAttempts)
       return;
     // The stream is moved only if another group can receive it and the retry
     // budget allows a retry.
@@ -1002,6 +1154,9 @@
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
   std::shared_ptr<UpstreamCall> m_Call;
+  /// Runs beside m_Call until one of them responds or ends.
+  std::shared_ptr<SecondAttempt> m_SecondAttempt;
+  MonotonicTime m_NextSecondAttemptAt{};
   HttpMessageHead m_ResponseHead;
   /// Head of the stream that the client receives.
   HttpMessageHead m_StreamHead;
@@ -1040,8 +1195,14 @@
   bool m_HasOutput = false;
   /// The server has finished a successful response to the current attempt.
   bool m_HasFinished = false;
+  /// The head of the response to the current attempt has arrived.
+  bool m_HasHead = false;
   /// The current attempt has returned an event.
   bool m_HasEvents = false;
+  /// The current attempt has been found to be late.
+  bool m_IsLate = false;
+  /// A second attempt has been sent for this request.
+  bool m_HasSecondAttempt = false;
   /// Hashes of the request and of the prompt parts that others may share.
   std::vector<ContentHash> m_Contents;
 };
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -13,6 +13,7 @@
 #include "servers/replicas/fleet_demand.h"
 #include "servers/retry/crash_detector.h"
 #include "servers/retry/poison_detector.h"
+#include "servers/retry/second_attempt_policy.h"
 #include "servers/retry/windowed_retry_budget.h"
 #include "servers/routes/route_table.h"
 
@@ -49,6 +50,7 @@
   /// This node's share of the retry budget, by service.
   std::map<std::string, WindowedRetryBudget> m_RetryBudgets;
   WindowedRetryBudgetSettings m_RetryBudgetSettings;
+  SecondAttemptPolicy m_SecondAttempts;
   std::minstd_rand m_Random{std::random_device()()};
   /// Detects requests and prompt parts that crashed three backend servers; they
   /// are not sent again.
--- a/proxy/server_notices.cpp
+++ b/proxy/server_notices.cpp
@@ -115,4 +115,33 @@
   recordRateLimit(Context, Server, Response);
 }
 
+void recordRefusal(RequestRelayContext &Context, const ChosenServer &Server,
+                   const HttpMessageHead &Head, std::string_view RequestId) {
+  const MonotonicTime Now = monotonicNow();
+  const std::string AtFault =
+      findHeader(Head.m_Headers, Context.m_HeaderNames.m_FailedServer)
+          .value_or("");
+  if (Head.m_Status == Misdirected || !AtFault.empty())
+    Context.m_Selector.availability().onSuspected(Server.m_Id, Server.m_Group,
+                                                  Now);
+  else
+    Context.m_Selector.availability().onNoFreeSlot(Server.m_Id, Now);
+  Context.m_Log.write("not_run", {{"id", RequestId},
+                                  {"server", Server.m_Id},
+                                  {"status", std::int64_t{Head.m_Status}},
+                                  {"at_fault", AtFault}});
+}
+
+bool recordLostConnection(RequestRelayContext &Context,
+                          const ChosenServer &Server,
+                          const std::vector<ContentHash> &Contents) {
+  const BackendServer *Entry = Context.m_Fleet.find(Server.m_Id);
+  if (Entry && Entry->m_Draining)
+    return false;
+  for (const ContentHash Content : Contents)
+    Context.m_CrashDetector.onConnectionLost(
+        Content, Server.m_Id, Server.m_StartedAtMs, monotonicNow());
+  return true;
+}
+
 } // namespace fulmarwinch
--- a/proxy/server_notices.h
+++ b/proxy/server_notices.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace fulmarwinch {
 
@@ -34,6 +35,18 @@
                          const ChosenServer &Server,
                          const ServerResponseHead &Response);
 
+/// Records that \p Server proved with the response \p Head that it did not run
+/// the request \p RequestId.
+void recordRefusal(RequestRelayContext &Context, const ChosenServer &Server,
+                   const HttpMessageHead &Head, std::string_view RequestId);
+
+/// Records that the connection to \p Server was lost while a request with \p
+/// Contents ran there. Returns false if the server leaves, whose end is no
+/// crash.
+bool recordLostConnection(RequestRelayContext &Context,
+                          const ChosenServer &Server,
+                          const std::vector<ContentHash> &Contents);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_SERVER_NOTICES_H
