--- a/main/fulmarwinch-front/main.cpp
+++ b/main/fulmarwinch-front/main.cpp
@@ -18,15 +18,20 @@
     R"(Front node of fulmarwinch for a platform that provides an object store.
 
 Usage:
-  fulmarwinch-front [--settings FILE] [--check]
+  fulmarwinch-front [--settings FILE] [--second-attempt-share SHARE] [--check]
   fulmarwinch-front --version
   fulmarwinch-front --help
 
 Options:
-  --settings FILE  Settings file; default: the file in $FULMARWINCH_NODE_FILE.
-  --check          Checks the settings and exits.
-  --version        Prints the version and exits.
-  --help           Prints this text and exits.
+  --settings FILE               Settings file; default: the file in
+                                $FULMARWINCH_NODE_FILE.
+  --second-attempt-share SHARE  Send requests that may be repeated to a second
+                                server as well if the first one is slow: at most
+                                this share of the requests, from 0 (never) to
+                                0.2. [default: 0]
+  --check                       Checks the settings and exits.
+  --version                     Prints the version and exits.
+  --help                        Prints this text and exits.
 )";
 
 constexpr int ExitStartFailed = 1;
@@ -156,12 +161,22 @@
                                ? Arguments["--settings"].asString()
                                : fulmarwinch::platform::frontSettingsPath();
   const std::string Text = readFile(Path);
-  const auto Settings = fulmarwinch::platform::parseFrontSettings(Text);
+  auto Settings = fulmarwinch::platform::parseFrontSettings(Text);
+  const auto SecondAttemptShare =
+      fulmarwinch::platform::parseSecondAttemptShare(
+          Arguments["--second-attempt-share"].asString());
+  if (!SecondAttemptShare.ok()) {
+    std::cerr << "fulmarwinch-front: "
+              << fulmarwinch::toStdView(SecondAttemptShare.status().message())
+              << '\n';
+    return ExitUsage;
+  }
   if (!Settings.ok()) {
     std::cerr << "fulmarwinch-front: " << Path << ": "
               << fulmarwinch::toStdView(Settings.status().message()) << '\n';
     return ExitUsage;
   }
+  Settings->m_SecondAttemptShare = *SecondAttemptShare;
   if (Arguments["--check"].asBool())
     return 0;
   return runNode(*Settings, Path, Text);
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ordersAreEncoded);
   CPPUNIT_TEST(settingsAreParsed);
   CPPUNIT_TEST(incompleteSettingsAreRejected);
+  CPPUNIT_TEST(secondAttemptShareIsValidated);
   CPPUNIT_TEST_SUITE_END();
 
   static StoredObject object(const char *Name, const char *Content) {
@@ -283,6 +284,20 @@
     CPPUNIT_ASSERT(
         !platform::parseFrontSettings(Text + "bounds.stall_ms=x\n").ok());
   }
+
+  /// Guards against a share beyond what the platform allows, and against an
+  /// error that does not name the option.
+  void secondAttemptShareIsValidated() {
+    for (const auto &[Value, Share] :
+         {std::pair("0", 0.0), std::pair("0.05", 0.05), std::pair("0.2", 0.2)})
+      CPPUNIT_ASSERT_EQUAL(Share, *platform::parseSecondAttemptShare(Value));
+    for (const char *Invalid : {"", "x", "-0.1", "0.21", "1", "nan", "0.1x"}) {
+      const auto Parsed = platform::parseSecondAttemptShare(Invalid);
+      CPPUNIT_ASSERT_MESSAGE(Invalid, !Parsed.ok());
+      CPPUNIT_ASSERT(Parsed.status().message().find("--second-attempt-share") !=
+                     std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDecodersTest);
