Supply models by urgency and for the loss of a zone

Cause: a conversion starts only below 1.3 groups for each busy one, so the supply does not bear the loss of a zone, and nothing knows the urgency of the callers.

Change: the shortage ratio grows by the zones whose loss must be borne, the demand is at least the groups that the requests in flight fill, and under scarcity the model with the more urgent requests goes first.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -656,6 +656,8 @@
         Query.m_Model = Model.m_Name;
         Query.m_Now = Now;
         const GroupSupply Supply = m_ServerSelector.groupSupply(m_Fleet, Query);
+        m_Context.m_BusyGroups[Model.m_Name] =
+            static_cast<double>(Supply.m_Groups) * Supply.m_MeanSlotUsage;
         const ModelDemand Demand{FirstAttempts[Model.m_Name],
                                  Returning[Model.m_Name]};
         const RelativeLatency Latency =
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -37,6 +37,9 @@
   /// Period in which each backend server writes its entry to the store. An
   /// entry that was not written for three periods is removed.
   Duration m_ServerReportPeriod = std::chrono::milliseconds(1200);
+  /// Number of availability zones whose loss the supply of each model must
+  /// bear.
+  std::size_t m_TolerableZoneLosses = 0;
   /// True if the whole system starts for the first time.
   bool m_IsFirstStart = false;
   /// Retry budget of all nodes together: in each window at most this share of
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -184,6 +184,9 @@
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
     Input.m_DemandByModel = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
+    raiseToBusyGroups(Input.m_DemandByModel, m_Context.m_BusyGroups);
+    Input.m_PriorityByModel = m_Context.m_ModelPriorities.byModel();
+    Input.m_TolerableZoneLosses = m_Settings.m_TolerableZoneLosses;
     std::vector<MemberOrder> Orders = Planner.plan(Input);
     if (Now >= m_NextSupplyLogAt)
       logSupply(Planner.modelSupplies(Input));
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -124,6 +124,7 @@
                                     ? m_Context.m_ReturningDemandEstimator
                                     : m_Context.m_DemandEstimator;
       Demand.recordRequest(*m_Service, m_Model, Size, monotonicNow());
+      m_Context.m_ModelPriorities.recordRequest(m_Model, priority());
     }
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
@@ -161,14 +162,23 @@
     const std::string Key = header(m_Context.m_HeaderNames.m_ApiKey);
     const OrganisationSpec *Organisation =
         Key.empty() ? nullptr : m_Table->findOrganisation(Key);
-    if (Organisation)
+    if (Organisation) {
       m_Organisation = Organisation->m_Name;
+      m_OrganisationPriority = Organisation->m_Priority;
+    }
     if (Organisation || m_Route->m_NeedsNoApiKey || !m_Table->requiresApiKeys())
       return true;
     respondWithError(Unauthorized, "unknown_key");
     return false;
   }
 
+  /// Priority of the request; that of the organisation takes precedence.
+  unsigned priority() const {
+    return m_OrganisationPriority >= 0
+               ? static_cast<unsigned>(m_OrganisationPriority)
+               : m_Route->m_Priority;
+  }
+
   /// Returns a hash of the organisation, target and body, so that a retried
   /// request has the same hash on every node.
   ContentHash contentHash() const {
@@ -992,6 +1002,8 @@
   const Route *m_Route = nullptr;
   const ServiceSpec *m_Service = nullptr;
   std::string m_Organisation;
+  /// -1 if the organisation has none.
+  int m_OrganisationPriority = -1;
   std::string m_Model;
   MonotonicTime m_Deadline{};
   MonotonicTime m_WaitingSince{};
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -66,6 +66,9 @@
   FleetDemand m_FleetDemand;
   FleetDemand m_ReturningFleetDemand;
   ReturningClients m_ReturningClients;
+  ModelPriorities m_ModelPriorities;
+  /// Number of groups that the requests in flight on all nodes fill, by model.
+  DemandByModel m_BusyGroups;
   FirstEventLatency m_FirstEventLatency;
   /// Shares of the requests that are admitted, by model; models without an
   /// entry are not overloaded.
--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -43,8 +43,9 @@
 
 void ReplicaPlanner::startConversion(const ReplicaPlannerInput &Input) {
   const EngineSpec &Engine = Input.m_Service->m_Engine;
-  const auto Choice = chooseConversion(domainSupplies(Input), Engine.m_Models,
-                                       Input.m_DemandByModel);
+  const auto Choice =
+      chooseConversion(domainSupplies(Input), Engine.m_Models,
+                       Input.m_DemandByModel, conversionPolicy(Input));
   if (!Choice || m_Conversions.count(Choice->m_Domain) != 0)
     return;
   const ModelSpec &Model = *Engine.findModel(Choice->m_Model);
@@ -75,6 +76,26 @@
   m_Conversions[Choice->m_Domain] = std::move(Conversion);
 }
 
+ConversionPolicy
+ReplicaPlanner::conversionPolicy(const ReplicaPlannerInput &Input) const {
+  std::set<std::string> Zones;
+  std::set<std::string> EvacuatedZones;
+  for (const auto &[Id, Server] : Input.m_Fleet->servers())
+    if (Server.m_Service == Input.m_Service->m_Name &&
+        !Server.m_FabricDomain.empty()) {
+      Zones.insert(Server.m_Zone);
+      if (Input.m_Fleet->isEvacuated(Server.m_Zone))
+        EvacuatedZones.insert(Server.m_Zone);
+    }
+  ConversionPolicy Policy;
+  Policy.m_PriorityByModel = Input.m_PriorityByModel;
+  Policy.m_ShortageRatio = shortageRatioAfterZoneLoss(
+      m_Settings.m_ShortageRatio, Zones.size() - EvacuatedZones.size(),
+      Input.m_TolerableZoneLosses -
+          std::min(Input.m_TolerableZoneLosses, EvacuatedZones.size()));
+  return Policy;
+}
+
 std::size_t
 ReplicaPlanner::maxConversionLoads(const ReplicaPlannerInput &Input) const {
   return static_cast<std::size_t>(
--- a/servers/replicas/fleet_demand.h
+++ b/servers/replicas/fleet_demand.h
@@ -32,6 +32,22 @@
   std::map<std::string, PeerReport> m_Peers;
 };
 
+/// Raises the demand of each model to \p BusyGroups, the number of its groups
+/// that the requests in flight fill. The estimate from the sizes of requests
+/// assumes full batches and is too low while requests queue at the groups.
+void raiseToBusyGroups(DemandByModel &Demand, const DemandByModel &BusyGroups);
+
+/// Mean priority of the recent requests of each model on this node.
+class ModelPriorities {
+public:
+  void recordRequest(const std::string &Model, unsigned Priority);
+  /// Returns the means, or nothing if all are equal.
+  std::map<std::string, double> byModel() const;
+
+private:
+  std::map<std::string, double> m_MeanByModel;
+};
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_REPLICAS_FLEET_DEMAND_H
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -55,6 +55,10 @@
   /// Time after the first request before the demand of the models decides which
   /// domains are converted.
   Duration m_DemandSettleTime = std::chrono::seconds(3);
+  /// A model is short of groups if it has fewer than this number for each group
+  /// that its requests keep busy, after the loss of the availability zones that
+  /// it must bear.
+  double m_ShortageRatio = 1.3;
   /// Share of the concurrent loads, from 0 to 1, that the conversion of domains
   /// may use. The others are left for the spares that replace lost servers.
   double m_ConversionLoadShare = 0.75;
@@ -93,6 +97,11 @@
   std::set<std::string> m_UnlistedButResponding;
   /// Number of groups that the traffic of all nodes keeps busy.
   DemandByModel m_DemandByModel;
+  /// Mean priority of the requests of each model; empty if all are equal.
+  std::map<std::string, double> m_PriorityByModel;
+  /// Number of availability zones whose loss the groups of each model must
+  /// bear.
+  std::size_t m_TolerableZoneLosses = 0;
 };
 
 /// Plans the orders that form, open, repair and close the replica groups of one
@@ -210,6 +219,10 @@
   supplyByModel(const ReplicaPlannerInput &Input) const;
   std::vector<const ModelSpec *>
   modelsByRisingSupply(const ReplicaPlannerInput &Input) const;
+  /// Mean priority of the requests of \p Model if it is short of groups,
+  /// otherwise infinity.
+  double shortModelPriority(const ReplicaPlannerInput &Input,
+                            const ModelSpec &Model) const;
   /// Recomputes m_ModelByDomain and m_ShareWithWeights from the weights that
   /// the servers have loaded or are loading.
   void updateDomainModels(const ReplicaPlannerInput &Input);
@@ -249,6 +262,9 @@
                 const BackendServer &Server) const;
   /// True if \p Server is part of a conversion and has not loaded the weights.
   bool isReservedForConversion(const BackendServer &Server) const;
+  /// What decides which model is short of groups. An evacuated zone counts as
+  /// one of the losses to bear.
+  ConversionPolicy conversionPolicy(const ReplicaPlannerInput &Input) const;
   /// True if \p Model has fewer groups than its requests keep busy.
   bool isShort(const ReplicaPlannerInput &Input, const ModelSpec &Model) const;
   /// Loads that are missing before a fabric domain can form one more group.
--- a/servers/replicas/replica_staging.cpp
+++ b/servers/replicas/replica_staging.cpp
@@ -45,9 +45,11 @@
     const ReplicaPlannerInput &Input, const ModelSpec &Model,
     const std::vector<const BackendServer *> &FreeServers,
     const std::map<std::string, double> &Supply) const {
-  const double RestageRatio = isShort(Input, Model)
-                                  ? m_Settings.m_ShortModelRestageRatio
-                                  : m_Settings.m_RestageSupplyRatio;
+  const bool IsShort = isShort(Input, Model);
+  const ConversionPolicy Policy{m_Settings.m_ShortageRatio,
+                                Input.m_PriorityByModel};
+  const double RestageRatio = IsShort ? m_Settings.m_ShortModelRestageRatio
+                                      : m_Settings.m_RestageSupplyRatio;
   const auto StagedCount = static_cast<std::size_t>(std::count_if(
       FreeServers.begin(), FreeServers.end(), [&](const BackendServer *Server) {
         return hasStagedOrIsStaging(*Server, Model);
@@ -71,8 +73,10 @@
   for (const BackendServer *Server : FreeServers) {
     if (Server->m_StagedModels.empty())
       continue;
-    const auto OtherSupply = Supply.find(Server->m_StagedModels.back());
+    const std::string &OtherModel = Server->m_StagedModels.back();
+    const auto OtherSupply = Supply.find(OtherModel);
     if (OtherSupply == Supply.end() ||
+        (IsShort && Policy.isMoreUrgent(Model.m_Name, OtherModel)) ||
         Supply.at(Model.m_Name) < OtherSupply->second * RestageRatio)
       SelectServer(*Server, m_Settings.m_RestageCost);
   }
--- a/servers/replicas/replica_supply.cpp
+++ b/servers/replicas/replica_supply.cpp
@@ -5,6 +5,7 @@
 #include "servers/replicas/replica_planner.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace fulmarwinch {
 
@@ -81,6 +82,14 @@
   return static_cast<double>(GroupCount) < Demanded->second;
 }
 
+double ReplicaPlanner::shortModelPriority(const ReplicaPlannerInput &Input,
+                                          const ModelSpec &Model) const {
+  const auto Priority = Input.m_PriorityByModel.find(Model.m_Name);
+  return Priority != Input.m_PriorityByModel.end() && isShort(Input, Model)
+             ? Priority->second
+             : std::numeric_limits<double>::infinity();
+}
+
 std::vector<const ModelSpec *>
 ReplicaPlanner::modelsByRisingSupply(const ReplicaPlannerInput &Input) const {
   const std::map<std::string, double> Supply = supplyByModel(Input);
@@ -91,6 +100,13 @@
                    [&](const ModelSpec *Left, const ModelSpec *Right) {
                      return Supply.at(Left->m_Name) < Supply.at(Right->m_Name);
                    });
+  // Under scarcity the most urgent requests go first.
+  if (!Input.m_PriorityByModel.empty())
+    std::stable_sort(Result.begin(), Result.end(),
+                     [&](const ModelSpec *Left, const ModelSpec *Right) {
+                       return shortModelPriority(Input, *Left) <
+                              shortModelPriority(Input, *Right);
+                     });
   return Result;
 }
 
--- a/tests/servers/replicas/test_model_rebalancer.cpp
+++ b/tests/servers/replicas/test_model_rebalancer.cpp
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(freeServersGoBeforeDonors);
   CPPUNIT_TEST(donorIsNotStarved);
   CPPUNIT_TEST(conversionSpreadsOverZones);
+  CPPUNIT_TEST(urgentModelIsSuppliedFirst);
+  CPPUNIT_TEST(urgentModelDoesNotSwingBack);
+  CPPUNIT_TEST(supplyBearsTheLossOfAZone);
   CPPUNIT_TEST_SUITE_END();
 
   static std::vector<ModelSpec> models(unsigned BigSize, unsigned SmallSize) {
@@ -187,6 +190,98 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"),
                          Domains.at(Conversion->m_Domain).m_Zone);
   }
+
+  /// Domains of 18 servers in two zones that remain when a third is lost, with
+  /// groups of 8 and 2.
+  static std::map<std::string, DomainSupply> remainingDomains() {
+    return {
+        {"d1", {"z1", 2, {{"big", 2}}}},   {"d2", {"z1", 0, {{"small", 9}}}},
+        {"d3", {"z1", 2, {{"big", 2}}}},   {"d4", {"z2", 2, {{"big", 2}}}},
+        {"d5", {"z2", 0, {{"small", 9}}}}, {"d6", {"z2", 2, {{"big", 2}}}}};
+  }
+
+  static ConversionPolicy smallModelIsUrgent() {
+    ConversionPolicy Policy;
+    Policy.m_PriorityByModel = {{"big", 1.5}, {"small", 0.0}};
+    return Policy;
+  }
+
+  /// Load pattern: after the loss of a zone no model has enough groups. Guards
+  /// against the most urgent requests being refused while less urgent ones keep
+  /// their groups.
+  void urgentModelIsSuppliedFirst() {
+    const std::vector<ModelSpec> Models = models(8, 2);
+    const DemandByModel Demand{{"big", 10.0}, {"small", 25.0}};
+    const std::map<std::string, DomainSupply> Domains = remainingDomains();
+    // Without priorities the free servers go to the model with the fewest
+    // groups for its demand, and no group ends.
+    const auto ByDemand = chooseConversion(Domains, Models, Demand);
+    CPPUNIT_ASSERT(!ByDemand || ByDemand->m_Model == "small");
+    const auto ByPriority =
+        chooseConversion(Domains, Models, Demand, smallModelIsUrgent());
+    CPPUNIT_ASSERT(ByPriority);
+    CPPUNIT_ASSERT_EQUAL(std::string("small"), ByPriority->m_Model);
+    // With the free servers gone, a group of the other model ends.
+    std::map<std::string, DomainSupply> Full = Domains;
+    for (auto &[Name, Domain] : Full)
+      Domain.m_FreeServers = 0;
+    const auto FromDonor =
+        chooseConversion(Full, Models, Demand, smallModelIsUrgent());
+    CPPUNIT_ASSERT(FromDonor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, FromDonor->m_DonorGroups);
+    CPPUNIT_ASSERT(
+        !chooseConversion(Full, Models, {{"big", 10.0}, {"small", 22.0}}, {}));
+  }
+
+  /// Guards against groups that are given back and forth between the models,
+  /// each time at the price of the loads.
+  void urgentModelDoesNotSwingBack() {
+    const std::vector<ModelSpec> Models = models(8, 2);
+    const DemandByModel Demand{{"big", 10.0}, {"small", 25.0}};
+    std::map<std::string, DomainSupply> Domains = remainingDomains();
+    unsigned Conversions = 0;
+    while (const auto Conversion = chooseConversion(Domains, Models, Demand,
+                                                    smallModelIsUrgent())) {
+      CPPUNIT_ASSERT_EQUAL(std::string("small"), Conversion->m_Model);
+      CPPUNIT_ASSERT(++Conversions < 30);
+      DomainSupply &Converted = Domains.at(Conversion->m_Domain);
+      Converted.m_GroupsByModel["big"] -= Conversion->m_DonorGroups;
+      Converted.m_FreeServers += Conversion->m_DonorGroups * 8 - 2;
+      ++Converted.m_GroupsByModel["small"];
+    }
+    std::size_t Small = 0;
+    std::size_t Big = 0;
+    for (const auto &[Name, Domain] : Domains)
+      for (const auto &[Model, Count] : Domain.m_GroupsByModel)
+        (Model == "big" ? Big : Small) += Count;
+    CPPUNIT_ASSERT(Small >= 25);
+    CPPUNIT_ASSERT(Big >= 5);
+  }
+
+  /// Load pattern: a zone is evacuated. Guards against a supply that just
+  /// suffices before and lacks a third of its groups afterwards, since the
+  /// loads of a conversion take longer than the evacuation.
+  void supplyBearsTheLossOfAZone() {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.95, shortageRatioAfterZoneLoss(1.3, 3, 1),
+                                 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, shortageRatioAfterZoneLoss(1.3, 3, 0),
+                                 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, shortageRatioAfterZoneLoss(1.3, 1, 1),
+                                 1e-9);
+    std::map<std::string, DomainSupply> Domains;
+    for (const char *Zone : {"z1", "z2", "z3"}) {
+      Domains[std::string(Zone) + "big"] = {Zone, 2, {{"big", 3}}};
+      Domains[std::string(Zone) + "small"] = {Zone, 0, {{"small", 12}}};
+    }
+    const std::vector<ModelSpec> Models = models(8, 2);
+    const DemandByModel Demand{{"big", 3.5}, {"small", 25.0}};
+    CPPUNIT_ASSERT(!chooseConversion(Domains, Models, Demand));
+    ConversionPolicy Policy;
+    Policy.m_ShortageRatio = shortageRatioAfterZoneLoss(1.3, 3, 1);
+    const auto Conversion = chooseConversion(Domains, Models, Demand, Policy);
+    CPPUNIT_ASSERT(Conversion);
+    CPPUNIT_ASSERT_EQUAL(std::string("small"), Conversion->m_Model);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ModelRebalancerTest);
