--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -2,11 +2,15 @@
 #define FULMARWINCH_SERVERS_DISPATCH_SERVER_SELECTOR_H
 
 #include "core/enum_names.h"
+#include "servers/dispatch/eligible_servers.h"
+#include "servers/dispatch/peer_load.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
+#include "absl/container/flat_hash_map.h"
+
 #include <array>
 #include <map>
 #include <optional>
@@ -120,8 +124,7 @@
   const ServerAvailability &availability() const { return m_Availability; }
 
   /// Replaces the in-flight requests reported by a peer, by server.
-  void setPeerInFlight(const std::string &Peer,
-                       std::map<std::string, unsigned> Load);
+  void setPeerInFlight(const std::string &Peer, PeerLoad::Report Load);
   /// Must be called when the load reports of \p Peer have stopped.
   void onPeerReportsStopped(const std::string &Peer, MonotonicTime Now);
   /// Sets the names of this node and of all nodes. A node without a load report
@@ -132,8 +135,8 @@
   /// Number of in-flight requests of this node on \p Server.
   unsigned ownInFlight(const std::string &Server) const;
   /// Number of in-flight requests of this node, by server.
-  const std::map<std::string, unsigned> &ownInFlightByServer() const {
-    return m_OwnInFlight;
+  PeerLoad::Report ownInFlightByServer() const {
+    return {m_OwnInFlight.begin(), m_OwnInFlight.end()};
   }
 
 private:
@@ -143,10 +146,6 @@
     Duration m_Backlog{0};
   };
 
-  /// True if \p Server serves the service and model of the request with all
-  /// members of its group, whether or not it may be sent requests now.
-  bool isEligible(const FleetView &Fleet, const ServerQuery &Query,
-                  const BackendServer &Server) const;
   /// Returns the servers that may receive the request, and records why others
   /// may not.
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
@@ -154,7 +153,11 @@
   void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
   void updateLiveNodes();
-  double slotUsage(const BackendServer &Server, const ServerQuery &Query) const;
+  /// Number of nodes without a load report that are assumed to be as loaded as
+  /// this one.
+  double nodesWithoutReport(MonotonicTime Now) const;
+  double slotUsage(const BackendServer &Server, const ServerQuery &Query,
+                   double NodesWithoutReport) const;
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
 
@@ -164,9 +167,10 @@
   MonotonicTime m_NextRequestAt{};
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
+  EligibleServers m_EligibleServers;
   PrefillBacklog m_Backlog;
-  std::map<std::string, unsigned> m_OwnInFlight;
-  std::map<std::string, std::map<std::string, unsigned>> m_PeerInFlight;
+  absl::flat_hash_map<std::string, unsigned> m_OwnInFlight;
+  PeerLoad m_PeerLoad;
   std::string m_OwnNode;
   std::vector<std::string> m_Nodes;
   /// Start of the time without a load report, by node.
