--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -218,15 +218,21 @@
   const auto Number = [](std::size_t Count) {
     return static_cast<std::int64_t>(Count);
   };
-  for (const ModelSupply &Supply : Supplies)
+  for (const ModelSupply &Supply : Supplies) {
+    m_Context.m_Metrics.setGauge(
+        concat("groups_needed{model=\"", Supply.m_Model, "\"}"),
+        Supply.m_NeededGroups);
     m_Context.m_Log.write(
         "group_supply",
         {{"model", Supply.m_Model},
          {"demanded_groups", Supply.m_DemandedGroups},
+         {"needed_groups", Supply.m_NeededGroups},
+         {"priority", Supply.m_Priority},
          {"open", Number(Supply.m_OpenGroups)},
          {"forming", Number(Supply.m_FormingGroups)},
          {"staged_spares", Number(Supply.m_StagedSpares)},
          {"converting_domains", Number(Supply.m_ConvertingDomains)}});
+  }
 }
 
 void GroupCoordinator::loadQuarantine(MonotonicTime Now) {
--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -213,6 +213,7 @@
 
 std::vector<ModelSupply>
 ReplicaPlanner::modelSupplies(const ReplicaPlannerInput &Input) const {
+  const ConversionPolicy Policy = conversionPolicy(Input);
   std::vector<ModelSupply> Result;
   for (const ModelSpec &Model : Input.m_Service->m_Engine.m_Models) {
     ModelSupply Supply;
@@ -220,6 +221,10 @@
     const auto Demanded = Input.m_DemandByModel.find(Model.m_Name);
     if (Demanded != Input.m_DemandByModel.end())
       Supply.m_DemandedGroups = Demanded->second;
+    Supply.m_NeededGroups = Supply.m_DemandedGroups * Policy.m_ShortageRatio;
+    const auto Priority = Policy.m_PriorityByModel.find(Model.m_Name);
+    if (Priority != Policy.m_PriorityByModel.end())
+      Supply.m_Priority = Priority->second;
     for (const auto &[Key, Group] : m_Groups) {
       if (Group.m_Model != Model.m_Name || !Group.m_Head ||
           Input.m_Fleet->isEvacuated(Group.m_Head->m_Zone))
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -78,6 +78,10 @@
   std::size_t m_StagedSpares = 0;
   /// Domains that are being converted to the model.
   std::size_t m_ConvertingDomains = 0;
+  /// Number of groups below which the model is short of them.
+  double m_NeededGroups = 0.0;
+  /// Mean priority of the requests; -1 if all models have the same.
+  double m_Priority = -1.0;
 };
 
 /// State on which the planner bases one planning pass.
