--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,6 +53,9 @@
   /// Random number, uniform in [0, 1), so that nodes with the same view do not
   /// all choose the same server.
   double m_RandomDraw = 0.0;
+  /// Estimated in-flight requests per slot from which a server is too full for
+  /// this request, if that is less than SelectorSettings::m_MaxSlotUsage.
+  double m_MaxSlotUsage = std::numeric_limits<double>::infinity();
   MonotonicTime m_Now{};
 };
 
