Convert all free servers of a domain that a model lacks at once

Cause: a conversion forms one group, so with groups of two the free servers of a domain load two at a time, 12 s each.

Change: a conversion of free servers covers as many groups as the model lacks, as far as the loads allow.

--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -4,6 +4,7 @@
 #include "servers/replicas/replica_planner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fulmarwinch {
 
@@ -57,11 +58,14 @@
   Conversion.m_Model = Model.m_Name;
   Conversion.m_GiveUpTime = Input.m_Now + Model.m_WeightStoreLoadTime * 2 +
                             m_Settings.m_GroupBreakDelay;
+  const std::size_t MaxServers =
+      Choice->m_DonorGroups > 0 ? Model.m_GroupSize
+                                : freeServersToConvert(Input, Model, *Choice);
   const auto FreeServers = freeServersByDomain(Input);
   const auto Free = FreeServers.find(Choice->m_Domain);
   if (Free != FreeServers.end())
     for (const BackendServer *Server : Free->second)
-      if (Conversion.m_Servers.size() < Model.m_GroupSize)
+      if (Conversion.m_Servers.size() < MaxServers)
         Conversion.m_Servers.insert(Server->m_Id);
   std::size_t DonorGroups = Choice->m_DonorGroups;
   for (const auto &[Key, Group] : m_Groups)
@@ -96,6 +100,30 @@
   return Policy;
 }
 
+std::size_t
+ReplicaPlanner::freeServersToConvert(const ReplicaPlannerInput &Input,
+                                     const ModelSpec &Model,
+                                     const DomainConversion &Choice) const {
+  const std::map<std::string, DomainSupply> Domains = domainSupplies(Input);
+  double Groups = 0.0;
+  for (const auto &[Name, Domain] : Domains) {
+    const auto Own = Domain.m_GroupsByModel.find(Model.m_Name);
+    if (Own != Domain.m_GroupsByModel.end())
+      Groups += static_cast<double>(Own->second);
+  }
+  const auto Demanded = Input.m_DemandByModel.find(Model.m_Name);
+  const double Needed =
+      Demanded == Input.m_DemandByModel.end()
+          ? 0.0
+          : Demanded->second * conversionPolicy(Input).m_ShortageRatio;
+  const auto Missing =
+      static_cast<std::size_t>(std::max(1.0, std::ceil(Needed - Groups)));
+  const std::size_t Available =
+      std::min(Domains.at(Choice.m_Domain).m_FreeServers,
+               maxConversionLoads(Input) - loadsInProgress(Input));
+  return std::min(Missing, Available / Model.m_GroupSize) * Model.m_GroupSize;
+}
+
 std::size_t
 ReplicaPlanner::maxConversionLoads(const ReplicaPlannerInput &Input) const {
   return static_cast<std::size_t>(
@@ -124,19 +152,22 @@
   for (auto Entry = m_Conversions.begin(); Entry != m_Conversions.end();) {
     const ActiveConversion &Conversion = Entry->second;
     std::size_t UsableServers = 0;
-    bool HasFormed = false;
+    std::size_t FormedServers = 0;
     for (const std::string &Id : Conversion.m_Servers) {
       const BackendServer *Server = Input.m_Fleet->find(Id);
       if (!Server || !isUsable(Input, *Server))
         continue;
       ++UsableServers;
-      HasFormed =
-          HasFormed || (Server->m_Membership &&
-                        modelOfGroup(Server->m_Membership->m_Group.m_Name) ==
-                            Conversion.m_Model);
+      FormedServers += Server->m_Membership &&
+                       modelOfGroup(Server->m_Membership->m_Group.m_Name) ==
+                           Conversion.m_Model;
     }
     const ModelSpec *Model =
         Input.m_Service->m_Engine.findModel(Conversion.m_Model);
+    // The members of donor groups are free only once the first group forms.
+    const bool HasFormed = Model && FormedServers > 0 &&
+                           (!Conversion.m_DonorGroups.empty() ||
+                            FormedServers + Model->m_GroupSize > UsableServers);
     const bool IsOver = HasFormed || !Model ||
                         UsableServers < Model->m_GroupSize ||
                         Input.m_Now >= Conversion.m_GiveUpTime;
@@ -165,7 +196,11 @@
       ++Domain->second.m_GroupsByModel[Group.m_Model];
   }
   for (const auto &[Domain, Conversion] : m_Conversions)
-    ++Domains[Domain].m_GroupsByModel[Conversion.m_Model];
+    if (const ModelSpec *Model =
+            Input.m_Service->m_Engine.findModel(Conversion.m_Model))
+      Domains[Domain].m_GroupsByModel[Conversion.m_Model] +=
+          std::max<std::size_t>(1, Conversion.m_Servers.size() /
+                                       Model->m_GroupSize);
   return Domains;
 }
 
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -300,6 +300,11 @@
   /// Number of loads from the weight store that are in progress or were
   /// ordered.
   std::size_t loadsInProgress(const ReplicaPlannerInput &Input) const;
+  /// Number of free servers of one domain that load \p Model in one conversion:
+  /// those of all groups that the model lacks, as far as the loads allow.
+  std::size_t freeServersToConvert(const ReplicaPlannerInput &Input,
+                                   const ModelSpec &Model,
+                                   const DomainConversion &Choice) const;
   /// Number of loads that conversions may have in progress.
   std::size_t maxConversionLoads(const ReplicaPlannerInput &Input) const;
   /// True if another load from the weight store may start now.
