--- a/tests/servers/replicas/test_replica_planner.cpp
+++ b/tests/servers/replicas/test_replica_planner.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(spareOfWellSuppliedModelIsRestagedForScarceModel);
   CPPUNIT_TEST(domainChangesItsModelWhileItsGroupsServe);
   CPPUNIT_TEST(conversionLeavesLoadsForLostServers);
+  CPPUNIT_TEST(strandedServersOfADomainLoadTogether);
+  CPPUNIT_TEST(supplyLogNamesNeedAndPriority);
   CPPUNIT_TEST(nextLeaseHolderContinuesAConversion);
   CPPUNIT_TEST(limitedServerIsNoHeadIfAnotherMemberCanBe);
   CPPUNIT_TEST(nextLeaseHolderKnowsAHeadThatEndedBeforeItsTime);
@@ -770,6 +772,57 @@
         }));
   }
 
+  /// Load pattern: the small model lacks groups, and seven servers of each
+  /// domain of the large model are too few for one of its groups. Guards
+  /// against a conversion that converts them two at a time, one load time after
+  /// the other.
+  void strandedServersOfADomainLoadTogether() {
+    m_Service.m_Engine.m_MaxConcurrentLoads = 20;
+    m_Service.m_Engine.m_Models[0].m_GroupSize = 8;
+    m_Service.m_Engine.m_Models[1].m_GroupSize = 2;
+    addDomains(7, {"big", "small"});
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, openGroupsByModel()["small"]);
+    m_TrafficSeen = true;
+    m_Demand = {{"big", 0.0}, {"small", 14.0}};
+    std::map<std::string, unsigned> LoadsByDomain;
+    for (int I = 0; I < 50; ++I) {
+      m_Now += milliseconds(100);
+      for (const MemberOrder &Order : plan(Planner))
+        if (Order.m_Kind == MemberOrderKind::Stage)
+          ++LoadsByDomain[m_Fleet.find(Order.m_Server)->m_FabricDomain];
+    }
+    unsigned Loads = 0;
+    for (const auto &[Domain, Count] : LoadsByDomain)
+      Loads += Count;
+    // 15 of the 20 concurrent loads are for conversions.
+    CPPUNIT_ASSERT(Loads >= 12 && Loads <= 15);
+    for (const auto &[Domain, Count] : LoadsByDomain)
+      CPPUNIT_ASSERT(Count <= 6);
+  }
+
+  /// Guards against an operator who cannot see why a model is converted.
+  void supplyLogNamesNeedAndPriority() {
+    addDomains(9, {"big", "small"});
+    ReplicaPlanner Planner = newPlanner();
+    runUntilSettled(Planner);
+    ReplicaPlannerInput Input;
+    Input.m_Fleet = &m_Fleet;
+    Input.m_Service = &m_Service;
+    Input.m_Now = m_Now;
+    Input.m_DemandByModel = {{"big", 2.0}, {"small", 4.0}};
+    Input.m_PriorityByModel = {{"big", 1.5}, {"small", 0.0}};
+    Input.m_TolerableZoneLosses = 1;
+    const std::vector<ModelSupply> Supplies = Planner.modelSupplies(Input);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0 * 1.95, Supplies[0].m_NeededGroups, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, Supplies[1].m_Priority, 1e-9);
+    // An evacuated zone is one of the losses to bear.
+    m_Fleet.setEvacuatedZones({"a"});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        4.0 * 1.3, Planner.modelSupplies(Input)[1].m_NeededGroups, 1e-9);
+  }
+
   /// The lease passes to another node after the servers of a domain have loaded
   /// the new weights. Guards against a domain that stays between two models.
   void nextLeaseHolderContinuesAConversion() {
