Count one decode step for each prefill chunk in a backlog

Cause: prefillTime() added a whole pass of decode steps for each chunk of a prompt. According to the specification a pass may process a chunk in each of its steps, so prompts that were processed still counted as backlog.

Change: each chunk counts with one decode step.

Not yet measured against servers; one line to revert.

--- a/servers/routes/engine_times.cpp
+++ b/servers/routes/engine_times.cpp
@@ -1,5 +1,7 @@
 #include "servers/routes/engine_times.h"
 
+#include <algorithm>
+
 namespace fulmarwinch {
 
 namespace {
@@ -31,10 +33,11 @@
   const Duration PurePrefill = chunkPrefillTime(Engine, Model, PromptTokens);
   if (Engine.m_PrefillChunkTokens == 0)
     return PurePrefill;
-  const double PassCount =
+  const double StepCount =
       Tokens / static_cast<double>(Engine.m_PrefillChunkTokens);
   return PurePrefill + std::chrono::duration_cast<Duration>(
-                           decodeTimePerPass(Engine, Model) * PassCount);
+                           decodeTimePerPass(Engine, Model) * StepCount /
+                           std::max(1U, Engine.m_DecodeStepsPerPass));
 }
 
 } // namespace fulmarwinch
