Estimate first event and pause for each candidate

Cause: candidates were compared by the total prefill backlog alone. A few long prompts on one group stall all of its streams for 300 ms, since a pass may prefill a chunk in each of its steps.

Change: PlacementEstimator computes for each candidate the time to the first event (backlog, own prompt, current pass, wait for a slot) and the longest pause of the streams that run there. The cost by which candidates are left out is the backlog plus a part of the objective for the first event, in proportion to the share of the slots whose streams are paused for more than half of their objective. The choice among those left stays between two random ones. 'sent' lines have expected_ms and pause_ms.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -269,6 +269,9 @@
     Query.m_Service = m_Service;
     Query.m_Model = m_Model;
     Query.m_TriedServers = m_TriedServers;
+    Query.m_Request = {m_PromptTokens, m_StatedOutputTokens,
+                       m_Route->m_FirstByteObjective,
+                       m_Route->m_EventGapObjective};
     Query.m_Now = Now;
     return Query;
   }
@@ -355,6 +358,10 @@
          {"load", static_cast<std::int64_t>(
                       m_Context.m_Selector.ownInFlight(Chosen.m_Id))},
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
+         {"expected_ms",
+          inMs(m_Context.m_Selector.chosenEstimate().m_FirstEvent)},
+         {"pause_ms",
+          inMs(m_Context.m_Selector.chosenEstimate().m_LongestPause)},
          {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     const bool NoBody = m_ClientRequest.m_Head.m_Method == "HEAD";
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -28,7 +28,7 @@
   if (Candidates.empty())
     return std::nullopt;
   m_NoServerReason = NoServerReason::None;
-  keepShortestPrefillBacklogs(Candidates);
+  keepLowestCosts(Candidates);
   // Choose the less loaded of two random candidates. If each node chose the
   // least loaded server, nodes with the same view would all send to that server
   // until their views are updated.
@@ -45,10 +45,12 @@
                                       static_cast<double>(CandidateCount - 1)) %
                  (CandidateCount - 1)) %
                 CandidateCount;
-  const BackendServer &Chosen =
+  const Candidate &Best =
       Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
-          ? *Candidates[First].m_Server
-          : *Candidates[Second].m_Server;
+          ? Candidates[First]
+          : Candidates[Second];
+  m_ChosenEstimate = Best.m_Estimate;
+  const BackendServer &Chosen = *Best.m_Server;
   ChosenServer Result{Chosen.m_Id, Chosen.m_StartedAtMs, Chosen.m_Endpoint,
                       Chosen.m_Zone, std::nullopt};
   if (Chosen.m_Membership)
@@ -67,6 +69,8 @@
   const std::vector<const BackendServer *> &EligibleServers =
       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model);
   Candidates.reserve(EligibleServers.size());
+  const PlacementEstimator Estimator(*Query.m_Service, Query.m_Model,
+                                     Query.m_Request);
   for (const BackendServer *Eligible : EligibleServers) {
     const BackendServer &Server = *Eligible;
     if (Query.m_TriedServers.count(Server.m_Id) != 0)
@@ -86,7 +90,8 @@
                                          : NoServerReason::AllRateLimited);
       continue;
     }
-    const double SlotUsage = slotUsage(Server, Query, NodesWithoutReport);
+    const double InFlight = inFlight(Server, NodesWithoutReport);
+    const double SlotUsage = InFlight / slotsOf(Server, *Query.m_Service);
     if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
@@ -97,9 +102,11 @@
       m_NoServerReason = NoServerReason::AllCold;
       continue;
     }
-    Candidates.push_back(
-        {&Server, SlotUsage,
-         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now)});
+    PlacementLoad Load;
+    Load.m_InFlight = InFlight;
+    Load.m_PrefillBacklog =
+        m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
+    Candidates.push_back({&Server, SlotUsage, Estimator.estimate(Load)});
   }
   return Candidates;
 }
@@ -126,29 +133,28 @@
         isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
       continue;
     ++Result.m_Groups;
-    Result.m_MeanSlotUsage +=
-        slotUsage(*Group.m_Head, Query, NodesWithoutReport);
+    Result.m_MeanSlotUsage += inFlight(*Group.m_Head, NodesWithoutReport) /
+                              slotsOf(*Group.m_Head, *Query.m_Service);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
   return Result;
 }
 
-/// The prefill backlog takes precedence over the slot usage: a long prompt
-/// delays every stream of its batch, and delays the next prompt even more.
-void ServerSelector::keepShortestPrefillBacklogs(
-    std::vector<Candidate> &Candidates) const {
-  const Duration Shortest =
+/// The cost takes precedence over the slot usage: a long prompt delays every
+/// stream of its batch, and delays the next prompt even more.
+void ServerSelector::keepLowestCosts(std::vector<Candidate> &Candidates) const {
+  const Duration Lowest =
       std::min_element(Candidates.begin(), Candidates.end(),
                        [](const Candidate &Left, const Candidate &Right) {
-                         return Left.m_Backlog < Right.m_Backlog;
+                         return Left.m_Estimate.m_Cost <
+                                Right.m_Estimate.m_Cost;
                        })
-          ->m_Backlog;
+          ->m_Estimate.m_Cost;
   Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
                                   [&](const Candidate &Other) {
-                                    return Other.m_Backlog >
-                                           Shortest +
-                                               m_Settings.m_BacklogTolerance;
+                                    return Other.m_Estimate.m_Cost >
+                                           Lowest + m_Settings.m_CostTolerance;
                                   }),
                    Candidates.end());
 }
@@ -160,16 +166,16 @@
       }));
 }
 
-double ServerSelector::slotUsage(const BackendServer &Server,
-                                 const ServerQuery &Query,
-                                 double NodesWithoutReport) const {
-  const ServiceSpec &Service = *Query.m_Service;
-  const unsigned Slots = Service.hasReplicaGroups()
-                             ? Service.m_Engine.m_Slots
-                             : std::max(1U, Server.m_Slots);
-  const double OwnInFlight = ownInFlight(Server.m_Id);
-  const double PeerInFlight = m_PeerLoad.inFlight(Server.m_Id);
-  return (OwnInFlight * (1.0 + NodesWithoutReport) + PeerInFlight) / Slots;
+double ServerSelector::inFlight(const BackendServer &Server,
+                                double NodesWithoutReport) const {
+  return ownInFlight(Server.m_Id) * (1.0 + NodesWithoutReport) +
+         m_PeerLoad.inFlight(Server.m_Id);
+}
+
+unsigned ServerSelector::slotsOf(const BackendServer &Server,
+                                 const ServiceSpec &Service) {
+  return Service.hasReplicaGroups() ? Service.m_Engine.m_Slots
+                                    : std::max(1U, Server.m_Slots);
 }
 
 bool ServerSelector::allowsColdRequest(const FleetView &Fleet,
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -4,6 +4,7 @@
 #include "core/enum_names.h"
 #include "servers/dispatch/eligible_servers.h"
 #include "servers/dispatch/peer_load.h"
+#include "servers/dispatch/placement_estimate.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
 #include "servers/fleet/fleet_view.h"
@@ -49,6 +50,7 @@
   std::string m_Model;
   /// IDs of backend servers to which this request was already sent.
   std::set<std::string> m_TriedServers;
+  PlacementRequest m_Request;
   /// Random number, uniform in [0, 1), so that nodes with the same view do not
   /// all choose the same server.
   double m_RandomDraw = 0.0;
@@ -77,10 +79,10 @@
   /// requests in flight as this one. After this time its clients are assumed to
   /// use the other nodes.
   Duration m_MissingReportGrace = std::chrono::seconds(3);
-  /// Prefill backlogs that differ by no more than this are treated as equal.
+  /// Placements whose costs differ by no more than this are treated as equal.
   /// Prompts that are too short to be announced to peers cause differences of
   /// this size.
-  Duration m_BacklogTolerance = std::chrono::milliseconds(20);
+  Duration m_CostTolerance = std::chrono::milliseconds(20);
 };
 
 /// Chooses the backend server for a request, based on this node's view of the
@@ -105,6 +107,8 @@
   /// no share of any limit.
   MonotonicTime nextRequestAt() const { return m_NextRequestAt; }
 
+  /// Estimate for the server that the last choose() returned.
+  const PlacementEstimate &chosenEstimate() const { return m_ChosenEstimate; }
   /// Servers that the last choose() passed over although they serve what the
   /// request asks for, as "REASON:COUNT" separated by spaces.
   std::string passedOver() const;
@@ -143,21 +147,23 @@
   struct Candidate {
     const BackendServer *m_Server = nullptr;
     double m_SlotUsage = 0.0;
-    Duration m_Backlog{0};
+    PlacementEstimate m_Estimate;
   };
 
   /// Returns the servers that may receive the request, and records why others
   /// may not.
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
                                         const ServerQuery &Query);
-  void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
+  /// Removes the candidates with a higher cost than the least one.
+  void keepLowestCosts(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
   void updateLiveNodes();
   /// Number of nodes without a load report that are assumed to be as loaded as
   /// this one.
   double nodesWithoutReport(MonotonicTime Now) const;
-  double slotUsage(const BackendServer &Server, const ServerQuery &Query,
-                   double NodesWithoutReport) const;
+  double inFlight(const BackendServer &Server, double NodesWithoutReport) const;
+  static unsigned slotsOf(const BackendServer &Server,
+                          const ServiceSpec &Service);
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
 
@@ -165,6 +171,7 @@
   ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
   MonotonicTime m_NextRequestAt{};
+  PlacementEstimate m_ChosenEstimate;
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
   EligibleServers m_EligibleServers;
--- a/tests/servers/dispatch/test_server_selector.cpp
+++ b/tests/servers/dispatch/test_server_selector.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(requestsOfPeersCountAsLoad);
   CPPUNIT_TEST(overloadDoesNotExceedTheSlotsOfAGroup);
   CPPUNIT_TEST(longPromptsGoToTheShortestPrefillBacklog);
+  CPPUNIT_TEST(longPromptsAvoidGroupsWithManyStreams);
   CPPUNIT_TEST(lostNodesCountAsLoadedForALimitedTime);
   CPPUNIT_TEST(coldServerRequestRateIsLimited);
   CPPUNIT_TEST(triedServersAreNotChosenAgain);
@@ -25,6 +26,7 @@
 
   FleetView m_Fleet;
   ServiceSpec m_Service;
+  PlacementRequest m_Request;
   MonotonicTime m_Now{seconds(1000)};
   std::uint64_t m_Revision = 1;
 
@@ -63,6 +65,7 @@
     Query.m_Service = &m_Service;
     Query.m_Model = "m";
     Query.m_TriedServers = Tried;
+    Query.m_Request = m_Request;
     Query.m_RandomDraw = Draw;
     Query.m_Now = m_Now;
     const auto Chosen = Selector.choose(m_Fleet, Query);
@@ -166,6 +169,39 @@
     AllChoose("h1");
   }
 
+  /// Prompts of 40 to 5,880 tokens arrive at groups with different numbers of
+  /// streams. Guards against a long prompt that pauses the streams of a busy
+  /// group while another has few, against long prompts that follow each other
+  /// on one group, and against short ones that keep away from all busy groups.
+  void longPromptsAvoidGroupsWithManyStreams() {
+    ServerSelector Selector;
+    EngineSpec &Engine = m_Service.m_Engine;
+    Engine.m_Slots = 20;
+    Engine.m_DecodeStepMs = 7.8;
+    Engine.m_PrefillTokensPerMs = 45.9;
+    Engine.m_PrefillChunkTokens = 2048;
+    Engine.m_DecodeStepsPerPass = 6;
+    updateGroup("h1", "w1", "m.1.1", 1);
+    updateGroup("h2", "w2", "m.1.2", 2);
+    updateGroup("h3", "w3", "m.1.3", 3);
+    Selector.setPeerInFlight("n2", {{"h1", 9}, {"h2", 3}, {"h3", 9}});
+    m_Request = {5880, 100, milliseconds(250), milliseconds(200)};
+    for (const double Draw : {0.0, 0.3, 0.6, 0.9}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("h2"), choose(Selector, Draw));
+      CPPUNIT_ASSERT(Selector.chosenEstimate().m_LongestPause >
+                     milliseconds(150));
+    }
+    Selector.onPromptSent("h2", milliseconds(260), m_Now);
+    for (const double Draw : {0.0, 0.3, 0.6, 0.9})
+      CPPUNIT_ASSERT(choose(Selector, Draw) != "h2");
+    m_Now += milliseconds(300);
+    m_Request.m_PromptTokens = 40;
+    std::set<std::string> Chosen;
+    for (const double Draw : {0.0, 0.2, 0.4, 0.6, 0.8, 0.95})
+      Chosen.insert(choose(Selector, Draw));
+    CPPUNIT_ASSERT(Chosen.size() > 1);
+  }
+
   /// One of two nodes fails, or is replaced at another address, and its clients
   /// switch to the other node. Guards against refusing their requests because
   /// the failed node is assumed to use half of the slots forever, and against
