Tell which services have requests of different priority

Route::m_Priority and OrganisationSpec::m_Priority were parsed, but no decision used them. RouteTable::hasPriorities() tells for which services they differ, requestPriority() gives the priority of a request (the organisation's goes first), and groupTime() the work of a request in group-seconds.

test_servers_routes passes (7 tests, 1 of them new).

--- a/servers/routes/engine_times.cpp
+++ b/servers/routes/engine_times.cpp
@@ -1,5 +1,7 @@
 #include "servers/routes/engine_times.h"
 
+#include <algorithm>
+
 namespace fulmarwinch {
 
 namespace {
@@ -37,4 +39,22 @@
                            decodeTimePerPass(Engine, Model) * PassCount);
 }
 
+Duration groupTime(const EngineSpec &Engine, const std::string &Model,
+                   std::uint64_t PromptTokens, std::uint64_t OutputTokens) {
+  const double StepsPerPass = std::max(1U, Engine.m_DecodeStepsPerPass);
+  const double OutputPasses =
+      std::max(1.0, static_cast<double>(OutputTokens) / StepsPerPass);
+  const double PrefillPasses =
+      Engine.m_PrefillChunkTokens == 0
+          ? 0.0
+          : static_cast<double>(PromptTokens) /
+                static_cast<double>(Engine.m_PrefillChunkTokens);
+  const double SharedPasses =
+      std::max(PrefillPasses, OutputPasses / std::max(1U, Engine.m_Slots));
+  return chunkPrefillTime(Engine, Model, PromptTokens) +
+         durationFromMs((OutputPasses * Engine.m_DecodeStepMsPerSequence +
+                         SharedPasses * Engine.m_DecodeStepMs) *
+                        StepsPerPass * Engine.durationFactorOf(Model));
+}
+
 } // namespace fulmarwinch
--- a/servers/routes/engine_times.h
+++ b/servers/routes/engine_times.h
@@ -20,6 +20,12 @@
 Duration prefillTime(const EngineSpec &Engine, const std::string &Model,
                      std::uint64_t PromptTokens);
 
+/// Returns the part of a group's time that a request of \p Model takes if the
+/// batch is full: its prefill, its part of the decode steps and its share of
+/// the passes. The time is the work of the request in group-seconds.
+Duration groupTime(const EngineSpec &Engine, const std::string &Model,
+                   std::uint64_t PromptTokens, std::uint64_t OutputTokens);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_SERVERS_ROUTES_ENGINE_TIMES_H
--- a/servers/routes/route_table.cpp
+++ b/servers/routes/route_table.cpp
@@ -1,6 +1,10 @@
 #include "servers/routes/route_table.h"
 #include "core/text.h"
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 namespace fulmarwinch {
 
 namespace {
@@ -27,6 +31,18 @@
   for (std::size_t I = 0; I < Content.m_Organisations.size(); ++I)
     for (const std::string &Key : Content.m_Organisations[I].m_ApiKeys)
       m_OrganisationByApiKey[Key] = I;
+  // An organisation may send requests to any service.
+  std::map<std::string, std::set<unsigned>> PrioritiesByService;
+  for (const Route &Entry : Content.m_Routes)
+    for (const ServiceWeight &Weighted : Entry.m_Services) {
+      std::set<unsigned> &Priorities = PrioritiesByService[Weighted.m_Service];
+      Priorities.insert(requestPriority(Entry, nullptr));
+      for (const OrganisationSpec &Organisation : Content.m_Organisations)
+        Priorities.insert(requestPriority(Entry, &Organisation));
+    }
+  for (const auto &[Service, Priorities] : PrioritiesByService)
+    if (Priorities.size() > 1)
+      m_PrioritisedServices.insert(Service);
 }
 
 const Route *RouteTable::findRoute(std::string_view Host,
@@ -56,6 +72,16 @@
   return lookUp(m_OrganisationByApiKey, m_Configuration.m_Organisations, Key);
 }
 
+unsigned requestPriority(const Route &MatchedRoute,
+                         const OrganisationSpec *Organisation) {
+  constexpr unsigned LowestPriority = 9;
+  const unsigned Priority =
+      Organisation && Organisation->m_Priority >= 0
+          ? static_cast<unsigned>(Organisation->m_Priority)
+          : MatchedRoute.m_Priority;
+  return std::min(Priority, LowestPriority);
+}
+
 const std::string &chooseService(const Route &MatchedRoute, double Draw) {
   unsigned TotalWeight = 0;
   for (const ServiceWeight &Weighted : MatchedRoute.m_Services)
--- a/servers/routes/route_table.h
+++ b/servers/routes/route_table.h
@@ -4,6 +4,7 @@
 #include "servers/routes/traffic_configuration.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <string>
 #include <string_view>
@@ -23,6 +24,10 @@
   const ServiceSpec *findService(std::string_view Name) const;
   /// Returns the organisation to which the API key \p Key belongs, or null.
   const OrganisationSpec *findOrganisation(std::string_view Key) const;
+  /// True if the requests for the service \p Name differ in priority.
+  bool hasPriorities(const std::string &Name) const {
+    return m_PrioritisedServices.contains(Name);
+  }
   /// True if requests must present the API key of an organisation.
   bool requiresApiKeys() const { return m_Configuration.m_RequiresApiKeys; }
 
@@ -36,8 +41,15 @@
   absl::flat_hash_map<std::string, std::size_t> m_Services;
   /// Index of each organisation by its API keys.
   absl::flat_hash_map<std::string, std::size_t> m_OrganisationByApiKey;
+  absl::flat_hash_set<std::string> m_PrioritisedServices;
 };
 
+/// Returns the priority of a request. That of the organisation takes precedence
+/// over that of the route; \p Organisation may be null. The result is at most
+/// 9, the lowest priority that servers know.
+unsigned requestPriority(const Route &MatchedRoute,
+                         const OrganisationSpec *Organisation);
+
 /// Chooses the service for a request on \p MatchedRoute at random, according to
 /// the weights. \p Draw is uniform in [0, 1).
 const std::string &chooseService(const Route &MatchedRoute, double Draw);
--- a/tests/servers/routes/test_route_table.cpp
+++ b/tests/servers/routes/test_route_table.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(weightsDivideTheTraffic);
   CPPUNIT_TEST(organisationIsFoundByAnyOfItsApiKeys);
   CPPUNIT_TEST(configurationOfACopyReplacesNoLaterOne);
+  CPPUNIT_TEST(prioritiesMatterOnlyIfTheyDiffer);
   CPPUNIT_TEST_SUITE_END();
 
   static Route route(const std::string &Name, const std::string &Prefix) {
@@ -44,6 +45,26 @@
     CPPUNIT_ASSERT((InForce < ConfigurationOrder{13, {2, 238}}));
   }
 
+  /// Guards against a change for services whose requests all have the same
+  /// priority, and against an organisation's priority that is ignored.
+  void prioritiesMatterOnlyIfTheyDiffer() {
+    TrafficConfiguration Configuration = routeTable().configuration();
+    CPPUNIT_ASSERT(!RouteTable(Configuration).hasPriorities("llm"));
+    Configuration.m_Organisations.push_back({"urgent", {"k3"}, 1});
+    CPPUNIT_ASSERT(RouteTable(Configuration).hasPriorities("llm"));
+    CPPUNIT_ASSERT(!RouteTable(Configuration).hasPriorities("another"));
+    Configuration.m_Organisations.clear();
+    CPPUNIT_ASSERT(!RouteTable(Configuration).hasPriorities("llm"));
+    Configuration.m_Routes.back().m_Priority = 2;
+    CPPUNIT_ASSERT(RouteTable(Configuration).hasPriorities("llm"));
+    const Route &Last = Configuration.m_Routes.back();
+    const OrganisationSpec Urgent{"urgent", {}, 0};
+    const OrganisationSpec Unset{"unset", {}, -1};
+    CPPUNIT_ASSERT_EQUAL(2U, requestPriority(Last, nullptr));
+    CPPUNIT_ASSERT_EQUAL(2U, requestPriority(Last, &Unset));
+    CPPUNIT_ASSERT_EQUAL(0U, requestPriority(Last, &Urgent));
+  }
+
   /// Guards against matching the route of a shorter path prefix.
   void longestPathPrefixMatches() {
     const RouteTable Table = routeTable();
