Admit what the groups complete, by priority and organisation

The overload decision compared a modelled demand with the number of groups. Priorities were not used, plain services had no admission control, and waiting requests were tried in the order of their addresses.

Nodes now measure offered and completed work over 2 s and exchange it in their load messages (completed, offered, organisations). Under overload, they admit the completion rate, corrected for latency; it is lowered only while the slots are saturated. Urgent priorities go first, each keeps half of the mean share, and organisations of one priority share equally. Requests that wait for a server are tried by priority, organisation share and deadline, and only the first one if all servers are full. Servers receive the priority in Request-Urgency. Clients that are rejected return over a wider interval.

The tests of OverloadAdmission keep their cases and are rewritten for the new interface, since the function that they called is gone. Two expectations changed: at a latency of 1.6 objectives with as much completed as is offered, less is admitted, because queues would stay long; and rejections end below a slot usage of 0.75 to 0.9 instead of 0.5.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -1,12 +1,13 @@
 #include "proxy/front_node.h"
 #include "core/text.h"
+#include "proxy/admission_control.h"
 #include "proxy/group_coordinator.h"
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
+#include "proxy/relay_ticks.h"
 #include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
-#include "servers/dispatch/overload_admission.h"
 #include "servers/feed/known_objects.h"
 
 #include "asio.hpp"
@@ -42,8 +43,6 @@
 constexpr double MinBodyRetryAfterSeconds = 0.3;
 constexpr double MaxBodyRetryAfterSeconds = 1.0;
 constexpr double BytesPerMb = 1048576.0;
-/// Period in which the share of admitted requests is recomputed.
-constexpr Duration AdmissionPeriod = milliseconds(200);
 /// Period in which a node sends its crash records to a random peer.
 constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watches on the entries of servers and on evacuations.
@@ -148,7 +147,8 @@
           return PeerExchange::TrafficReport{
               m_Context.m_DemandEstimator.busyGroupsByModel(Now),
               m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now),
-              m_Context.m_FirstEventLatency.ownReport(Now)};
+              m_Context.m_FirstEventLatency.ownReport(Now),
+              m_Context.m_CompletionRate.ownReport(Now)};
         },
         [this](const std::string &Peer, PeerExchange::TrafficReport Traffic) {
           const MonotonicTime Now = monotonicNow();
@@ -158,6 +158,8 @@
               Peer, std::move(Traffic.m_ReturningDemand), Now);
           m_Context.m_FirstEventLatency.setPeerReport(
               Peer, std::move(Traffic.m_Latencies), Now);
+          m_Context.m_CompletionRate.setPeerReport(
+              Peer, std::move(Traffic.m_Work), Now);
         });
     m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
       m_PeerExchange.announce(Report);
@@ -586,6 +588,7 @@
     Set("nodes_known", static_cast<double>(m_Nodes.objects().size()));
     Set("lease_held", m_GroupCoordinator.holdsLease() ? 1.0 : 0.0);
     Set("log_lines_dropped", static_cast<double>(m_Log.discardedLines()));
+    m_AdmissionControl.setGauges(monotonicNow());
     std::map<std::string, double> OpenGroups;
     for (const auto &[Key, Group] : m_Fleet.groups())
       if (Group.m_Head &&
@@ -609,10 +612,7 @@
   }
 
   void tick(MonotonicTime Now) {
-    const std::vector<std::shared_ptr<RequestRelay>> Active(
-        m_Context.m_ActiveRequests.begin(), m_Context.m_ActiveRequests.end());
-    for (const std::shared_ptr<RequestRelay> &Relay : Active)
-      Relay->tick(Now);
+    tickActiveRequests(m_Context, Now);
     m_GroupCoordinator.tick(Now);
     m_ServerWatcher.setPauseAfterChanges(
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
@@ -625,10 +625,7 @@
     }
     for (const std::string &Id : m_Fleet.removeMissing(Now))
       logServer(Id);
-    if (Now >= m_NextAdmissionAt) {
-      m_NextAdmissionAt = Now + AdmissionPeriod;
-      updateAdmission(Now);
-    }
+    m_AdmissionControl.tick(Now);
     if (m_Context.m_CrashDetector.removeExpired(Now))
       announceCrashRecords();
     if (Now >= m_NextCrashShareAt) {
@@ -639,48 +636,6 @@
       continueDrain(Now);
   }
 
-  /// Recomputes the shares of requests to admit for each model.
-  void updateAdmission(MonotonicTime Now) {
-    if (!m_Context.m_RouteTable)
-      return;
-    DemandByModel FirstAttempts = m_Context.m_FleetDemand.total(
-        m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
-    DemandByModel Returning = m_Context.m_ReturningFleetDemand.total(
-        m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now), Now);
-    std::map<std::string, AdmittedShares> SharesByModel;
-    for (const ServiceSpec &Service :
-         m_Context.m_RouteTable->configuration().m_Services)
-      for (const ModelSpec &Model : Service.m_Engine.m_Models) {
-        ServerQuery Query;
-        Query.m_Service = &Service;
-        Query.m_Model = Model.m_Name;
-        Query.m_Now = Now;
-        const GroupSupply Supply = m_ServerSelector.groupSupply(m_Fleet, Query);
-        const ModelDemand Demand{FirstAttempts[Model.m_Name],
-                                 Returning[Model.m_Name]};
-        const RelativeLatency Latency =
-            m_Context.m_FirstEventLatency.total(Model.m_Name, Now);
-        const bool WasOverloaded =
-            m_Context.m_AdmittedShares.count(Model.m_Name) != 0;
-        const AdmittedShares Shares =
-            admittedShares(Demand, Supply, Latency, WasOverloaded);
-        if (Shares.admitsAll())
-          continue;
-        SharesByModel[Model.m_Name] = Shares;
-        if (!WasOverloaded)
-          m_Log.write("overload",
-                      {{"model", Model.m_Name},
-                       {"demanded_groups", Demand.m_FirstAttempts},
-                       {"returning_groups", Demand.m_Returning},
-                       {"groups", static_cast<std::int64_t>(Supply.m_Groups)},
-                       {"slot_usage", Supply.m_MeanSlotUsage},
-                       {"mean_latency", Latency.m_Sum / Latency.m_Count},
-                       {"admitted", Shares.m_FirstAttempts},
-                       {"returning_admitted", Shares.m_Returning}});
-      }
-    m_Context.m_AdmittedShares = std::move(SharesByModel);
-  }
-
   void scheduleLogFlush() {
     m_LogFlushTimer.expires_after(FlushPeriod);
     m_LogFlushTimer.async_wait([this](const asio::error_code &Error) {
@@ -739,6 +694,7 @@
   ServerSelector m_ServerSelector;
   StallDetector m_StallDetector;
   RequestRelayContext m_Context;
+  AdmissionControl m_AdmissionControl{m_Context};
   PeerExchange m_PeerExchange;
   ZoneChangeRelay m_ChangeRelay;
   std::string m_Incarnation;
@@ -757,7 +713,6 @@
   std::shared_ptr<MemoryBudget> m_BodyBudget =
       std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
   MonotonicTime m_NextRelayCheckAt{};
-  MonotonicTime m_NextAdmissionAt{};
   MonotonicTime m_NextCrashShareAt{};
   /// Processes of backend servers that are being probed after a lost
   /// connection.
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -80,6 +80,9 @@
       Message["demand"] = Traffic.m_Demand;
       Message["returning"] = Traffic.m_ReturningDemand;
       Message["latency"] = Traffic.m_Latencies;
+      Message["completed"] = Traffic.m_Work.m_Completed;
+      Message["offered"] = Traffic.m_Work.m_Offered;
+      Message["organisations"] = Traffic.m_Work.m_Organisations;
     }
     broadcast(Message);
     for (auto &[Name, RemotePeer] : m_Peers) {
@@ -154,9 +157,14 @@
           From.m_LastHeardAt - Delay);
     if (Message.contains("demand") && m_OnPeerTraffic)
       m_OnPeerTraffic(
-          Name, {fieldOr(Message, "demand", DemandByModel()),
-                 fieldOr(Message, "returning", DemandByModel()),
-                 fieldOr(Message, "latency", FirstEventLatency::Report())});
+          Name,
+          {fieldOr(Message, "demand", DemandByModel()),
+           fieldOr(Message, "returning", DemandByModel()),
+           fieldOr(Message, "latency", FirstEventLatency::Report()),
+           {fieldOr(Message, "completed", decltype(WorkReport::m_Completed)()),
+            fieldOr(Message, "offered", decltype(WorkReport::m_Offered)()),
+            fieldOr(Message, "organisations",
+                    decltype(WorkReport::m_Organisations)())}});
     if (Message.contains("prompt"))
       m_Selector.onPromptSent(
           fieldOr(Message, "prompt", std::string()),
--- a/proxy/peer_exchange.h
+++ b/proxy/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/event_log.h"
 #include "core/json.h"
+#include "servers/dispatch/completion_rate.h"
 #include "servers/dispatch/first_event_latency.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/feed/message_delay.h"
@@ -68,6 +69,7 @@
     DemandByModel m_Demand;
     DemandByModel m_ReturningDemand;
     FirstEventLatency::Report m_Latencies;
+    WorkReport m_Work;
   };
   /// Called with the name and the traffic of a peer.
   using TrafficHandler =
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -38,6 +38,10 @@
 /// Lower bound of the random factor on Retry-After, which spreads the retries
 /// of clients that were rejected at the same time.
 constexpr double MinRetryAfterFactor = 0.7;
+/// Lower bound of the random factor on Retry-After under overload, which lasts
+/// for seconds. If all clients returned at the same time, they would exceed the
+/// capacity again.
+constexpr double MinOverloadSpread = 0.4;
 /// Upper bound of the random factor on Retry-After if all servers have asked
 /// for a pause: an earlier retry would find them pausing.
 constexpr double MaxPauseSpread = 1.25;
@@ -53,7 +57,7 @@
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t{16} * 1024 * 1024;
 /// Admission priority of a stream that resumes on another server, since its
 /// client has already waited once.
-constexpr const char *ResumedStreamUrgency = "1";
+constexpr unsigned ResumedStreamUrgency = 1;
 
 /// Time between two ticks from which the process counts as having stood still.
 constexpr Duration LongestTickGap = milliseconds(100);
@@ -113,18 +117,19 @@
         sharedPartHashes(header(m_Context.m_HeaderNames.m_PromptParts));
     m_Contents.push_back(contentHash());
     budget().onRequest(monotonicNow());
+    m_IsReturning = m_Context.m_ReturningClients.isReturning(
+        m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
     if (m_Service->hasReplicaGroups()) {
       m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
       m_PromptTokens = Size.m_PromptTokens;
       m_StatedOutputTokens = Size.m_OutputTokens;
-      m_IsReturning = m_Context.m_ReturningClients.isReturning(
-          m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
       DemandEstimator &Demand = m_IsReturning
                                     ? m_Context.m_ReturningDemandEstimator
                                     : m_Context.m_DemandEstimator;
       Demand.recordRequest(*m_Service, m_Model, Size, monotonicNow());
     }
+    recordOffered();
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
     if (parseNumber(header(m_Context.m_HeaderNames.m_LastEventId), ParsedId))
@@ -132,7 +137,10 @@
     m_Sequence = EventSequenceFilter(LastId);
     // A client that resumes a stream has already been admitted once.
     if (!LastId && isShed()) {
-      reject("overloaded");
+      m_Context.m_Metrics.increment(concat("requests_shed_total{model=\"",
+                                           m_Pool, "\",priority=\"", m_Priority,
+                                           "\"}"));
+      rejectOverloaded();
       return;
     }
     m_WaitingSince = monotonicNow();
@@ -144,23 +152,78 @@
     dispatch();
   }
 
-  /// True if this request belongs to the share that the groups of its model
-  /// cannot serve.
+  /// Records the work that the request asks for.
+  void recordOffered() {
+    m_Pool = loadPoolName(m_Service->m_Name, m_Model);
+    m_HasPriority = m_Table->hasPriorities(m_Service->m_Name);
+    m_Priority = requestPriority(*m_Route, m_OrganisationSpec);
+    // Where priorities are equal, organisations are not told apart either.
+    if (m_HasPriority)
+      m_PayingOrganisation = m_Organisation;
+    m_Work = m_Service->hasReplicaGroups()
+                 ? std::chrono::duration<double>(
+                       groupTime(m_Service->m_Engine, m_Model, m_PromptTokens,
+                                 m_StatedOutputTokens))
+                       .count()
+                 : 1.0;
+    m_Context.m_CompletionRate.recordOffered(
+        m_Pool, {m_Priority, m_PayingOrganisation, m_IsReturning}, m_Work,
+        monotonicNow());
+  }
+
+  /// Records the work that servers have done for the request. A stream that
+  /// ended early counts in part.
+  void recordCompleted(std::string_view Outcome) {
+    if (m_Pool.empty())
+      return;
+    double Done =
+        Outcome == "complete" && m_ResponseHead.m_Status < FirstServerError
+            ? 1.0
+            : 0.0;
+    if (m_IsStream && Done == 0.0 && m_StatedOutputTokens > 0)
+      Done = std::min(
+          1.0, static_cast<double>(m_Sequence.deliveredCount() *
+                                   m_Service->m_Engine.m_DecodeStepsPerPass) /
+                   static_cast<double>(m_StatedOutputTokens));
+    if (Done > 0.0)
+      m_Context.m_CompletionRate.recordCompleted(m_Pool, m_Work * Done,
+                                                 monotonicNow());
+  }
+
+  /// Admitted share of the requests like this one.
+  double admittedShare() const {
+    const auto Shares = m_Context.m_AdmissionShares.find(m_Pool);
+    if (Shares == m_Context.m_AdmissionShares.end())
+      return 1.0;
+    const AdmittedShares &Own =
+        Shares->second.find(m_Priority, m_PayingOrganisation);
+    return m_IsReturning ? Own.m_Returning : Own.m_FirstAttempts;
+  }
+
+  /// True if this request belongs to the share that the servers cannot serve.
   bool isShed() {
-    const auto Shares = m_Context.m_AdmittedShares.find(m_Model);
-    if (!m_Service->hasReplicaGroups() ||
-        Shares == m_Context.m_AdmittedShares.end())
-      return false;
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
-    return Uniform(m_Context.m_Random) >=
-           (m_IsReturning ? Shares->second.m_Returning
-                          : Shares->second.m_FirstAttempts);
+    return Uniform(m_Context.m_Random) >= admittedShare();
+  }
+
+  WaitingRank waitingRank() const {
+    WaitingRank Rank;
+    Rank.m_Priority = m_HasPriority ? m_Priority : 0;
+    // The shares of returning clients are smaller, but once admitted, they wait
+    // like others.
+    const auto Shares = m_Context.m_AdmissionShares.find(m_Pool);
+    if (m_HasPriority && Shares != m_Context.m_AdmissionShares.end())
+      Rank.m_OrganisationShare =
+          Shares->second.find(m_Priority, m_PayingOrganisation).m_FirstAttempts;
+    Rank.m_Deadline = m_Deadline;
+    return Rank;
   }
 
   bool authenticate() {
     const std::string Key = header(m_Context.m_HeaderNames.m_ApiKey);
     const OrganisationSpec *Organisation =
         Key.empty() ? nullptr : m_Table->findOrganisation(Key);
+    m_OrganisationSpec = Organisation;
     if (Organisation)
       m_Organisation = Organisation->m_Name;
     if (Organisation || m_Route->m_NeedsNoApiKey || !m_Table->requiresApiKeys())
@@ -285,12 +348,21 @@
       giveUp("crashes_servers");
       return;
     }
+    const bool HasTriedNone = m_TriedServers.empty() && !resumes();
+    if (HasTriedNone && m_Context.m_FullPools.mustWait(m_Pool, waitingRank())) {
+      m_Context.m_Metrics.increment("dispatches_skipped_total");
+      onNoServer(Now, NoServerReason::AllFull);
+      return;
+    }
     ServerQuery Query = query(Now);
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
     Query.m_RandomDraw = Uniform(m_Context.m_Random);
     const auto Chosen = m_Context.m_Selector.choose(m_Context.m_Fleet, Query);
     if (!Chosen) {
-      onNoServer(Now);
+      const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+      if (HasTriedNone && Reason == NoServerReason::AllFull)
+        m_Context.m_FullPools.onFull(m_Pool, waitingRank());
+      onNoServer(Now, Reason);
       return;
     }
     // Once one attempt has reached a server, each further attempt uses retry
@@ -302,8 +374,7 @@
     send(*Chosen, Now);
   }
 
-  void onNoServer(MonotonicTime Now) {
-    const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+  void onNoServer(MonotonicTime Now, NoServerReason Reason) {
     const MonotonicTime WaitEnd = m_WaitingSince + maxDispatchWait();
     const MonotonicTime NextRequestAt = m_Context.m_Selector.nextRequestAt();
     m_IsRateLimited = Reason == NoServerReason::AllRateLimited;
@@ -437,10 +508,10 @@
     Add(Names.m_ExpectedServer, Chosen.m_Id);
     if (!m_Organisation.empty())
       Add(Names.m_Organisation, m_Organisation);
-    if (resumes()) {
+    if (resumes())
       Add(Names.m_LastEventId, concat(*m_Sequence.lastId()));
-      Add(Names.m_Priority, ResumedStreamUrgency);
-    }
+    if (m_HasPriority || resumes())
+      Add(Names.m_Priority, concat(urgency()));
     const std::string &Body = m_ClientRequest.m_Body->m_Bytes;
     if (!Body.empty() || (Head.m_Method != "GET" && Head.m_Method != "HEAD"))
       Add("Content-Length", concat(Body.size()));
@@ -452,6 +523,14 @@
   /// already received.
   bool resumes() const { return m_Sequence.deliveredCount() > 0; }
 
+  /// Priority with which the server admits the next attempt.
+  unsigned urgency() const {
+    if (!resumes())
+      return m_Priority;
+    return m_HasPriority ? std::min(m_Priority, ResumedStreamUrgency)
+                         : ResumedStreamUrgency;
+  }
+
   /// Ends the attempt because of its response once the current handler has
   /// returned. The rest of the response is not read: it may have no end.
   void rejectResponse(std::string_view Cause) {
@@ -701,6 +780,10 @@
     }
     m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordFinish();
+    if (!m_Service->hasReplicaGroups() && isSuccess())
+      m_Context.m_FirstEventLatency.record(
+          m_Pool, monotonicNow() - m_ClientRequest.m_ReceivedAt,
+          m_Route->m_FirstByteObjective, monotonicNow());
     forwardResponse(m_ResponseHead, m_ResponseBody);
   }
 
@@ -811,6 +894,22 @@
                 {{"Retry-After", concat(retryAfterSeconds())}});
   }
 
+  /// Rejects a request because of overload. Requests that are rejected in the
+  /// same seconds return spread over most of their time.
+  void rejectOverloaded() {
+    const std::chrono::duration<double> TimeLeft = m_Deadline - monotonicNow();
+    std::uniform_real_distribution<double> Spread(MinOverloadSpread, 1.0);
+    const double Longest =
+        m_Service->hasReplicaGroups()
+            ? TimeLeft.count() * MaxRetryAfterShare
+            : std::min(UngroupedRetryAfterSeconds,
+                       TimeLeft.count() * MaxRetryAfterShare);
+    const double Delay =
+        mayServe(monotonicNow()) ? Longest * Spread(m_Context.m_Random) : 0.0;
+    respondWith(Unavailable, "overloaded",
+                {{"Retry-After", concat(std::max(0.0, Delay))}});
+  }
+
   double retryAfterSeconds() {
     // Another node can serve the request at once.
     if (!mayServe(monotonicNow()))
@@ -912,6 +1011,7 @@
           *m_FirstEventAt - m_ClientRequest.m_ReceivedAt;
     Summary.m_LongestEventGap = m_LongestEventGap;
     recordRequest(m_Context.m_Metrics, Summary);
+    recordCompleted(Cause);
     m_Context.m_BufferedBytes -= m_AccountedBytes;
     m_AccountedBytes = 0;
     m_Context.m_ActiveRequests.erase(m_Owner.lock());
@@ -992,7 +1092,18 @@
   const Route *m_Route = nullptr;
   const ServiceSpec *m_Service = nullptr;
   std::string m_Organisation;
+  const OrganisationSpec *m_OrganisationSpec = nullptr;
   std::string m_Model;
+  /// Servers whose load the request is part of; see loadPoolName().
+  std::string m_Pool;
+  /// Organisation whose share limits the request; empty if organisations are
+  /// not told apart.
+  std::string m_PayingOrganisation;
+  unsigned m_Priority = 0;
+  /// The requests for the service differ in priority.
+  bool m_HasPriority = false;
+  /// Work that the request asks for, in group-seconds or requests.
+  double m_Work = 0.0;
   MonotonicTime m_Deadline{};
   MonotonicTime m_WaitingSince{};
   MonotonicTime m_SentAt{};
@@ -1062,4 +1173,10 @@
 
 void RequestRelay::tick(MonotonicTime Now) { m_Impl->tick(Now); }
 
+std::optional<WaitingRank> RequestRelay::waitingRank() const {
+  if (m_Impl->m_Phase != Impl::Phase::AwaitingServer)
+    return std::nullopt;
+  return m_Impl->waitingRank();
+}
+
 } // namespace fulmarwinch
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -5,10 +5,13 @@
 #include "core/metrics.h"
 #include "proxy/client_connection.h"
 #include "proxy/header_names.h"
+#include "servers/dispatch/completion_rate.h"
 #include "servers/dispatch/overload_admission.h"
 #include "servers/dispatch/planned_stop.h"
+#include "servers/dispatch/priority_admission.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
+#include "servers/dispatch/waiting_order.h"
 #include "servers/replicas/demand_estimator.h"
 #include "servers/replicas/fleet_demand.h"
 #include "servers/retry/crash_detector.h"
@@ -19,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -67,9 +71,11 @@
   FleetDemand m_ReturningFleetDemand;
   ReturningClients m_ReturningClients;
   FirstEventLatency m_FirstEventLatency;
-  /// Shares of the requests that are admitted, by model; models without an
-  /// entry are not overloaded.
-  std::map<std::string, AdmittedShares> m_AdmittedShares;
+  CompletionRate m_CompletionRate;
+  /// Shares of the requests that are admitted, by loadPoolName(); models and
+  /// services without an entry are not overloaded.
+  std::map<std::string, AdmissionShares> m_AdmissionShares;
+  FullPools m_FullPools;
   PlannedStop m_PlannedStop;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
@@ -108,6 +114,9 @@
   /// Checks the deadline, dispatches a waiting request and detects stalled
   /// streams. Call it every few tens of milliseconds.
   void tick(MonotonicTime Now);
+  /// Returns the rank of the request among those that wait for a server;
+  /// nothing if it does not wait.
+  std::optional<WaitingRank> waitingRank() const;
 
 private:
   struct Impl;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -112,16 +112,29 @@
 GroupSupply ServerSelector::groupSupply(const FleetView &Fleet,
                                         const ServerQuery &Query) const {
   GroupSupply Result;
-  for (const auto &[Key, Group] : Fleet.groups()) {
-    if (Group.m_Model != Query.m_Model || !Group.m_Head ||
-        !isEligible(Fleet, Query, *Group.m_Head) ||
-        isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
-      continue;
+  const auto Add = [&](const BackendServer &Server) {
+    if (!isEligible(Fleet, Query, Server) ||
+        isOutOfService(m_Availability.check(Fleet, Server, Query.m_Now)))
+      return;
     ++Result.m_Groups;
-    Result.m_MeanSlotUsage += slotUsage(*Group.m_Head, Query);
+    Result.m_MeanSlotUsage += slotUsage(Server, Query);
+  };
+  if (Query.m_Service->hasReplicaGroups()) {
+    for (const auto &[Key, Group] : Fleet.groups())
+      if (Group.m_Model == Query.m_Model && Group.m_Head)
+        Add(*Group.m_Head);
+  } else {
+    for (const auto &[Id, Server] : Fleet.servers())
+      if (Server.m_Service == Query.m_Service->m_Name)
+        Add(Server);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
+  if (!m_Nodes.empty())
+    Result.m_CountedNodeShare =
+        std::min(1.0, static_cast<double>(1 + m_PeerInFlight.size() +
+                                          nodesWithoutReport(Query.m_Now)) /
+                          static_cast<double>(m_Nodes.size()));
   return Result;
 }
 
@@ -188,11 +201,16 @@
     const auto Entry = InFlight.find(Server.m_Id);
     PeerInFlight += Entry == InFlight.end() ? 0.0 : Entry->second;
   }
-  const auto NodesWithoutReport = static_cast<double>(std::count_if(
+  const auto NodesWithoutReport =
+      static_cast<double>(nodesWithoutReport(Query.m_Now));
+  return (OwnInFlight * (1.0 + NodesWithoutReport) + PeerInFlight) / Slots;
+}
+
+std::size_t ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
+  return static_cast<std::size_t>(std::count_if(
       m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
-        return Query.m_Now - Entry.second < m_Settings.m_MissingReportGrace;
+        return Now - Entry.second < m_Settings.m_MissingReportGrace;
       }));
-  return (OwnInFlight * (1.0 + NodesWithoutReport) + PeerInFlight) / Slots;
 }
 
 bool ServerSelector::allowsColdRequest(const FleetView &Fleet,
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -51,11 +51,14 @@
   MonotonicTime m_Now{};
 };
 
-/// Groups of one model that accept requests.
+/// Groups of one model that accept requests, or the servers of a service
+/// without groups.
 struct GroupSupply {
   std::size_t m_Groups = 0;
   /// Mean of the estimated in-flight requests per slot.
   double m_MeanSlotUsage = 0.0;
+  /// Share of the known nodes whose requests the estimate includes.
+  double m_CountedNodeShare = 1.0;
 };
 
 /// Limits and timeouts of the server selection.
@@ -155,6 +158,8 @@
   /// Tells the rate limits which nodes are alive.
   void updateLiveNodes();
   double slotUsage(const BackendServer &Server, const ServerQuery &Query) const;
+  /// Number of nodes without a report that count as loaded as this one.
+  std::size_t nodesWithoutReport(MonotonicTime Now) const;
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
 
