--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -5,10 +5,13 @@
 #include "core/metrics.h"
 #include "proxy/client_connection.h"
 #include "proxy/header_names.h"
+#include "servers/dispatch/completion_rate.h"
 #include "servers/dispatch/overload_admission.h"
 #include "servers/dispatch/planned_stop.h"
+#include "servers/dispatch/priority_admission.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
+#include "servers/dispatch/waiting_order.h"
 #include "servers/replicas/demand_estimator.h"
 #include "servers/replicas/fleet_demand.h"
 #include "servers/retry/crash_detector.h"
@@ -20,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -72,9 +76,11 @@
   /// Number of groups that the requests in flight on all nodes fill, by model.
   DemandByModel m_BusyGroups;
   FirstEventLatency m_FirstEventLatency;
-  /// Shares of the requests that are admitted, by model; models without an
-  /// entry are not overloaded.
-  std::map<std::string, AdmittedShares> m_AdmittedShares;
+  CompletionRate m_CompletionRate;
+  /// Shares of the requests that are admitted, by loadPoolName(); models and
+  /// services without an entry are not overloaded.
+  std::map<std::string, AdmissionShares> m_AdmissionShares;
+  FullPools m_FullPools;
   PlannedStop m_PlannedStop;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
@@ -113,6 +119,9 @@
   /// Checks the deadline, dispatches a waiting request and detects stalled
   /// streams. Call it every few tens of milliseconds.
   void tick(MonotonicTime Now);
+  /// Returns the rank of the request among those that wait for a server;
+  /// nothing if it does not wait.
+  std::optional<WaitingRank> waitingRank() const;
 
 private:
   struct Impl;
--- a/proxy/second_attempt_choice.cpp
+++ b/proxy/second_attempt_choice.cpp
@@ -84,7 +84,7 @@
                   const ServerQuery &Query) {
   if (!Query.m_Service->hasReplicaGroups())
     return false;
-  if (Context.m_AdmittedShares.count(Query.m_Model) != 0)
+  if (Context.m_AdmissionShares.count(Query.m_Model) != 0)
     return true;
   const RelativeLatency Latency =
       Context.m_FirstEventLatency.total(Query.m_Model, Query.m_Now);
--- a/servers/dispatch/peer_load.h
+++ b/servers/dispatch/peer_load.h
@@ -22,6 +22,7 @@
   bool hasReport(const std::string &Peer) const {
     return m_Reports.count(Peer) != 0;
   }
+  std::size_t reportCount() const { return m_Reports.size(); }
   /// Number of in-flight requests of all peers on \p Server.
   unsigned inFlight(const std::string &Server) const;
 
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -127,18 +127,22 @@
                                         const ServerQuery &Query) const {
   GroupSupply Result;
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
-  for (const auto &[Key, Group] : Fleet.groups()) {
-    if (Group.m_Model != Query.m_Model || !Group.m_Head ||
-        !isEligible(Fleet, *Query.m_Service, Query.m_Model, *Group.m_Head) ||
-        Query.m_TriedServers.count(Group.m_Head->m_Id) != 0 ||
-        isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
+  for (const BackendServer *Server :
+       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model)) {
+    if (Query.m_TriedServers.count(Server->m_Id) != 0 ||
+        isOutOfService(m_Availability.check(Fleet, *Server, Query.m_Now)))
       continue;
     ++Result.m_Groups;
-    Result.m_MeanSlotUsage += inFlight(*Group.m_Head, NodesWithoutReport) /
-                              slotsOf(*Group.m_Head, *Query.m_Service);
+    Result.m_MeanSlotUsage += inFlight(*Server, NodesWithoutReport) /
+                              slotsOf(*Server, *Query.m_Service);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
+  if (!m_Nodes.empty())
+    Result.m_CountedNodeShare =
+        std::min(1.0, (1.0 + static_cast<double>(m_PeerLoad.reportCount()) +
+                       NodesWithoutReport) /
+                          static_cast<double>(m_Nodes.size()));
   return Result;
 }
 
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -61,11 +61,14 @@
   MonotonicTime m_Now{};
 };
 
-/// Groups of one model that accept requests.
+/// Groups of one model that accept requests, or the servers of a service
+/// without groups.
 struct GroupSupply {
   std::size_t m_Groups = 0;
   /// Mean of the estimated in-flight requests per slot.
   double m_MeanSlotUsage = 0.0;
+  /// Share of the known nodes whose requests the estimate includes.
+  double m_CountedNodeShare = 1.0;
 };
 
 /// Limits and timeouts of the server selection.
@@ -178,7 +181,8 @@
   PlacementEstimate m_ChosenEstimate;
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
-  EligibleServers m_EligibleServers;
+  /// A cache, so that the supply can be read from a const selector.
+  mutable EligibleServers m_EligibleServers;
   PrefillBacklog m_Backlog;
   absl::flat_hash_map<std::string, unsigned> m_OwnInFlight;
   PeerLoad m_PeerLoad;
