--- a/tests/proxy/test_second_attempt.cpp
+++ b/tests/proxy/test_second_attempt.cpp
@@ -453,7 +453,7 @@
                      delayed(stream("c"), milliseconds(300))};
     Path.m_OnArrival = [&Path](std::size_t Index) {
       if (Index == 1)
-        Path.m_Context.m_AdmittedShares["m"] = AdmittedShares{1.0, 1.0};
+        Path.m_Context.m_AdmissionShares["m"] = AdmissionShares();
     };
     std::string Received = Path.request("X-Model: m\r\n");
     CPPUNIT_ASSERT_MESSAGE(Received, contains(Received, "b2"));
