--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "proxy/group_coordinator.h"
 
 #include "core/json.h"
+#include "core/text.h"
 #include "proxy/server_notices.h"
 
 #include <algorithm>
