Test overload from measurement to rejection, and split the simulated play

Guards the wiring of AdmissionControl: a plain service whose servers are full admits urgent requests first, and admits all at once when its slots are free. Waiting requests are grouped by service and model, since two services may have models of the same name.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -155,6 +155,7 @@
   /// Records the work that the request asks for.
   void recordOffered() {
     m_Pool = loadPoolName(m_Service->m_Name, m_Model);
+    m_WaitingPool = concat(m_Service->m_Name, "/", m_Model);
     m_HasPriority = m_Table->hasPriorities(m_Service->m_Name);
     m_Priority = requestPriority(*m_Route, m_OrganisationSpec);
     // Where priorities are equal, organisations are not told apart either.
@@ -349,7 +350,8 @@
       return;
     }
     const bool HasTriedNone = m_TriedServers.empty() && !resumes();
-    if (HasTriedNone && m_Context.m_FullPools.mustWait(m_Pool, waitingRank())) {
+    if (HasTriedNone &&
+        m_Context.m_FullPools.mustWait(m_WaitingPool, waitingRank())) {
       m_Context.m_Metrics.increment("dispatches_skipped_total");
       onNoServer(Now, NoServerReason::AllFull);
       return;
@@ -361,7 +363,7 @@
     if (!Chosen) {
       const NoServerReason Reason = m_Context.m_Selector.noServerReason();
       if (HasTriedNone && Reason == NoServerReason::AllFull)
-        m_Context.m_FullPools.onFull(m_Pool, waitingRank());
+        m_Context.m_FullPools.onFull(m_WaitingPool, waitingRank());
       onNoServer(Now, Reason);
       return;
     }
@@ -1096,6 +1098,8 @@
   std::string m_Model;
   /// Servers whose load the request is part of; see loadPoolName().
   std::string m_Pool;
+  /// Service and model, for which requests wait together.
+  std::string m_WaitingPool;
   /// Organisation whose share limits the request; empty if organisations are
   /// not told apart.
   std::string m_PayingOrganisation;
--- a/tests/proxy/test_request_priority.cpp
+++ b/tests/proxy/test_request_priority.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(urgentRequestGetsTheFreeSlot);
   CPPUNIT_TEST(rejectedRequestReachesNoServer);
   CPPUNIT_TEST(completedWorkIsMeasured);
+  CPPUNIT_TEST(overloadIsSeenAndEnds);
   CPPUNIT_TEST(peersReceiveTheWork);
   CPPUNIT_TEST_SUITE_END();
 
@@ -184,6 +185,41 @@
                             "admitted_share{model=\"plain/\"} 1"));
   }
 
+  /// The servers are full and complete a third of what is offered; then their
+  /// slots are free. Guards against a plain service that is never protected,
+  /// and against rejections that outlast the overload.
+  void overloadIsSeenAndEnds() {
+    RelayFixture Fixture;
+    configure(Fixture, RequestKind::Idempotent, 0);
+    AdmissionControl Control(Fixture.m_Context);
+    constexpr int InFlight = 9;
+    for (int I = 0; I < InFlight; ++I)
+      for (const char *Server : {"s1", "s2"})
+        Fixture.m_Selector.onDispatched(Server, monotonicNow());
+    MonotonicTime Now = monotonicNow();
+    for (int I = 0; I < 30; ++I) {
+      Now += OverloadAdmission::Period;
+      for (const unsigned Priority : {0U, 4U})
+        Fixture.m_Context.m_CompletionRate.recordOffered(
+            "plain/", {Priority, "", false}, 3.0, Now);
+      Fixture.m_Context.m_CompletionRate.recordCompleted("plain/", 2.0, Now);
+      Fixture.m_Context.m_FirstEventLatency.record(
+          "plain/", std::chrono::seconds(8), std::chrono::seconds(4), Now);
+      Control.tick(Now);
+    }
+    const auto Shares = Fixture.m_Context.m_AdmissionShares.find("plain/");
+    CPPUNIT_ASSERT(Shares != Fixture.m_Context.m_AdmissionShares.end());
+    const double Urgent = Shares->second.find(0, "").m_FirstAttempts;
+    const double Other = Shares->second.find(4, "").m_FirstAttempts;
+    CPPUNIT_ASSERT(Urgent < 1.0);
+    CPPUNIT_ASSERT(Other > 0.0 && Other < Urgent);
+    for (int I = 0; I < InFlight; ++I)
+      for (const char *Server : {"s1", "s2"})
+        Fixture.m_Selector.onRequestEnded(Server);
+    Control.tick(Now + OverloadAdmission::Period);
+    CPPUNIT_ASSERT(Fixture.m_Context.m_AdmissionShares.empty());
+  }
+
   /// Guards against a report that the receiver cannot decode. It would leave
   /// each node with its own counts.
   void peersReceiveTheWork() {
--- a/tests/servers/dispatch/test_overload_admission.cpp
+++ b/tests/servers/dispatch/test_overload_admission.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <vector>
 
 namespace fulmarwinch {
@@ -243,67 +244,90 @@
     double m_RejectedAfterFall = 0.0;
   };
 
-  /// Plays 30 s in steps of 20 ms, with the demand \p Before in the first half
-  /// and \p After in the second one. Load reports are up to 0.7 s old, so the
-  /// queues grow before all groups count as full.
+  static constexpr double StepSeconds = 0.02;
+  static constexpr std::size_t Steps = 1500;
+
+  /// Groups of one model that serve 200 requests per second, and what the nodes
+  /// know of them. Load reports are up to 0.7 s old, so the queues grow before
+  /// all groups count as full.
+  struct SimulatedGroups {
+    static constexpr double Capacity = 200.0 * StepSeconds;
+    static constexpr double Slots = 200.0;
+    static constexpr double ServiceSeconds = 1.0;
+    static constexpr double FirstEventSeconds = 0.15;
+    static constexpr double ObjectiveSeconds = 0.3;
+    static constexpr std::size_t ReportSteps = 35;
+
+    double m_InFlight = 0.0;
+    std::vector<double> m_Reports = std::vector<double>(ReportSteps, 0.0);
+    RelativeLatency m_Latency;
+    double m_Completed = 0.0;
+    OfferedWork m_Offered;
+
+    /// The mean over the ages of the reports.
+    double usage() const {
+      return std::accumulate(m_Reports.end() - ReportSteps, m_Reports.end(),
+                             0.0) /
+             Slots / ReportSteps;
+    }
+    /// Time until the first event of a request that arrives now.
+    double wait() const {
+      return FirstEventSeconds +
+             std::max(0.0, m_InFlight - Slots) / Capacity * StepSeconds;
+    }
+    /// Returns the work that is done in one step.
+    double step(double Admitted, const OfferedWork &Offered) {
+      m_InFlight += Admitted;
+      const double Done =
+          std::min(Capacity, m_InFlight * StepSeconds / ServiceSeconds);
+      m_InFlight -= Done;
+      m_Reports.push_back(m_InFlight);
+      const auto Average = [](double &Value, double Amount) {
+        Value = Value * std::exp(-StepSeconds / 2.0) + Amount;
+      };
+      Average(m_Latency.m_Sum, wait() / ObjectiveSeconds * Done);
+      Average(m_Latency.m_Count, Done);
+      Average(m_Completed, Done / 2.0);
+      Average(m_Offered.m_FirstAttempts, Offered.m_FirstAttempts / 2.0);
+      Average(m_Offered.m_Returning, Offered.m_Returning / 2.0);
+      return Done;
+    }
+  };
+
+  /// Plays 30 s with the demand \p Before in the first half and \p After in the
+  /// second one. A rejected client returns once after two seconds.
   static Outcome play(bool IsLimited, double Before, double After) {
-    constexpr double StepSeconds = 0.02;
-    constexpr std::size_t Steps = 1500;
     constexpr std::size_t ReturnSteps = 100;
-    constexpr double Capacity = 200.0 * StepSeconds;
-    constexpr double ObjectiveSeconds = 0.3;
-    constexpr double FirstEventSeconds = 0.15;
-    constexpr double Slots = 200.0;
-    constexpr double ServiceSeconds = 1.0;
-    constexpr std::size_t ReportSteps = 35;
     constexpr std::size_t PeriodSteps = 10;
     std::vector<double> Returning(Steps + ReturnSteps, 0.0);
-    std::vector<double> InFlights(ReportSteps, 0.0);
+    SimulatedGroups Groups;
     OverloadAdmission Admission;
     AdmittedShares Shares;
-    RelativeLatency Latency;
-    OfferedWork Offered;
-    double Completed = 0.0;
-    double InFlight = 0.0;
     Outcome Result;
     double Total = 0.0;
     for (std::size_t Step = 0; Step < Steps; ++Step) {
-      const double Arrivals = (Step < Steps / 2 ? Before : After) * StepSeconds;
-      // The mean over the ages of the reports.
-      double Usage = 0.0;
-      for (std::size_t Age = 0; Age < ReportSteps; ++Age)
-        Usage += InFlights[InFlights.size() - 1 - Age] / Slots / ReportSteps;
+      const OfferedWork Offered{
+          (Step < Steps / 2 ? Before : After) * StepSeconds, Returning[Step]};
       if (IsLimited && Step % PeriodSteps == 0)
-        Shares = Admission.update(load(Offered, Completed, Latency, Usage));
-      const double Wanted = Arrivals * Shares.m_FirstAttempts +
-                            Returning[Step] * Shares.m_Returning;
+        Shares = Admission.update(load(Groups.m_Offered, Groups.m_Completed,
+                                       Groups.m_Latency, Groups.usage()));
       // Some groups are full before the others are.
-      const double Admitted =
-          Wanted * std::clamp((1.05 - Usage) / 0.15, 0.0, 1.0);
+      const double NotFull =
+          std::clamp((1.05 - Groups.usage()) / 0.15, 0.0, 1.0);
       const double First =
-          Wanted <= 0.0 ? 0.0
-                        : Arrivals * Shares.m_FirstAttempts * Admitted / Wanted;
-      Returning[Step + ReturnSteps] = Arrivals - First;
-      InFlight += Admitted;
-      const double Done =
-          std::min(Capacity, InFlight * StepSeconds / ServiceSeconds);
-      InFlight -= Done;
-      InFlights.push_back(InFlight);
-      const double Wait = FirstEventSeconds + std::max(0.0, InFlight - Slots) /
-                                                  Capacity * StepSeconds;
-      const double Decay = std::exp(-StepSeconds / 2.0);
-      Latency.m_Sum = Latency.m_Sum * Decay + Wait / ObjectiveSeconds * Done;
-      Latency.m_Count = Latency.m_Count * Decay + Done;
-      Completed = Completed * Decay + Done / 2.0;
-      Offered.m_FirstAttempts =
-          Offered.m_FirstAttempts * Decay + Arrivals / 2.0;
-      Offered.m_Returning = Offered.m_Returning * Decay + Returning[Step] / 2.0;
-      Result.m_Utilisation += Done / Capacity / static_cast<double>(Steps);
-      Result.m_ShareInTime += Wait <= ObjectiveSeconds ? First : 0.0;
-      Total += Arrivals;
+          Offered.m_FirstAttempts * Shares.m_FirstAttempts * NotFull;
+      Returning[Step + ReturnSteps] = Offered.m_FirstAttempts - First;
+      Result.m_Utilisation +=
+          Groups.step(First +
+                          Offered.m_Returning * Shares.m_Returning * NotFull,
+                      Offered) /
+          SimulatedGroups::Capacity / static_cast<double>(Steps);
+      if (Groups.wait() <= SimulatedGroups::ObjectiveSeconds)
+        Result.m_ShareInTime += First;
+      Total += Offered.m_FirstAttempts;
       if (Step >= Steps * 2 / 3)
-        Result.m_RejectedAfterFall +=
-            (1.0 - First / Arrivals) / (static_cast<double>(Steps) / 3.0);
+        Result.m_RejectedAfterFall += (1.0 - First / Offered.m_FirstAttempts) *
+                                      3.0 / static_cast<double>(Steps);
     }
     Result.m_ShareInTime /= Total;
     return Result;
