Give slow servers work in proportion to their speed

Cause: a server that was four or twelve times slower than its peers was treated as their equal until it failed.

Change: ServerSpeed divides the observed by the expected time to the first event and by the median of recent requests, and averages the samples of a process or group with a time constant of 3 s. From twice the usual time on, and two recent samples of all nodes together, the server counts as that many times as full. One choice in ten ignores it. If most servers of a model are slow, only what exceeds their median counts. Load messages carry slow servers under the key 'slow', and the samples of nodes that see such a server at its usual speed. Log line server_speed, metrics servers_slow and servers_found_slow_total, field slowness of 'sent' lines.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -4,6 +4,7 @@
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
+#include "proxy/placement_notices.h"
 #include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
 #include "servers/dispatch/overload_admission.h"
@@ -628,6 +629,7 @@
     if (Now >= m_NextAdmissionAt) {
       m_NextAdmissionAt = Now + AdmissionPeriod;
       updateAdmission(Now);
+      reportPlacement(m_Context);
     }
     if (m_Context.m_CrashDetector.removeExpired(Now))
       announceCrashRecords();
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -75,6 +75,9 @@
         m_Selector.availability().rateLimits().ownStatements(Now);
     if (!Limits.empty())
       Message["limits"] = toJson(Limits);
+    const ServerSpeed::Report Slow = m_Selector.speed().ownReport(Now);
+    if (!Slow.empty())
+      Message["slow"] = Slow;
     if (m_OwnTraffic) {
       const TrafficReport Traffic = m_OwnTraffic();
       Message["demand"] = Traffic.m_Demand;
@@ -145,9 +148,13 @@
         {fieldOr(Message, "process", std::uint64_t{0}),
          MonotonicTime(Duration(fieldOr(Message, "sent_us", std::int64_t{0})))},
         From.m_LastHeardAt);
-    if (Message.contains("load"))
+    if (Message.contains("load")) {
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
+      m_Selector.speed().setPeerReport(
+          Name, fieldOr(Message, "slow", ServerSpeed::Report()),
+          From.m_LastHeardAt);
+    }
     if (Message.contains("limits"))
       m_Selector.availability().rateLimits().mergePeerStatements(
           parseRateLimitStatements(Message["limits"]),
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -193,8 +193,11 @@
     if (m_HasOutput)
       return;
     m_HasOutput = true;
-    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id,
-                                                 monotonicNow());
+    const MonotonicTime Now = monotonicNow();
+    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id, Now);
+    if (isSuccess())
+      m_Context.m_Selector.speed().onFirstEvent(m_FirstEventWait,
+                                                m_ChosenServer, Now);
   }
 
   /// Records that the server has finished its response. Only a success shows
@@ -342,6 +345,12 @@
     m_HasEvents = false;
     releaseBuffer();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    const PlacementEstimate &Estimate = m_Context.m_Selector.chosenEstimate();
+    // The answers of a service without groups differ by route.
+    m_FirstEventWait = m_Context.m_Selector.speed().beginWait(
+        concat(m_Service->m_Name, "/",
+               m_Service->hasReplicaGroups() ? m_Model : m_Route->m_Name),
+        Estimate.m_FirstEvent, Now);
     for (const ContentHash Content : m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
@@ -358,10 +367,9 @@
          {"load", static_cast<std::int64_t>(
                       m_Context.m_Selector.ownInFlight(Chosen.m_Id))},
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
-         {"expected_ms",
-          inMs(m_Context.m_Selector.chosenEstimate().m_FirstEvent)},
-         {"pause_ms",
-          inMs(m_Context.m_Selector.chosenEstimate().m_LongestPause)},
+         {"expected_ms", inMs(Estimate.m_FirstEvent)},
+         {"pause_ms", inMs(Estimate.m_LongestPause)},
+         {"slowness", Estimate.m_Slowness},
          {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     const bool NoBody = m_ClientRequest.m_Head.m_Method == "HEAD";
@@ -949,6 +957,8 @@
       dispatch();
       return;
     }
+    m_Context.m_Selector.speed().onStillWaiting(m_FirstEventWait,
+                                                m_ChosenServer, Now);
     if (m_Service->hasReplicaGroups() && mayRetry())
       checkForStall(Now);
   }
@@ -1008,6 +1018,7 @@
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
+  FirstEventWait m_FirstEventWait;
   std::shared_ptr<UpstreamCall> m_Call;
   HttpMessageHead m_ResponseHead;
   /// Head of the stream that the client receives.
--- a/servers/dispatch/placement_estimate.cpp
+++ b/servers/dispatch/placement_estimate.cpp
@@ -53,6 +53,7 @@
 PlacementEstimate
 PlacementEstimator::estimate(const PlacementLoad &Load) const {
   PlacementEstimate Result;
+  Result.m_Slowness = Load.m_Slowness;
   if (!m_HasEngine)
     return Result;
   const double Streams = std::min(Load.m_InFlight, m_Slots);
--- a/servers/dispatch/placement_estimate.h
+++ b/servers/dispatch/placement_estimate.h
@@ -36,6 +36,8 @@
   /// number.
   Duration m_LongestPause{0};
   double m_PausedStreams = 0.0;
+  /// Slowness that the pause contains.
+  double m_Slowness = 1.0;
   /// Delay by which placements are compared: the prefill backlog, and a part of
   /// the objective for the first event that grows with the share of the slots
   /// whose streams the prompt delays beyond their objective.
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -37,16 +37,20 @@
       Query.m_RandomDraw * static_cast<double>(CandidateCount);
   const auto First = static_cast<std::size_t>(ScaledDraw) % CandidateCount;
   const double Fraction = ScaledDraw - static_cast<double>(First);
+  const double ScaledFraction =
+      Fraction * static_cast<double>(CandidateCount - 1);
+  const auto Offset = static_cast<std::size_t>(ScaledFraction);
   const std::size_t Second =
       CandidateCount == 1
           ? First
-          : (First + 1 +
-             static_cast<std::size_t>(Fraction *
-                                      static_cast<double>(CandidateCount - 1)) %
-                 (CandidateCount - 1)) %
-                CandidateCount;
+          : (First + 1 + Offset % (CandidateCount - 1)) % CandidateCount;
+  const bool IsProbe = ScaledFraction - static_cast<double>(Offset) >=
+                       1.0 - m_Settings.m_ProbeShare;
+  const auto Fullness = [&](const Candidate &Each) {
+    return IsProbe ? Each.m_SlotUsage : Each.m_Fullness;
+  };
   const Candidate &Best =
-      Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
+      Fullness(Candidates[First]) <= Fullness(Candidates[Second])
           ? Candidates[First]
           : Candidates[Second];
   m_ChosenEstimate = Best.m_Estimate;
@@ -69,6 +73,8 @@
   const std::vector<const BackendServer *> &EligibleServers =
       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model);
   Candidates.reserve(EligibleServers.size());
+  m_Speed.refresh(Query.m_Now);
+  const double CommonSlowness = commonSlowness(EligibleServers);
   const PlacementEstimator Estimator(*Query.m_Service, Query.m_Model,
                                      Query.m_Request);
   for (const BackendServer *Eligible : EligibleServers) {
@@ -91,8 +97,11 @@
       continue;
     }
     const double InFlight = inFlight(Server, NodesWithoutReport);
-    const double SlotUsage = InFlight / slotsOf(Server, *Query.m_Service);
-    if (SlotUsage >= m_Settings.m_MaxSlotUsage ||
+    const unsigned Slots = slotsOf(Server, *Query.m_Service);
+    const double SlotUsage = InFlight / Slots;
+    const double Slowness =
+        std::max(1.0, m_Speed.slowness(Server) / CommonSlowness);
+    if (SlotUsage * Slowness >= m_Settings.m_MaxSlotUsage ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
       m_NoServerReason = NoServerReason::AllFull;
@@ -106,7 +115,10 @@
     Load.m_InFlight = InFlight;
     Load.m_PrefillBacklog =
         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
-    Candidates.push_back({&Server, SlotUsage, Estimator.estimate(Load)});
+    Load.m_Slowness = Slowness;
+    Candidates.push_back({&Server, SlotUsage,
+                          (InFlight + 1.0) / Slots * Slowness,
+                          Estimator.estimate(Load)});
   }
   return Candidates;
 }
@@ -159,6 +171,22 @@
                    Candidates.end());
 }
 
+double ServerSelector::commonSlowness(
+    const std::vector<const BackendServer *> &Servers) const {
+  if (!m_Speed.hasSlowServers() || Servers.empty())
+    return 1.0;
+  std::vector<double> Values;
+  Values.reserve(Servers.size());
+  for (const BackendServer *Server : Servers)
+    Values.push_back(m_Speed.slowness(*Server));
+  // With an even number the lower one of the middle, so that one of two servers
+  // can be slow.
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
 double ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
   return static_cast<double>(std::count_if(
       m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
@@ -230,6 +258,7 @@
 void ServerSelector::onPeerReportsStopped(const std::string &Peer,
                                           MonotonicTime Now) {
   m_PeerLoad.removeReport(Peer);
+  m_Speed.removePeer(Peer);
   m_NoReportSince.emplace(Peer, Now);
   updateLiveNodes();
 }
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -7,6 +7,7 @@
 #include "servers/dispatch/placement_estimate.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
+#include "servers/dispatch/server_speed.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
@@ -83,6 +84,9 @@
   /// Prompts that are too short to be announced to peers cause differences of
   /// this size.
   Duration m_CostTolerance = std::chrono::milliseconds(20);
+  /// Share of the choices that ignore the slowness of servers, so that a server
+  /// that has recovered is noticed.
+  double m_ProbeShare = 0.1;
 };
 
 /// Chooses the backend server for a request, based on this node's view of the
@@ -125,6 +129,8 @@
   }
   /// What this node has seen of the servers.
   ServerAvailability &availability() { return m_Availability; }
+  /// Speed of the servers, as this node and its peers have seen it.
+  ServerSpeed &speed() { return m_Speed; }
   const ServerAvailability &availability() const { return m_Availability; }
 
   /// Replaces the in-flight requests reported by a peer, by server.
@@ -147,6 +153,8 @@
   struct Candidate {
     const BackendServer *m_Server = nullptr;
     double m_SlotUsage = 0.0;
+    /// Usage once the request runs there, times the slowness of the server.
+    double m_Fullness = 0.0;
     PlacementEstimate m_Estimate;
   };
 
@@ -154,6 +162,10 @@
   /// may not.
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
                                         const ServerQuery &Query);
+  /// Returns the median of the slowness of \p Servers if most of them are slow,
+  /// otherwise 1. What they have in common is a load, and no fault of a server.
+  double
+  commonSlowness(const std::vector<const BackendServer *> &Servers) const;
   /// Removes the candidates with a higher cost than the least one.
   void keepLowestCosts(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
@@ -176,6 +188,7 @@
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
   EligibleServers m_EligibleServers;
   PrefillBacklog m_Backlog;
+  ServerSpeed m_Speed;
   absl::flat_hash_map<std::string, unsigned> m_OwnInFlight;
   PeerLoad m_PeerLoad;
   std::string m_OwnNode;
