--- a/proxy/admission_control.cpp
+++ b/proxy/admission_control.cpp
@@ -21,9 +21,9 @@
 
 } // namespace
 
-void AdmissionControl::tick(MonotonicTime Now) {
+bool AdmissionControl::tick(MonotonicTime Now) {
   if (!m_Context.m_RouteTable || Now < m_NextUpdateAt)
-    return;
+    return false;
   m_NextUpdateAt = Now + OverloadAdmission::Period;
   for (auto &[Name, State] : m_Pools)
     State.m_IsUpdated = false;
@@ -42,6 +42,7 @@
     m_Context.m_AdmissionShares.erase(Entry->first);
     Entry = m_Pools.erase(Entry);
   }
+  return true;
 }
 
 void AdmissionControl::update(const ServiceSpec &Service,
--- a/proxy/admission_control.h
+++ b/proxy/admission_control.h
@@ -22,8 +22,8 @@
       : m_Context(Context) {}
 
   /// Call it every few tens of milliseconds. Decides once per
-  /// OverloadAdmission::Period.
-  void tick(MonotonicTime Now);
+  /// OverloadAdmission::Period, and returns true if it has.
+  bool tick(MonotonicTime Now);
   /// Sets the gauges of the admitted shares and the measured work.
   void setGauges(MonotonicTime Now);
 
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -5,6 +5,7 @@
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
+#include "proxy/placement_notices.h"
 #include "proxy/relay_ticks.h"
 #include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
@@ -628,7 +629,8 @@
     }
     for (const std::string &Id : m_Fleet.removeMissing(Now))
       logServer(Id);
-    m_AdmissionControl.tick(Now);
+    if (m_AdmissionControl.tick(Now))
+      reportPlacement(m_Context);
     if (m_Context.m_CrashDetector.removeExpired(Now))
       announceCrashRecords();
     if (Now >= m_NextCrashShareAt) {
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -265,8 +265,11 @@
     if (m_HasOutput)
       return;
     m_HasOutput = true;
-    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id,
-                                                 monotonicNow());
+    const MonotonicTime Now = monotonicNow();
+    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id, Now);
+    if (isSuccess())
+      m_Context.m_Selector.speed().onFirstEvent(m_FirstEventWait,
+                                                m_ChosenServer, Now);
   }
 
   /// Records that the server has finished its response. Only a success shows
@@ -310,6 +313,11 @@
     return Result;
   }
 
+  /// Tokens that the server holds for the request until it ends.
+  std::uint64_t requestTokens() const {
+    return m_PromptTokens + m_StatedOutputTokens;
+  }
+
   void setDeadline() {
     Duration TimeLeft = m_Route->m_Timeout;
     std::int64_t RequestedMs = 0;
@@ -424,12 +432,20 @@
     m_HasHead = false;
     m_HasEvents = false;
     m_IsLate = false;
+    m_FirstEventWait = FirstEventWait();
     releaseBuffer();
   }
 
   void send(const ChosenServer &Chosen, MonotonicTime Now) {
     beginAttempt(Chosen, Now);
-    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now, m_Model,
+                                      requestTokens());
+    const PlacementEstimate &Estimate = m_Context.m_Selector.chosenEstimate();
+    // The answers of a service without groups differ by route.
+    m_FirstEventWait = m_Context.m_Selector.speed().beginWait(
+        concat(m_Service->m_Name, "/",
+               m_Service->hasReplicaGroups() ? m_Model : m_Route->m_Name),
+        Estimate.m_FirstEvent, Now);
     for (const ContentHash Content : m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
@@ -446,10 +462,9 @@
          {"load", static_cast<std::int64_t>(
                       m_Context.m_Selector.ownInFlight(Chosen.m_Id))},
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
-         {"expected_ms",
-          inMs(m_Context.m_Selector.chosenEstimate().m_FirstEvent)},
-         {"pause_ms",
-          inMs(m_Context.m_Selector.chosenEstimate().m_LongestPause)},
+         {"expected_ms", inMs(Estimate.m_FirstEvent)},
+         {"pause_ms", inMs(Estimate.m_LongestPause)},
+         {"slowness", Estimate.m_Slowness},
          {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     m_Call = std::make_shared<UpstreamCall>(m_Context.m_Loop, Chosen.m_Endpoint,
@@ -532,6 +547,8 @@
     Request.m_IsStreaming = m_Route->m_Kind == RequestKind::Streaming;
     Request.m_Sequence = m_Sequence;
     Request.m_Contents = m_Contents;
+    Request.m_Model = m_Model;
+    Request.m_Tokens = requestTokens();
     Request.m_SentAt = Now;
     Request.m_ConnectTimeout = ConnectTimeout;
     Request.m_Timeout = responseDueAt() - Now + milliseconds(50);
@@ -1125,7 +1142,7 @@
   void releaseServer() {
     if (!m_Call)
       return;
-    m_Context.m_Selector.onRequestEnded(m_ChosenServer.m_Id);
+    m_Context.m_Selector.onRequestEnded(m_ChosenServer.m_Id, requestTokens());
     if (!m_IsCrashWatchPending && !m_HasFinished)
       for (const ContentHash Content : m_Contents)
         m_Context.m_PoisonDetector.onInconclusiveEnd(Content,
@@ -1204,6 +1221,8 @@
       return;
     }
     considerSecondAttempt(Now);
+    m_Context.m_Selector.speed().onStillWaiting(m_FirstEventWait,
+                                                m_ChosenServer, Now);
     if (m_Service->hasReplicaGroups() && mayRetry())
       checkForStall(Now);
   }
@@ -1277,6 +1296,7 @@
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
+  FirstEventWait m_FirstEventWait;
   std::shared_ptr<UpstreamCall> m_Call;
   /// Runs beside m_Call until one of them responds or ends.
   std::shared_ptr<SecondAttempt> m_SecondAttempt;
--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -30,7 +30,8 @@
              SecondAttemptHandlers Handlers) {
     m_Handlers = std::move(Handlers);
     m_Context.m_Selector.onDispatched(m_Request.m_Server.m_Id,
-                                      m_Request.m_SentAt);
+                                      m_Request.m_SentAt, m_Request.m_Model,
+                                      m_Request.m_Tokens);
     for (const ContentHash Content : m_Request.m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, processKey());
     m_Context.m_Metrics.increment("second_attempts_sent_total");
@@ -207,7 +208,8 @@
       recordServerNotices(m_Context, m_Request.m_Server,
                           {m_Head->m_Status, m_Head->m_Headers, m_Request.m_Id,
                            m_Request.m_SentAt});
-    m_Context.m_Selector.onRequestEnded(m_Request.m_Server.m_Id);
+    m_Context.m_Selector.onRequestEnded(m_Request.m_Server.m_Id,
+                                        m_Request.m_Tokens);
     if (!m_IsCrashWatchPending)
       for (const ContentHash Content : m_Request.m_Contents)
         m_Context.m_PoisonDetector.onInconclusiveEnd(Content, processKey());
--- a/proxy/second_attempt.h
+++ b/proxy/second_attempt.h
@@ -30,6 +30,9 @@
   /// State of the client's stream, to which no event has been added yet.
   EventSequenceFilter m_Sequence{std::nullopt};
   std::vector<ContentHash> m_Contents;
+  /// Requested model, and the tokens that the server holds for the request.
+  std::string m_Model;
+  std::uint64_t m_Tokens = 0;
   MonotonicTime m_SentAt{};
   Duration m_ConnectTimeout{0};
   Duration m_Timeout{0};
--- a/servers/dispatch/placement_estimate.h
+++ b/servers/dispatch/placement_estimate.h
@@ -16,6 +16,9 @@
   /// Objectives for the first event and for the time between two events.
   Duration m_FirstEventObjective{0};
   Duration m_EventGapObjective{0};
+
+  /// Tokens that a server holds for the request until it ends.
+  std::uint64_t tokens() const { return m_PromptTokens + m_OutputTokens; }
 };
 
 /// What is known of the server or group that may receive a request.
@@ -36,6 +39,8 @@
   /// number.
   Duration m_LongestPause{0};
   double m_PausedStreams = 0.0;
+  /// Slowness that the pause contains.
+  double m_Slowness = 1.0;
   /// Delay by which placements are compared: the prefill backlog, and a part of
   /// the objective for the first event that grows with the share of the slots
   /// whose streams the prompt delays beyond their objective.
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -37,16 +37,20 @@
       Query.m_RandomDraw * static_cast<double>(CandidateCount);
   const auto First = static_cast<std::size_t>(ScaledDraw) % CandidateCount;
   const double Fraction = ScaledDraw - static_cast<double>(First);
+  const double ScaledFraction =
+      Fraction * static_cast<double>(CandidateCount - 1);
+  const auto Offset = static_cast<std::size_t>(ScaledFraction);
   const std::size_t Second =
       CandidateCount == 1
           ? First
-          : (First + 1 +
-             static_cast<std::size_t>(Fraction *
-                                      static_cast<double>(CandidateCount - 1)) %
-                 (CandidateCount - 1)) %
-                CandidateCount;
+          : (First + 1 + Offset % (CandidateCount - 1)) % CandidateCount;
+  const bool IsProbe = ScaledFraction - static_cast<double>(Offset) >=
+                       1.0 - m_Settings.m_ProbeShare;
+  const auto Fullness = [&](const Candidate &Each) {
+    return IsProbe ? Each.m_SlotUsage : Each.m_Fullness;
+  };
   const Candidate &Best =
-      Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
+      Fullness(Candidates[First]) <= Fullness(Candidates[Second])
           ? Candidates[First]
           : Candidates[Second];
   m_ChosenEstimate = Best.m_Estimate;
@@ -65,14 +69,16 @@
   m_NoServerReason = NoServerReason::NoneEligible;
   m_NextRequestAt = MonotonicTime::max();
   m_PassedOver.fill(0);
+  m_PassedOverForTokens = 0;
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
-  const std::vector<const BackendServer *> &EligibleServers =
+  const std::vector<const BackendServer *> &Eligible =
       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model);
-  Candidates.reserve(EligibleServers.size());
+  Candidates.reserve(Eligible.size());
+  const double CommonSlowness = commonSlowness(Eligible, Query.m_Now);
   const PlacementEstimator Estimator(*Query.m_Service, Query.m_Model,
                                      Query.m_Request);
-  for (const BackendServer *Eligible : EligibleServers) {
-    const BackendServer &Server = *Eligible;
+  for (const BackendServer *Each : Eligible) {
+    const BackendServer &Server = *Each;
     if (Query.m_TriedServers.count(Server.m_Id) != 0)
       continue;
     const Unavailability Reason =
@@ -82,36 +88,54 @@
       continue;
     if (Reason == Unavailability::PauseRequested ||
         Reason == Unavailability::RateLimited) {
-      m_NextRequestAt = std::min(
-          m_NextRequestAt, m_Availability.nextRequestAt(Server, Query.m_Now));
-      m_NoServerReason =
-          std::max(m_NoServerReason, Reason == Unavailability::PauseRequested
-                                         ? NoServerReason::AllPaused
-                                         : NoServerReason::AllRateLimited);
+      recordHeldBack(Server, Reason, Query.m_Now);
       continue;
     }
-    const double InFlight = inFlight(Server, NodesWithoutReport);
-    const double SlotUsage = InFlight / slotsOf(Server, *Query.m_Service);
-    if (SlotUsage >=
+    const OtherRequests Others{
+        static_cast<double>(m_PeerLoad.inFlight(Server.m_Id)),
+        NodesWithoutReport};
+    const double InFlight = inFlight(Server, Others);
+    const unsigned Slots = slotsOf(Server, *Query.m_Service);
+    const double SlotUsage = InFlight / Slots;
+    const double Slowness =
+        std::max(1.0, m_Speed.slowness(Server) / CommonSlowness);
+    if (SlotUsage * Slowness >=
             std::min(m_Settings.m_MaxSlotUsage, Query.m_MaxSlotUsage) ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
+    if (!m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
+                           Server.m_Id, Query.m_Model, Others,
+                           Query.m_Request.tokens())) {
+      ++m_PassedOverForTokens;
+      m_NoServerReason = NoServerReason::AllFull;
+      continue;
+    }
     if (!allowsColdRequest(Fleet, Query, Server)) {
       m_NoServerReason = NoServerReason::AllCold;
       continue;
     }
-    PlacementLoad Load;
-    Load.m_InFlight = InFlight;
-    Load.m_PrefillBacklog =
+    const Duration Backlog =
         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
-    Candidates.push_back({&Server, SlotUsage, Estimator.estimate(Load)});
+    Candidates.push_back({&Server, SlotUsage,
+                          (InFlight + 1.0) / Slots * Slowness,
+                          Estimator.estimate({InFlight, Backlog, Slowness})});
   }
   return Candidates;
 }
 
+void ServerSelector::recordHeldBack(const BackendServer &Server,
+                                    Unavailability Reason, MonotonicTime Now) {
+  m_NextRequestAt =
+      std::min(m_NextRequestAt, m_Availability.nextRequestAt(Server, Now));
+  m_NoServerReason =
+      std::max(m_NoServerReason, Reason == Unavailability::PauseRequested
+                                     ? NoServerReason::AllPaused
+                                     : NoServerReason::AllRateLimited);
+}
+
 std::string ServerSelector::passedOver() const {
   std::string Result;
   for (const EnumName<Unavailability> &Entry : UnavailabilityNames) {
@@ -120,6 +144,8 @@
     if (Entry.m_Value != Unavailability::None && Count > 0)
       append(Result, Result.empty() ? "" : " ", Entry.m_Name, ":", Count);
   }
+  if (m_PassedOverForTokens > 0)
+    append(Result, Result.empty() ? "" : " ", "tokens:", m_PassedOverForTokens);
   return Result;
 }
 
@@ -133,8 +159,11 @@
         isOutOfService(m_Availability.check(Fleet, *Server, Query.m_Now)))
       continue;
     ++Result.m_Groups;
-    Result.m_MeanSlotUsage += inFlight(*Server, NodesWithoutReport) /
-                              slotsOf(*Server, *Query.m_Service);
+    const OtherRequests Others{
+        static_cast<double>(m_PeerLoad.inFlight(Server->m_Id)),
+        NodesWithoutReport};
+    Result.m_MeanSlotUsage +=
+        inFlight(*Server, Others) / slotsOf(*Server, *Query.m_Service);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
@@ -164,6 +193,23 @@
                    Candidates.end());
 }
 
+double ServerSelector::commonSlowness(
+    const std::vector<const BackendServer *> &Servers, MonotonicTime Now) {
+  m_Speed.refresh(Now);
+  if (Servers.empty() || m_Speed.slowServerCount() * 2 <= Servers.size())
+    return 1.0;
+  std::vector<double> Values;
+  Values.reserve(Servers.size());
+  for (const BackendServer *Server : Servers)
+    Values.push_back(m_Speed.slowness(*Server));
+  // With an even number the lower one of the middle, so that one of two servers
+  // can be slow.
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
 double ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
   return static_cast<double>(std::count_if(
       m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
@@ -172,9 +218,9 @@
 }
 
 double ServerSelector::inFlight(const BackendServer &Server,
-                                double NodesWithoutReport) const {
-  return ownInFlight(Server.m_Id) * (1.0 + NodesWithoutReport) +
-         m_PeerLoad.inFlight(Server.m_Id);
+                                const OtherRequests &Others) const {
+  return ownInFlight(Server.m_Id) * (1.0 + Others.m_UnknownNodes) +
+         Others.m_Reported;
 }
 
 unsigned ServerSelector::slotsOf(const BackendServer &Server,
@@ -209,14 +255,18 @@
   return Query.m_Now - LastDispatch->second >= MinInterval;
 }
 
-void ServerSelector::onDispatched(const std::string &Server,
-                                  MonotonicTime Now) {
+void ServerSelector::onDispatched(const std::string &Server, MonotonicTime Now,
+                                  const std::string &Model,
+                                  std::uint64_t Tokens) {
   ++m_OwnInFlight[Server];
+  m_HeldTokens.onDispatched(Server, Model, Tokens);
   m_LastDispatch[Server] = Now;
   m_Availability.onDispatched(Server, Now);
 }
 
-void ServerSelector::onRequestEnded(const std::string &Server) {
+void ServerSelector::onRequestEnded(const std::string &Server,
+                                    std::uint64_t Tokens) {
+  m_HeldTokens.onEnded(Server, Tokens);
   const auto Load = m_OwnInFlight.find(Server);
   if (Load == m_OwnInFlight.end())
     return;
@@ -235,6 +285,7 @@
 void ServerSelector::onPeerReportsStopped(const std::string &Peer,
                                           MonotonicTime Now) {
   m_PeerLoad.removeReport(Peer);
+  m_Speed.removePeer(Peer);
   m_NoReportSince.emplace(Peer, Now);
   updateLiveNodes();
 }
