Test a front node with clients that do not read

Cause: a process ended for lack of memory while many clients read long answers slowly. No test measured the memory or the descriptors of the real process.

Change: soak/slow_clients.py starts fulmarwinch-front with limits of 48 MB and 500 descriptors, one process for each of seven patterns of clients, and checks that it lives, stays within both limits and answers an ordinary request. scripts/check.sh runs it as a step of its own.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -26,6 +26,11 @@
 step "fault soak of front nodes"
 python3 soak/front_soak.py --seeds 1,2,3
 
+# Runs alone: it measures the memory of a front node, and its clients need
+# processor time.
+step "clients of a front node that do not read"
+python3 soak/slow_clients.py
+
 step "linter"
 bash scripts/lint.sh
 
--- /dev/null
+++ b/soak/slow_clients.py
@@ -0,0 +1,396 @@
+#!/usr/bin/env python3
+"""Memory and descriptors of fulmarwinch-front when clients do not read.
+
+Usage: slow_clients.py [--patterns NAME,NAME]
+
+Guards against a front node that exceeds the memory or the descriptors of its
+machine, ends or hangs, because many clients read their answers slowly or not at
+all. For each pattern of clients, one fresh process of fulmarwinch-front runs on
+loopback with the lowered limits below. Checked are only that the process is
+alive, that its peak memory and its open sockets stay within the limits, and
+that an ordinary request is answered while the clients are still connected. The
+clients and limits are fixed; they are not adjusted to the program. Exits with 1
+if a check failed; the folder with the logs of that process is kept and printed.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import socket
+import sys
+import tempfile
+
+from world import (CLIENT_PORT, READY_PORT, Node, Server, Store, http_response,
+                   now, read_message)
+
+MEMORY_MB, MAX_FDS, RESERVED_FDS = 48, 500, 200
+MAX_BODY_BYTES = 1 << 20
+SERVERS = 4
+# Time for which the clients of a pattern behave as described, and time after
+# which a server terminates a response that stays unread.
+PATTERN_S, UNREAD_S = 8.0, 4.0
+EVENT, EVENTS_PER_CHUNK, STREAM_CHUNKS = b"x" * 4000, 16, 250
+RECEIVE_BUFFER_BYTES = 4096
+ORDINARY_ATTEMPTS, ORDINARY_TIMEOUT_S = 20, 3.0
+
+
+def make_chunk(first):
+    events = b"".join(b"id: %d\ndata: %s\n\n" % (number, EVENT)
+                      for number in range(first, first + EVENTS_PER_CHUNK))
+    return b"%x\r\n%s\r\n" % (len(events), events)
+
+
+# Chunks of the one stream that all servers send, of 16 MB.
+STREAM = [make_chunk(1 + EVENTS_PER_CHUNK * i) for i in range(STREAM_CHUNKS)]
+
+
+class LargeServer(Server):
+    """Backend server that answers /whole/BYTES with that many bytes, and
+    /stream/ with a stream."""
+
+    def write_entry(self):
+        self.reports += 1
+        self.world.store.put("servers", self.id, {
+            "service": "echo", "address": f"{self.ip}:{self.port}",
+            "zone": "a", "version": "v1", "slots": 500, "born": self.born,
+            "cold_remaining_ms": 0, "seq_no": self.reports, "state": "ready"})
+
+    async def answer(self, message, writer):
+        start_line, headers, _, _ = message
+        fields = {"Request-Id": headers.get("request-id", ""),
+                  "Response-Signature": self.id, "Connection": "close"}
+        path = start_line.split(" ")[1].split("/")
+        if start_line.startswith("GET /fulmarwinch/report "):
+            writer.write(http_response(200, fields, b"{}"))
+            return
+        if path[1] == "stream":
+            fields["Content-Type"] = "text/event-stream"
+            fields["Transfer-Encoding"] = "chunked"
+            head = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+            for chunk in STREAM:
+                writer.write(chunk)
+                await self.drain(writer)
+            writer.write(b"0\r\n\r\n")
+        else:
+            # The bytes are written in parts, as the copies that the event loop
+            # of Python makes would take much of the time otherwise.
+            size = int(path[2])
+            head = http_response(200, fields, b"").replace(
+                b"Content-Length: 0", b"Content-Length: %d" % size)
+            writer.write(head)
+            for begin in range(0, size, 65536):
+                writer.write(b"y" * min(65536, size - begin))
+                await self.drain(writer)
+        await self.drain(writer)
+
+    async def drain(self, writer):
+        if writer.transport.is_closing():
+            raise ConnectionResetError
+        if writer.transport.get_write_buffer_size() < 65536:
+            return
+        try:
+            await asyncio.wait_for(writer.drain(), UNREAD_S)
+        except asyncio.TimeoutError as error:
+            writer.transport.abort()
+            raise ConnectionResetError from error
+
+
+class World:
+    def __init__(self, index):
+        self.random = random.Random(1)
+        self.prefix = f"127.{200 + index}.0"
+        self.directory = tempfile.mkdtemp(prefix="slow-clients-")
+        self.violations, self.server_count, self.request_count = [], 0, 0
+        self.most_sockets, self.has_ended = 0, False
+        self.store = Store(f"{self.prefix}.2")
+        self.servers = [LargeServer(self, f"{self.prefix}.{100 + i}", 8080)
+                        for i in range(SERVERS)]
+        self.node = Node(self, 0, f"limits.memory_mb={MEMORY_MB}\n"
+                                  f"limits.max_fds={MAX_FDS}\n")
+        self.sockets = []
+
+    def violation(self, text):
+        self.violations.append(text)
+
+    def write_configuration(self):
+        self.store.put("config", "main", {
+            "version": 1, "routes": [
+                {"name": name, "host": "h.example", "path_prefix": f"/{name}/",
+                 "kind": kind, "service": "echo", "timeout_ms": 20000,
+                 "slo_ms": 400, "max_attempts": 2, "priority": 1,
+                 "public": False}
+                for name, kind in (("whole", "idempotent"),
+                                   ("stream", "streaming"))],
+            "services": [{"name": "echo", "health_path": "/health"}],
+            "limits": {"max_header_bytes": 16384,
+                       "max_body_bytes": MAX_BODY_BYTES,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 30000},
+            "tenants": [{"name": "org", "api_keys": ["key"]}]})
+
+    # Clients
+
+    def request(self, path, body_bytes=0):
+        self.request_count += 1
+        return (f"POST /{path} HTTP/1.1\r\nHost: h.example\r\n"
+                f"Request-Id: r{self.request_count:06d}\r\n"
+                f"Deadline-Ms: 20000\r\nCredential: key\r\n"
+                f"Content-Length: {body_bytes}\r\n\r\n").encode()
+
+    async def connect(self):
+        """Returns a connected socket with a small receive buffer, which stays
+        open until the end of the pattern, or None."""
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                          RECEIVE_BUFFER_BYTES)
+        client.setblocking(False)
+        self.sockets.append(client)
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                client, (self.node.ip, CLIENT_PORT))
+            return client
+        except OSError:
+            return None
+
+    async def send(self, client, data):
+        if client:
+            try:
+                await asyncio.get_running_loop().sock_sendall(client, data)
+            except OSError:
+                pass
+
+    async def receive(self, client, size):
+        """Returns False once nothing more arrives."""
+        try:
+            return bool(await asyncio.get_running_loop().sock_recv(client,
+                                                                   size))
+        except OSError:
+            return False
+
+    async def trickle_client(self):
+        """Reads a stream byte by byte, and another one if it ends."""
+        while now() < self.ends_at:
+            client = await self.connect()
+            await self.send(client, self.request("stream/"))
+            while client and await self.receive(client, 1):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.2)
+
+    async def unread_client(self, delay):
+        await asyncio.sleep(delay)
+        client = await self.connect()
+        await self.send(client, self.request("whole/4000000"))
+
+    async def returning_client(self):
+        """Reads 64 KB of a stream, pauses, and goes on."""
+        while now() < self.ends_at:
+            client = await self.connect()
+            await self.send(client, self.request("stream/"))
+            while client and await self.read_some(client, 65536):
+                await asyncio.sleep(1.5)
+            await asyncio.sleep(0.2)
+
+    async def read_some(self, client, size):
+        for _ in range(0, size, 4096):
+            if not await self.receive(client, 4096):
+                return False
+        return True
+
+    async def repeating_client(self):
+        """Sends requests one after the other without reading."""
+        client = await self.connect()
+        while client and now() < self.ends_at:
+            await self.send(client, self.request("whole/1000000"))
+            await asyncio.sleep(0.1)
+
+    async def pipelining_client(self):
+        client = await self.connect()
+        await self.send(client, b"".join(self.request("whole/1000000")
+                                         for _ in range(20)))
+
+    async def slow_head_client(self):
+        client = await self.connect()
+        for byte in self.request("whole/1000"):
+            if not client or now() > self.ends_at:
+                break
+            await self.send(client, bytes([byte]))
+            await asyncio.sleep(0.05)
+
+    async def slow_body_client(self):
+        client = await self.connect()
+        await self.send(client, self.request("whole/1000", MAX_BODY_BYTES))
+        while client and now() < self.ends_at:
+            await self.send(client, b"b" * 20000)
+            await asyncio.sleep(0.05)
+
+    async def half_closing_client(self, path):
+        client = await self.connect()
+        await self.send(client, self.request(path))
+        await asyncio.sleep(0.2)
+        try:
+            client.shutdown(socket.SHUT_WR)
+        except (OSError, AttributeError):
+            pass
+
+    async def silent_client(self):
+        await self.connect()
+
+    async def short_connections(self):
+        while now() < self.ends_at:
+            try:
+                _, writer = await asyncio.open_connection(self.node.ip,
+                                                          CLIENT_PORT)
+                writer.close()
+            except OSError:
+                pass
+            await asyncio.sleep(0.01)
+
+    # Checks
+
+    async def watch_sockets(self):
+        folder = f"/proc/{self.node.process.pid}/fd"
+        while not self.has_ended:
+            count = 0
+            try:
+                for name in os.listdir(folder):
+                    try:
+                        count += os.readlink(f"{folder}/{name}").startswith(
+                            "socket:")
+                    except OSError:
+                        pass
+            except OSError:
+                return
+            self.most_sockets = max(self.most_sockets, count)
+            await asyncio.sleep(0.02)
+
+    def peak_memory_mb(self):
+        with open(f"/proc/{self.node.process.pid}/status",
+                  encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
+    async def ordinary_request(self):
+        """Sends a request, as a client that tries again, until it is served;
+        returns whether it was."""
+        for _ in range(ORDINARY_ATTEMPTS):
+            writer = None
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(self.node.ip, CLIENT_PORT),
+                    ORDINARY_TIMEOUT_S)
+                writer.write(self.request("whole/1000"))
+                message = await asyncio.wait_for(read_message(reader),
+                                                 ORDINARY_TIMEOUT_S)
+                if message and message[3] and " 200 " in message[0] and (
+                        message[2] == b"y" * 1000):
+                    return True
+            except (OSError, asyncio.TimeoutError):
+                pass
+            finally:
+                if writer:
+                    writer.close()
+            await asyncio.sleep(0.5)
+        return False
+
+    async def wait_until_served(self):
+        for _ in range(600):
+            try:
+                reader, writer = await asyncio.open_connection(self.node.ip,
+                                                               READY_PORT)
+                writer.write(b"GET /fulmarwinch/ready HTTP/1.1\r\n"
+                             b"Host: r\r\n\r\n")
+                message = await read_message(reader)
+                writer.close()
+                if message and " 200 " in message[0]:
+                    break
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+        if not await self.ordinary_request():
+            self.violation("no request is served before the clients come")
+
+    async def run(self, clients):
+        await self.store.start()
+        self.write_configuration()
+        for server in self.servers:
+            await server.start()
+        self.node.start()
+        await self.wait_until_served()
+        watch = asyncio.create_task(self.watch_sockets())
+        self.ends_at = now() + PATTERN_S
+        tasks = [asyncio.create_task(client) for client in clients(self)]
+        await asyncio.sleep(PATTERN_S)
+        if not await self.ordinary_request():
+            self.violation("an ordinary request was not answered")
+        if self.node.process.poll() is not None:
+            self.violation(f"ended with {self.node.process.returncode}")
+        else:
+            self.peak_mb = self.peak_memory_mb()
+            if self.peak_mb > MEMORY_MB:
+                self.violation(f"{self.peak_mb:.0f} MB of {MEMORY_MB}")
+        if self.most_sockets > MAX_FDS - RESERVED_FDS:
+            self.violation(f"{self.most_sockets} sockets of "
+                           f"{MAX_FDS - RESERVED_FDS}")
+        self.has_ended = True
+        for task in tasks + [watch]:
+            task.cancel()
+        await asyncio.gather(*tasks, watch, return_exceptions=True)
+        for client in self.sockets:
+            client.close()
+
+
+PATTERNS = {
+    "trickle": lambda world: [world.trickle_client() for _ in range(80)],
+    "unread": lambda world: [world.unread_client(0.05 * i)
+                             for i in range(60)],
+    "returning": lambda world: [world.returning_client() for _ in range(60)],
+    "repeating": lambda world: (
+        [world.repeating_client() for _ in range(40)]
+        + [world.pipelining_client() for _ in range(40)]),
+    "slow_requests": lambda world: (
+        [world.unread_client(0.05 * i) for i in range(25)]
+        + [world.trickle_client() for _ in range(25)]
+        + [world.slow_head_client() for _ in range(50)]
+        + [world.slow_body_client() for _ in range(50)]),
+    "half_closed": lambda world: (
+        [world.half_closing_client("stream/") for _ in range(50)]
+        + [world.half_closing_client("whole/4000000") for _ in range(40)]),
+    "connections": lambda world: (
+        [world.silent_client() for _ in range(600)]
+        + [world.short_connections() for _ in range(10)]
+        + [world.trickle_client() for _ in range(20)]),
+}
+
+
+def run_pattern(name):
+    world = World(list(PATTERNS).index(name))
+    world.peak_mb = 0.0
+    try:
+        asyncio.run(world.run(PATTERNS[name]))
+    finally:
+        if world.node.process and world.node.process.poll() is None:
+            world.node.kill()
+    print(f"{name}: {world.peak_mb:.0f} MB of {MEMORY_MB}, "
+          f"{world.most_sockets} sockets of {MAX_FDS - RESERVED_FDS}: "
+          + ("; ".join(world.violations) or "passed"), flush=True)
+    if not world.violations:
+        shutil.rmtree(world.directory)
+        return True
+    print(f"  logs: {world.directory}", flush=True)
+    return False
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--patterns", default=",".join(PATTERNS))
+    options = parser.parse_args()
+    results = [run_pattern(name) for name in options.patterns.split(",")]
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -297,7 +297,7 @@
 class Node:
     """One front node as a process."""
 
-    def __init__(self, world, index):
+    def __init__(self, world, index, limits="limits.memory_mb=256\n"):
         self.world, self.name = world, f"n{index}"
         self.ip = f"{world.prefix}.{index + 10}"
         self.process, self.killed, self.stopping = None, False, False
@@ -314,7 +314,7 @@
                        f"listen.ready_address={self.ip}:{READY_PORT}\n"
                        f"port_range={PEER_PORT},{PEER_PORT + 9}\n"
                        f"platform.address={world.store.ip}:{STORE_PORT}\n"
-                       f"bounds.grace_s={GRACE_S}\nlimits.memory_mb=256\n"
+                       f"bounds.grace_s={GRACE_S}\n{limits}"
                        "bounds.stall_ms=5000\nbounds.retry_budget_ratio=0.2\n"
                        "bounds.budget_slack=100\nbounds.budget_window_s=10\n"
                        "limits.link_mbps=100\n"
