--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -180,6 +180,7 @@
         m_Body.size() + m_Splitter.incompleteEvent().size();
     m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
     m_AccountedBytes = Bytes;
+    m_Held.set(Bytes);
     return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
   }
 
@@ -260,6 +261,8 @@
   std::optional<UpstreamCallHandlers> m_Receiver;
   /// Bytes of this attempt in RequestRelayContext::m_BufferedBytes.
   std::size_t m_AccountedBytes = 0;
+  /// What this attempt holds in RequestRelayContext::m_Memory.
+  MemoryReservation m_Held{m_Context.m_Memory->budget()};
   bool m_IsStream = false;
   bool m_HasEvents = false;
   bool m_HasEnded = false;
