--- a/main/fulmarwinch-front/main.cpp
+++ b/main/fulmarwinch-front/main.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <unistd.h>
 
@@ -35,6 +36,11 @@
 /// changed without a SIGHUP.
 constexpr auto SettingsPollPeriod = std::chrono::seconds(2);
 
+/// Size of blocks that return to the system as soon as they are freed. The
+/// library raises its own threshold with each large block that is freed, and
+/// such blocks then leave gaps that are not used again.
+constexpr int SeparateBlockBytes = 128 * 1024;
+
 /// Returns the content of a file, or "" if it cannot be read.
 std::string readFile(const std::string &Path) {
   std::ifstream File(Path);
@@ -132,6 +138,7 @@
 } // namespace
 
 int main(int ArgumentCount, char **ArgumentValues) {
+  mallopt(M_MMAP_THRESHOLD, SeparateBlockBytes);
   signal(SIGPIPE, SIG_IGN);
   // The settings are read below, so a SIGHUP before that has nothing to change.
   // Without this, it would end the process until the node handles it.
--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -1,9 +1,10 @@
 #include "proxy/client_connection.h"
 #include "core/text.h"
+#include "proxy/http_fields.h"
+#include "proxy/output_queue.h"
 
 #include "asio.hpp"
 
-#include <algorithm>
 #include <sys/socket.h>
 
 namespace fulmarwinch {
@@ -11,17 +12,18 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = std::size_t{8} * 1024;
-/// Maximum number of bytes of pipelined requests that are buffered while a
-/// request is in progress.
-constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
-/// Maximum size of output that waits behind the write in progress. To bound the
-/// memory, the connection of a client that reads too slowly is closed.
-constexpr std::size_t MaxPendingOutputBytes = std::size_t{1024} * 1024;
 /// Time in which a client sends its first request after it connected. Until
 /// then a new connection does not count as idle.
 constexpr Duration FirstRequestTime = std::chrono::seconds(1);
-constexpr int NoContent = 204;
-constexpr int NotModified = 304;
+
+/// Lets a connection end with a reset, whatever closes it, also the end of the
+/// process. Asio would undo its own option of this kind in the destructor of
+/// the socket.
+void setResetOnClose(asio::ip::tcp::socket &Socket, bool ResetsOnClose) {
+  const ::linger Option{ResetsOnClose ? 1 : 0, 0};
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Option,
+               sizeof(Option));
+}
 
 } // namespace
 
@@ -30,8 +32,11 @@
        ClientConnection &Owner)
       : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
         m_Hooks(std::move(Hooks)), m_Owner(Owner),
+        m_Held(m_Hooks.m_Memory->budget()),
         m_Parser(HttpStreamParser::Direction::Requests,
-                 m_Hooks.m_GetLimits().m_MaxHeaderBytes, *this) {}
+                 m_Hooks.m_GetLimits().m_MaxHeaderBytes, *this) {
+    updateHeld();
+  }
 
   std::shared_ptr<ClientConnection> owner() {
     return m_Owner.shared_from_this();
@@ -39,47 +44,22 @@
 
   void onHead(HttpMessageHead Head) override {
     m_Request.m_Head = std::move(Head);
-    std::uint64_t Length = 0;
-    if (parseNumber(findHeader(m_Request.m_Head.m_Headers, "Content-Length")
-                        .value_or(""),
-                    Length))
-      reserveBody(static_cast<std::size_t>(
-          std::min<std::uint64_t>(Length, m_Limits.m_MaxBodyBytes)));
-    const std::optional<std::string> Expectation =
-        findHeader(m_Request.m_Head.m_Headers, "Expect");
-    if (Expectation && !m_IsBodyRefused &&
-        equalsIgnoreCase(*Expectation, "100-continue"))
+    m_Request.m_Body->expect(m_Request.m_Head.m_Headers,
+                             m_Limits.m_MaxBodyBytes);
+    if (!m_Request.m_Body->m_IsRefused &&
+        expectsContinue(m_Request.m_Head.m_Headers))
       send("HTTP/1.1 100 Continue\r\n\r\n");
   }
 
   void onBody(std::string_view Bytes) override {
-    std::string &Body = m_Request.m_Body->m_Bytes;
-    const std::size_t Size = Body.size() + Bytes.size();
-    if (Size > m_Limits.m_MaxBodyBytes) {
-      m_IsBodyTooLarge = true;
-      return;
-    }
-    // The size of a body in chunks is not known before.
-    if (Size > Body.capacity())
-      reserveBody(std::min<std::size_t>(std::max(Size, 2 * Body.capacity()),
-                                        m_Limits.m_MaxBodyBytes));
-    if (!m_IsBodyRefused)
-      Body.append(Bytes);
-  }
-
-  /// Provides memory for a body of \p Bytes, or marks the request as one to
-  /// reject.
-  void reserveBody(std::size_t Bytes) {
-    m_IsBodyRefused =
-        m_IsBodyRefused || !m_Request.m_Body->m_Reservation.growTo(Bytes);
-    if (!m_IsBodyRefused)
-      m_Request.m_Body->m_Bytes.reserve(Bytes);
+    m_Request.m_Body->append(Bytes, m_Limits.m_MaxBodyBytes);
   }
 
   void onMessageEnd() override {}
 
   void awaitRequest() {
     m_IsRequestInProgress = false;
+    m_HeadBytes = 0;
     m_Request = ClientRequest();
     m_Request.m_Body = std::make_shared<RequestBody>(m_Hooks.m_BodyBudget);
     m_Parser.reset();
@@ -93,20 +73,21 @@
     m_Timer.async_wait([this, Self = owner()](const asio::error_code &Error) {
       if (Error || m_IsClosed || m_IsRequestInProgress)
         return;
-      if (m_Parser.hasReceivedBytes()) {
-        m_KeepAlive = false;
+      if (m_Parser.hasReceivedBytes())
         reject(408, "Request Timeout");
-      } else {
+      else
         closeIdleConnection();
-      }
     });
   }
 
   /// Closes the connection unless a later configuration allows it to be idle
   /// for longer.
   void closeIdleConnection() {
-    const Duration Left =
-        m_IdleSince + m_Hooks.m_GetLimits().m_IdleTimeout - monotonicNow();
+    const Duration IdleTimeout = m_Hooks.m_GetLimits().m_IdleTimeout;
+    // The client may still read the last response.
+    const Duration Left = m_Output.size() > 0
+                              ? IdleTimeout
+                              : m_IdleSince + IdleTimeout - monotonicNow();
     if (Left > Duration::zero())
       armTimer(Left);
     else
@@ -115,7 +96,7 @@
 
   void read() {
     if (m_IsReading || m_IsClosed ||
-        m_ReceivedBytes.size() >= MaxPipelinedBytes)
+        m_ReceivedBytes.size() >= m_Hooks.m_Memory->maxPipelinedInput())
       return;
     m_IsReading = true;
     m_Socket.async_read_some(
@@ -131,13 +112,14 @@
           }
           m_ReceivedBytes.append(m_Buffer.data(), Size);
           parse();
+          updateHeld();
           read();
         });
   }
 
   void parse() {
     if (m_IsRequestInProgress || m_CloseAfterWrite || m_IsClosed ||
-        m_ReceivedBytes.empty())
+        m_ReceivedBytes.empty() || m_Output.size() > 0)
       return;
     const bool HadBegun = m_Parser.hasReceivedBytes();
     if (!HadBegun) {
@@ -145,33 +127,34 @@
       m_Limits = m_Hooks.m_GetLimits();
       m_Parser.setMaxHeaderBytes(m_Limits.m_MaxHeaderBytes);
     }
+    const bool HadHead = m_Parser.hasParsedHead();
     const std::size_t Consumed = m_Parser.parse(m_ReceivedBytes);
     m_ReceivedBytes.erase(0, Consumed);
+    shrinkIfEmpty(m_ReceivedBytes);
+    if (!HadHead)
+      m_HeadBytes += Consumed;
     if (m_IsClosed)
       return;
     if (m_Parser.hasFailed()) {
-      m_KeepAlive = false;
       m_Parser.isHeadTooLarge() ? reject(431, "Request Header Fields Too Large")
                                 : reject(400, "Bad Request");
       return;
     }
-    if (m_IsBodyTooLarge) {
-      m_KeepAlive = false;
+    if (m_Request.m_Body->m_IsTooLarge) {
       reject(413, "Content Too Large");
       return;
     }
-    if (m_IsBodyRefused) {
-      m_KeepAlive = false;
+    if (m_Request.m_Body->m_IsRefused) {
       m_Request = ClientRequest();
       reject(503, "Service Unavailable", m_Hooks.m_OnBodyRefused());
       return;
     }
     if (m_Parser.isComplete()) {
       dispatch();
-      return;
-    }
-    if (!HadBegun && m_Parser.hasReceivedBytes())
+    } else if (!HadBegun && m_Parser.hasReceivedBytes()) {
+      m_ReceivingSince = monotonicNow();
       armTimer(m_Limits.m_HeaderTimeout);
+    }
   }
 
   void dispatch() {
@@ -184,9 +167,11 @@
     m_Hooks.m_OnRequest(owner(), std::move(m_Request));
   }
 
-  /// Sends an error response to a request that has not been read completely.
+  /// Sends an error response to a request that has not been read completely,
+  /// and closes the connection.
   void reject(int Status, std::string_view Reason,
               const HttpHeaders &Headers = {}) {
+    m_KeepAlive = false;
     m_IsRequestInProgress = true;
     m_Timer.cancel();
     respond(Status, Reason, Headers, "");
@@ -196,12 +181,7 @@
                          const HttpHeaders &Headers) {
     if (m_Hooks.m_IsDraining())
       m_KeepAlive = false;
-    std::string Text = concat("HTTP/1.1 ", Status, " ", Reason, "\r\n");
-    for (const HttpHeader &Field : Headers)
-      append(Text, Field.m_Name, ": ", Field.m_Value, "\r\n");
-    if (!m_KeepAlive)
-      append(Text, "Connection: close\r\n");
-    return Text;
+    return formatResponseHead(Status, Reason, Headers, m_KeepAlive);
   }
 
   /// Must be called before the head of each response is formatted.
@@ -210,30 +190,23 @@
     if (Framing != ResponseFraming::ConnectionClose)
       return;
     m_KeepAlive = false;
-    setResetOnClose(true);
-  }
-
-  /// Lets the connection end with a reset, whatever closes it, also the end of
-  /// the process. Asio would undo its own option of this kind in the destructor
-  /// of the socket.
-  void setResetOnClose(bool ResetsOnClose) {
-    const ::linger Option{ResetsOnClose ? 1 : 0, 0};
-    ::setsockopt(m_Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Option,
-                 sizeof(Option));
+    setResetOnClose(m_Socket, true);
   }
 
   void respond(int Status, std::string_view Reason, const HttpHeaders &Headers,
-               std::string_view Body,
+               std::string Body,
                ResponseFraming Framing = ResponseFraming::Delimited) {
     if (m_IsClosed)
       return;
     setFraming(Framing);
     std::string Text = formatHead(Status, Reason, Headers);
-    if (Status != NoContent && Status != NotModified &&
-        Framing == ResponseFraming::Delimited)
+    if (mayHaveBody(Status) && Framing == ResponseFraming::Delimited)
       append(Text, "Content-Length: ", Body.size(), "\r\n");
-    append(Text, "\r\n", m_OmitsBody ? std::string_view() : Body);
-    send(Text);
+    append(Text, "\r\n");
+    m_Output.append(Text);
+    if (!m_OmitsBody)
+      m_Output.appendBody(std::move(Body));
+    send("");
     finishResponse();
   }
 
@@ -257,19 +230,20 @@
   void send(std::string_view Bytes) {
     if (m_IsClosed)
       return;
-    if (m_IsWriting &&
-        m_PendingOutput.size() + Bytes.size() > MaxPendingOutputBytes) {
-      handleDisconnect();
-      return;
-    }
-    m_PendingOutput.append(Bytes);
+    m_Output.append(Bytes);
     flush();
+    updateHeld();
+  }
+
+  void updateHeld() {
+    m_Held.set(ClientMemory::ConnectionBytes + m_HeadBytes +
+               m_Output.capacity() + m_ReceivedBytes.capacity());
   }
 
   void flush() {
     if (m_IsWriting || m_IsClosed)
       return;
-    if (m_PendingOutput.empty()) {
+    if (m_Output.size() == 0) {
       if (m_CloseAfterWrite && m_IsAborted &&
           m_Framing == ResponseFraming::ConnectionClose)
         close();
@@ -278,24 +252,53 @@
       return;
     }
     m_IsWriting = true;
-    m_OutputInFlight.swap(m_PendingOutput);
-    m_PendingOutput.clear();
-    asio::async_write(
-        m_Socket, asio::buffer(m_OutputInFlight),
-        [this, Self = owner()](const asio::error_code &Error, std::size_t) {
-          m_IsWriting = false;
+    write();
+  }
+
+  void write() {
+    const std::string_view Bytes = m_Output.next();
+    m_Socket.async_write_some(
+        asio::buffer(Bytes.data(), Bytes.size()),
+        [this, Self = owner()](const asio::error_code &Error,
+                               std::size_t Size) {
           if (m_IsClosed)
             return;
           if (Error)
             handleDisconnect();
+          else if (m_Output.onSent(Size))
+            onWritten();
           else
-            flush();
+            write();
+          notifyOutputTaken();
         });
   }
 
+  void notifyOutputTaken() {
+    if (!m_OnOutputTaken ||
+        m_Output.size() > m_Hooks.m_Memory->maxWaitingOutput())
+      return;
+    const std::function<void()> OnOutputTaken = std::move(m_OnOutputTaken);
+    m_OnOutputTaken = nullptr;
+    OnOutputTaken();
+  }
+
+  void onWritten() {
+    m_IsWriting = false;
+    flush();
+    if (m_IsClosed)
+      return;
+    updateHeld();
+    // A pipelined request may have waited for the last response to be sent.
+    if (m_Output.size() == 0 && !m_IsRequestInProgress && !m_CloseAfterWrite &&
+        !m_ReceivedBytes.empty()) {
+      parse();
+      read();
+    }
+  }
+
   bool isIdle(MonotonicTime Now) {
     if (m_IsRequestInProgress || m_Parser.hasReceivedBytes() ||
-        !m_PendingOutput.empty() || m_IsWriting)
+        m_Output.size() > 0 || m_IsWriting)
       return false;
     // A client connects in order to send a request, which may be on its way.
     if (!m_HasReceivedRequest && Now - m_OpenedAt < FirstRequestTime)
@@ -317,12 +320,12 @@
   /// and the client could lose the response.
   void closeGracefully() {
     if (m_Framing == ResponseFraming::ConnectionClose)
-      setResetOnClose(false);
+      setResetOnClose(m_Socket, false);
     asio::error_code Ignored; // the peer may already have closed
     m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
     constexpr auto MaxLingerTime = std::chrono::milliseconds(500);
     m_IsRequestInProgress = false;
-    m_ReceivedBytes.clear();
+    std::string().swap(m_ReceivedBytes);
     m_Timer.expires_after(MaxLingerTime);
     m_Timer.async_wait([this, Self = owner()](const asio::error_code &Error) {
       if (!Error)
@@ -350,6 +353,7 @@
     if (m_IsClosed)
       return;
     m_IsClosed = true;
+    m_OnOutputTaken = nullptr;
     m_Timer.cancel();
     asio::error_code Ignored; // close() always releases the descriptor
     m_Socket.close(Ignored);
@@ -360,14 +364,19 @@
   asio::steady_timer m_Timer;
   ConnectionHooks m_Hooks;
   ClientConnection &m_Owner;
+  /// What this connection holds in ConnectionHooks::m_Memory.
+  MemoryReservation m_Held;
   HttpStreamParser m_Parser;
   ClientLimits m_Limits;
   ClientRequest m_Request;
   std::function<void()> m_OnDisconnected;
+  std::function<void()> m_OnOutputTaken;
   std::array<char, ReadBufferBytes> m_Buffer{};
   std::string m_ReceivedBytes;
-  std::string m_PendingOutput;
-  std::string m_OutputInFlight;
+  OutputQueue m_Output;
+  /// Bytes of the head of the current request.
+  std::size_t m_HeadBytes = 0;
+  MonotonicTime m_ReceivingSince{};
   const MonotonicTime m_OpenedAt = monotonicNow();
   /// End of the last response, or the beginning of the connection.
   MonotonicTime m_IdleSince = m_OpenedAt;
@@ -377,9 +386,6 @@
   bool m_IsWriting = false;
   bool m_KeepAlive = true;
   bool m_OmitsBody = false;
-  bool m_IsBodyTooLarge = false;
-  /// There is no memory for the body.
-  bool m_IsBodyRefused = false;
   bool m_CloseAfterWrite = false;
   /// Framing of the current or last response.
   ResponseFraming m_Framing = ResponseFraming::Delimited;
@@ -406,9 +412,9 @@
 }
 
 void ClientConnection::respond(int Status, std::string_view Reason,
-                               const HttpHeaders &Headers,
-                               std::string_view Body, ResponseFraming Framing) {
-  m_Impl->respond(Status, Reason, Headers, Body, Framing);
+                               const HttpHeaders &Headers, std::string Body,
+                               ResponseFraming Framing) {
+  m_Impl->respond(Status, Reason, Headers, std::move(Body), Framing);
 }
 
 void ClientConnection::beginStream(int Status, std::string_view Reason,
@@ -452,13 +458,43 @@
 
 void ClientConnection::rejectIncompleteRequest() {
   Impl &Self = *m_Impl;
-  if (Self.m_IsClosed || Self.m_IsRequestInProgress || Self.m_CloseAfterWrite ||
-      !Self.m_Parser.hasReceivedBytes())
-    return;
-  Self.m_KeepAlive = false;
-  Self.reject(503, "Service Unavailable", {{"Retry-After", "0"}});
+  if (!Self.m_IsClosed && !Self.m_IsRequestInProgress &&
+      !Self.m_CloseAfterWrite && Self.m_Parser.hasReceivedBytes())
+    Self.reject(503, "Service Unavailable", {{"Retry-After", "0"}});
 }
 
 bool ClientConnection::isClosed() const { return m_Impl->m_IsClosed; }
 
+std::size_t ClientConnection::waitingOutput() const {
+  return m_Impl->m_Output.size();
+}
+
+void ClientConnection::onOutputTaken(std::function<void()> OnAccepted) {
+  m_Impl->m_OnOutputTaken = std::move(OnAccepted);
+}
+
+ConnectionState ClientConnection::sampleState(MonotonicTime Now) {
+  using Activity = ConnectionState::Activity;
+  Impl &Self = *m_Impl;
+  const std::size_t Held = Self.m_Held.bytes();
+  if (Self.m_Output.size() > 0)
+    return {Activity::Sending, Held,
+            Self.m_Output.stalledSince(Self.m_Socket.native_handle(), Now)};
+  // After its last response, a connection is closed within half a second.
+  if (Self.m_IsClosed || Self.m_CloseAfterWrite)
+    return {};
+  if (Self.isIdle(Now))
+    return {Activity::Idle, Held, Self.m_IdleSince};
+  if (!Self.m_IsRequestInProgress && Self.m_Parser.hasReceivedBytes())
+    return {Activity::Receiving, Held, Self.m_ReceivingSince};
+  return {};
+}
+
+void ClientConnection::shed() {
+  // What is left of the response must not arrive later and look complete.
+  if (m_Impl->m_Output.size() > 0)
+    setResetOnClose(m_Impl->m_Socket, true);
+  m_Impl->handleDisconnect();
+}
+
 } // namespace fulmarwinch
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -2,8 +2,10 @@
 #define FULMARWINCH_PROXY_CLIENT_CONNECTION_H
 
 #include "core/time.h"
+#include "proxy/client_memory.h"
 #include "proxy/http_stream_parser.h"
-#include "proxy/memory_budget.h"
+#include "proxy/request_body.h"
+#include "servers/dispatch/connection_shedding.h"
 #include "servers/routes/traffic_configuration.h"
 
 #include "asio/ip/tcp.hpp"
@@ -25,15 +27,6 @@
   ConnectionClose,
 };
 
-/// Body of a request, with the memory that is reserved for it.
-struct RequestBody {
-  explicit RequestBody(std::shared_ptr<MemoryBudget> Budget = nullptr)
-      : m_Reservation(std::move(Budget)) {}
-
-  std::string m_Bytes;
-  MemoryReservation m_Reservation;
-};
-
 /// A completely received HTTP request.
 struct ClientRequest {
   HttpMessageHead m_Head;
@@ -53,8 +46,12 @@
   std::function<ClientLimits()> m_GetLimits;
   /// Returns true if connections must be closed after their current response.
   std::function<bool()> m_IsDraining;
+  /// Returns false while no further connection may be accepted.
+  std::function<bool()> m_MayAccept = [] { return true; };
   /// Called once when the connection is closed.
   std::function<void(const ClientConnection *)> m_OnClosed;
+  /// Memory that the connections hold; without a limit by default.
+  std::shared_ptr<ClientMemory> m_Memory = std::make_shared<ClientMemory>();
   /// Memory for the bodies of all connections; unlimited if null.
   std::shared_ptr<MemoryBudget> m_BodyBudget;
   /// Called when a request is rejected because its body exceeds m_BodyBudget.
@@ -81,7 +78,7 @@
   /// Sends a complete response. A Delimited one gets a Content-Length, except
   /// for the status codes 204 and 304.
   void respond(int Status, std::string_view Reason, const HttpHeaders &Headers,
-               std::string_view Body,
+               std::string Body,
                ResponseFraming Framing = ResponseFraming::Delimited);
   /// Starts a response of unknown length. A Delimited one is sent in chunks.
   void beginStream(int Status, std::string_view Reason,
@@ -100,6 +97,18 @@
   void rejectIncompleteRequest();
   bool isClosed() const;
 
+  /// Number of bytes that were passed on and not yet sent.
+  std::size_t waitingOutput() const;
+  /// Calls \p OnAccepted once when no more output waits for the client than
+  /// ClientMemory allows.
+  void onOutputTaken(std::function<void()> OnAccepted);
+  /// Returns what the choice of connections to close needs to know, and notes
+  /// whether the client reads.
+  ConnectionState sampleState(MonotonicTime Now);
+  /// Closes a connection that was chosen by that state. A response in progress
+  /// is not complete for the client.
+  void shed();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_Impl;
--- /dev/null
+++ b/proxy/client_guard.cpp
@@ -0,0 +1,147 @@
+#include "proxy/client_guard.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fulmarwinch {
+
+namespace {
+
+/// Share of the process's memory for everything that is held for clients and
+/// servers. The rest is for the program, its view of the fleet, the log and the
+/// unused parts of memory pages.
+constexpr double ClientMemoryShare = 0.6;
+/// Share of the process's memory that request bodies may use.
+constexpr double BodyMemoryShare = 0.5;
+constexpr double BytesPerMb = 1048576.0;
+/// Descriptors for files, and for the connections to the store, peers, probes
+/// and metrics.
+constexpr std::size_t FileDescriptors = 200;
+constexpr std::size_t OwnDescriptors = 48;
+/// Period in which it is checked whether the clients read while memory is
+/// scarce.
+constexpr Duration SamplePeriod = std::chrono::milliseconds(200);
+/// Minimum time between two searches for unused connections, each of which
+/// looks at all connections.
+constexpr Duration EvictionPeriod = std::chrono::milliseconds(20);
+/// Share of the connections that one search closes at most, so that a flood of
+/// connections needs few searches.
+constexpr std::size_t EvictionDivisor = 32;
+
+std::size_t descriptorLimit(const FrontSettings &Settings) {
+  if (Settings.m_MaxFds == 0)
+    return std::numeric_limits<std::size_t>::max();
+  return Settings.m_MaxFds - FileDescriptors - OwnDescriptors;
+}
+
+} // namespace
+
+ClientGuard::ClientGuard(const FrontSettings &Settings, EventLog &Log,
+                         Metrics &Registry,
+                         std::shared_ptr<ClientMemory> Memory,
+                         std::function<std::size_t()> RequestsInProgress)
+    : m_Log(Log), m_Metrics(Registry), m_Memory(std::move(Memory)),
+      m_RequestsInProgress(std::move(RequestsInProgress)),
+      m_MaxDescriptors(descriptorLimit(Settings)) {
+  if (Settings.m_MemoryMb <= 0.0)
+    return;
+  const double Bytes = Settings.m_MemoryMb * BytesPerMb;
+  m_Memory->setLimits(static_cast<std::size_t>(Bytes * ClientMemoryShare),
+                      static_cast<std::size_t>(Bytes * BodyMemoryShare));
+}
+
+std::size_t ClientGuard::descriptorsInUse() const {
+  return (m_Listener ? m_Listener->connectionCount() : 0) +
+         m_RequestsInProgress();
+}
+
+void ClientGuard::tick(MonotonicTime Now) {
+  if (!m_Listener || Now < m_NextSampleAt || !m_Memory->isScarce())
+    return;
+  m_NextSampleAt = Now + SamplePeriod;
+  const auto Connections = m_Listener->openConnections();
+  std::vector<ConnectionState> States;
+  States.reserve(Connections.size());
+  for (const auto &Connection : Connections)
+    States.push_back(Connection->sampleState(Now));
+  const std::size_t Excess = m_Memory->excess();
+  if (Excess > 0)
+    closeConnections(Connections, States, chooseByMemory(States, Excess, Now),
+                     "memory", Now);
+}
+
+bool ClientGuard::mayAccept() {
+  return descriptorsInUse() < m_MaxDescriptors || freeDescriptors(1);
+}
+
+std::string_view ClientGuard::findShortage() {
+  if (m_Memory->isFull())
+    return "no_memory";
+  // The connection to the server needs a descriptor as well.
+  if (descriptorsInUse() > m_MaxDescriptors && !freeDescriptors(0))
+    return "no_descriptors";
+  return {};
+}
+
+bool ClientGuard::freeDescriptors(std::size_t Count) {
+  const MonotonicTime Now = monotonicNow();
+  if (!m_Listener || Now < m_NextEvictionAt)
+    return false;
+  m_NextEvictionAt = Now + EvictionPeriod;
+  const auto Connections = m_Listener->openConnections();
+  std::vector<ConnectionState> States;
+  States.reserve(Connections.size());
+  for (const auto &Connection : Connections)
+    States.push_back(Connection->sampleState(Now));
+  const std::size_t Excess =
+      descriptorsInUse() + Count -
+      std::min(descriptorsInUse() + Count, m_MaxDescriptors);
+  closeConnections(Connections, States,
+                   chooseByIdleness(States,
+                                    Excess + m_MaxDescriptors / EvictionDivisor,
+                                    Now),
+                   "descriptors", Now);
+  return descriptorsInUse() + Count <= m_MaxDescriptors;
+}
+
+void ClientGuard::closeConnections(
+    const std::vector<std::shared_ptr<ClientConnection>> &Connections,
+    const std::vector<ConnectionState> &States,
+    const std::vector<std::size_t> &Chosen, std::string_view Cause,
+    MonotonicTime Now) {
+  if (Chosen.empty())
+    return;
+  const ConnectionState First = States[Chosen.front()];
+  std::size_t Released = 0;
+  for (const std::size_t Index : Chosen) {
+    Released += States[Index].m_HeldBytes;
+    Connections[Index]->shed();
+  }
+  m_Metrics.increment(
+      concat("client_connections_closed_total{cause=\"", Cause, "\"}"),
+      Chosen.size());
+  m_Log.write(
+      "clients_closed",
+      {{"cause", Cause},
+       {"count", static_cast<std::int64_t>(Chosen.size())},
+       {"released", static_cast<std::int64_t>(Released)},
+       {"held", static_cast<std::int64_t>(m_Memory->budget()->used())},
+       {"limit", static_cast<std::int64_t>(m_Memory->budget()->limit())},
+       {"descriptors", static_cast<std::int64_t>(descriptorsInUse())},
+       {"first_since_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              Now - First.m_Since)
+                              .count()}});
+}
+
+void ClientGuard::setGauges() {
+  const auto Set = [this](const char *Name, std::size_t Value) {
+    m_Metrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("client_memory_bytes", m_Memory->budget()->used());
+  Set("client_memory_bytes_limit", m_Memory->budget()->limit());
+  Set("client_descriptors", descriptorsInUse());
+  Set("client_descriptors_limit", m_MaxDescriptors);
+}
+
+} // namespace fulmarwinch
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -1,5 +1,6 @@
 #include "proxy/front_node.h"
 #include "core/text.h"
+#include "proxy/client_guard.h"
 #include "proxy/group_coordinator.h"
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
@@ -12,7 +13,6 @@
 #include "asio.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 
 namespace fulmarwinch {
@@ -36,8 +36,6 @@
 constexpr Duration RelayCheckPeriod = milliseconds(60);
 /// Share of the process's memory that buffered responses may use.
 constexpr double BufferedMemoryShare = 0.25;
-/// Share of the process's memory that request bodies may use.
-constexpr double BodyMemoryShare = 0.5;
 /// Bounds of the Retry-After of a request whose body has no room.
 constexpr double MinBodyRetryAfterSeconds = 0.3;
 constexpr double MaxBodyRetryAfterSeconds = 1.0;
@@ -107,14 +105,14 @@
                             Platform.m_EvacuationKind, evacuationHandlers(),
                             entryWatchSettings(Settings)),
         m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
-                      nodeHandlers(), nodeWatchSettings(Settings)) {
+                      nodeHandlers(), nodeWatchSettings(Settings)),
+        m_ClientGuard(Settings, Log, m_Metrics, m_Context.m_Memory,
+                      [this] { return m_Context.m_ActiveRequests.size(); }) {
+    m_Context.m_FindShortage = [this] { return m_ClientGuard.findShortage(); };
     setRetryBudgets(1);
-    if (Settings.m_MemoryMb > 0.0) {
-      const double Bytes = Settings.m_MemoryMb * BytesPerMb;
-      m_Context.m_MaxBufferedBytes =
-          static_cast<std::size_t>(Bytes * BufferedMemoryShare);
-      m_BodyBudget->setLimit(static_cast<std::size_t>(Bytes * BodyMemoryShare));
-    }
+    if (Settings.m_MemoryMb > 0.0)
+      m_Context.m_MaxBufferedBytes = static_cast<std::size_t>(
+          Settings.m_MemoryMb * BytesPerMb * BufferedMemoryShare);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
@@ -502,11 +500,11 @@
   /// node has no memory for. The memory is free again once running requests
   /// have ended; other nodes may have some at once.
   HttpHeaders onBodyRefused() {
+    const MemoryBudget &Budget = *m_Context.m_Memory->bodyBudget();
     m_Metrics.increment("request_bodies_refused_total");
-    m_Log.write(
-        "body_refused",
-        {{"bytes_held", static_cast<std::int64_t>(m_BodyBudget->used())},
-         {"limit", static_cast<std::int64_t>(m_BodyBudget->limit())}});
+    m_Log.write("body_refused",
+                {{"bytes_held", static_cast<std::int64_t>(Budget.used())},
+                 {"limit", static_cast<std::int64_t>(Budget.limit())}});
     std::uniform_real_distribution<double> Seconds(MinBodyRetryAfterSeconds,
                                                    MaxBodyRetryAfterSeconds);
     return {{"Retry-After", concat(Seconds(m_Context.m_Random))}};
@@ -520,7 +518,9 @@
                  : ClientLimits();
     };
     Hooks.m_IsDraining = [this] { return isDraining(); };
-    Hooks.m_BodyBudget = m_BodyBudget;
+    Hooks.m_Memory = m_Context.m_Memory;
+    Hooks.m_BodyBudget = m_Context.m_Memory->bodyBudget();
+    Hooks.m_MayAccept = [this] { return m_ClientGuard.mayAccept(); };
     Hooks.m_OnBodyRefused = [this] { return onBodyRefused(); };
     Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
                                ClientRequest Request) {
@@ -580,8 +580,10 @@
     Set("servers_known", static_cast<double>(m_Fleet.servers().size()));
     Set("server_entries_excluded",
         static_cast<double>(m_Fleet.excludedEntries().size()));
-    Set("request_body_bytes", static_cast<double>(m_BodyBudget->used()));
-    Set("request_body_bytes_limit", static_cast<double>(m_BodyBudget->limit()));
+    const MemoryBudget &Bodies = *m_Context.m_Memory->bodyBudget();
+    Set("request_body_bytes", static_cast<double>(Bodies.used()));
+    Set("request_body_bytes_limit", static_cast<double>(Bodies.limit()));
+    m_ClientGuard.setGauges();
     Set("store_era", static_cast<double>(m_StoreSession.era()));
     Set("nodes_known", static_cast<double>(m_Nodes.objects().size()));
     Set("lease_held", m_GroupCoordinator.holdsLease() ? 1.0 : 0.0);
@@ -613,6 +615,7 @@
         m_Context.m_ActiveRequests.begin(), m_Context.m_ActiveRequests.end());
     for (const std::shared_ptr<RequestRelay> &Relay : Active)
       Relay->tick(Now);
+    m_ClientGuard.tick(Now);
     m_GroupCoordinator.tick(Now);
     m_ServerWatcher.setPauseAfterChanges(
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
@@ -747,6 +750,7 @@
   ObjectWatcher m_ConfigurationWatcher;
   ObjectWatcher m_EvacuationWatcher;
   ObjectWatcher m_NodeWatcher;
+  ClientGuard m_ClientGuard;
   std::unique_ptr<HttpListener> m_ClientListener;
   std::unique_ptr<HttpListener> m_ReadinessListener;
   std::unique_ptr<HttpListener> m_MetricsListener;
@@ -754,8 +758,6 @@
   struct Evacuation {};
   KnownObjects<Evacuation> m_Evacuations;
   KnownObjects<PeerAddress> m_Nodes;
-  std::shared_ptr<MemoryBudget> m_BodyBudget =
-      std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
   MonotonicTime m_NextRelayCheckAt{};
   MonotonicTime m_NextAdmissionAt{};
   MonotonicTime m_NextCrashShareAt{};
@@ -779,6 +781,7 @@
   Impl &Self = *m_Impl;
   Self.m_ClientListener = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_ClientEndpoint, Self.clientHooks());
+  Self.m_ClientGuard.setListener(*Self.m_ClientListener);
   Self.m_ReadinessListener = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_ReadinessEndpoint, Self.readinessHooks());
   Self.m_MetricsListener = std::make_unique<HttpListener>(
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -25,6 +25,9 @@
   double m_LinkMbps = 0.0;
   /// Memory limit of the process in MB; 0 if unknown.
   double m_MemoryMb = 0.0;
+  /// Maximum number of open descriptors of the process, of which 200 are
+  /// reserved for files; 0 if unknown.
+  std::size_t m_MaxFds = 0;
   /// UDP port for messages between front nodes, the same on all nodes.
   std::uint16_t m_PeerPort = 0;
   /// TCP port that serves metrics; must match deploy/system.toml.
--- a/proxy/http_fields.cpp
+++ b/proxy/http_fields.cpp
@@ -63,4 +63,25 @@
   }
 }
 
+bool mayHaveBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
+bool expectsContinue(const HttpHeaders &Headers) {
+  const std::optional<std::string> Expectation = findHeader(Headers, "Expect");
+  return Expectation && equalsIgnoreCase(*Expectation, "100-continue");
+}
+
+std::string formatResponseHead(int Status, std::string_view Reason,
+                               const HttpHeaders &Headers, bool KeepAlive) {
+  std::string Text = concat("HTTP/1.1 ", Status, " ", Reason, "\r\n");
+  for (const HttpHeader &Field : Headers)
+    append(Text, Field.m_Name, ": ", Field.m_Value, "\r\n");
+  if (!KeepAlive)
+    append(Text, "Connection: close\r\n");
+  return Text;
+}
+
 } // namespace fulmarwinch
--- a/proxy/http_fields.h
+++ b/proxy/http_fields.h
@@ -3,6 +3,7 @@
 
 #include "drivers/http/http_message.h"
 
+#include <string>
 #include <string_view>
 
 namespace fulmarwinch {
@@ -15,6 +16,17 @@
 /// "Error" for any other status.
 std::string_view reasonPhrase(int Status);
 
+/// True if a response with this status has a length.
+bool mayHaveBody(int Status);
+
+/// True if the client waits for an interim response before it sends the body.
+bool expectsContinue(const HttpHeaders &Headers);
+
+/// Returns the start line and header fields of a response, without those that
+/// delimit its body and without the empty line at the end.
+std::string formatResponseHead(int Status, std::string_view Reason,
+                               const HttpHeaders &Headers, bool KeepAlive);
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_HTTP_FIELDS_H
--- a/proxy/http_listener.cpp
+++ b/proxy/http_listener.cpp
@@ -27,20 +27,29 @@
 }
 
 void HttpListener::accept() {
-  m_Acceptor.async_accept([this](const asio::error_code &Error,
-                                 asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (Error) {
-      m_AcceptRetryTimer.expires_after(AcceptRetryDelay);
-      m_AcceptRetryTimer.async_wait([this](const asio::error_code &Cancelled) {
-        if (!Cancelled)
-          accept();
+  // Further clients wait in the queue of the kernel.
+  if (!m_Hooks.m_MayAccept()) {
+    acceptLater();
+    return;
+  }
+  m_Acceptor.async_accept(
+      [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (Error) {
+          acceptLater();
+          return;
+        }
+        addConnection(std::move(Socket));
+        accept();
       });
-      return;
-    }
-    addConnection(std::move(Socket));
-    accept();
+}
+
+void HttpListener::acceptLater() {
+  m_AcceptRetryTimer.expires_after(AcceptRetryDelay);
+  m_AcceptRetryTimer.async_wait([this](const asio::error_code &Cancelled) {
+    if (!Cancelled && m_Acceptor.is_open())
+      accept();
   });
 }
 
--- a/proxy/http_listener.h
+++ b/proxy/http_listener.h
@@ -28,11 +28,13 @@
   void rejectIncompleteRequests();
   /// True if no connection is open.
   bool hasNoConnections() const { return m_Connections.empty(); }
+  std::size_t connectionCount() const { return m_Connections.size(); }
+  std::vector<std::shared_ptr<ClientConnection>> openConnections() const;
 
 private:
   void accept();
+  void acceptLater();
   void addConnection(asio::ip::tcp::socket Socket);
-  std::vector<std::shared_ptr<ClientConnection>> openConnections() const;
 
   asio::ip::tcp::acceptor m_Acceptor;
   asio::steady_timer m_AcceptRetryTimer;
--- a/proxy/memory_budget.h
+++ b/proxy/memory_budget.h
@@ -10,7 +10,11 @@
 /// only.
 class MemoryBudget {
 public:
-  explicit MemoryBudget(std::size_t Limit) : m_Limit(Limit) {}
+  /// What is reserved also counts in \p Whole, of which this budget is a part;
+  /// null if it is no part of another one.
+  explicit MemoryBudget(std::size_t Limit,
+                        std::shared_ptr<MemoryBudget> Whole = nullptr)
+      : m_Limit(Limit), m_Whole(std::move(Whole)) {}
 
   void setLimit(std::size_t Limit) { m_Limit = Limit; }
   std::size_t limit() const { return m_Limit; }
@@ -19,8 +23,14 @@
 private:
   friend class MemoryReservation;
 
+  /// Bytes that can still be reserved.
+  std::size_t left() const;
+  void add(std::size_t Bytes);
+  void subtract(std::size_t Bytes);
+
   std::size_t m_Limit;
   std::size_t m_Used = 0;
+  std::shared_ptr<MemoryBudget> m_Whole;
 };
 
 /// Part of a memory budget, which is returned at the end of the object's life.
@@ -35,6 +45,10 @@
   /// Increases the reservation to \p Bytes unless it is larger. Returns false,
   /// and changes nothing, if the budget does not allow it.
   bool growTo(std::size_t Bytes);
+  /// Sets the reservation to \p Bytes, which are held already, also beyond the
+  /// limit of the budget.
+  void set(std::size_t Bytes);
+  std::size_t bytes() const { return m_Bytes; }
 
 private:
   std::shared_ptr<MemoryBudget> m_Budget;
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -12,6 +12,7 @@
 #include "xxhash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarwinch {
 
@@ -55,6 +56,10 @@
 /// client has already waited once.
 constexpr const char *ResumedStreamUrgency = "1";
 
+/// A server may terminate a response that stayed unread for this long, which
+/// then is no sign of a crash. They do so after four seconds or more.
+constexpr Duration LongReadPause = std::chrono::seconds(2);
+
 /// Time between two ticks from which the process counts as having stood still.
 constexpr Duration LongestTickGap = milliseconds(100);
 
@@ -79,8 +84,10 @@
 
   Impl(RequestRelayContext &Context, std::shared_ptr<ClientConnection> Client,
        ClientRequest Request)
-      : m_Context(Context), m_Client(std::move(Client)),
-        m_ClientRequest(std::move(Request)) {}
+      : m_Context(Context), m_Held(Context.m_Memory->budget()),
+        m_Client(std::move(Client)), m_ClientRequest(std::move(Request)) {
+    m_Held.set(ClientMemory::RequestBytes);
+  }
 
   std::string header(const std::string &Name) const {
     return findHeader(m_ClientRequest.m_Head.m_Headers, Name).value_or("");
@@ -88,6 +95,11 @@
 
   void admit(const std::shared_ptr<RequestRelay> &Owner) {
     m_Id = header(m_Context.m_HeaderNames.m_RequestId);
+    const std::string_view Shortage = m_Context.m_FindShortage();
+    if (!Shortage.empty()) {
+      reject(Shortage);
+      return;
+    }
     m_Table = m_Context.m_RouteTable;
     if (!m_Table) {
       reject("no_configuration");
@@ -337,6 +349,7 @@
     m_HasOutput = false;
     m_HasFinished = false;
     m_HasEvents = false;
+    m_WasPausedForLong = false;
     releaseBuffer();
     m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
     for (const ContentHash Content : m_Contents)
@@ -464,10 +477,12 @@
   /// Updates the node's count of buffered bytes to what this request holds.
   /// Returns false if the limit is exceeded.
   bool accountBuffer() {
-    const std::size_t Bytes =
-        m_ResponseBody.size() + m_EventCutter.incompleteEvent().size();
+    const std::size_t Bytes = m_ResponseBody.size() +
+                              m_EventCutter.incompleteEvent().size() +
+                              m_LastServerErrorBody.size();
     m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
     m_AccountedBytes = Bytes;
+    m_Held.set(ClientMemory::RequestBytes + Bytes);
     return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
   }
 
@@ -533,9 +548,12 @@
     if (!m_RejectedResponse.empty())
       return;
     if (!m_IsStream) {
+      reserveResponseBody();
       m_ResponseBody.append(Bytes);
       if (m_ResponseBody.size() > MaxBufferedResponseBytes || !accountBuffer())
         rejectResponse("response_too_large");
+      else
+        updatePause();
       return;
     }
     for (const RawEvent &Event : m_EventCutter.accept(Bytes))
@@ -543,6 +561,64 @@
         return;
     if (m_EventCutter.hasFailed() || !accountBuffer())
       rejectResponse("event_too_large");
+    else
+      updatePause();
+  }
+
+  /// Reserves the stated length at once, because a growing buffer would take
+  /// twice as much at times.
+  void reserveResponseBody() {
+    std::size_t Length = 0;
+    if (m_ResponseBody.empty() &&
+        parseNumber(
+            findHeader(m_ResponseHead.m_Headers, "Content-Length").value_or(""),
+            Length))
+      m_ResponseBody.reserve(std::min(Length, MaxBufferedResponseBytes));
+  }
+
+  /// True if the response should not be read further for now.
+  bool mustWait() {
+    ClientMemory &Memory = *m_Context.m_Memory;
+    if (m_IsStream && m_ResponseStarted)
+      return m_Client->waitingOutput() > Memory.maxWaitingOutput();
+    const bool IsFull = Memory.isFull() || m_Context.m_BufferedBytes >
+                                               m_Context.m_MaxBufferedBytes / 2;
+    // A response that holds nothing yet may be short enough to end at once.
+    return IsFull && m_AccountedBytes > 0 && !Memory.takePrecedence(this);
+  }
+
+  /// Stops reading the response while the client does not take it or the node
+  /// holds too much, and reads on afterwards.
+  void updatePause() {
+    if (!m_Call || m_Phase == Phase::Ended)
+      return;
+    const bool MustWait = mustWait();
+    if (MustWait == m_Call->isPaused())
+      return;
+    const MonotonicTime Now = monotonicNow();
+    m_Call->setPaused(MustWait);
+    if (!MustWait) {
+      m_WasPausedForLong =
+          m_WasPausedForLong || Now - m_PausedAt >= LongReadPause;
+      // The silence of the pause is not the server's.
+      if (m_LastEventAt)
+        m_LastEventAt = Now;
+      return;
+    }
+    m_PausedAt = Now;
+    m_Context.m_Metrics.increment("response_pauses_total");
+    if (!std::exchange(m_HasLoggedPause, true))
+      m_Context.m_Log.write(
+          "response_paused",
+          {{"id", m_Id},
+           {"server", m_ChosenServer.m_Id},
+           {"waiting", static_cast<std::int64_t>(m_Client->waitingOutput())},
+           {"held",
+            static_cast<std::int64_t>(m_Context.m_Memory->budget()->used())}});
+    m_Client->onOutputTaken([this, Owner = m_Owner] {
+      if (const auto Self = Owner.lock())
+        updatePause();
+    });
   }
 
   bool forwardEvent(const RawEvent &Event) {
@@ -601,8 +677,9 @@
     const ResponseFlaw Flaw = HasEnded ? findFlaw(Outcome) : ResponseFlaw::None;
     const bool IsInterrupted =
         Outcome == UpstreamOutcome::EndedByClose && Flaw != ResponseFlaw::None;
-    if (Outcome == UpstreamOutcome::Reset ||
-        Outcome == UpstreamOutcome::Truncated || IsInterrupted)
+    if ((Outcome == UpstreamOutcome::Reset ||
+         Outcome == UpstreamOutcome::Truncated || IsInterrupted) &&
+        !m_WasPausedForLong)
       onConnectionLost();
     if (!m_RejectedResponse.empty())
       onAttemptFailed(m_RejectedResponse);
@@ -688,7 +765,7 @@
     }
     if (m_ResponseHead.m_Status >= FirstServerError && mayRetry()) {
       m_LastServerError = m_ResponseHead;
-      m_LastServerErrorBody = m_ResponseBody;
+      m_LastServerErrorBody = std::move(m_ResponseBody);
       releaseServer();
       retryOrEnd("server_error", true);
       return;
@@ -701,7 +778,7 @@
     }
     m_Context.m_Selector.availability().onResponseReceived(m_ChosenServer.m_Id);
     recordFinish();
-    forwardResponse(m_ResponseHead, m_ResponseBody);
+    forwardResponse(m_ResponseHead, std::move(m_ResponseBody));
   }
 
   void onNotExecuted() {
@@ -744,11 +821,12 @@
     m_Client->endStream();
   }
 
-  void forwardResponse(const HttpMessageHead &Head, const std::string &Body) {
+  void forwardResponse(const HttpMessageHead &Head, std::string Body) {
     releaseServer();
     end("complete", Head.m_Status);
     m_Client->respond(Head.m_Status, Head.m_Reason,
-                      endToEndHeaders(Head.m_Headers), Body, framingOf(Head));
+                      endToEndHeaders(Head.m_Headers), std::move(Body),
+                      framingOf(Head));
   }
 
   bool mayHaveExecuted() const { return m_PossibleExecutions > 0; }
@@ -794,7 +872,7 @@
     }
     if (m_LastServerError) {
       const HttpMessageHead Head = *m_LastServerError;
-      forwardResponse(Head, m_LastServerErrorBody);
+      forwardResponse(Head, std::move(m_LastServerErrorBody));
       return;
     }
     if (!mayHaveExecuted())
@@ -879,6 +957,7 @@
     if (m_Phase == Phase::Ended)
       return;
     m_Phase = Phase::Ended;
+    m_Context.m_Memory->endPrecedence(this);
     m_ClientRequest.m_Body = std::make_shared<RequestBody>();
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Log.write(
@@ -942,7 +1021,8 @@
       dispatch();
       return;
     }
-    if (m_Service->hasReplicaGroups() && mayRetry())
+    updatePause();
+    if (m_Service->hasReplicaGroups() && mayRetry() && !m_Call->isPaused())
       checkForStall(Now);
   }
 
@@ -984,6 +1064,8 @@
   }
 
   RequestRelayContext &m_Context;
+  /// What this request holds in RequestRelayContext::m_Memory.
+  MemoryReservation m_Held;
   std::weak_ptr<RequestRelay> m_Owner;
   std::shared_ptr<ClientConnection> m_Client;
   ClientRequest m_ClientRequest;
@@ -998,6 +1080,11 @@
   MonotonicTime m_SentAt{};
   MonotonicTime m_LastTickAt = monotonicNow();
   bool m_HasSkippedTick = false;
+  /// Begin of the last pause in which the response was not read.
+  MonotonicTime m_PausedAt{};
+  /// The server may have terminated the response because of such a pause.
+  bool m_WasPausedForLong = false;
+  bool m_HasLoggedPause = false;
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -54,9 +54,16 @@
   /// are not sent again.
   PoisonDetector m_PoisonDetector{poisonSettingsWithoutIsolation()};
   CrashDetector m_CrashDetector{m_PoisonDetector};
+  /// Memory that requests, their clients and their responses hold.
+  std::shared_ptr<ClientMemory> m_Memory = std::make_shared<ClientMemory>();
+  /// Returns what the node lacks to serve a further request, as the cause of
+  /// its rejection; empty if nothing.
+  std::function<std::string_view()> m_FindShortage = [] {
+    return std::string_view();
+  };
   /// Bytes of responses that requests hold until they can be forwarded, and the
   /// limit for all requests together. An attempt whose response exceeds it
-  /// fails.
+  /// fails. From half of it, responses are read one at a time.
   std::size_t m_BufferedBytes = 0;
   std::size_t m_MaxBufferedBytes = std::size_t{64} * 1024 * 1024;
   /// Demand of first attempts and of returning clients, on this node and on all
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -120,6 +120,9 @@
   }
 
   void read(const std::shared_ptr<UpstreamCall> &Owner) {
+    m_IsReadDeferred = m_IsPaused;
+    if (m_IsPaused)
+      return;
     m_Socket.async_read_some(
         asio::buffer(m_Buffer),
         [this, Owner](const asio::error_code &Error, std::size_t Size) {
@@ -184,6 +187,9 @@
   bool m_Sent = false;
   bool m_HasEnded = false;
   bool m_MustFail = false;
+  bool m_IsPaused = false;
+  /// The next read begins when the call is no longer paused.
+  bool m_IsReadDeferred = false;
 };
 
 UpstreamCall::UpstreamCall(asio::io_context &Loop, Endpoint Peer,
@@ -216,6 +222,15 @@
   });
 }
 
+void UpstreamCall::setPaused(bool IsPaused) {
+  Impl &Self = *m_Impl;
+  Self.m_IsPaused = IsPaused;
+  if (Self.m_IsReadDeferred && !IsPaused && !Self.m_HasEnded)
+    Self.read(shared_from_this());
+}
+
+bool UpstreamCall::isPaused() const { return m_Impl->m_IsPaused; }
+
 void UpstreamCall::fail() { m_Impl->m_MustFail = true; }
 
 bool UpstreamCall::mayHaveSent() const { return m_Impl->m_Sent; }
--- a/proxy/upstream_call.h
+++ b/proxy/upstream_call.h
@@ -89,6 +89,10 @@
              Duration Timeout);
   /// Closes the connection. No handler is called afterwards, not even m_OnEnd.
   void cancel();
+  /// While the call is paused, nothing is read from the connection. The timeout
+  /// of the call still applies.
+  void setPaused(bool IsPaused);
+  bool isPaused() const;
   /// Ends the call as malformed once the handler that calls this has returned.
   void fail();
   /// True once the peer may have received a part of the request.
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -265,6 +265,11 @@
                    std::chrono::milliseconds(900));
     CPPUNIT_ASSERT(Parsed->m_IsFirstStart);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(136.0, Parsed->m_RetryBudgetSlack, 0.001);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parsed->m_MaxFds);
+    const auto Limited = platform::parseFrontSettings(
+        std::string(SettingsText) + "limits.max_fds=4100\n");
+    CPPUNIT_ASSERT(Limited.ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4100}, Limited->m_MaxFds);
   }
 
   void incompleteSettingsAreRejected() {
@@ -282,6 +287,15 @@
     CPPUNIT_ASSERT(!platform::parseFrontSettings("").ok());
     CPPUNIT_ASSERT(
         !platform::parseFrontSettings(Text + "bounds.stall_ms=x\n").ok());
+    // Guards against a limit that leaves no descriptor for clients, and against
+    // one that wraps around.
+    for (const char *Count : {"x", "-1", "0", "250", "4100.5"}) {
+      const auto Parsed =
+          platform::parseFrontSettings(Text + "limits.max_fds=" + Count + "\n");
+      CPPUNIT_ASSERT_MESSAGE(Count, !Parsed.ok());
+      CPPUNIT_ASSERT(Parsed.status().message().find("limits.max_fds") !=
+                     std::string::npos);
+    }
   }
 };
 
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -139,8 +139,9 @@
                 m_Selector, m_StallDetector) {
   m_Context.m_RetryBudgetSettings = {0.2, 20.0, std::chrono::seconds(10), {}};
   ConnectionHooks Hooks;
-  Hooks.m_GetLimits = [] { return ClientLimits(); };
+  Hooks.m_GetLimits = [this] { return m_ClientLimits; };
   Hooks.m_IsDraining = [] { return false; };
+  Hooks.m_Memory = m_Context.m_Memory;
   Hooks.m_BodyBudget = m_BodyBudget;
   Hooks.m_OnBodyRefused = [] { return HttpHeaders{{"Retry-After", "1"}}; };
   Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
--- a/tests/proxy/relay_fixture.h
+++ b/tests/proxy/relay_fixture.h
@@ -120,6 +120,7 @@
   std::unique_ptr<ScriptedServer> m_FirstServer;
   std::unique_ptr<ScriptedServer> m_SecondServer;
   std::uint16_t m_SecondServerPort = 0;
+  ClientLimits m_ClientLimits;
   /// Memory for request bodies; not limited at first.
   std::shared_ptr<MemoryBudget> m_BodyBudget =
       std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
