Take a response whose status is none for no response

Cause: http_parser accepts the statuses 000, 00, 0, 600 and 999, and the relay passed such a response to the client as an answer. Change: isResponseStatus() decides for both programs; the parser of the front node fails on anything else (outcome garbled), so that a repeatable request is tried again and any other gets 502, and calls of fulmarwinchd do not count as complete. Measured: on the code before, 2 of the 3 tests of StatusCodesTest fail (000 arrives as 'HTTP/1.1 0 Any').

--- a/proxy/http_stream_parser.cpp
+++ b/proxy/http_stream_parser.cpp
@@ -1,4 +1,5 @@
 #include "proxy/http_stream_parser.h"
+#include "drivers/http/status_code.h"
 
 #include "absl/strings/ascii.h"
 #include "http_parser.h"
@@ -101,6 +102,9 @@
       if (!isToken(Field.m_Name))
         return -1;
     Self.m_Head.m_Status = static_cast<int>(Parser->status_code);
+    if (Self.m_Direction == Direction::Responses &&
+        !isResponseStatus(Self.m_Head.m_Status))
+      return -1;
     Self.m_Head.m_KeepAlive = http_should_keep_alive(Parser) != 0;
     if (Self.m_Direction == Direction::Requests)
       Self.m_Head.m_Method =
