Check the status of responses in fulmarwinchd's calls

Change: a call whose status is none does not count as complete. Measured: not run; libcurl's own checks were not tried.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -1,4 +1,5 @@
 #include "drivers/http/http_client.h"
+#include "drivers/http/status_code.h"
 
 #include "absl/strings/ascii.h"
 #include "curl/curl.h"
@@ -163,12 +164,15 @@
 
 HttpCallResult makeResult(const Transfer &ActiveTransfer, CURLcode Code) {
   HttpCallResult Result;
-  Result.m_Complete = Code == CURLE_OK;
+  Result.m_Complete =
+      Code == CURLE_OK && isResponseStatus(ActiveTransfer.status());
   Result.m_EndedByClose =
       Result.m_Complete && isDelimitedByClose(ActiveTransfer);
   Result.m_Status = ActiveTransfer.status();
   if (Code != CURLE_OK)
     Result.m_Error = curl_easy_strerror(Code);
+  else if (!Result.m_Complete)
+    Result.m_Error = "the status is not that of a response";
   Result.m_NothingSent = Code != CURLE_OK && ActiveTransfer.m_SendAttempts == 0;
   return Result;
 }
