--- a/servers/routes/engine_times.cpp
+++ b/servers/routes/engine_times.cpp
@@ -1,7 +1,5 @@
 #include "servers/routes/engine_times.h"
 
-#include <algorithm>
-
 namespace fulmarwinch {
 
 namespace {
@@ -33,11 +31,10 @@
   const Duration PurePrefill = chunkPrefillTime(Engine, Model, PromptTokens);
   if (Engine.m_PrefillChunkTokens == 0)
     return PurePrefill;
-  const double StepCount =
+  const double PassCount =
       Tokens / static_cast<double>(Engine.m_PrefillChunkTokens);
   return PurePrefill + std::chrono::duration_cast<Duration>(
-                           decodeTimePerPass(Engine, Model) * StepCount /
-                           std::max(1U, Engine.m_DecodeStepsPerPass));
+                           decodeTimePerPass(Engine, Model) * PassCount);
 }
 
 Duration groupTime(const EngineSpec &Engine, const std::string &Model,
--- a/servers/routes/engine_times.h
+++ b/servers/routes/engine_times.h
@@ -15,8 +15,8 @@
                           std::uint64_t PromptTokens);
 
 /// Returns the time by which the prefill of \p PromptTokens extends the prefill
-/// backlog of a group that also decodes. With chunked prefill, each decode step
-/// may be preceded by one chunk, so that as many steps as chunks count as well.
+/// backlog of a group that also decodes. With chunked prefill, each pass
+/// prefills one chunk and then runs its decode steps, which count as well.
 Duration prefillTime(const EngineSpec &Engine, const std::string &Model,
                      std::uint64_t PromptTokens);
 
