--- a/main/fulmarwinch-front/main.cpp
+++ b/main/fulmarwinch-front/main.cpp
@@ -19,7 +19,8 @@
     R"(Front node of fulmarwinch for a platform that provides an object store.
 
 Usage:
-  fulmarwinch-front [--settings FILE] [--second-attempt-share SHARE] [--check]
+  fulmarwinch-front [--settings FILE] [--second-attempt-share SHARE]
+                    [--enable PARTS] [--check]
   fulmarwinch-front --version
   fulmarwinch-front --help
 
@@ -30,6 +31,8 @@
                                 server as well if the first one is slow: at most
                                 this share of the requests, from 0 (never) to
                                 0.2. [default: 0]
+  --enable PARTS                Switches on parts of the decisions under load,
+                                separated by commas: placement, supply.
   --check                       Checks the settings and exits.
   --version                     Prints the version and exits.
   --help                        Prints this text and exits.
@@ -178,12 +181,21 @@
               << '\n';
     return ExitUsage;
   }
+  const auto EnabledParts = fulmarwinch::platform::parseEnabledParts(
+      Arguments["--enable"] ? Arguments["--enable"].asString() : "");
+  if (!EnabledParts.ok()) {
+    std::cerr << "fulmarwinch-front: "
+              << fulmarwinch::toStdView(EnabledParts.status().message())
+              << '\n';
+    return ExitUsage;
+  }
   if (!Settings.ok()) {
     std::cerr << "fulmarwinch-front: " << Path << ": "
               << fulmarwinch::toStdView(Settings.status().message()) << '\n';
     return ExitUsage;
   }
   Settings->m_SecondAttemptShare = *SecondAttemptShare;
+  Settings->m_EnabledParts = *EnabledParts;
   if (Arguments["--check"].asBool())
     return 0;
   return runNode(*Settings, Path, Text);
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -61,6 +61,11 @@
   Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
+SelectorSettings selectorSettings(const FrontSettings &Node) {
+  SelectorSettings Settings;
+  Settings.m_EstimatesPlacement = Node.isEnabled(OptionalPart::Placement);
+  return Settings;
+}
 constexpr const char *MetricsPath = "/metrics";
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
@@ -85,6 +90,7 @@
         m_StoreSession(Loop, Platform, Log, m_Metrics),
         m_Platform(m_StoreSession.bind(Platform)), m_TickTimer(Loop),
         m_LogFlushTimer(Loop), m_RegistrationTimer(Loop),
+        m_ServerSelector(selectorSettings(Settings)),
         m_Context(Loop, Log, m_Metrics, Platform.m_HeaderNames, m_Fleet,
                   m_ServerSelector, m_StallDetector),
         m_PeerExchange(Loop, Log, m_ServerSelector, Settings.m_NodeName,
@@ -146,11 +152,14 @@
     m_PeerExchange.exchangeTraffic(
         [this] {
           const MonotonicTime Now = monotonicNow();
+          WorkReport Work = m_Context.m_CompletionRate.ownReport(Now);
+          // The shares of organisations are decided under overload only.
+          if (m_Context.m_AdmissionShares.empty())
+            Work.m_Organisations.clear();
           return PeerExchange::TrafficReport{
               m_Context.m_DemandEstimator.busyGroupsByModel(Now),
               m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now),
-              m_Context.m_FirstEventLatency.ownReport(Now),
-              m_Context.m_CompletionRate.ownReport(Now)};
+              m_Context.m_FirstEventLatency.ownReport(Now), std::move(Work)};
         },
         [this](const std::string &Peer, PeerExchange::TrafficReport Traffic) {
           const MonotonicTime Now = monotonicNow();
@@ -632,7 +641,7 @@
     }
     for (const std::string &Id : m_Fleet.removeMissing(Now))
       logServer(Id);
-    if (m_AdmissionControl.tick(Now))
+    if (m_AdmissionControl.tick(Now) && m_ServerSelector.estimatesPlacement())
       reportPlacement(m_Context);
     if (m_Context.m_CrashDetector.removeExpired(Now))
       announceCrashRecords();
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -1,14 +1,32 @@
 #ifndef FULMARWINCH_PROXY_FRONT_SETTINGS_H
 #define FULMARWINCH_PROXY_FRONT_SETTINGS_H
 
+#include "core/enum_names.h"
 #include "core/time.h"
 #include "servers/fleet/backend_server.h"
 
+#include <array>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace fulmarwinch {
 
+/// Parts of the decisions under load that a deployment switches on.
+enum class OptionalPart {
+  /// Servers are chosen by the estimated first event and pause, their speed and
+  /// the tokens that they hold.
+  Placement,
+  /// Models are supplied by the urgency of their requests and for the loss of
+  /// zones.
+  Supply,
+};
+
+inline constexpr std::array<EnumName<OptionalPart>, 2> OptionalPartNames{{
+    {OptionalPart::Placement, "placement"},
+    {OptionalPart::Supply, "supply"},
+}};
+
 /// Settings of a front node, read from its settings file.
 struct FrontSettings {
   /// Unique name of this node.
@@ -55,6 +73,11 @@
   /// Maximum number of second attempts for slow responses per request, from 0
   /// (none are sent) to MaxSecondAttemptShare.
   double m_SecondAttemptShare = 0.0;
+  std::set<OptionalPart> m_EnabledParts;
+
+  bool isEnabled(OptionalPart Part) const {
+    return m_EnabledParts.count(Part) != 0;
+  }
 };
 
 /// Time after which a store that has returned from a copy shows no entry of a
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -169,6 +169,8 @@
       continue;
     ReplicaPlannerSettings Settings;
     Settings.m_GroupBreakDelay = m_Settings.m_GroupBreakDelay;
+    Settings.m_ConvertsSeveralGroups =
+        m_Settings.isEnabled(OptionalPart::Supply);
     ReplicaPlanner &Planner =
         m_Planners
             .try_emplace(Service.m_Name, Settings, m_GroupKeys,
@@ -185,9 +187,11 @@
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
     Input.m_DemandByModel = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
-    raiseToBusyGroups(Input.m_DemandByModel, m_Context.m_BusyGroups);
-    Input.m_PriorityByModel = m_Context.m_ModelPriorities.byModel();
-    Input.m_TolerableZoneLosses = m_Settings.m_TolerableZoneLosses;
+    if (m_Settings.isEnabled(OptionalPart::Supply)) {
+      raiseToBusyGroups(Input.m_DemandByModel, m_Context.m_BusyGroups);
+      Input.m_PriorityByModel = m_Context.m_ModelPriorities.byModel();
+      Input.m_TolerableZoneLosses = m_Settings.m_TolerableZoneLosses;
+    }
     std::vector<MemberOrder> Orders = Planner.plan(Input);
     if (Now >= m_NextSupplyLogAt)
       logSupply(Planner.modelSupplies(Input));
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -76,7 +76,7 @@
     if (!Limits.empty())
       Message["limits"] = toJson(Limits);
     const ServerSpeed::Report Slow = m_Selector.speed().ownReport(Now);
-    if (!Slow.empty())
+    if (m_Selector.estimatesPlacement() && !Slow.empty())
       Message["slow"] = Slow;
     if (m_OwnTraffic) {
       const TrafficReport Traffic = m_OwnTraffic();
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -98,7 +98,9 @@
     const unsigned Slots = slotsOf(Server, *Query.m_Service);
     const double SlotUsage = InFlight / Slots;
     const double Slowness =
-        std::max(1.0, m_Speed.slowness(Server) / CommonSlowness);
+        estimatesPlacement()
+            ? std::max(1.0, m_Speed.slowness(Server) / CommonSlowness)
+            : 1.0;
     if (SlotUsage * Slowness >=
             std::min(m_Settings.m_MaxSlotUsage, Query.m_MaxSlotUsage) ||
         Reason == Unavailability::BackedOff ||
@@ -106,7 +108,8 @@
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
-    if (!m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
+    if (estimatesPlacement() &&
+        !m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
                            Server.m_Id, Query.m_Model, Others,
                            Query.m_Request.tokens())) {
       ++m_PassedOverForTokens;
@@ -119,9 +122,12 @@
     }
     const Duration Backlog =
         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
-    Candidates.push_back({&Server, SlotUsage,
-                          (InFlight + 1.0) / Slots * Slowness,
-                          Estimator.estimate({InFlight, Backlog, Slowness})});
+    PlacementEstimate Estimate =
+        Estimator.estimate({InFlight, Backlog, Slowness});
+    if (!estimatesPlacement())
+      Estimate.m_Cost = Backlog;
+    Candidates.push_back(
+        {&Server, SlotUsage, (InFlight + 1.0) / Slots * Slowness, Estimate});
   }
   return Candidates;
 }
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -92,6 +92,9 @@
   /// Prompts that are too short to be announced to peers cause differences of
   /// this size.
   Duration m_CostTolerance = std::chrono::milliseconds(20);
+  /// Estimates the effect of each placement. Otherwise the prefill backlog and
+  /// the slot usage alone decide.
+  bool m_EstimatesPlacement = true;
   /// Share of the choices that ignore the slowness of servers, so that a server
   /// that has recovered is noticed.
   double m_ProbeShare = 0.1;
@@ -104,6 +107,7 @@
   explicit ServerSelector(const SelectorSettings &Settings = {},
                           const AvailabilitySettings &Availability = {});
 
+  bool estimatesPlacement() const { return m_Settings.m_EstimatesPlacement; }
   /// Returns a backend server for the request, or nothing if no server may
   /// receive it; noServerReason() then tells why.
   std::optional<ChosenServer> choose(const FleetView &Fleet,
--- a/servers/replicas/domain_conversion.cpp
+++ b/servers/replicas/domain_conversion.cpp
@@ -59,8 +59,9 @@
   Conversion.m_GiveUpTime = Input.m_Now + Model.m_WeightStoreLoadTime * 2 +
                             m_Settings.m_GroupBreakDelay;
   const std::size_t MaxServers =
-      Choice->m_DonorGroups > 0 ? Model.m_GroupSize
-                                : freeServersToConvert(Input, Model, *Choice);
+      Choice->m_DonorGroups > 0 || !m_Settings.m_ConvertsSeveralGroups
+          ? Model.m_GroupSize
+          : freeServersToConvert(Input, Model, *Choice);
   const auto FreeServers = freeServersByDomain(Input);
   const auto Free = FreeServers.find(Choice->m_Domain);
   if (Free != FreeServers.end())
@@ -199,8 +200,10 @@
     if (const ModelSpec *Model =
             Input.m_Service->m_Engine.findModel(Conversion.m_Model))
       Domains[Domain].m_GroupsByModel[Conversion.m_Model] +=
-          std::max<std::size_t>(1, Conversion.m_Servers.size() /
-                                       Model->m_GroupSize);
+          m_Settings.m_ConvertsSeveralGroups
+              ? std::max<std::size_t>(1, Conversion.m_Servers.size() /
+                                             Model->m_GroupSize)
+              : 1;
   return Domains;
 }
 
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -62,6 +62,9 @@
   /// Share of the concurrent loads, from 0 to 1, that the conversion of domains
   /// may use. The others are left for the spares that replace lost servers.
   double m_ConversionLoadShare = 0.75;
+  /// A conversion of free servers covers all groups that the model lacks.
+  /// Otherwise it covers one.
+  bool m_ConvertsSeveralGroups = true;
   /// Time between two decisions to convert a domain to another model.
   Duration m_ConversionInterval = std::chrono::seconds(1);
 };
