--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(settingsAreParsed);
   CPPUNIT_TEST(incompleteSettingsAreRejected);
   CPPUNIT_TEST(secondAttemptShareIsValidated);
+  CPPUNIT_TEST(enabledPartsAreValidated);
   CPPUNIT_TEST_SUITE_END();
 
   static StoredObject object(const char *Name, const char *Content) {
@@ -312,6 +313,19 @@
                      std::string::npos);
     }
   }
+
+  /// Guards against a part that is switched on without being asked for, and
+  /// against a misspelt one that stays off unnoticed.
+  void enabledPartsAreValidated() {
+    CPPUNIT_ASSERT(platform::parseEnabledParts("")->empty());
+    CPPUNIT_ASSERT(*platform::parseEnabledParts("supply,placement") ==
+                   (std::set<OptionalPart>{OptionalPart::Placement,
+                                           OptionalPart::Supply}));
+    for (const char *Invalid :
+         {"suply", "supply,", "Supply", "placement supply"})
+      CPPUNIT_ASSERT_MESSAGE(Invalid,
+                             !platform::parseEnabledParts(Invalid).ok());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDecodersTest);
