--- a/main/fulmarwinch-front/main.cpp
+++ b/main/fulmarwinch-front/main.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <unistd.h>
 
@@ -18,7 +19,8 @@
     R"(Front node of fulmarwinch for a platform that provides an object store.
 
 Usage:
-  fulmarwinch-front [--settings FILE] [--second-attempt-share SHARE] [--check]
+  fulmarwinch-front [--settings FILE] [--second-attempt-share SHARE]
+                    [--enable PARTS] [--check]
   fulmarwinch-front --version
   fulmarwinch-front --help
 
@@ -29,6 +31,8 @@
                                 server as well if the first one is slow: at most
                                 this share of the requests, from 0 (never) to
                                 0.2. [default: 0]
+  --enable PARTS                Switches on parts of the decisions under load,
+                                separated by commas: placement, supply.
   --check                       Checks the settings and exits.
   --version                     Prints the version and exits.
   --help                        Prints this text and exits.
@@ -40,6 +44,11 @@
 /// changed without a SIGHUP.
 constexpr auto SettingsPollPeriod = std::chrono::seconds(2);
 
+/// Size of blocks that return to the system as soon as they are freed. The
+/// library raises its own threshold with each large block that is freed, and
+/// such blocks then leave gaps that are not used again.
+constexpr int SeparateBlockBytes = 128 * 1024;
+
 /// Returns the content of a file, or "" if it cannot be read.
 std::string readFile(const std::string &Path) {
   std::ifstream File(Path);
@@ -137,6 +146,7 @@
 } // namespace
 
 int main(int ArgumentCount, char **ArgumentValues) {
+  mallopt(M_MMAP_THRESHOLD, SeparateBlockBytes);
   signal(SIGPIPE, SIG_IGN);
   // The settings are read below, so a SIGHUP before that has nothing to change.
   // Without this, it would end the process until the node handles it.
@@ -171,12 +181,21 @@
               << '\n';
     return ExitUsage;
   }
+  const auto EnabledParts = fulmarwinch::platform::parseEnabledParts(
+      Arguments["--enable"] ? Arguments["--enable"].asString() : "");
+  if (!EnabledParts.ok()) {
+    std::cerr << "fulmarwinch-front: "
+              << fulmarwinch::toStdView(EnabledParts.status().message())
+              << '\n';
+    return ExitUsage;
+  }
   if (!Settings.ok()) {
     std::cerr << "fulmarwinch-front: " << Path << ": "
               << fulmarwinch::toStdView(Settings.status().message()) << '\n';
     return ExitUsage;
   }
   Settings->m_SecondAttemptShare = *SecondAttemptShare;
+  Settings->m_EnabledParts = *EnabledParts;
   if (Arguments["--check"].asBool())
     return 0;
   return runNode(*Settings, Path, Text);
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -1,18 +1,20 @@
 #include "proxy/front_node.h"
 #include "core/text.h"
+#include "proxy/admission_control.h"
+#include "proxy/client_guard.h"
 #include "proxy/group_coordinator.h"
 #include "proxy/http_listener.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
+#include "proxy/placement_notices.h"
+#include "proxy/relay_ticks.h"
 #include "proxy/store_session.h"
 #include "proxy/zone_change_relay.h"
-#include "servers/dispatch/overload_admission.h"
 #include "servers/feed/known_objects.h"
 
 #include "asio.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 
 namespace fulmarwinch {
@@ -36,14 +38,10 @@
 constexpr Duration RelayCheckPeriod = milliseconds(60);
 /// Share of the process's memory that buffered responses may use.
 constexpr double BufferedMemoryShare = 0.25;
-/// Share of the process's memory that request bodies may use.
-constexpr double BodyMemoryShare = 0.5;
 /// Bounds of the Retry-After of a request whose body has no room.
 constexpr double MinBodyRetryAfterSeconds = 0.3;
 constexpr double MaxBodyRetryAfterSeconds = 1.0;
 constexpr double BytesPerMb = 1048576.0;
-/// Period in which the share of admitted requests is recomputed.
-constexpr Duration AdmissionPeriod = milliseconds(200);
 /// Period in which a node sends its crash records to a random peer.
 constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watches on the entries of servers and on evacuations.
@@ -63,6 +61,11 @@
   Settings.m_MaxAgeFromRelay = std::chrono::seconds(8);
   return Settings;
 }
+SelectorSettings selectorSettings(const FrontSettings &Node) {
+  SelectorSettings Settings;
+  Settings.m_EstimatesPlacement = Node.isEnabled(OptionalPart::Placement);
+  return Settings;
+}
 constexpr const char *MetricsPath = "/metrics";
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
@@ -87,6 +90,7 @@
         m_StoreSession(Loop, Platform, Log, m_Metrics),
         m_Platform(m_StoreSession.bind(Platform)), m_TickTimer(Loop),
         m_LogFlushTimer(Loop), m_RegistrationTimer(Loop),
+        m_ServerSelector(selectorSettings(Settings)),
         m_Context(Loop, Log, m_Metrics, Platform.m_HeaderNames, m_Fleet,
                   m_ServerSelector, m_StallDetector),
         m_PeerExchange(Loop, Log, m_ServerSelector, Settings.m_NodeName,
@@ -107,17 +111,17 @@
                             Platform.m_EvacuationKind, evacuationHandlers(),
                             entryWatchSettings(Settings)),
         m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
-                      nodeHandlers(), nodeWatchSettings(Settings)) {
+                      nodeHandlers(), nodeWatchSettings(Settings)),
+        m_ClientGuard(Settings, Log, m_Metrics, m_Context.m_Memory,
+                      [this] { return m_Context.m_ActiveRequests.size(); }) {
+    m_Context.m_FindShortage = [this] { return m_ClientGuard.findShortage(); };
     setRetryBudgets(1);
     SecondAttemptSettings SecondAttempts;
     SecondAttempts.m_MaxShare = Settings.m_SecondAttemptShare;
     m_Context.m_SecondAttempts = SecondAttemptPolicy(SecondAttempts);
-    if (Settings.m_MemoryMb > 0.0) {
-      const double Bytes = Settings.m_MemoryMb * BytesPerMb;
-      m_Context.m_MaxBufferedBytes =
-          static_cast<std::size_t>(Bytes * BufferedMemoryShare);
-      m_BodyBudget->setLimit(static_cast<std::size_t>(Bytes * BodyMemoryShare));
-    }
+    if (Settings.m_MemoryMb > 0.0)
+      m_Context.m_MaxBufferedBytes = static_cast<std::size_t>(
+          Settings.m_MemoryMb * BytesPerMb * BufferedMemoryShare);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
@@ -148,10 +152,14 @@
     m_PeerExchange.exchangeTraffic(
         [this] {
           const MonotonicTime Now = monotonicNow();
+          WorkReport Work = m_Context.m_CompletionRate.ownReport(Now);
+          // The shares of organisations are decided under overload only.
+          if (m_Context.m_AdmissionShares.empty())
+            Work.m_Organisations.clear();
           return PeerExchange::TrafficReport{
               m_Context.m_DemandEstimator.busyGroupsByModel(Now),
               m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now),
-              m_Context.m_FirstEventLatency.ownReport(Now)};
+              m_Context.m_FirstEventLatency.ownReport(Now), std::move(Work)};
         },
         [this](const std::string &Peer, PeerExchange::TrafficReport Traffic) {
           const MonotonicTime Now = monotonicNow();
@@ -161,6 +169,8 @@
               Peer, std::move(Traffic.m_ReturningDemand), Now);
           m_Context.m_FirstEventLatency.setPeerReport(
               Peer, std::move(Traffic.m_Latencies), Now);
+          m_Context.m_CompletionRate.setPeerReport(
+              Peer, std::move(Traffic.m_Work), Now);
         });
     m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
       m_PeerExchange.announce(Report);
@@ -505,11 +515,11 @@
   /// node has no memory for. The memory is free again once running requests
   /// have ended; other nodes may have some at once.
   HttpHeaders onBodyRefused() {
+    const MemoryBudget &Budget = *m_Context.m_Memory->bodyBudget();
     m_Metrics.increment("request_bodies_refused_total");
-    m_Log.write(
-        "body_refused",
-        {{"bytes_held", static_cast<std::int64_t>(m_BodyBudget->used())},
-         {"limit", static_cast<std::int64_t>(m_BodyBudget->limit())}});
+    m_Log.write("body_refused",
+                {{"bytes_held", static_cast<std::int64_t>(Budget.used())},
+                 {"limit", static_cast<std::int64_t>(Budget.limit())}});
     std::uniform_real_distribution<double> Seconds(MinBodyRetryAfterSeconds,
                                                    MaxBodyRetryAfterSeconds);
     return {{"Retry-After", concat(Seconds(m_Context.m_Random))}};
@@ -523,7 +533,9 @@
                  : ClientLimits();
     };
     Hooks.m_IsDraining = [this] { return isDraining(); };
-    Hooks.m_BodyBudget = m_BodyBudget;
+    Hooks.m_Memory = m_Context.m_Memory;
+    Hooks.m_BodyBudget = m_Context.m_Memory->bodyBudget();
+    Hooks.m_MayAccept = [this] { return m_ClientGuard.mayAccept(); };
     Hooks.m_OnBodyRefused = [this] { return onBodyRefused(); };
     Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
                                ClientRequest Request) {
@@ -583,12 +595,15 @@
     Set("servers_known", static_cast<double>(m_Fleet.servers().size()));
     Set("server_entries_excluded",
         static_cast<double>(m_Fleet.excludedEntries().size()));
-    Set("request_body_bytes", static_cast<double>(m_BodyBudget->used()));
-    Set("request_body_bytes_limit", static_cast<double>(m_BodyBudget->limit()));
+    const MemoryBudget &Bodies = *m_Context.m_Memory->bodyBudget();
+    Set("request_body_bytes", static_cast<double>(Bodies.used()));
+    Set("request_body_bytes_limit", static_cast<double>(Bodies.limit()));
+    m_ClientGuard.setGauges();
     Set("store_era", static_cast<double>(m_StoreSession.era()));
     Set("nodes_known", static_cast<double>(m_Nodes.objects().size()));
     Set("lease_held", m_GroupCoordinator.holdsLease() ? 1.0 : 0.0);
     Set("log_lines_dropped", static_cast<double>(m_Log.discardedLines()));
+    m_AdmissionControl.setGauges(monotonicNow());
     std::map<std::string, double> OpenGroups;
     for (const auto &[Key, Group] : m_Fleet.groups())
       if (Group.m_Head &&
@@ -612,10 +627,8 @@
   }
 
   void tick(MonotonicTime Now) {
-    const std::vector<std::shared_ptr<RequestRelay>> Active(
-        m_Context.m_ActiveRequests.begin(), m_Context.m_ActiveRequests.end());
-    for (const std::shared_ptr<RequestRelay> &Relay : Active)
-      Relay->tick(Now);
+    tickActiveRequests(m_Context, Now);
+    m_ClientGuard.tick(Now);
     m_GroupCoordinator.tick(Now);
     m_ServerWatcher.setPauseAfterChanges(
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
@@ -628,10 +641,8 @@
     }
     for (const std::string &Id : m_Fleet.removeMissing(Now))
       logServer(Id);
-    if (Now >= m_NextAdmissionAt) {
-      m_NextAdmissionAt = Now + AdmissionPeriod;
-      updateAdmission(Now);
-    }
+    if (m_AdmissionControl.tick(Now) && m_ServerSelector.estimatesPlacement())
+      reportPlacement(m_Context);
     if (m_Context.m_CrashDetector.removeExpired(Now))
       announceCrashRecords();
     if (Now >= m_NextCrashShareAt) {
@@ -642,48 +653,6 @@
       continueDrain(Now);
   }
 
-  /// Recomputes the shares of requests to admit for each model.
-  void updateAdmission(MonotonicTime Now) {
-    if (!m_Context.m_RouteTable)
-      return;
-    DemandByModel FirstAttempts = m_Context.m_FleetDemand.total(
-        m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
-    DemandByModel Returning = m_Context.m_ReturningFleetDemand.total(
-        m_Context.m_ReturningDemandEstimator.busyGroupsByModel(Now), Now);
-    std::map<std::string, AdmittedShares> SharesByModel;
-    for (const ServiceSpec &Service :
-         m_Context.m_RouteTable->configuration().m_Services)
-      for (const ModelSpec &Model : Service.m_Engine.m_Models) {
-        ServerQuery Query;
-        Query.m_Service = &Service;
-        Query.m_Model = Model.m_Name;
-        Query.m_Now = Now;
-        const GroupSupply Supply = m_ServerSelector.groupSupply(m_Fleet, Query);
-        const ModelDemand Demand{FirstAttempts[Model.m_Name],
-                                 Returning[Model.m_Name]};
-        const RelativeLatency Latency =
-            m_Context.m_FirstEventLatency.total(Model.m_Name, Now);
-        const bool WasOverloaded =
-            m_Context.m_AdmittedShares.count(Model.m_Name) != 0;
-        const AdmittedShares Shares =
-            admittedShares(Demand, Supply, Latency, WasOverloaded);
-        if (Shares.admitsAll())
-          continue;
-        SharesByModel[Model.m_Name] = Shares;
-        if (!WasOverloaded)
-          m_Log.write("overload",
-                      {{"model", Model.m_Name},
-                       {"demanded_groups", Demand.m_FirstAttempts},
-                       {"returning_groups", Demand.m_Returning},
-                       {"groups", static_cast<std::int64_t>(Supply.m_Groups)},
-                       {"slot_usage", Supply.m_MeanSlotUsage},
-                       {"mean_latency", Latency.m_Sum / Latency.m_Count},
-                       {"admitted", Shares.m_FirstAttempts},
-                       {"returning_admitted", Shares.m_Returning}});
-      }
-    m_Context.m_AdmittedShares = std::move(SharesByModel);
-  }
-
   void scheduleLogFlush() {
     m_LogFlushTimer.expires_after(FlushPeriod);
     m_LogFlushTimer.async_wait([this](const asio::error_code &Error) {
@@ -742,6 +711,7 @@
   ServerSelector m_ServerSelector;
   StallDetector m_StallDetector;
   RequestRelayContext m_Context;
+  AdmissionControl m_AdmissionControl{m_Context};
   PeerExchange m_PeerExchange;
   ZoneChangeRelay m_ChangeRelay;
   std::string m_Incarnation;
@@ -750,6 +720,7 @@
   ObjectWatcher m_ConfigurationWatcher;
   ObjectWatcher m_EvacuationWatcher;
   ObjectWatcher m_NodeWatcher;
+  ClientGuard m_ClientGuard;
   std::unique_ptr<HttpListener> m_ClientListener;
   std::unique_ptr<HttpListener> m_ReadinessListener;
   std::unique_ptr<HttpListener> m_MetricsListener;
@@ -757,10 +728,7 @@
   struct Evacuation {};
   KnownObjects<Evacuation> m_Evacuations;
   KnownObjects<PeerAddress> m_Nodes;
-  std::shared_ptr<MemoryBudget> m_BodyBudget =
-      std::make_shared<MemoryBudget>(std::numeric_limits<std::size_t>::max());
   MonotonicTime m_NextRelayCheckAt{};
-  MonotonicTime m_NextAdmissionAt{};
   MonotonicTime m_NextCrashShareAt{};
   /// Processes of backend servers that are being probed after a lost
   /// connection.
@@ -782,6 +750,7 @@
   Impl &Self = *m_Impl;
   Self.m_ClientListener = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_ClientEndpoint, Self.clientHooks());
+  Self.m_ClientGuard.setListener(*Self.m_ClientListener);
   Self.m_ReadinessListener = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_ReadinessEndpoint, Self.readinessHooks());
   Self.m_MetricsListener = std::make_unique<HttpListener>(
--- a/proxy/front_settings.h
+++ b/proxy/front_settings.h
@@ -1,14 +1,32 @@
 #ifndef FULMARWINCH_PROXY_FRONT_SETTINGS_H
 #define FULMARWINCH_PROXY_FRONT_SETTINGS_H
 
+#include "core/enum_names.h"
 #include "core/time.h"
 #include "servers/fleet/backend_server.h"
 
+#include <array>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace fulmarwinch {
 
+/// Parts of the decisions under load that a deployment switches on.
+enum class OptionalPart {
+  /// Servers are chosen by the estimated first event and pause, their speed and
+  /// the tokens that they hold.
+  Placement,
+  /// Models are supplied by the urgency of their requests and for the loss of
+  /// zones.
+  Supply,
+};
+
+inline constexpr std::array<EnumName<OptionalPart>, 2> OptionalPartNames{{
+    {OptionalPart::Placement, "placement"},
+    {OptionalPart::Supply, "supply"},
+}};
+
 /// Settings of a front node, read from its settings file.
 struct FrontSettings {
   /// Unique name of this node.
@@ -25,6 +43,9 @@
   double m_LinkMbps = 0.0;
   /// Memory limit of the process in MB; 0 if unknown.
   double m_MemoryMb = 0.0;
+  /// Maximum number of open descriptors of the process, of which 200 are
+  /// reserved for files; 0 if unknown.
+  std::size_t m_MaxFds = 0;
   /// UDP port for messages between front nodes, the same on all nodes.
   std::uint16_t m_PeerPort = 0;
   /// TCP port that serves metrics; must match deploy/system.toml.
@@ -37,6 +58,9 @@
   /// Period in which each backend server writes its entry to the store. An
   /// entry that was not written for three periods is removed.
   Duration m_ServerReportPeriod = std::chrono::milliseconds(1200);
+  /// Number of availability zones whose loss the supply of each model must
+  /// bear.
+  std::size_t m_TolerableZoneLosses = 0;
   /// True if the whole system starts for the first time.
   bool m_IsFirstStart = false;
   /// Retry budget of all nodes together: in each window at most this share of
@@ -49,6 +73,11 @@
   /// Maximum number of second attempts for slow responses per request, from 0
   /// (none are sent) to MaxSecondAttemptShare.
   double m_SecondAttemptShare = 0.0;
+  std::set<OptionalPart> m_EnabledParts;
+
+  bool isEnabled(OptionalPart Part) const {
+    return m_EnabledParts.count(Part) != 0;
+  }
 };
 
 /// Time after which a store that has returned from a copy shows no entry of a
--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "proxy/group_coordinator.h"
 
 #include "core/json.h"
+#include "core/text.h"
 #include "proxy/server_notices.h"
 
 #include <algorithm>
@@ -168,6 +169,8 @@
       continue;
     ReplicaPlannerSettings Settings;
     Settings.m_GroupBreakDelay = m_Settings.m_GroupBreakDelay;
+    Settings.m_ConvertsSeveralGroups =
+        m_Settings.isEnabled(OptionalPart::Supply);
     ReplicaPlanner &Planner =
         m_Planners
             .try_emplace(Service.m_Name, Settings, m_GroupKeys,
@@ -184,6 +187,11 @@
     Input.m_UnlistedButResponding = probeUnlistedMembers(Now);
     Input.m_DemandByModel = m_Context.m_FleetDemand.total(
         m_Context.m_DemandEstimator.busyGroupsByModel(Now), Now);
+    if (m_Settings.isEnabled(OptionalPart::Supply)) {
+      raiseToBusyGroups(Input.m_DemandByModel, m_Context.m_BusyGroups);
+      Input.m_PriorityByModel = m_Context.m_ModelPriorities.byModel();
+      Input.m_TolerableZoneLosses = m_Settings.m_TolerableZoneLosses;
+    }
     std::vector<MemberOrder> Orders = Planner.plan(Input);
     if (Now >= m_NextSupplyLogAt)
       logSupply(Planner.modelSupplies(Input));
@@ -215,15 +223,21 @@
   const auto Number = [](std::size_t Count) {
     return static_cast<std::int64_t>(Count);
   };
-  for (const ModelSupply &Supply : Supplies)
+  for (const ModelSupply &Supply : Supplies) {
+    m_Context.m_Metrics.setGauge(
+        concat("groups_needed{model=\"", Supply.m_Model, "\"}"),
+        Supply.m_NeededGroups);
     m_Context.m_Log.write(
         "group_supply",
         {{"model", Supply.m_Model},
          {"demanded_groups", Supply.m_DemandedGroups},
+         {"needed_groups", Supply.m_NeededGroups},
+         {"priority", Supply.m_Priority},
          {"open", Number(Supply.m_OpenGroups)},
          {"forming", Number(Supply.m_FormingGroups)},
          {"staged_spares", Number(Supply.m_StagedSpares)},
          {"converting_domains", Number(Supply.m_ConvertingDomains)}});
+  }
 }
 
 void GroupCoordinator::loadQuarantine(MonotonicTime Now) {
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -75,11 +75,17 @@
         m_Selector.availability().rateLimits().ownStatements(Now);
     if (!Limits.empty())
       Message["limits"] = toJson(Limits);
+    const ServerSpeed::Report Slow = m_Selector.speed().ownReport(Now);
+    if (m_Selector.estimatesPlacement() && !Slow.empty())
+      Message["slow"] = Slow;
     if (m_OwnTraffic) {
       const TrafficReport Traffic = m_OwnTraffic();
       Message["demand"] = Traffic.m_Demand;
       Message["returning"] = Traffic.m_ReturningDemand;
       Message["latency"] = Traffic.m_Latencies;
+      Message["completed"] = Traffic.m_Work.m_Completed;
+      Message["offered"] = Traffic.m_Work.m_Offered;
+      Message["organisations"] = Traffic.m_Work.m_Organisations;
     }
     broadcast(Message);
     for (auto &[Name, RemotePeer] : m_Peers) {
@@ -145,18 +151,27 @@
         {fieldOr(Message, "process", std::uint64_t{0}),
          MonotonicTime(Duration(fieldOr(Message, "sent_us", std::int64_t{0})))},
         From.m_LastHeardAt);
-    if (Message.contains("load"))
+    if (Message.contains("load")) {
       m_Selector.setPeerInFlight(
           Name, fieldOr(Message, "load", std::map<std::string, unsigned>()));
+      m_Selector.speed().setPeerReport(
+          Name, fieldOr(Message, "slow", ServerSpeed::Report()),
+          From.m_LastHeardAt);
+    }
     if (Message.contains("limits"))
       m_Selector.availability().rateLimits().mergePeerStatements(
           parseRateLimitStatements(Message["limits"]),
           From.m_LastHeardAt - Delay);
     if (Message.contains("demand") && m_OnPeerTraffic)
       m_OnPeerTraffic(
-          Name, {fieldOr(Message, "demand", DemandByModel()),
-                 fieldOr(Message, "returning", DemandByModel()),
-                 fieldOr(Message, "latency", FirstEventLatency::Report())});
+          Name,
+          {fieldOr(Message, "demand", DemandByModel()),
+           fieldOr(Message, "returning", DemandByModel()),
+           fieldOr(Message, "latency", FirstEventLatency::Report()),
+           {fieldOr(Message, "completed", decltype(WorkReport::m_Completed)()),
+            fieldOr(Message, "offered", decltype(WorkReport::m_Offered)()),
+            fieldOr(Message, "organisations",
+                    decltype(WorkReport::m_Organisations)())}});
     if (Message.contains("prompt"))
       m_Selector.onPromptSent(
           fieldOr(Message, "prompt", std::string()),
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -14,6 +14,7 @@
 #include "xxhash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarwinch {
 
@@ -40,6 +41,10 @@
 /// Lower bound of the random factor on Retry-After, which spreads the retries
 /// of clients that were rejected at the same time.
 constexpr double MinRetryAfterFactor = 0.7;
+/// Lower bound of the random factor on Retry-After under overload, which lasts
+/// for seconds. If all clients returned at the same time, they would exceed the
+/// capacity again.
+constexpr double MinOverloadSpread = 0.4;
 /// Upper bound of the random factor on Retry-After if all servers have asked
 /// for a pause: an earlier retry would find them pausing.
 constexpr double MaxPauseSpread = 1.25;
@@ -55,7 +60,11 @@
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t{16} * 1024 * 1024;
 /// Admission priority of a stream that resumes on another server, since its
 /// client has already waited once.
-constexpr const char *ResumedStreamUrgency = "1";
+constexpr unsigned ResumedStreamUrgency = 1;
+
+/// A server may terminate a response that stayed unread for this long, which
+/// then is no sign of a crash. They do so after four seconds or more.
+constexpr Duration LongReadPause = std::chrono::seconds(2);
 
 /// Time between two ticks from which the process counts as having stood still.
 constexpr Duration LongestTickGap = milliseconds(100);
@@ -84,8 +93,10 @@
 
   Impl(RequestRelayContext &Context, std::shared_ptr<ClientConnection> Client,
        ClientRequest Request)
-      : m_Context(Context), m_Client(std::move(Client)),
-        m_ClientRequest(std::move(Request)) {}
+      : m_Context(Context), m_Held(Context.m_Memory->budget()),
+        m_Client(std::move(Client)), m_ClientRequest(std::move(Request)) {
+    m_Held.set(ClientMemory::RequestBytes);
+  }
 
   std::string header(const std::string &Name) const {
     return findHeader(m_ClientRequest.m_Head.m_Headers, Name).value_or("");
@@ -93,6 +104,11 @@
 
   void admit(const std::shared_ptr<RequestRelay> &Owner) {
     m_Id = header(m_Context.m_HeaderNames.m_RequestId);
+    const std::string_view Shortage = m_Context.m_FindShortage();
+    if (!Shortage.empty()) {
+      reject(Shortage);
+      return;
+    }
     m_Table = m_Context.m_RouteTable;
     if (!m_Table) {
       reject("no_configuration");
@@ -119,18 +135,21 @@
     m_Contents.push_back(contentHash());
     budget().onRequest(monotonicNow());
     m_Context.m_SecondAttempts.onRequest(m_Service->m_Name, monotonicNow());
+    m_IsReturning = m_Context.m_ReturningClients.isReturning(
+        m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
     if (m_Service->hasReplicaGroups()) {
       m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
       m_PromptTokens = Size.m_PromptTokens;
       m_StatedOutputTokens = Size.m_OutputTokens;
-      m_IsReturning = m_Context.m_ReturningClients.isReturning(
-          m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
       DemandEstimator &Demand = m_IsReturning
                                     ? m_Context.m_ReturningDemandEstimator
                                     : m_Context.m_DemandEstimator;
       Demand.recordRequest(*m_Service, m_Model, Size, monotonicNow());
+      m_Context.m_ModelPriorities.recordRequest(
+          m_Model, requestPriority(*m_Route, m_OrganisationSpec));
     }
+    recordOffered();
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
     if (parseNumber(header(m_Context.m_HeaderNames.m_LastEventId), ParsedId))
@@ -138,7 +157,10 @@
     m_Sequence = EventSequenceFilter(LastId);
     // A client that resumes a stream has already been admitted once.
     if (!LastId && isShed()) {
-      reject("overloaded");
+      m_Context.m_Metrics.increment(concat("requests_shed_total{model=\"",
+                                           m_Pool, "\",priority=\"", m_Priority,
+                                           "\"}"));
+      rejectOverloaded();
       return;
     }
     m_WaitingSince = monotonicNow();
@@ -150,23 +172,79 @@
     dispatch();
   }
 
-  /// True if this request belongs to the share that the groups of its model
-  /// cannot serve.
+  /// Records the work that the request asks for.
+  void recordOffered() {
+    m_Pool = loadPoolName(m_Service->m_Name, m_Model);
+    m_WaitingPool = concat(m_Service->m_Name, "/", m_Model);
+    m_HasPriority = m_Table->hasPriorities(m_Service->m_Name);
+    m_Priority = requestPriority(*m_Route, m_OrganisationSpec);
+    // Where priorities are equal, organisations are not told apart either.
+    if (m_HasPriority)
+      m_PayingOrganisation = m_Organisation;
+    m_Work = m_Service->hasReplicaGroups()
+                 ? std::chrono::duration<double>(
+                       groupTime(m_Service->m_Engine, m_Model, m_PromptTokens,
+                                 m_StatedOutputTokens))
+                       .count()
+                 : 1.0;
+    m_Context.m_CompletionRate.recordOffered(
+        m_Pool, {m_Priority, m_PayingOrganisation, m_IsReturning}, m_Work,
+        monotonicNow());
+  }
+
+  /// Records the work that servers have done for the request. A stream that
+  /// ended early counts in part.
+  void recordCompleted(std::string_view Outcome) {
+    if (m_Pool.empty())
+      return;
+    double Done =
+        Outcome == "complete" && m_ResponseHead.m_Status < FirstServerError
+            ? 1.0
+            : 0.0;
+    if (m_IsStream && Done == 0.0 && m_StatedOutputTokens > 0)
+      Done = std::min(
+          1.0, static_cast<double>(m_Sequence.deliveredCount() *
+                                   m_Service->m_Engine.m_DecodeStepsPerPass) /
+                   static_cast<double>(m_StatedOutputTokens));
+    if (Done > 0.0)
+      m_Context.m_CompletionRate.recordCompleted(m_Pool, m_Work * Done,
+                                                 monotonicNow());
+  }
+
+  /// Admitted share of the requests like this one.
+  double admittedShare() const {
+    const auto Shares = m_Context.m_AdmissionShares.find(m_Pool);
+    if (Shares == m_Context.m_AdmissionShares.end())
+      return 1.0;
+    const AdmittedShares &Own =
+        Shares->second.find(m_Priority, m_PayingOrganisation);
+    return m_IsReturning ? Own.m_Returning : Own.m_FirstAttempts;
+  }
+
+  /// True if this request belongs to the share that the servers cannot serve.
   bool isShed() {
-    const auto Shares = m_Context.m_AdmittedShares.find(m_Model);
-    if (!m_Service->hasReplicaGroups() ||
-        Shares == m_Context.m_AdmittedShares.end())
-      return false;
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
-    return Uniform(m_Context.m_Random) >=
-           (m_IsReturning ? Shares->second.m_Returning
-                          : Shares->second.m_FirstAttempts);
+    return Uniform(m_Context.m_Random) >= admittedShare();
+  }
+
+  WaitingRank waitingRank() const {
+    WaitingRank Rank;
+    Rank.m_Priority = m_HasPriority ? m_Priority : 0;
+    // The shares of returning clients are smaller, but once admitted, they wait
+    // like others.
+    const auto Shares = m_Context.m_AdmissionShares.find(m_Pool);
+    if (m_HasPriority && Shares != m_Context.m_AdmissionShares.end())
+      Rank.m_OrganisationShare =
+          Shares->second.find(m_Priority, m_PayingOrganisation).m_FirstAttempts;
+    Rank.m_Deadline = m_Deadline;
+    return Rank;
   }
 
   bool authenticate() {
     const std::string Key = header(m_Context.m_HeaderNames.m_ApiKey);
     const OrganisationSpec *Organisation =
         Key.empty() ? nullptr : m_Table->findOrganisation(Key);
+    m_OrganisationSpec = Organisation;
     if (Organisation)
       m_Organisation = Organisation->m_Name;
     if (Organisation || m_Route->m_NeedsNoApiKey || !m_Table->requiresApiKeys())
@@ -199,8 +277,11 @@
     if (m_HasOutput)
       return;
     m_HasOutput = true;
-    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id,
-                                                 monotonicNow());
+    const MonotonicTime Now = monotonicNow();
+    m_Context.m_Selector.availability().onOutput(m_ChosenServer.m_Id, Now);
+    if (isSuccess())
+      m_Context.m_Selector.speed().onFirstEvent(m_FirstEventWait,
+                                                m_ChosenServer, Now);
   }
 
   /// Records that the server has finished its response. Only a success shows
@@ -244,6 +325,11 @@
     return Result;
   }
 
+  /// Tokens that the server holds for the request until it ends.
+  std::uint64_t requestTokens() const {
+    return m_PromptTokens + m_StatedOutputTokens;
+  }
+
   void setDeadline() {
     Duration TimeLeft = m_Route->m_Timeout;
     std::int64_t RequestedMs = 0;
@@ -275,6 +361,9 @@
     Query.m_Service = m_Service;
     Query.m_Model = m_Model;
     Query.m_TriedServers = m_TriedServers;
+    Query.m_Request = {m_PromptTokens, m_StatedOutputTokens,
+                       m_Route->m_FirstByteObjective,
+                       m_Route->m_EventGapObjective};
     Query.m_Now = Now;
     return Query;
   }
@@ -291,12 +380,22 @@
       giveUp("crashes_servers");
       return;
     }
+    const bool HasTriedNone = m_TriedServers.empty() && !resumes();
+    if (HasTriedNone &&
+        m_Context.m_FullPools.mustWait(m_WaitingPool, waitingRank())) {
+      m_Context.m_Metrics.increment("dispatches_skipped_total");
+      onNoServer(Now, NoServerReason::AllFull);
+      return;
+    }
     ServerQuery Query = query(Now);
     std::uniform_real_distribution<double> Uniform(0.0, 1.0);
     Query.m_RandomDraw = Uniform(m_Context.m_Random);
     const auto Chosen = m_Context.m_Selector.choose(m_Context.m_Fleet, Query);
     if (!Chosen) {
-      onNoServer(Now);
+      const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+      if (HasTriedNone && Reason == NoServerReason::AllFull)
+        m_Context.m_FullPools.onFull(m_WaitingPool, waitingRank());
+      onNoServer(Now, Reason);
       return;
     }
     // Once one attempt has reached a server, each further attempt uses retry
@@ -308,8 +407,7 @@
     send(*Chosen, Now);
   }
 
-  void onNoServer(MonotonicTime Now) {
-    const NoServerReason Reason = m_Context.m_Selector.noServerReason();
+  void onNoServer(MonotonicTime Now, NoServerReason Reason) {
     const MonotonicTime WaitEnd = m_WaitingSince + maxDispatchWait();
     const MonotonicTime NextRequestAt = m_Context.m_Selector.nextRequestAt();
     m_IsRateLimited = Reason == NoServerReason::AllRateLimited;
@@ -346,12 +444,21 @@
     m_HasHead = false;
     m_HasEvents = false;
     m_IsLate = false;
+    m_FirstEventWait = FirstEventWait();
+    m_WasPausedForLong = false;
     releaseBuffer();
   }
 
   void send(const ChosenServer &Chosen, MonotonicTime Now) {
     beginAttempt(Chosen, Now);
-    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now);
+    m_Context.m_Selector.onDispatched(Chosen.m_Id, Now, m_Model,
+                                      requestTokens());
+    const PlacementEstimate &Estimate = m_Context.m_Selector.chosenEstimate();
+    // The answers of a service without groups differ by route.
+    m_FirstEventWait = m_Context.m_Selector.speed().beginWait(
+        concat(m_Service->m_Name, "/",
+               m_Service->hasReplicaGroups() ? m_Model : m_Route->m_Name),
+        Estimate.m_FirstEvent, Now);
     for (const ContentHash Content : m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, serverProcessKey());
     if (m_Service->hasReplicaGroups()) {
@@ -368,6 +475,9 @@
          {"load", static_cast<std::int64_t>(
                       m_Context.m_Selector.ownInFlight(Chosen.m_Id))},
          {"arrivals", static_cast<std::int64_t>(m_ArrivedAttempts)},
+         {"expected_ms", inMs(Estimate.m_FirstEvent)},
+         {"pause_ms", inMs(Estimate.m_LongestPause)},
+         {"slowness", Estimate.m_Slowness},
          {"passed_over", m_Context.m_Selector.passedOver()},
          {"waited_ms", inMs(Now - m_ClientRequest.m_ReceivedAt)}});
     m_Call = std::make_shared<UpstreamCall>(m_Context.m_Loop, Chosen.m_Endpoint,
@@ -450,6 +560,8 @@
     Request.m_IsStreaming = m_Route->m_Kind == RequestKind::Streaming;
     Request.m_Sequence = m_Sequence;
     Request.m_Contents = m_Contents;
+    Request.m_Model = m_Model;
+    Request.m_Tokens = requestTokens();
     Request.m_SentAt = Now;
     Request.m_ConnectTimeout = ConnectTimeout;
     Request.m_Timeout = responseDueAt() - Now + milliseconds(50);
@@ -590,10 +702,10 @@
     Add(Names.m_ExpectedServer, Chosen.m_Id);
     if (!m_Organisation.empty())
       Add(Names.m_Organisation, m_Organisation);
-    if (resumes()) {
+    if (resumes())
       Add(Names.m_LastEventId, concat(*m_Sequence.lastId()));
-      Add(Names.m_Priority, ResumedStreamUrgency);
-    }
+    if (m_HasPriority || resumes())
+      Add(Names.m_Priority, concat(urgency()));
     const std::string &Body = m_ClientRequest.m_Body->m_Bytes;
     if (!Body.empty() || (Head.m_Method != "GET" && Head.m_Method != "HEAD"))
       Add("Content-Length", concat(Body.size()));
@@ -605,6 +717,14 @@
   /// already received.
   bool resumes() const { return m_Sequence.deliveredCount() > 0; }
 
+  /// Priority with which the server admits the next attempt.
+  unsigned urgency() const {
+    if (!resumes())
+      return m_Priority;
+    return m_HasPriority ? std::min(m_Priority, ResumedStreamUrgency)
+                         : ResumedStreamUrgency;
+  }
+
   /// Ends the attempt because of its response once the current handler has
   /// returned. The rest of the response is not read: it may have no end.
   void rejectResponse(std::string_view Cause) {
@@ -617,10 +737,12 @@
   /// Updates the node's count of buffered bytes to what this request holds.
   /// Returns false if the limit is exceeded.
   bool accountBuffer() {
-    const std::size_t Bytes =
-        m_ResponseBody.size() + m_EventCutter.incompleteEvent().size();
+    const std::size_t Bytes = m_ResponseBody.size() +
+                              m_EventCutter.incompleteEvent().size() +
+                              m_LastServerErrorBody.size();
     m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
     m_AccountedBytes = Bytes;
+    m_Held.set(ClientMemory::RequestBytes + Bytes);
     return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
   }
 
@@ -687,9 +809,12 @@
     if (!m_RejectedResponse.empty())
       return;
     if (!m_IsStream) {
+      reserveResponseBody();
       m_ResponseBody.append(Bytes);
       if (m_ResponseBody.size() > MaxBufferedResponseBytes || !accountBuffer())
         rejectResponse("response_too_large");
+      else
+        updatePause();
       return;
     }
     for (const RawEvent &Event : m_EventCutter.accept(Bytes))
@@ -697,6 +822,64 @@
         return;
     if (m_EventCutter.hasFailed() || !accountBuffer())
       rejectResponse("event_too_large");
+    else
+      updatePause();
+  }
+
+  /// Reserves the stated length at once, because a growing buffer would take
+  /// twice as much at times.
+  void reserveResponseBody() {
+    std::size_t Length = 0;
+    if (m_ResponseBody.empty() &&
+        parseNumber(
+            findHeader(m_ResponseHead.m_Headers, "Content-Length").value_or(""),
+            Length))
+      m_ResponseBody.reserve(std::min(Length, MaxBufferedResponseBytes));
+  }
+
+  /// True if the response should not be read further for now.
+  bool mustWait() {
+    ClientMemory &Memory = *m_Context.m_Memory;
+    if (m_IsStream && m_ResponseStarted)
+      return m_Client->waitingOutput() > Memory.maxWaitingOutput();
+    const bool IsFull = Memory.isFull() || m_Context.m_BufferedBytes >
+                                               m_Context.m_MaxBufferedBytes / 2;
+    // A response that holds nothing yet may be short enough to end at once.
+    return IsFull && m_AccountedBytes > 0 && !Memory.takePrecedence(this);
+  }
+
+  /// Stops reading the response while the client does not take it or the node
+  /// holds too much, and reads on afterwards.
+  void updatePause() {
+    if (!m_Call || m_Phase == Phase::Ended)
+      return;
+    const bool MustWait = mustWait();
+    if (MustWait == m_Call->isPaused())
+      return;
+    const MonotonicTime Now = monotonicNow();
+    m_Call->setPaused(MustWait);
+    if (!MustWait) {
+      m_WasPausedForLong =
+          m_WasPausedForLong || Now - m_PausedAt >= LongReadPause;
+      // The silence of the pause is not the server's.
+      if (m_LastEventAt)
+        m_LastEventAt = Now;
+      return;
+    }
+    m_PausedAt = Now;
+    m_Context.m_Metrics.increment("response_pauses_total");
+    if (!std::exchange(m_HasLoggedPause, true))
+      m_Context.m_Log.write(
+          "response_paused",
+          {{"id", m_Id},
+           {"server", m_ChosenServer.m_Id},
+           {"waiting", static_cast<std::int64_t>(m_Client->waitingOutput())},
+           {"held",
+            static_cast<std::int64_t>(m_Context.m_Memory->budget()->used())}});
+    m_Client->onOutputTaken([this, Owner = m_Owner] {
+      if (const auto Self = Owner.lock())
+        updatePause();
+    });
   }
 
   bool forwardEvent(const RawEvent &Event) {
@@ -757,8 +940,9 @@
     const ResponseFlaw Flaw = HasEnded ? findFlaw(Outcome) : ResponseFlaw::None;
     const bool IsInterrupted =
         Outcome == UpstreamOutcome::EndedByClose && Flaw != ResponseFlaw::None;
-    if (Outcome == UpstreamOutcome::Reset ||
-        Outcome == UpstreamOutcome::Truncated || IsInterrupted)
+    if ((Outcome == UpstreamOutcome::Reset ||
+         Outcome == UpstreamOutcome::Truncated || IsInterrupted) &&
+        !m_WasPausedForLong)
       onConnectionLost();
     if (!m_RejectedResponse.empty())
       onAttemptFailed(m_RejectedResponse);
@@ -838,7 +1022,7 @@
     }
     if (m_ResponseHead.m_Status >= FirstServerError && mayRetry()) {
       m_LastServerError = m_ResponseHead;
-      m_LastServerErrorBody = m_ResponseBody;
+      m_LastServerErrorBody = std::move(m_ResponseBody);
       releaseServer();
       retryOrEnd("server_error", true);
       return;
@@ -860,7 +1044,11 @@
     recordFinish();
     const MonotonicTime Now = monotonicNow();
     m_Context.m_SecondAttempts.onAnswer(latencyKey(), Now - m_SentAt, Now);
-    forwardResponse(m_ResponseHead, m_ResponseBody);
+    if (!m_Service->hasReplicaGroups() && isSuccess())
+      m_Context.m_FirstEventLatency.record(m_Pool,
+                                           Now - m_ClientRequest.m_ReceivedAt,
+                                           m_Route->m_FirstByteObjective, Now);
+    forwardResponse(m_ResponseHead, std::move(m_ResponseBody));
   }
 
   void onNotExecuted() {
@@ -888,11 +1076,12 @@
     m_Client->endStream();
   }
 
-  void forwardResponse(const HttpMessageHead &Head, const std::string &Body) {
+  void forwardResponse(const HttpMessageHead &Head, std::string Body) {
     releaseServer();
     end("complete", Head.m_Status);
     m_Client->respond(Head.m_Status, Head.m_Reason,
-                      endToEndHeaders(Head.m_Headers), Body, framingOf(Head));
+                      endToEndHeaders(Head.m_Headers), std::move(Body),
+                      framingOf(Head));
   }
 
   bool mayHaveExecuted() const { return m_PossibleExecutions > 0; }
@@ -940,7 +1129,7 @@
     }
     if (m_LastServerError) {
       const HttpMessageHead Head = *m_LastServerError;
-      forwardResponse(Head, m_LastServerErrorBody);
+      forwardResponse(Head, std::move(m_LastServerErrorBody));
       return;
     }
     if (!mayHaveExecuted())
@@ -957,6 +1146,22 @@
                 {{"Retry-After", concat(retryAfterSeconds())}});
   }
 
+  /// Rejects a request because of overload. Requests that are rejected in the
+  /// same seconds return spread over most of their time.
+  void rejectOverloaded() {
+    const std::chrono::duration<double> TimeLeft = m_Deadline - monotonicNow();
+    std::uniform_real_distribution<double> Spread(MinOverloadSpread, 1.0);
+    const double Longest =
+        m_Service->hasReplicaGroups()
+            ? TimeLeft.count() * MaxRetryAfterShare
+            : std::min(UngroupedRetryAfterSeconds,
+                       TimeLeft.count() * MaxRetryAfterShare);
+    const double Delay =
+        mayServe(monotonicNow()) ? Longest * Spread(m_Context.m_Random) : 0.0;
+    respondWith(Unavailable, "overloaded",
+                {{"Retry-After", concat(std::max(0.0, Delay))}});
+  }
+
   double retryAfterSeconds() {
     // Another node can serve the request at once.
     if (!mayServe(monotonicNow()))
@@ -1015,7 +1220,7 @@
   void releaseServer() {
     if (!m_Call)
       return;
-    m_Context.m_Selector.onRequestEnded(m_ChosenServer.m_Id);
+    m_Context.m_Selector.onRequestEnded(m_ChosenServer.m_Id, requestTokens());
     if (!m_IsCrashWatchPending && !m_HasFinished)
       for (const ContentHash Content : m_Contents)
         m_Context.m_PoisonDetector.onInconclusiveEnd(Content,
@@ -1029,6 +1234,7 @@
       return;
     m_Phase = Phase::Ended;
     cancelSecondAttempt();
+    m_Context.m_Memory->endPrecedence(this);
     m_ClientRequest.m_Body = std::make_shared<RequestBody>();
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Log.write(
@@ -1062,6 +1268,7 @@
           *m_FirstEventAt - m_ClientRequest.m_ReceivedAt;
     Summary.m_LongestEventGap = m_LongestEventGap;
     recordRequest(m_Context.m_Metrics, Summary);
+    recordCompleted(Cause);
     m_Context.m_BufferedBytes -= m_AccountedBytes;
     m_AccountedBytes = 0;
     m_Context.m_ActiveRequests.erase(m_Owner.lock());
@@ -1092,8 +1299,11 @@
       dispatch();
       return;
     }
+    updatePause();
     considerSecondAttempt(Now);
-    if (m_Service->hasReplicaGroups() && mayRetry())
+    m_Context.m_Selector.speed().onStillWaiting(m_FirstEventWait,
+                                                m_ChosenServer, Now);
+    if (m_Service->hasReplicaGroups() && mayRetry() && !m_Call->isPaused())
       checkForStall(Now);
   }
 
@@ -1136,6 +1346,8 @@
   }
 
   RequestRelayContext &m_Context;
+  /// What this request holds in RequestRelayContext::m_Memory.
+  MemoryReservation m_Held;
   std::weak_ptr<RequestRelay> m_Owner;
   std::shared_ptr<ClientConnection> m_Client;
   ClientRequest m_ClientRequest;
@@ -1144,15 +1356,34 @@
   const Route *m_Route = nullptr;
   const ServiceSpec *m_Service = nullptr;
   std::string m_Organisation;
+  const OrganisationSpec *m_OrganisationSpec = nullptr;
   std::string m_Model;
+  /// Servers whose load the request is part of; see loadPoolName().
+  std::string m_Pool;
+  /// Service and model, for which requests wait together.
+  std::string m_WaitingPool;
+  /// Organisation whose share limits the request; empty if organisations are
+  /// not told apart.
+  std::string m_PayingOrganisation;
+  unsigned m_Priority = 0;
+  /// The requests for the service differ in priority.
+  bool m_HasPriority = false;
+  /// Work that the request asks for, in group-seconds or requests.
+  double m_Work = 0.0;
   MonotonicTime m_Deadline{};
   MonotonicTime m_WaitingSince{};
   MonotonicTime m_SentAt{};
   MonotonicTime m_LastTickAt = monotonicNow();
   bool m_HasSkippedTick = false;
+  /// Begin of the last pause in which the response was not read.
+  MonotonicTime m_PausedAt{};
+  /// The server may have terminated the response because of such a pause.
+  bool m_WasPausedForLong = false;
+  bool m_HasLoggedPause = false;
   Phase m_Phase = Phase::AwaitingServer;
   std::set<std::string> m_TriedServers;
   ChosenServer m_ChosenServer;
+  FirstEventWait m_FirstEventWait;
   std::shared_ptr<UpstreamCall> m_Call;
   /// Runs beside m_Call until one of them responds or ends.
   std::shared_ptr<SecondAttempt> m_SecondAttempt;
@@ -1223,4 +1454,10 @@
 
 void RequestRelay::tick(MonotonicTime Now) { m_Impl->tick(Now); }
 
+std::optional<WaitingRank> RequestRelay::waitingRank() const {
+  if (m_Impl->m_Phase != Impl::Phase::AwaitingServer)
+    return std::nullopt;
+  return m_Impl->waitingRank();
+}
+
 } // namespace fulmarwinch
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -5,10 +5,13 @@
 #include "core/metrics.h"
 #include "proxy/client_connection.h"
 #include "proxy/header_names.h"
+#include "servers/dispatch/completion_rate.h"
 #include "servers/dispatch/overload_admission.h"
 #include "servers/dispatch/planned_stop.h"
+#include "servers/dispatch/priority_admission.h"
 #include "servers/dispatch/server_selector.h"
 #include "servers/dispatch/stall_detector.h"
+#include "servers/dispatch/waiting_order.h"
 #include "servers/replicas/demand_estimator.h"
 #include "servers/replicas/fleet_demand.h"
 #include "servers/retry/crash_detector.h"
@@ -20,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -56,9 +60,16 @@
   /// are not sent again.
   PoisonDetector m_PoisonDetector{poisonSettingsWithoutIsolation()};
   CrashDetector m_CrashDetector{m_PoisonDetector};
+  /// Memory that requests, their clients and their responses hold.
+  std::shared_ptr<ClientMemory> m_Memory = std::make_shared<ClientMemory>();
+  /// Returns what the node lacks to serve a further request, as the cause of
+  /// its rejection; empty if nothing.
+  std::function<std::string_view()> m_FindShortage = [] {
+    return std::string_view();
+  };
   /// Bytes of responses that requests hold until they can be forwarded, and the
   /// limit for all requests together. An attempt whose response exceeds it
-  /// fails.
+  /// fails. From half of it, responses are read one at a time.
   std::size_t m_BufferedBytes = 0;
   std::size_t m_MaxBufferedBytes = std::size_t{64} * 1024 * 1024;
   /// Demand of first attempts and of returning clients, on this node and on all
@@ -68,10 +79,15 @@
   FleetDemand m_FleetDemand;
   FleetDemand m_ReturningFleetDemand;
   ReturningClients m_ReturningClients;
+  ModelPriorities m_ModelPriorities;
+  /// Number of groups that the requests in flight on all nodes fill, by model.
+  DemandByModel m_BusyGroups;
   FirstEventLatency m_FirstEventLatency;
-  /// Shares of the requests that are admitted, by model; models without an
-  /// entry are not overloaded.
-  std::map<std::string, AdmittedShares> m_AdmittedShares;
+  CompletionRate m_CompletionRate;
+  /// Shares of the requests that are admitted, by loadPoolName(); models and
+  /// services without an entry are not overloaded.
+  std::map<std::string, AdmissionShares> m_AdmissionShares;
+  FullPools m_FullPools;
   PlannedStop m_PlannedStop;
   /// True once this node has sent a request to a service with groups.
   bool m_HasSentToGroup = false;
@@ -110,6 +126,9 @@
   /// Checks the deadline, dispatches a waiting request and detects stalled
   /// streams. Call it every few tens of milliseconds.
   void tick(MonotonicTime Now);
+  /// Returns the rank of the request among those that wait for a server;
+  /// nothing if it does not wait.
+  std::optional<WaitingRank> waitingRank() const;
 
 private:
   struct Impl;
--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -30,7 +30,8 @@
              SecondAttemptHandlers Handlers) {
     m_Handlers = std::move(Handlers);
     m_Context.m_Selector.onDispatched(m_Request.m_Server.m_Id,
-                                      m_Request.m_SentAt);
+                                      m_Request.m_SentAt, m_Request.m_Model,
+                                      m_Request.m_Tokens);
     for (const ContentHash Content : m_Request.m_Contents)
       m_Context.m_PoisonDetector.onDispatch(Content, processKey());
     m_Context.m_Metrics.increment("second_attempts_sent_total");
@@ -179,6 +180,7 @@
         m_Body.size() + m_Splitter.incompleteEvent().size();
     m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
     m_AccountedBytes = Bytes;
+    m_Held.set(Bytes);
     return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
   }
 
@@ -207,7 +209,8 @@
       recordServerNotices(m_Context, m_Request.m_Server,
                           {m_Head->m_Status, m_Head->m_Headers, m_Request.m_Id,
                            m_Request.m_SentAt});
-    m_Context.m_Selector.onRequestEnded(m_Request.m_Server.m_Id);
+    m_Context.m_Selector.onRequestEnded(m_Request.m_Server.m_Id,
+                                        m_Request.m_Tokens);
     if (!m_IsCrashWatchPending)
       for (const ContentHash Content : m_Request.m_Contents)
         m_Context.m_PoisonDetector.onInconclusiveEnd(Content, processKey());
@@ -258,6 +261,8 @@
   std::optional<UpstreamCallHandlers> m_Receiver;
   /// Bytes of this attempt in RequestRelayContext::m_BufferedBytes.
   std::size_t m_AccountedBytes = 0;
+  /// What this attempt holds in RequestRelayContext::m_Memory.
+  MemoryReservation m_Held{m_Context.m_Memory->budget()};
   bool m_IsStream = false;
   bool m_HasEvents = false;
   bool m_HasEnded = false;
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -28,7 +28,7 @@
   if (Candidates.empty())
     return std::nullopt;
   m_NoServerReason = NoServerReason::None;
-  keepShortestPrefillBacklogs(Candidates);
+  keepLowestCosts(Candidates);
   // Choose the less loaded of two random candidates. If each node chose the
   // least loaded server, nodes with the same view would all send to that server
   // until their views are updated.
@@ -37,18 +37,24 @@
       Query.m_RandomDraw * static_cast<double>(CandidateCount);
   const auto First = static_cast<std::size_t>(ScaledDraw) % CandidateCount;
   const double Fraction = ScaledDraw - static_cast<double>(First);
+  const double ScaledFraction =
+      Fraction * static_cast<double>(CandidateCount - 1);
+  const auto Offset = static_cast<std::size_t>(ScaledFraction);
   const std::size_t Second =
       CandidateCount == 1
           ? First
-          : (First + 1 +
-             static_cast<std::size_t>(Fraction *
-                                      static_cast<double>(CandidateCount - 1)) %
-                 (CandidateCount - 1)) %
-                CandidateCount;
-  const BackendServer &Chosen =
-      Candidates[First].m_SlotUsage <= Candidates[Second].m_SlotUsage
-          ? *Candidates[First].m_Server
-          : *Candidates[Second].m_Server;
+          : (First + 1 + Offset % (CandidateCount - 1)) % CandidateCount;
+  const bool IsProbe = ScaledFraction - static_cast<double>(Offset) >=
+                       1.0 - m_Settings.m_ProbeShare;
+  const auto Fullness = [&](const Candidate &Each) {
+    return IsProbe ? Each.m_SlotUsage : Each.m_Fullness;
+  };
+  const Candidate &Best =
+      Fullness(Candidates[First]) <= Fullness(Candidates[Second])
+          ? Candidates[First]
+          : Candidates[Second];
+  m_ChosenEstimate = Best.m_Estimate;
+  const BackendServer &Chosen = *Best.m_Server;
   ChosenServer Result{Chosen.m_Id, Chosen.m_StartedAtMs, Chosen.m_Endpoint,
                       Chosen.m_Zone, std::nullopt};
   if (Chosen.m_Membership)
@@ -63,12 +69,16 @@
   m_NoServerReason = NoServerReason::NoneEligible;
   m_NextRequestAt = MonotonicTime::max();
   m_PassedOver.fill(0);
+  m_PassedOverForTokens = 0;
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
-  const std::vector<const BackendServer *> &EligibleServers =
+  const std::vector<const BackendServer *> &Eligible =
       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model);
-  Candidates.reserve(EligibleServers.size());
-  for (const BackendServer *Eligible : EligibleServers) {
-    const BackendServer &Server = *Eligible;
+  Candidates.reserve(Eligible.size());
+  const double CommonSlowness = commonSlowness(Eligible, Query.m_Now);
+  const PlacementEstimator Estimator(*Query.m_Service, Query.m_Model,
+                                     Query.m_Request);
+  for (const BackendServer *Each : Eligible) {
+    const BackendServer &Server = *Each;
     if (Query.m_TriedServers.count(Server.m_Id) != 0)
       continue;
     const Unavailability Reason =
@@ -78,33 +88,60 @@
       continue;
     if (Reason == Unavailability::PauseRequested ||
         Reason == Unavailability::RateLimited) {
-      m_NextRequestAt = std::min(
-          m_NextRequestAt, m_Availability.nextRequestAt(Server, Query.m_Now));
-      m_NoServerReason =
-          std::max(m_NoServerReason, Reason == Unavailability::PauseRequested
-                                         ? NoServerReason::AllPaused
-                                         : NoServerReason::AllRateLimited);
+      recordHeldBack(Server, Reason, Query.m_Now);
       continue;
     }
-    const double SlotUsage = slotUsage(Server, Query, NodesWithoutReport);
-    if (SlotUsage >=
+    const OtherRequests Others{
+        static_cast<double>(m_PeerLoad.inFlight(Server.m_Id)),
+        NodesWithoutReport};
+    const double InFlight = inFlight(Server, Others);
+    const unsigned Slots = slotsOf(Server, *Query.m_Service);
+    const double SlotUsage = InFlight / Slots;
+    const double Slowness =
+        estimatesPlacement()
+            ? std::max(1.0, m_Speed.slowness(Server) / CommonSlowness)
+            : 1.0;
+    if (SlotUsage * Slowness >=
             std::min(m_Settings.m_MaxSlotUsage, Query.m_MaxSlotUsage) ||
         Reason == Unavailability::BackedOff ||
         Reason == Unavailability::Resuming) {
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
+    if (estimatesPlacement() &&
+        !m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
+                           Server.m_Id, Query.m_Model, Others,
+                           Query.m_Request.tokens())) {
+      ++m_PassedOverForTokens;
+      m_NoServerReason = NoServerReason::AllFull;
+      continue;
+    }
     if (!allowsColdRequest(Fleet, Query, Server)) {
       m_NoServerReason = NoServerReason::AllCold;
       continue;
     }
+    const Duration Backlog =
+        m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
+    PlacementEstimate Estimate =
+        Estimator.estimate({InFlight, Backlog, Slowness});
+    if (!estimatesPlacement())
+      Estimate.m_Cost = Backlog;
     Candidates.push_back(
-        {&Server, SlotUsage,
-         m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now)});
+        {&Server, SlotUsage, (InFlight + 1.0) / Slots * Slowness, Estimate});
   }
   return Candidates;
 }
 
+void ServerSelector::recordHeldBack(const BackendServer &Server,
+                                    Unavailability Reason, MonotonicTime Now) {
+  m_NextRequestAt =
+      std::min(m_NextRequestAt, m_Availability.nextRequestAt(Server, Now));
+  m_NoServerReason =
+      std::max(m_NoServerReason, Reason == Unavailability::PauseRequested
+                                     ? NoServerReason::AllPaused
+                                     : NoServerReason::AllRateLimited);
+}
+
 std::string ServerSelector::passedOver() const {
   std::string Result;
   for (const EnumName<Unavailability> &Entry : UnavailabilityNames) {
@@ -113,6 +150,8 @@
     if (Entry.m_Value != Unavailability::None && Count > 0)
       append(Result, Result.empty() ? "" : " ", Entry.m_Name, ":", Count);
   }
+  if (m_PassedOverForTokens > 0)
+    append(Result, Result.empty() ? "" : " ", "tokens:", m_PassedOverForTokens);
   return Result;
 }
 
@@ -120,40 +159,63 @@
                                         const ServerQuery &Query) const {
   GroupSupply Result;
   const double NodesWithoutReport = nodesWithoutReport(Query.m_Now);
-  for (const auto &[Key, Group] : Fleet.groups()) {
-    if (Group.m_Model != Query.m_Model || !Group.m_Head ||
-        !isEligible(Fleet, *Query.m_Service, Query.m_Model, *Group.m_Head) ||
-        Query.m_TriedServers.count(Group.m_Head->m_Id) != 0 ||
-        isOutOfService(m_Availability.check(Fleet, *Group.m_Head, Query.m_Now)))
+  for (const BackendServer *Server :
+       m_EligibleServers.find(Fleet, *Query.m_Service, Query.m_Model)) {
+    if (Query.m_TriedServers.count(Server->m_Id) != 0 ||
+        isOutOfService(m_Availability.check(Fleet, *Server, Query.m_Now)))
       continue;
     ++Result.m_Groups;
+    const OtherRequests Others{
+        static_cast<double>(m_PeerLoad.inFlight(Server->m_Id)),
+        NodesWithoutReport};
     Result.m_MeanSlotUsage +=
-        slotUsage(*Group.m_Head, Query, NodesWithoutReport);
+        inFlight(*Server, Others) / slotsOf(*Server, *Query.m_Service);
   }
   if (Result.m_Groups > 0)
     Result.m_MeanSlotUsage /= static_cast<double>(Result.m_Groups);
+  if (!m_Nodes.empty())
+    Result.m_CountedNodeShare =
+        std::min(1.0, (1.0 + static_cast<double>(m_PeerLoad.reportCount()) +
+                       NodesWithoutReport) /
+                          static_cast<double>(m_Nodes.size()));
   return Result;
 }
 
-/// The prefill backlog takes precedence over the slot usage: a long prompt
-/// delays every stream of its batch, and delays the next prompt even more.
-void ServerSelector::keepShortestPrefillBacklogs(
-    std::vector<Candidate> &Candidates) const {
-  const Duration Shortest =
+/// The cost takes precedence over the slot usage: a long prompt delays every
+/// stream of its batch, and delays the next prompt even more.
+void ServerSelector::keepLowestCosts(std::vector<Candidate> &Candidates) const {
+  const Duration Lowest =
       std::min_element(Candidates.begin(), Candidates.end(),
                        [](const Candidate &Left, const Candidate &Right) {
-                         return Left.m_Backlog < Right.m_Backlog;
+                         return Left.m_Estimate.m_Cost <
+                                Right.m_Estimate.m_Cost;
                        })
-          ->m_Backlog;
+          ->m_Estimate.m_Cost;
   Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
                                   [&](const Candidate &Other) {
-                                    return Other.m_Backlog >
-                                           Shortest +
-                                               m_Settings.m_BacklogTolerance;
+                                    return Other.m_Estimate.m_Cost >
+                                           Lowest + m_Settings.m_CostTolerance;
                                   }),
                    Candidates.end());
 }
 
+double ServerSelector::commonSlowness(
+    const std::vector<const BackendServer *> &Servers, MonotonicTime Now) {
+  m_Speed.refresh(Now);
+  if (Servers.empty() || m_Speed.slowServerCount() * 2 <= Servers.size())
+    return 1.0;
+  std::vector<double> Values;
+  Values.reserve(Servers.size());
+  for (const BackendServer *Server : Servers)
+    Values.push_back(m_Speed.slowness(*Server));
+  // With an even number the lower one of the middle, so that one of two servers
+  // can be slow.
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
 double ServerSelector::nodesWithoutReport(MonotonicTime Now) const {
   return static_cast<double>(std::count_if(
       m_NoReportSince.begin(), m_NoReportSince.end(), [&](const auto &Entry) {
@@ -161,16 +223,16 @@
       }));
 }
 
-double ServerSelector::slotUsage(const BackendServer &Server,
-                                 const ServerQuery &Query,
-                                 double NodesWithoutReport) const {
-  const ServiceSpec &Service = *Query.m_Service;
-  const unsigned Slots = Service.hasReplicaGroups()
-                             ? Service.m_Engine.m_Slots
-                             : std::max(1U, Server.m_Slots);
-  const double OwnInFlight = ownInFlight(Server.m_Id);
-  const double PeerInFlight = m_PeerLoad.inFlight(Server.m_Id);
-  return (OwnInFlight * (1.0 + NodesWithoutReport) + PeerInFlight) / Slots;
+double ServerSelector::inFlight(const BackendServer &Server,
+                                const OtherRequests &Others) const {
+  return ownInFlight(Server.m_Id) * (1.0 + Others.m_UnknownNodes) +
+         Others.m_Reported;
+}
+
+unsigned ServerSelector::slotsOf(const BackendServer &Server,
+                                 const ServiceSpec &Service) {
+  return Service.hasReplicaGroups() ? Service.m_Engine.m_Slots
+                                    : std::max(1U, Server.m_Slots);
 }
 
 bool ServerSelector::allowsColdRequest(const FleetView &Fleet,
@@ -199,14 +261,18 @@
   return Query.m_Now - LastDispatch->second >= MinInterval;
 }
 
-void ServerSelector::onDispatched(const std::string &Server,
-                                  MonotonicTime Now) {
+void ServerSelector::onDispatched(const std::string &Server, MonotonicTime Now,
+                                  const std::string &Model,
+                                  std::uint64_t Tokens) {
   ++m_OwnInFlight[Server];
+  m_HeldTokens.onDispatched(Server, Model, Tokens);
   m_LastDispatch[Server] = Now;
   m_Availability.onDispatched(Server, Now);
 }
 
-void ServerSelector::onRequestEnded(const std::string &Server) {
+void ServerSelector::onRequestEnded(const std::string &Server,
+                                    std::uint64_t Tokens) {
+  m_HeldTokens.onEnded(Server, Tokens);
   const auto Load = m_OwnInFlight.find(Server);
   if (Load == m_OwnInFlight.end())
     return;
@@ -225,6 +291,7 @@
 void ServerSelector::onPeerReportsStopped(const std::string &Peer,
                                           MonotonicTime Now) {
   m_PeerLoad.removeReport(Peer);
+  m_Speed.removePeer(Peer);
   m_NoReportSince.emplace(Peer, Now);
   updateLiveNodes();
 }
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -3,9 +3,12 @@
 
 #include "core/enum_names.h"
 #include "servers/dispatch/eligible_servers.h"
+#include "servers/dispatch/held_tokens.h"
 #include "servers/dispatch/peer_load.h"
+#include "servers/dispatch/placement_estimate.h"
 #include "servers/dispatch/prefill_backlog.h"
 #include "servers/dispatch/server_availability.h"
+#include "servers/dispatch/server_speed.h"
 #include "servers/fleet/fleet_view.h"
 #include "servers/routes/traffic_configuration.h"
 
@@ -50,6 +53,7 @@
   std::string m_Model;
   /// IDs of backend servers to which this request was already sent.
   std::set<std::string> m_TriedServers;
+  PlacementRequest m_Request;
   /// Random number, uniform in [0, 1), so that nodes with the same view do not
   /// all choose the same server.
   double m_RandomDraw = 0.0;
@@ -59,11 +63,14 @@
   MonotonicTime m_Now{};
 };
 
-/// Groups of one model that accept requests.
+/// Groups of one model that accept requests, or the servers of a service
+/// without groups.
 struct GroupSupply {
   std::size_t m_Groups = 0;
   /// Mean of the estimated in-flight requests per slot.
   double m_MeanSlotUsage = 0.0;
+  /// Share of the known nodes whose requests the estimate includes.
+  double m_CountedNodeShare = 1.0;
 };
 
 /// Limits and timeouts of the server selection.
@@ -81,10 +88,16 @@
   /// requests in flight as this one. After this time its clients are assumed to
   /// use the other nodes.
   Duration m_MissingReportGrace = std::chrono::seconds(3);
-  /// Prefill backlogs that differ by no more than this are treated as equal.
+  /// Placements whose costs differ by no more than this are treated as equal.
   /// Prompts that are too short to be announced to peers cause differences of
   /// this size.
-  Duration m_BacklogTolerance = std::chrono::milliseconds(20);
+  Duration m_CostTolerance = std::chrono::milliseconds(20);
+  /// Estimates the effect of each placement. Otherwise the prefill backlog and
+  /// the slot usage alone decide.
+  bool m_EstimatesPlacement = true;
+  /// Share of the choices that ignore the slowness of servers, so that a server
+  /// that has recovered is noticed.
+  double m_ProbeShare = 0.1;
 };
 
 /// Chooses the backend server for a request, based on this node's view of the
@@ -94,6 +107,7 @@
   explicit ServerSelector(const SelectorSettings &Settings = {},
                           const AvailabilitySettings &Availability = {});
 
+  bool estimatesPlacement() const { return m_Settings.m_EstimatesPlacement; }
   /// Returns a backend server for the request, or nothing if no server may
   /// receive it; noServerReason() then tells why.
   std::optional<ChosenServer> choose(const FleetView &Fleet,
@@ -109,22 +123,31 @@
   /// no share of any limit.
   MonotonicTime nextRequestAt() const { return m_NextRequestAt; }
 
+  /// Estimate for the server that the last choose() returned.
+  const PlacementEstimate &chosenEstimate() const { return m_ChosenEstimate; }
   /// Servers that the last choose() passed over although they serve what the
-  /// request asks for, as "REASON:COUNT" separated by spaces.
+  /// request asks for, as "REASON:COUNT" separated by spaces. The reason is an
+  /// Unavailability, or "tokens" if the KV cache would be too full.
   std::string passedOver() const;
 
   /// Must be called when this node has sent a request to \p Server. The request
-  /// counts as in flight until onRequestEnded().
-  void onDispatched(const std::string &Server, MonotonicTime Now);
-  void onRequestEnded(const std::string &Server);
+  /// counts as in flight, and its prompt and output as \p Tokens that the
+  /// server holds, until onRequestEnded() is called with the same tokens.
+  void onDispatched(const std::string &Server, MonotonicTime Now,
+                    const std::string &Model = {}, std::uint64_t Tokens = 0);
+  void onRequestEnded(const std::string &Server, std::uint64_t Tokens = 0);
   /// Must be called when this node or a peer has sent a prompt whose prefill
   /// takes \p PrefillTime.
   void onPromptSent(const std::string &Server, Duration PrefillTime,
                     MonotonicTime Now) {
     m_Backlog.addPrompt(Server, PrefillTime, Now);
   }
+  /// Tokens of this node's requests at the servers.
+  const HeldTokens &heldTokens() const { return m_HeldTokens; }
   /// What this node has seen of the servers.
   ServerAvailability &availability() { return m_Availability; }
+  /// Speed of the servers, as this node and its peers have seen it.
+  ServerSpeed &speed() { return m_Speed; }
   const ServerAvailability &availability() const { return m_Availability; }
 
   /// Replaces the in-flight requests reported by a peer, by server.
@@ -147,21 +170,33 @@
   struct Candidate {
     const BackendServer *m_Server = nullptr;
     double m_SlotUsage = 0.0;
-    Duration m_Backlog{0};
+    /// Usage once the request runs there, times the slowness of the server.
+    double m_Fullness = 0.0;
+    PlacementEstimate m_Estimate;
   };
 
   /// Returns the servers that may receive the request, and records why others
   /// may not.
   std::vector<Candidate> findCandidates(const FleetView &Fleet,
                                         const ServerQuery &Query);
-  void keepShortestPrefillBacklogs(std::vector<Candidate> &Candidates) const;
+  /// Records that \p Server asked for a pause, or that its rate limit is used.
+  void recordHeldBack(const BackendServer &Server, Unavailability Reason,
+                      MonotonicTime Now);
+  /// Returns the median of the slowness of \p Servers if most of them are slow,
+  /// otherwise 1. What they have in common is a load, and no fault of a server.
+  double commonSlowness(const std::vector<const BackendServer *> &Servers,
+                        MonotonicTime Now);
+  /// Removes the candidates with a higher cost than the least one.
+  void keepLowestCosts(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
   void updateLiveNodes();
   /// Number of nodes without a load report that are assumed to be as loaded as
   /// this one.
   double nodesWithoutReport(MonotonicTime Now) const;
-  double slotUsage(const BackendServer &Server, const ServerQuery &Query,
-                   double NodesWithoutReport) const;
+  double inFlight(const BackendServer &Server,
+                  const OtherRequests &Others) const;
+  static unsigned slotsOf(const BackendServer &Server,
+                          const ServiceSpec &Service);
   bool allowsColdRequest(const FleetView &Fleet, const ServerQuery &Query,
                          const BackendServer &Server) const;
 
@@ -169,10 +204,16 @@
   ServerAvailability m_Availability;
   NoServerReason m_NoServerReason = NoServerReason::None;
   MonotonicTime m_NextRequestAt{};
+  PlacementEstimate m_ChosenEstimate;
   /// Number of servers that the last choose() passed over, by reason.
   std::array<unsigned, UnavailabilityNames.size()> m_PassedOver{};
-  EligibleServers m_EligibleServers;
+  /// Servers that the last choose() passed over because of their KV cache.
+  unsigned m_PassedOverForTokens = 0;
+  /// A cache, so that the supply can be read from a const selector.
+  mutable EligibleServers m_EligibleServers;
   PrefillBacklog m_Backlog;
+  ServerSpeed m_Speed;
+  HeldTokens m_HeldTokens;
   absl::flat_hash_map<std::string, unsigned> m_OwnInFlight;
   PeerLoad m_PeerLoad;
   std::string m_OwnNode;
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -55,9 +55,16 @@
   /// Time after the first request before the demand of the models decides which
   /// domains are converted.
   Duration m_DemandSettleTime = std::chrono::seconds(3);
+  /// A model is short of groups if it has fewer than this number for each group
+  /// that its requests keep busy, after the loss of the availability zones that
+  /// it must bear.
+  double m_ShortageRatio = 1.3;
   /// Share of the concurrent loads, from 0 to 1, that the conversion of domains
   /// may use. The others are left for the spares that replace lost servers.
   double m_ConversionLoadShare = 0.75;
+  /// A conversion of free servers covers all groups that the model lacks.
+  /// Otherwise it covers one.
+  bool m_ConvertsSeveralGroups = true;
   /// Time between two decisions to convert a domain to another model.
   Duration m_ConversionInterval = std::chrono::seconds(1);
 };
@@ -74,6 +81,10 @@
   std::size_t m_StagedSpares = 0;
   /// Domains that are being converted to the model.
   std::size_t m_ConvertingDomains = 0;
+  /// Number of groups below which the model is short of them.
+  double m_NeededGroups = 0.0;
+  /// Mean priority of the requests; -1 if all models have the same.
+  double m_Priority = -1.0;
 };
 
 /// State on which the planner bases one planning pass.
@@ -93,6 +104,11 @@
   std::set<std::string> m_UnlistedButResponding;
   /// Number of groups that the traffic of all nodes keeps busy.
   DemandByModel m_DemandByModel;
+  /// Mean priority of the requests of each model; empty if all are equal.
+  std::map<std::string, double> m_PriorityByModel;
+  /// Number of availability zones whose loss the groups of each model must
+  /// bear.
+  std::size_t m_TolerableZoneLosses = 0;
 };
 
 /// Plans the orders that form, open, repair and close the replica groups of one
@@ -210,6 +226,10 @@
   supplyByModel(const ReplicaPlannerInput &Input) const;
   std::vector<const ModelSpec *>
   modelsByRisingSupply(const ReplicaPlannerInput &Input) const;
+  /// Mean priority of the requests of \p Model if it is short of groups,
+  /// otherwise infinity.
+  double shortModelPriority(const ReplicaPlannerInput &Input,
+                            const ModelSpec &Model) const;
   /// Recomputes m_ModelByDomain and m_ShareWithWeights from the weights that
   /// the servers have loaded or are loading.
   void updateDomainModels(const ReplicaPlannerInput &Input);
@@ -249,6 +269,9 @@
                 const BackendServer &Server) const;
   /// True if \p Server is part of a conversion and has not loaded the weights.
   bool isReservedForConversion(const BackendServer &Server) const;
+  /// What decides which model is short of groups. An evacuated zone counts as
+  /// one of the losses to bear.
+  ConversionPolicy conversionPolicy(const ReplicaPlannerInput &Input) const;
   /// True if \p Model has fewer groups than its requests keep busy.
   bool isShort(const ReplicaPlannerInput &Input, const ModelSpec &Model) const;
   /// Loads that are missing before a fabric domain can form one more group.
@@ -280,6 +303,11 @@
   /// Number of loads from the weight store that are in progress or were
   /// ordered.
   std::size_t loadsInProgress(const ReplicaPlannerInput &Input) const;
+  /// Number of free servers of one domain that load \p Model in one conversion:
+  /// those of all groups that the model lacks, as far as the loads allow.
+  std::size_t freeServersToConvert(const ReplicaPlannerInput &Input,
+                                   const ModelSpec &Model,
+                                   const DomainConversion &Choice) const;
   /// Number of loads that conversions may have in progress.
   std::size_t maxConversionLoads(const ReplicaPlannerInput &Input) const;
   /// True if another load from the weight store may start now.
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(settingsAreParsed);
   CPPUNIT_TEST(incompleteSettingsAreRejected);
   CPPUNIT_TEST(secondAttemptShareIsValidated);
+  CPPUNIT_TEST(enabledPartsAreValidated);
   CPPUNIT_TEST_SUITE_END();
 
   static StoredObject object(const char *Name, const char *Content) {
@@ -266,6 +267,11 @@
                    std::chrono::milliseconds(900));
     CPPUNIT_ASSERT(Parsed->m_IsFirstStart);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(136.0, Parsed->m_RetryBudgetSlack, 0.001);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parsed->m_MaxFds);
+    const auto Limited = platform::parseFrontSettings(
+        std::string(SettingsText) + "limits.max_fds=4100\n");
+    CPPUNIT_ASSERT(Limited.ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4100}, Limited->m_MaxFds);
   }
 
   void incompleteSettingsAreRejected() {
@@ -283,6 +289,15 @@
     CPPUNIT_ASSERT(!platform::parseFrontSettings("").ok());
     CPPUNIT_ASSERT(
         !platform::parseFrontSettings(Text + "bounds.stall_ms=x\n").ok());
+    // Guards against a limit that leaves no descriptor for clients, and against
+    // one that wraps around.
+    for (const char *Count : {"x", "-1", "0", "250", "4100.5"}) {
+      const auto Parsed =
+          platform::parseFrontSettings(Text + "limits.max_fds=" + Count + "\n");
+      CPPUNIT_ASSERT_MESSAGE(Count, !Parsed.ok());
+      CPPUNIT_ASSERT(Parsed.status().message().find("limits.max_fds") !=
+                     std::string::npos);
+    }
   }
 
   /// Guards against a share beyond what the platform allows, and against an
@@ -298,6 +313,19 @@
                      std::string::npos);
     }
   }
+
+  /// Guards against a part that is switched on without being asked for, and
+  /// against a misspelt one that stays off unnoticed.
+  void enabledPartsAreValidated() {
+    CPPUNIT_ASSERT(platform::parseEnabledParts("")->empty());
+    CPPUNIT_ASSERT(*platform::parseEnabledParts("supply,placement") ==
+                   (std::set<OptionalPart>{OptionalPart::Placement,
+                                           OptionalPart::Supply}));
+    for (const char *Invalid :
+         {"suply", "supply,", "Supply", "placement supply"})
+      CPPUNIT_ASSERT_MESSAGE(Invalid,
+                             !platform::parseEnabledParts(Invalid).ok());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDecodersTest);
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -1,4 +1,5 @@
 #include "tests/proxy/relay_fixture.h"
+#include "proxy/relay_ticks.h"
 #include "tests/support/free_port.h"
 
 #include <array>
@@ -139,8 +140,9 @@
                 m_Selector, m_StallDetector) {
   m_Context.m_RetryBudgetSettings = {0.2, 20.0, std::chrono::seconds(10), {}};
   ConnectionHooks Hooks;
-  Hooks.m_GetLimits = [] { return ClientLimits(); };
+  Hooks.m_GetLimits = [this] { return m_ClientLimits; };
   Hooks.m_IsDraining = [] { return false; };
+  Hooks.m_Memory = m_Context.m_Memory;
   Hooks.m_BodyBudget = m_BodyBudget;
   Hooks.m_OnBodyRefused = [] { return HttpHeaders{{"Retry-After", "1"}}; };
   Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
@@ -225,10 +227,7 @@
   while (monotonicNow() < Until && !Done()) {
     m_Loop.restart();
     m_Loop.run_for(milliseconds(5));
-    const std::vector<std::shared_ptr<RequestRelay>> Active(
-        m_Context.m_ActiveRequests.begin(), m_Context.m_ActiveRequests.end());
-    for (const auto &Relay : Active)
-      Relay->tick(monotonicNow());
+    tickActiveRequests(m_Context, monotonicNow());
   }
 }
 
