Add the prefill backlog to the estimated first event as a time

Cause: the estimate turned the backlog into tokens and computed their time anew, which disagrees with prefillTime(). Change: the backlog counts as the time that it is. Measured: 79 tests of servers/dispatch pass; before, backlogAndFullSlotsDelayTheFirstEvent failed.

--- a/servers/dispatch/placement_estimate.cpp
+++ b/servers/dispatch/placement_estimate.cpp
@@ -65,15 +65,19 @@
       (m_BacklogMsPerToken > 0.0 ? BacklogMs / m_BacklogMsPerToken : 0.0);
   const double TokensInOnePass =
       m_TokensPerPass > 0.0 ? std::min(Tokens, m_TokensPerPass) : Tokens;
-  const double Passes =
-      TokensInOnePass > 0.0 ? std::ceil(Tokens / TokensInOnePass) : 1.0;
+  // The backlog includes the decode steps of its own passes.
+  const double OwnPasses =
+      m_TokensPerPass > 0.0
+          ? std::max(1.0, std::ceil(m_PromptTokens / m_TokensPerPass))
+          : 1.0;
   // A request that arrives during a pass waits for half of it on average, and
   // for a slot if none is free.
   const double CurrentPassMs = Streams > 0.0 ? PassMs / 2.0 : 0.0;
   const double SlotWaitMs = std::max(0.0, Load.m_InFlight - m_Slots + 1.0) *
                             m_OutputPasses * PassMs / m_Slots;
-  const double FirstEventMs =
-      SlotWaitMs + CurrentPassMs + Tokens * m_MsPerToken + Passes * PassMs;
+  const double FirstEventMs = SlotWaitMs + CurrentPassMs + BacklogMs +
+                              m_PromptTokens * m_MsPerToken +
+                              OwnPasses * PassMs;
   const double PauseMs =
       (PassMs + TokensInOnePass * m_MsPerToken) * Load.m_Slowness;
   double HarmShare = 0.0;
