--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -149,6 +149,15 @@
                                       Duration PrefillTime) {
       m_PeerExchange.announcePrompt(Server, PrefillTime);
     };
+    exchangeTraffic();
+    m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
+      m_PeerExchange.announce(Report);
+      onStallReport(Report);
+    });
+  }
+
+  /// Exchanges demand, latencies and work with the other nodes.
+  void exchangeTraffic() {
     m_PeerExchange.exchangeTraffic(
         [this] {
           const MonotonicTime Now = monotonicNow();
@@ -172,10 +181,6 @@
           m_Context.m_CompletionRate.setPeerReport(
               Peer, std::move(Traffic.m_Work), Now);
         });
-    m_GroupCoordinator.setOnStallConfirmed([this](const StallReport &Report) {
-      m_PeerExchange.announce(Report);
-      onStallReport(Report);
-    });
   }
 
   /// Begins to read anew what the store contains, which has returned from a
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -104,32 +104,65 @@
 
   void admit(const std::shared_ptr<RequestRelay> &Owner) {
     m_Id = header(m_Context.m_HeaderNames.m_RequestId);
+    if (!findService())
+      return;
+    setDeadline();
+    recordDemand();
+    std::optional<std::uint64_t> LastId;
+    std::uint64_t ParsedId = 0;
+    if (parseNumber(header(m_Context.m_HeaderNames.m_LastEventId), ParsedId))
+      LastId = ParsedId;
+    m_Sequence = EventSequenceFilter(LastId);
+    // A client that resumes a stream has already been admitted once.
+    if (!LastId && isShed()) {
+      m_Context.m_Metrics.increment(concat("requests_shed_total{model=\"",
+                                           m_Pool, "\",priority=\"", m_Priority,
+                                           "\"}"));
+      rejectOverloaded();
+      return;
+    }
+    m_WaitingSince = monotonicNow();
+    m_Client->setOnDisconnected(
+        [this, Weak = std::weak_ptr<RequestRelay>(Owner)] {
+          if (const auto Self = Weak.lock())
+            onClientDisconnected();
+        });
+    dispatch();
+  }
+
+  /// Authenticates the request and chooses its route and service. Returns
+  /// false if it has been rejected.
+  bool findService() {
     const std::string_view Shortage = m_Context.m_FindShortage();
     if (!Shortage.empty()) {
       reject(Shortage);
-      return;
+      return false;
     }
     m_Table = m_Context.m_RouteTable;
     if (!m_Table) {
       reject("no_configuration");
-      return;
+      return false;
     }
     const HttpMessageHead &Head = m_ClientRequest.m_Head;
     m_Route = m_Table->findRoute(header("Host"), Head.m_Target);
     if (!m_Route) {
       respondWithError(NotFound, "no_route");
-      return;
+      return false;
     }
     if (!authenticate())
-      return;
+      return false;
     std::uniform_real_distribution<double> TrafficShare(0.0, 1.0);
     m_Service = m_Table->findService(
         chooseService(*m_Route, TrafficShare(m_Context.m_Random)));
     if (!m_Service) {
       reject("no_service");
-      return;
+      return false;
     }
-    setDeadline();
+    return true;
+  }
+
+  /// Records the request for the budgets and estimates of the node.
+  void recordDemand() {
     m_Contents =
         sharedPartHashes(header(m_Context.m_HeaderNames.m_PromptParts));
     m_Contents.push_back(contentHash());
@@ -150,26 +183,6 @@
           m_Model, requestPriority(*m_Route, m_OrganisationSpec));
     }
     recordOffered();
-    std::optional<std::uint64_t> LastId;
-    std::uint64_t ParsedId = 0;
-    if (parseNumber(header(m_Context.m_HeaderNames.m_LastEventId), ParsedId))
-      LastId = ParsedId;
-    m_Sequence = EventSequenceFilter(LastId);
-    // A client that resumes a stream has already been admitted once.
-    if (!LastId && isShed()) {
-      m_Context.m_Metrics.increment(concat("requests_shed_total{model=\"",
-                                           m_Pool, "\",priority=\"", m_Priority,
-                                           "\"}"));
-      rejectOverloaded();
-      return;
-    }
-    m_WaitingSince = monotonicNow();
-    m_Client->setOnDisconnected(
-        [this, Weak = std::weak_ptr<RequestRelay>(Owner)] {
-          if (const auto Self = Weak.lock())
-            onClientDisconnected();
-        });
-    dispatch();
   }
 
   /// Records the work that the request asks for.
--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -120,18 +120,24 @@
       m_NoServerReason = NoServerReason::AllCold;
       continue;
     }
-    const Duration Backlog =
-        m_Backlog.remainingPrefillTime(Server.m_Id, Query.m_Now);
-    PlacementEstimate Estimate =
-        Estimator.estimate({InFlight, Backlog, Slowness});
-    if (!estimatesPlacement())
-      Estimate.m_Cost = Backlog;
     Candidates.push_back(
-        {&Server, SlotUsage, (InFlight + 1.0) / Slots * Slowness, Estimate});
+        {&Server, SlotUsage, (InFlight + 1.0) / Slots * Slowness,
+         estimate(Estimator, Server.m_Id, InFlight, Slowness, Query.m_Now)});
   }
   return Candidates;
 }
 
+PlacementEstimate ServerSelector::estimate(const PlacementEstimator &Estimator,
+                                           const std::string &Server,
+                                           double InFlight, double Slowness,
+                                           MonotonicTime Now) const {
+  const Duration Backlog = m_Backlog.remainingPrefillTime(Server, Now);
+  PlacementEstimate Result = Estimator.estimate({InFlight, Backlog, Slowness});
+  if (!estimatesPlacement())
+    Result.m_Cost = Backlog;
+  return Result;
+}
+
 void ServerSelector::recordHeldBack(const BackendServer &Server,
                                     Unavailability Reason, MonotonicTime Now) {
   m_NextRequestAt =
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -186,6 +186,11 @@
   /// otherwise 1. What they have in common is a load, and no fault of a server.
   double commonSlowness(const std::vector<const BackendServer *> &Servers,
                         MonotonicTime Now);
+  /// Expected effect of the request on \p Server, whose cost is the prefill
+  /// backlog alone unless placements are estimated.
+  PlacementEstimate estimate(const PlacementEstimator &Estimator,
+                             const std::string &Server, double InFlight,
+                             double Slowness, MonotonicTime Now) const;
   /// Removes the candidates with a higher cost than the least one.
   void keepLowestCosts(std::vector<Candidate> &Candidates) const;
   /// Tells the rate limits which nodes are alive.
