--- a/servers/dispatch/server_selector.cpp
+++ b/servers/dispatch/server_selector.cpp
@@ -97,10 +97,7 @@
     const double InFlight = inFlight(Server, Others);
     const unsigned Slots = slotsOf(Server, *Query.m_Service);
     const double SlotUsage = InFlight / Slots;
-    const double Slowness =
-        estimatesPlacement()
-            ? std::max(1.0, m_Speed.slowness(Server) / CommonSlowness)
-            : 1.0;
+    const double Slowness = relativeSlowness(Server, CommonSlowness);
     if (SlotUsage * Slowness >=
             std::min(m_Settings.m_MaxSlotUsage, Query.m_MaxSlotUsage) ||
         Reason == Unavailability::BackedOff ||
@@ -108,10 +105,7 @@
       m_NoServerReason = NoServerReason::AllFull;
       continue;
     }
-    if (estimatesPlacement() &&
-        !m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
-                           Server.m_Id, Query.m_Model, Others,
-                           Query.m_Request.tokens())) {
+    if (!fitsTokens(Server, Query, Others)) {
       ++m_PassedOverForTokens;
       m_NoServerReason = NoServerReason::AllFull;
       continue;
@@ -127,6 +121,22 @@
   return Candidates;
 }
 
+double ServerSelector::relativeSlowness(const BackendServer &Server,
+                                        double CommonSlowness) const {
+  return estimatesPlacement()
+             ? std::max(1.0, m_Speed.slowness(Server) / CommonSlowness)
+             : 1.0;
+}
+
+bool ServerSelector::fitsTokens(const BackendServer &Server,
+                                const ServerQuery &Query,
+                                const OtherRequests &Others) const {
+  return !estimatesPlacement() ||
+         m_HeldTokens.fits(Query.m_Service->m_Engine.m_KvCapacityTokens,
+                           Server.m_Id, Query.m_Model, Others,
+                           Query.m_Request.tokens());
+}
+
 PlacementEstimate ServerSelector::estimate(const PlacementEstimator &Estimator,
                                            const std::string &Server,
                                            double InFlight, double Slowness,
--- a/servers/dispatch/server_selector.h
+++ b/servers/dispatch/server_selector.h
@@ -186,6 +186,14 @@
   /// otherwise 1. What they have in common is a load, and no fault of a server.
   double commonSlowness(const std::vector<const BackendServer *> &Servers,
                         MonotonicTime Now);
+  /// Slowness of \p Server beyond that of most servers; 1 unless placements are
+  /// estimated.
+  double relativeSlowness(const BackendServer &Server,
+                          double CommonSlowness) const;
+  /// True if the request leaves room in the KV cache of \p Server, or if
+  /// placements are not estimated.
+  bool fitsTokens(const BackendServer &Server, const ServerQuery &Query,
+                  const OtherRequests &Others) const;
   /// Expected effect of the request on \p Server, whose cost is the prefill
   /// backlog alone unless placements are estimated.
   PlacementEstimate estimate(const PlacementEstimator &Estimator,
