End the requests of the priority test before its fixture

Cause: urgentRequestGetsTheFreeSlot left requests in progress, which keep themselves alive; AddressSanitizer reported 122,880 bytes. Change: the clients leave and the test asserts that no request remains.

--- a/tests/proxy/test_request_priority.cpp
+++ b/tests/proxy/test_request_priority.cpp
@@ -128,6 +128,10 @@
                            Fixture.m_FirstServer->requests().size());
       CPPUNIT_ASSERT(
           contains(Fixture.m_FirstServer->requests().front(), "X-Org: org"));
+      // Requests in progress keep themselves alive beyond the fixture.
+      Clients.clear();
+      Fixture.runFor(milliseconds(200));
+      CPPUNIT_ASSERT(Fixture.m_Context.m_ActiveRequests.empty());
     }
   }
 
