Forward no refusal that its server has not reported as not executed

What callers saw: a server runs a payout, books it and fails with 503.

Cause: whether a response proves that nothing has run was asked only before a request was sent again, not before its status was forwarded. The trace of one payout has one `sent` line and an `ended` line with outcome `complete`, status 503 and may_have_run false, so the status is the server's. The second attempts and fulmarwinchd had lists of statuses of their own.

Change: judgeResponse() is the one place that says what a complete response allows. A status that promises "not run" (408, 421, 429, 503) without the server's report counts as an attempt that may have run: repeatable requests are tried again, and the client gets 502, which promises nothing. In fulmarwinchd such a response has an unknown outcome, and its own refusal after an attempt that may have run is 502. Status 421 reports it by itself where requests name their server. Log and metric: attempt_failed with cause unproven_refusal and status, unproven_refusals_total. The servers in trouble of the soak now fail requests that ran with 500, 408, 429 and 503.

--- a/drivers/standin/service_standin.cpp
+++ b/drivers/standin/service_standin.cpp
@@ -5,7 +5,10 @@
 namespace fulmarwinch {
 
 ServiceStandin::ServiceStandin(const Json &Settings)
-    : m_Settings({{"delay_ms", 0}, {"fail_before", 0.0}, {"fail_after", 0.0}}),
+    : m_Settings({{"delay_ms", 0},
+                  {"fail_before", 0.0},
+                  {"fail_after", 0.0},
+                  {"fail_after_status", 500}}),
       m_Random(fieldOr(Settings, "seed", std::uint64_t{1})) {
   control(Settings);
 }
@@ -90,7 +93,8 @@
     return jsonResponse(500, R"({"error":"failed"})");
   const std::uint64_t Count = ++m_ExecutionsByKey[Key];
   if (drawFault("fail_after"))
-    return jsonResponse(500, R"({"error":"failed"})");
+    return jsonResponse(fieldOr(m_Settings, "fail_after_status", 500),
+                        R"({"error":"failed"})");
   return jsonResponse(200, Json{{"payout", Key}, {"execution", Count}}.dump());
 }
 
--- a/node/error_response.cpp
+++ b/node/error_response.cpp
@@ -47,8 +47,12 @@
 }
 
 HttpResponse errorHttpResponse(const ErrorResponse &Error) {
-  HttpResponse Response =
-      jsonResponse(httpStatus(errorKind(Error.m_Status)), errorJson(Error));
+  const int Status = httpStatus(errorKind(Error.m_Status));
+  const bool IsFalsePromise =
+      Error.m_Outcome != Outcome::NotRun && promisesNotRun(Status);
+  HttpResponse Response = jsonResponse(
+      IsFalsePromise ? httpStatus(ErrorKind::OutcomeUnknown) : Status,
+      errorJson(Error));
   Response.m_Headers.push_back({"X-Request-Id", Error.m_RequestId});
   if (Error.m_RetryAfter.count() > 0) {
     const std::int64_t RoundedUpSeconds =
--- a/node/error_response.h
+++ b/node/error_response.h
@@ -30,7 +30,8 @@
 std::string errorJson(const ErrorResponse &Error);
 
 /// Returns the HTTP response for \p Error, with a Retry-After header if
-/// m_RetryAfter is not 0.
+/// m_RetryAfter is not 0. Unless m_Outcome is NotRun, a status that promises
+/// that the request was not run is replaced by 502; the error keeps its type.
 HttpResponse errorHttpResponse(const ErrorResponse &Error);
 
 } // namespace fulmarwinch
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -72,11 +72,12 @@
 /// decision looks at all servers.
 constexpr Duration SecondAttemptInterval = milliseconds(100);
 
+/// Logged for an attempt whose response has no head.
+constexpr int NoStatus = 0;
 constexpr int Ok = 200;
 constexpr int FirstRedirection = 300;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
-constexpr int Misdirected = 421;
 constexpr int FirstServerError = 500;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -993,10 +994,7 @@
   }
 
   bool isNotExecuted() const {
-    return m_ResponseHead.m_Status == Misdirected ||
-           findHeader(m_ResponseHead.m_Headers,
-                      m_Context.m_HeaderNames.m_NotExecuted)
-               .has_value();
+    return reportsNotRun(m_ResponseHead, m_Context.m_HeaderNames);
   }
 
   void onConnectionLost() {
@@ -1025,28 +1023,28 @@
   }
 
   void onComplete() {
-    if (isNotExecuted()) {
+    const ResponseVerdict Verdict =
+        judgeResponse(m_ResponseHead, m_Context.m_HeaderNames);
+    if (Verdict == ResponseVerdict::NotRun) {
       onNotExecuted();
       return;
     }
+    if (Verdict == ResponseVerdict::UnprovenRefusal) {
+      recordUnprovenRefusal(m_Context, m_ResponseHead.m_Status);
+      onAttemptFailed(UnprovenRefusalCause);
+      return;
+    }
     if (m_IsStream) {
       finishStream();
       return;
     }
-    if (m_ResponseHead.m_Status >= FirstServerError && mayRetry()) {
+    if (Verdict == ResponseVerdict::ServerError && mayRetry()) {
       m_LastServerError = m_ResponseHead;
       m_LastServerErrorBody = std::move(m_ResponseBody);
       releaseServer();
       retryOrEnd("server_error", true);
       return;
     }
-    if (m_HasSecondAttempt && (m_SecondAttempt || mayHaveExecuted()) &&
-        isRejection(m_ResponseHead.m_Status)) {
-      // The client may take the status as a promise that the request has not
-      // run, but the other server may have run it.
-      onAttemptFailed("rejected");
-      return;
-    }
     if (m_Sequence.deliveredCount() > 0) {
       // The attempt should have resumed a stream, but the response is not a
       // stream.
@@ -1111,6 +1109,8 @@
         {{"id", m_Id},
          {"server", m_ChosenServer.m_Id},
          {"cause", Cause},
+         {"status",
+          std::int64_t{m_HasHead ? m_ResponseHead.m_Status : NoStatus}},
          {"events", static_cast<std::int64_t>(m_Sequence.deliveredCount())},
          {"after_ms", inMs(monotonicNow() - m_SentAt)}});
     retryOrEnd(Cause, true);
--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -9,10 +9,6 @@
 
 constexpr int Ok = 200;
 constexpr int FirstRedirection = 300;
-constexpr int RequestTimeout = 408;
-constexpr int Misdirected = 421;
-constexpr int TooManyRequests = 429;
-constexpr int FirstServerError = 500;
 
 bool isSuccess(int Status) { return Status >= Ok && Status < FirstRedirection; }
 
@@ -119,11 +115,6 @@
       return;
     }
     const bool HasResponse = hasResponse(Outcome);
-    if (HasResponse && isNotExecuted()) {
-      recordRefusal(m_Context, m_Request.m_Server, *m_Head, m_Request.m_Id);
-      end(SecondAttemptResult::Refused, "not_run");
-      return;
-    }
     const ResponseFlaw Flaw =
         HasResponse ? findFlaw(Outcome) : ResponseFlaw::None;
     const bool IsInterrupted =
@@ -135,23 +126,34 @@
       end(SecondAttemptResult::Failed, nameOf(UpstreamOutcomeNames, Outcome));
     else if (Flaw != ResponseFlaw::None)
       end(SecondAttemptResult::Failed, nameOf(ResponseFlawNames, Flaw));
-    else if (m_Head->m_Status >= FirstServerError)
+    else
+      onComplete(Outcome);
+  }
+
+  void onComplete(UpstreamOutcome Outcome) {
+    switch (judgeResponse(*m_Head, m_Context.m_HeaderNames)) {
+    case ResponseVerdict::NotRun:
+      recordRefusal(m_Context, m_Request.m_Server, *m_Head, m_Request.m_Id);
+      end(SecondAttemptResult::Refused, "not_run");
+      return;
+    case ResponseVerdict::UnprovenRefusal:
+      recordUnprovenRefusal(m_Context, m_Head->m_Status);
+      end(SecondAttemptResult::Failed, UnprovenRefusalCause);
+      return;
+    case ResponseVerdict::ServerError:
       end(SecondAttemptResult::Failed, "server_error");
-    else if (isRejection(m_Head->m_Status))
-      end(SecondAttemptResult::Failed, "rejected");
-    else {
+      return;
+    case ResponseVerdict::Answer:
       m_Outcome = Outcome;
       m_Handlers.m_OnWon();
     }
   }
 
-  bool isNotExecuted() const {
-    return m_Head->m_Status == Misdirected ||
-           findHeader(m_Head->m_Headers, m_Context.m_HeaderNames.m_NotExecuted)
-               .has_value();
-  }
-
+  /// Checks a response that has ended. The head alone tells that a request has
+  /// not been executed.
   ResponseFlaw findFlaw(UpstreamOutcome Outcome) const {
+    if (reportsNotRun(*m_Head, m_Context.m_HeaderNames))
+      return ResponseFlaw::None;
     const ResponseEnd End = Outcome == UpstreamOutcome::Complete
                                 ? ResponseEnd::Delimited
                                 : ResponseEnd::ConnectionClosed;
@@ -307,9 +309,4 @@
   return m_Impl->m_Call->mayHaveSent();
 }
 
-bool isRejection(int Status) {
-  return Status == RequestTimeout || Status == Misdirected ||
-         Status == TooManyRequests;
-}
-
 } // namespace fulmarwinch
--- a/proxy/second_attempt.h
+++ b/proxy/second_attempt.h
@@ -108,11 +108,6 @@
   std::unique_ptr<Impl> m_Impl;
 };
 
-/// True if a client would take the status as a promise that the request has not
-/// run. A response with it is not passed on while another server may run the
-/// request.
-bool isRejection(int Status);
-
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_SECOND_ATTEMPT_H
--- a/proxy/server_notices.cpp
+++ b/proxy/server_notices.cpp
@@ -100,6 +100,16 @@
   return Lowest;
 }
 
+bool reportsNotRun(const HttpMessageHead &Head, const HeaderNames &Names) {
+  return Head.m_Status == Misdirected ||
+         findHeader(Head.m_Headers, Names.m_NotExecuted).has_value();
+}
+
+ResponseVerdict judgeResponse(const HttpMessageHead &Head,
+                              const HeaderNames &Names) {
+  return judgeResponse(Head.m_Status, reportsNotRun(Head, Names));
+}
+
 void recordServerNotices(RequestRelayContext &Context,
                          const ChosenServer &Server,
                          const ServerResponseHead &Response) {
@@ -132,6 +142,11 @@
                                   {"at_fault", AtFault}});
 }
 
+void recordUnprovenRefusal(RequestRelayContext &Context, int Status) {
+  Context.m_Metrics.increment(
+      concat("unproven_refusals_total{status=\"", Status, "\"}"));
+}
+
 bool recordLostConnection(RequestRelayContext &Context,
                           const ChosenServer &Server,
                           const std::vector<ContentHash> &Contents) {
--- a/proxy/server_notices.h
+++ b/proxy/server_notices.h
@@ -3,6 +3,7 @@
 
 #include "drivers/http/http_message.h"
 #include "proxy/request_relay.h"
+#include "servers/retry/outcome.h"
 
 #include <optional>
 #include <string_view>
@@ -28,6 +29,15 @@
   std::optional<MonotonicTime> m_RequestSentAt;
 };
 
+/// True if the response \p Head states that the backend server did not run the
+/// request. Status 421 states it without a further field: each request names
+/// the server that it is addressed to, and another one does not run it.
+bool reportsNotRun(const HttpMessageHead &Head, const HeaderNames &Names);
+
+/// Judges the complete response \p Head of a backend server.
+ResponseVerdict judgeResponse(const HttpMessageHead &Head,
+                              const HeaderNames &Names);
+
 /// Records what the head of a response of \p Server says about the server: that
 /// it leaves, that it wants no requests for some time, or how many requests a
 /// second it takes.
@@ -40,6 +50,12 @@
 void recordRefusal(RequestRelayContext &Context, const ChosenServer &Server,
                    const HttpMessageHead &Head, std::string_view RequestId);
 
+/// Cause of an attempt that failed with ResponseVerdict::UnprovenRefusal.
+inline constexpr std::string_view UnprovenRefusalCause = "unproven_refusal";
+
+/// Counts a response with ResponseVerdict::UnprovenRefusal.
+void recordUnprovenRefusal(RequestRelayContext &Context, int Status);
+
 /// Records that the connection to \p Server was lost while a request with \p
 /// Contents ran there. Returns false if the server leaves, whose end is no
 /// crash.
--- a/servers/retry/outcome.h
+++ b/servers/retry/outcome.h
@@ -39,6 +39,22 @@
   bool m_ResponseComplete = false;
 };
 
+/// What the receiver of a complete response may do with it.
+enum class ResponseVerdict {
+  /// The backend server reported that it did not run the request, which may
+  /// therefore be sent again.
+  NotRun,
+  /// The client would take the status as a promise that the request has not
+  /// run, but the backend server did not report that. The response must not be
+  /// forwarded.
+  UnprovenRefusal,
+  /// The backend server failed. The response may be forwarded if the request is
+  /// not sent again.
+  ServerError,
+  /// The response may be forwarded.
+  Answer,
+};
+
 /// What the gateway does after an attempt that did not complete.
 enum class RetryAction {
   /// Send the outcome of the attempt to the client; no retry.
@@ -67,6 +83,16 @@
   bool m_Resumable = false;
 };
 
+/// True if clients take \p Status as a promise that the request has not run and
+/// will not run later: 408, 421, 429 and 503. Only a response for which that is
+/// known may have such a status.
+bool promisesNotRun(int Status);
+
+/// Judges a complete response with the HTTP status code \p Status. \p
+/// ReportedNotRun is true if the response states that the backend server did
+/// not run the request.
+ResponseVerdict judgeResponse(int Status, bool ReportedNotRun);
+
 /// Classifies one attempt. The result is NotRun only if the facts prove that
 /// the request was not run; a server error without such a statement is Unknown.
 Outcome classifyAttempt(const AttemptFacts &Facts);
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import subprocess
+import zlib
 
 SOURCE_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(
@@ -285,8 +286,7 @@
         else:
             await asyncio.sleep(delay)
             if now() < self.reset_until:
-                record.broken = True
-                writer.transport.abort()
+                self.fail(record, request_id, fields, writer)
                 return
             writer.write(http_response(200, fields,
                                        request_id.encode() + b":" + body))
@@ -294,6 +294,17 @@
         await writer.drain()
 
 
+    def fail(self, record, request_id, fields, writer):
+        """Ends a request that has run with a reset or with an error, which
+        does not say that it has not run even if its status does."""
+        ending = zlib.crc32(request_id.encode()) % 8
+        if ending < 4:
+            record.broken = True
+            writer.transport.abort()
+            return
+        writer.write(http_response((500, 408, 429, 503)[ending - 4], fields))
+
+
 class Node:
     """One front node as a process."""
 
--- a/tests/node/test_payouts.cpp
+++ b/tests/node/test_payouts.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(repeatedPayoutReplaysOutcome);
   CPPUNIT_TEST(truncatedOutcomeIsNotReplayed);
   CPPUNIT_TEST(interruptedOutcomeIsUnknown);
+  CPPUNIT_TEST(refusalOfAPayoutThatRanIsUnknown);
   CPPUNIT_TEST(lostStoreResponsesDoNotRepeatPayouts);
   CPPUNIT_TEST(storeOutageRefusesPayoutAsNotRun);
   CPPUNIT_TEST(everyPathSpellingRequiresIdempotencyKey);
@@ -92,6 +93,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(Second));
   }
 
+  /// The service runs a payout and refuses it all the same. Guards against a
+  /// status that tells the client that it has not run, and against its replay.
+  void refusalOfAPayoutThatRanIsUnknown() {
+    for (const int Status : {408, 421, 429, 503}) {
+      m_Fixture.m_Service.control(
+          {{"fail_after", 1.0}, {"fail_after_status", Status}});
+      const std::string Key = newKey();
+      for (int Attempt = 0; Attempt < 2; ++Attempt) {
+        const HttpClient::Response Response = pay(Key, {});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Response.m_Body, 502,
+                                     Response.m_Result.m_Status);
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcomeOf(Response));
+        CPPUNIT_ASSERT_EQUAL(1, executions(Key));
+      }
+    }
+  }
+
   /// Guards against payouts that run twice, and against wrong outcomes, when
   /// responses of the platform are lost after the write took effect.
   void lostStoreResponsesDoNotRepeatPayouts() {
--- a/tests/node/test_request_parsers.cpp
+++ b/tests/node/test_request_parsers.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(invalidCompletionsAreRejected);
   CPPUNIT_TEST(errorContainsOutcomeAndRemedy);
   CPPUNIT_TEST(remedyDoesNotClaimNotRunAfterEarlierAttempt);
+  CPPUNIT_TEST(statusDoesNotClaimNotRunAfterEarlierAttempt);
   CPPUNIT_TEST(organisationRequiresItsKey);
   CPPUNIT_TEST(bootstrapKeyIsInvalidOnceAnOperatorExists);
   CPPUNIT_TEST_SUITE_END();
@@ -155,6 +156,23 @@
                    std::string::npos);
   }
 
+  /// Guards against a status that promises "not run" beside the outcome
+  /// "unknown", for clients that read only the status.
+  void statusDoesNotClaimNotRunAfterEarlierAttempt() {
+    for (const ErrorKind Kind :
+         {ErrorKind::NoCapacity, ErrorKind::Overloaded,
+          ErrorKind::StoreUnavailable, ErrorKind::Isolated}) {
+      const absl::Status Reason = makeError(Kind, "no place", "wait");
+      for (const Outcome Result : {Outcome::Unknown, Outcome::Ran})
+        CPPUNIT_ASSERT_EQUAL(
+            502,
+            errorHttpResponse({Reason, Result, Duration{0}, "r"}).m_Status);
+      CPPUNIT_ASSERT(promisesNotRun(
+          errorHttpResponse({Reason, Outcome::NotRun, Duration{0}, "r"})
+              .m_Status));
+    }
+  }
+
   /// Guards against a caller that is accepted without a key or with a wrong
   /// key.
   void organisationRequiresItsKey() {
--- a/tests/proxy/test_second_attempt.cpp
+++ b/tests/proxy/test_second_attempt.cpp
@@ -283,17 +283,21 @@
     }
   }
 
-  /// A client takes 429 as a promise that the request will not run.
+  /// A client takes each of the statuses as a promise that the request will not
+  /// run.
   void rejectionIsNotPassedOnWhileTheOtherServerMayRunTheRequest() {
-    Scenario Path;
-    Path.m_Script = {delayed(answer("", 429), milliseconds(250)),
-                     delayed(answer("second"), milliseconds(400))};
-    CPPUNIT_ASSERT(contains(Path.request(), "second"));
-    Scenario BothReject;
-    BothReject.m_Script = {delayed(answer("", 429), milliseconds(250)),
-                           delayed(answer("", 429), milliseconds(400))};
-    const std::string Received = BothReject.request();
-    CPPUNIT_ASSERT_MESSAGE(Received, contains(Received, "HTTP/1.1 502 "));
+    for (const int Status : {408, 429, 503}) {
+      const Response Refusal = answer("", Status);
+      Scenario Path;
+      Path.m_Script = {delayed(Refusal, milliseconds(250)),
+                       delayed(answer("second"), milliseconds(400))};
+      CPPUNIT_ASSERT(contains(Path.request(), "second"));
+      Scenario BothReject;
+      BothReject.m_Script = {delayed(Refusal, milliseconds(250)),
+                             delayed(Refusal, milliseconds(400))};
+      const std::string Received = BothReject.request();
+      CPPUNIT_ASSERT_MESSAGE(Received, contains(Received, "HTTP/1.1 502 "));
+    }
   }
 
   /// Guards against servers that work for a client that has left, or beyond the
--- a/tests/servers/retry/test_retry.cpp
+++ b/tests/servers/retry/test_retry.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(RetryTest);
   CPPUNIT_TEST(budgetLimitsRetriesDuringAnOutage);
   CPPUNIT_TEST(notRunRequiresProof);
+  CPPUNIT_TEST(refusalWithoutReportIsNoAnswer);
   CPPUNIT_TEST(nonIdempotentRequestIsNotRetriedAfterUnknownOutcome);
   CPPUNIT_TEST(partlyDeliveredResponseIsOnlyResumedNotRestarted);
   CPPUNIT_TEST(poisonRequestCrashesAtMostThreeServers);
@@ -50,6 +51,26 @@
     CPPUNIT_ASSERT(classifyAttempt({9, 404, false, true}) == Outcome::Ran);
   }
 
+  /// Guards against a status that tells the client "not run" although the
+  /// server has not reported it.
+  void refusalWithoutReportIsNoAnswer() {
+    for (const int Status : {408, 421, 429, 503}) {
+      CPPUNIT_ASSERT(judgeResponse(Status, false) ==
+                     ResponseVerdict::UnprovenRefusal);
+      CPPUNIT_ASSERT(judgeResponse(Status, true) == ResponseVerdict::NotRun);
+      CPPUNIT_ASSERT(classifyAttempt({9, Status, false, true}) ==
+                     Outcome::Unknown);
+      CPPUNIT_ASSERT(classifyAttempt({9, Status, true, true}) ==
+                     Outcome::NotRun);
+    }
+    for (const int Status : {200, 204, 304, 400, 404, 409, 413})
+      CPPUNIT_ASSERT(judgeResponse(Status, false) == ResponseVerdict::Answer);
+    for (const int Status : {500, 502, 504, 599})
+      CPPUNIT_ASSERT(judgeResponse(Status, false) ==
+                     ResponseVerdict::ServerError);
+    CPPUNIT_ASSERT(judgeResponse(400, true) == ResponseVerdict::NotRun);
+  }
+
   /// Guards against a payout that is executed twice.
   void nonIdempotentRequestIsNotRetriedAfterUnknownOutcome() {
     RetryState State;
