Bound what one request costs the event loop

Cause: PoisonDetector walked through all 4,096 recorded completions for each part of a finished prompt once the table was full. Two handlers of the same class were found by reading: CrashDetector kept one entry for each part of a prompt whose connection was lost and walked through all of them at each change of a server's entry, and endToEndHeaders() compared each field with each connection option.

Change: completions are kept in the order of time as well, so only expired ones are looked at; a lost connection is one entry with its contents; connection options are looked up in a set.

--- a/proxy/http_fields.cpp
+++ b/proxy/http_fields.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 #include <array>
-#include <vector>
+#include <unordered_set>
 
 namespace fulmarwinch {
 
@@ -25,22 +25,18 @@
 } // namespace
 
 HttpHeaders endToEndHeaders(const HttpHeaders &Headers) {
-  std::vector<std::string> ConnectionOptions;
+  // A client may send thousands of both options and fields.
+  std::unordered_set<std::string> ConnectionOptions;
   for (const HttpHeader &Field : Headers)
     if (equalsIgnoreCase(Field.m_Name, "Connection"))
       for (std::string_view Name : split(Field.m_Value, ','))
-        ConnectionOptions.emplace_back(
-            absl::StripAsciiWhitespace(toAbslView(Name)));
+        ConnectionOptions.insert(
+            toLower(toStdView(absl::StripAsciiWhitespace(toAbslView(Name)))));
   HttpHeaders Result;
-  for (const HttpHeader &Field : Headers) {
-    const bool IsConnectionOption =
-        std::any_of(ConnectionOptions.begin(), ConnectionOptions.end(),
-                    [&](const std::string &Name) {
-                      return equalsIgnoreCase(Name, Field.m_Name);
-                    });
-    if (!IsConnectionOption && !isHopByHop(Field.m_Name))
+  for (const HttpHeader &Field : Headers)
+    if (ConnectionOptions.count(toLower(Field.m_Name)) == 0 &&
+        !isHopByHop(Field.m_Name))
       Result.push_back(Field);
-  }
   return Result;
 }
 
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -1010,13 +1010,12 @@
     if (Server && Server->m_Draining)
       return;
     const MonotonicTime Now = monotonicNow();
-    bool IsSuspect = false;
-    for (const ContentHash Content : m_Contents) {
-      m_Context.m_CrashDetector.onResponseClosed(
-          Content, m_ChosenServer.m_Id, m_ChosenServer.m_StartedAtMs, Now);
-      IsSuspect =
-          IsSuspect || m_Context.m_PoisonDetector.hasCrashes(Content, Now);
-    }
+    const bool IsSuspect = std::any_of(
+        m_Contents.begin(), m_Contents.end(), [&](ContentHash Content) {
+          return m_Context.m_PoisonDetector.hasCrashes(Content, Now);
+        });
+    m_Context.m_CrashDetector.onResponseClosed(
+        m_Contents, m_ChosenServer.m_Id, m_ChosenServer.m_StartedAtMs, Now);
     m_IsCrashWatchPending = true;
     if (IsSuspect && m_Context.m_OnSuspectClosed)
       m_Context.m_OnSuspectClosed(m_ChosenServer);
--- a/proxy/server_notices.cpp
+++ b/proxy/server_notices.cpp
@@ -153,9 +153,8 @@
   const BackendServer *Entry = Context.m_Fleet.find(Server.m_Id);
   if (Entry && Entry->m_Draining)
     return false;
-  for (const ContentHash Content : Contents)
-    Context.m_CrashDetector.onConnectionLost(
-        Content, Server.m_Id, Server.m_StartedAtMs, monotonicNow());
+  Context.m_CrashDetector.onConnectionLost(
+      Contents, Server.m_Id, Server.m_StartedAtMs, monotonicNow());
   return true;
 }
 
--- a/servers/retry/crash_detector.cpp
+++ b/servers/retry/crash_detector.cpp
@@ -1,21 +1,24 @@
 #include "servers/retry/crash_detector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarwinch {
 
-void CrashDetector::onConnectionLost(ContentHash Hash,
+void CrashDetector::onConnectionLost(std::vector<ContentHash> Contents,
                                      const std::string &Server,
                                      std::int64_t StartedAtMs,
                                      MonotonicTime Now) {
-  m_LostConnections.push_back({Hash, Server, StartedAtMs, Now, false});
+  m_LostConnections.push_back(
+      {std::move(Contents), Server, StartedAtMs, Now, false});
 }
 
-void CrashDetector::onResponseClosed(ContentHash Hash,
+void CrashDetector::onResponseClosed(std::vector<ContentHash> Contents,
                                      const std::string &Server,
                                      std::int64_t StartedAtMs,
                                      MonotonicTime Now) {
-  m_LostConnections.push_back({Hash, Server, StartedAtMs, Now, true});
+  m_LostConnections.push_back(
+      {std::move(Contents), Server, StartedAtMs, Now, true});
 }
 
 bool CrashDetector::onServerAlive(const std::string &Server,
@@ -36,10 +39,14 @@
 
 bool CrashDetector::endWatch(const LostConnection &Lost, MonotonicTime Now) {
   const std::string Process = processName(Lost.m_Server, Lost.m_StartedAtMs);
-  if (Lost.m_HasResponse)
-    return m_Detector.onCompleted(Lost.m_Hash, Process, Now);
-  m_Detector.onInconclusiveEnd(Lost.m_Hash, Process);
-  return false;
+  bool HasCleared = false;
+  for (const ContentHash Content : Lost.m_Contents) {
+    if (Lost.m_HasResponse)
+      HasCleared = m_Detector.onCompleted(Content, Process, Now) || HasCleared;
+    else
+      m_Detector.onInconclusiveEnd(Content, Process);
+  }
+  return HasCleared;
 }
 
 bool CrashDetector::onServerEntryChanged(const std::string &Server,
--- a/servers/retry/crash_detector.h
+++ b/servers/retry/crash_detector.h
@@ -29,15 +29,17 @@
     return Server + "#" + std::to_string(StartedAtMs);
   }
 
-  /// Must be called when the connection to \p Server was lost while the request
-  /// ran there.
-  void onConnectionLost(ContentHash Hash, const std::string &Server,
-                        std::int64_t StartedAtMs, MonotonicTime Now);
+  /// Must be called when the connection to \p Server was lost while a request
+  /// with \p Contents ran there.
+  void onConnectionLost(std::vector<ContentHash> Contents,
+                        const std::string &Server, std::int64_t StartedAtMs,
+                        MonotonicTime Now);
   /// Must be called when only the close of the connection to \p Server ended a
   /// response that seems to be whole. The request has completed if the server
   /// lives on.
-  void onResponseClosed(ContentHash Hash, const std::string &Server,
-                        std::int64_t StartedAtMs, MonotonicTime Now);
+  void onResponseClosed(std::vector<ContentHash> Contents,
+                        const std::string &Server, std::int64_t StartedAtMs,
+                        MonotonicTime Now);
   /// Must be called when \p Server, which started at \p StartedAtMs, has
   /// answered a probe that was sent at \p ProbedAt. Returns true if this
   /// ended a quarantine.
@@ -55,7 +57,7 @@
 
 private:
   struct LostConnection {
-    ContentHash m_Hash = 0;
+    std::vector<ContentHash> m_Contents;
     std::string m_Server;
     std::int64_t m_StartedAtMs = 0;
     MonotonicTime m_LostAt{};
--- a/servers/retry/poison_detector.cpp
+++ b/servers/retry/poison_detector.cpp
@@ -187,9 +187,17 @@
   for (auto Entry = m_Records.begin(); Entry != m_Records.end();)
     Entry = isExpired(Entry->second, Now) ? m_Records.erase(Entry)
                                           : std::next(Entry);
-  for (auto Run = m_LastCompletion.begin(); Run != m_LastCompletion.end();)
-    Run = isExempt(Run->first, Now) ? std::next(Run)
-                                    : m_LastCompletion.erase(Run);
+  removeExpiredCompletions(Now);
+}
+
+void PoisonDetector::removeExpiredCompletions(MonotonicTime Now) {
+  while (!m_CompletionsByTime.empty()) {
+    const auto Earliest = m_CompletionsByTime.begin();
+    if (Now - Earliest->first < m_Settings.m_ExemptionTime)
+      return;
+    m_LastCompletion.erase(Earliest->second);
+    m_CompletionsByTime.erase(Earliest);
+  }
 }
 
 bool PoisonDetector::isExpired(const RequestRecord &Entry,
@@ -277,11 +285,14 @@
 void PoisonDetector::recordCompletion(ContentHash Hash, MonotonicTime Now) {
   if (m_Settings.m_ExemptionTime == Duration::zero())
     return;
-  if (m_LastCompletion.size() >= m_Settings.m_MaxRecords)
-    removeExpired(Now);
-  if (m_LastCompletion.size() < m_Settings.m_MaxRecords ||
-      m_LastCompletion.count(Hash) != 0)
-    m_LastCompletion[Hash] = Now;
+  removeExpiredCompletions(Now);
+  const auto Known = m_LastCompletion.find(Hash);
+  if (Known != m_LastCompletion.end())
+    m_CompletionsByTime.erase({Known->second, Hash});
+  else if (m_LastCompletion.size() >= m_Settings.m_MaxRecords)
+    return;
+  m_LastCompletion[Hash] = Now;
+  m_CompletionsByTime.emplace(Now, Hash);
 }
 
 void PoisonDetector::clearRecord(RequestRecord &Entry, MonotonicTime Now) {
--- a/servers/retry/poison_detector.h
+++ b/servers/retry/poison_detector.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fulmarwinch {
@@ -164,6 +165,8 @@
   bool isInFlight(ContentHash Hash) const;
   bool isExempt(ContentHash Hash, MonotonicTime Now) const;
   void recordCompletion(ContentHash Hash, MonotonicTime Now);
+  /// Looks at expired completions only: it runs for each part of each prompt.
+  void removeExpiredCompletions(MonotonicTime Now);
   void clearRecord(RequestRecord &Entry, MonotonicTime Now);
   bool removeInFlight(ContentHash Hash, const std::string &Server);
   /// Removes the records with the least evidence, and of these the oldest,
@@ -174,8 +177,10 @@
   std::map<ContentHash, RequestRecord> m_Records;
   /// Requests in flight by backend server, with the number of attempts of each.
   std::map<std::string, std::map<ContentHash, std::size_t>> m_InFlight;
-  /// Time of the last completed run, by content.
+  /// Time of the last completed run, by content, and the same in the order of
+  /// time.
   std::map<ContentHash, MonotonicTime> m_LastCompletion;
+  std::set<std::pair<MonotonicTime, ContentHash>> m_CompletionsByTime;
   bool m_IsolationInUse = false;
   ContentHash m_IsolatedHash = 0;
   std::string m_IsolationServer;
--- a/tests/servers/retry/test_crash_detector.cpp
+++ b/tests/servers/retry/test_crash_detector.cpp
@@ -21,7 +21,7 @@
                              const std::string &Server,
                              std::int64_t StartedAtMs) {
     Detector.onDispatch(Hash, CrashDetector::processName(Server, StartedAtMs));
-    Watch.onConnectionLost(Hash, Server, StartedAtMs, m_Now);
+    Watch.onConnectionLost({Hash}, Server, StartedAtMs, m_Now);
   }
 
   /// Guards against a request that crashes one server after the other.
--- a/tests/servers/retry/test_repeated_crashes.cpp
+++ b/tests/servers/retry/test_repeated_crashes.cpp
@@ -85,7 +85,7 @@
     const std::vector<std::string> Domain{"a", "b", "c", "d"};
     for (const std::string &Server : Domain) {
       Node.onDispatch(Deadly, CrashDetector::processName(Server, 1));
-      Watch.onConnectionLost(Deadly, Server, 1, m_Now);
+      Watch.onConnectionLost({Deadly}, Server, 1, m_Now);
     }
     for (const std::string &Server : Domain) {
       m_Now += milliseconds(150);
