Record no request for a model that the configuration does not name

Cause: the demand was recorded before anything asked whether the model exists. The name became a key of DemandEstimator, CompletionRate and ModelPriorities, which never remove one. The load message to the peers then exceeded the 8,192 bytes that a peer reads, so the peers took its sender for lost.

Change: a request for a model that the configuration does not name is rejected with 503 and the outcome unknown_model before it is recorded; no server could have served it. A load message that does not fit into a datagram is sent in several, without parts that are too large by themselves (log line peer_message_too_large), so the node is always heard. The other maps whose keys come from clients were read: their keys are looked up or bounded first.

retryAfterAllowsForGroupReplacement used an unknown model as one without a group; it now uses a model of the configuration that has none, so it checks the same rejection as before.

--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <random>
+#include <utility>
 
 namespace fulmarwinch {
 
@@ -69,25 +70,28 @@
     Json Load = Json::object();
     for (const auto &[Server, Count] : m_Selector.ownInFlightByServer())
       Load[Server] = Count;
-    Json Message = newMessage();
-    Message["load"] = std::move(Load);
+    Json Servers = Json::object();
+    Servers["load"] = std::move(Load);
+    const ServerSpeed::Report Slow = m_Selector.speed().ownReport(Now);
+    if (m_Selector.estimatesPlacement() && !Slow.empty())
+      Servers["slow"] = Slow;
+    std::vector<Json> Parts;
+    Parts.push_back(std::move(Servers));
     const RateLimitStatements Limits =
         m_Selector.availability().rateLimits().ownStatements(Now);
     if (!Limits.empty())
-      Message["limits"] = toJson(Limits);
-    const ServerSpeed::Report Slow = m_Selector.speed().ownReport(Now);
-    if (m_Selector.estimatesPlacement() && !Slow.empty())
-      Message["slow"] = Slow;
+      Parts.emplace_back(Json::object())["limits"] = toJson(Limits);
     if (m_OwnTraffic) {
-      const TrafficReport Traffic = m_OwnTraffic();
-      Message["demand"] = Traffic.m_Demand;
-      Message["returning"] = Traffic.m_ReturningDemand;
-      Message["latency"] = Traffic.m_Latencies;
-      Message["completed"] = Traffic.m_Work.m_Completed;
-      Message["offered"] = Traffic.m_Work.m_Offered;
-      Message["organisations"] = Traffic.m_Work.m_Organisations;
+      const TrafficReport Report = m_OwnTraffic();
+      Json &Traffic = Parts.emplace_back(Json::object());
+      Traffic["demand"] = Report.m_Demand;
+      Traffic["returning"] = Report.m_ReturningDemand;
+      Traffic["latency"] = Report.m_Latencies;
+      Traffic["completed"] = Report.m_Work.m_Completed;
+      Traffic["offered"] = Report.m_Work.m_Offered;
+      Traffic["organisations"] = Report.m_Work.m_Organisations;
     }
-    broadcast(Message);
+    broadcastParts(Parts);
     for (auto &[Name, RemotePeer] : m_Peers) {
       if (RemotePeer.m_IsAlive &&
           Now - RemotePeer.m_LastHeardAt >
@@ -112,12 +116,51 @@
                        Error);
   }
 
-  void broadcast(const Json &Message) {
-    const std::vector<std::uint8_t> Bytes = Json::to_cbor(Message);
+  void broadcast(const Json &Message) { broadcast(Json::to_cbor(Message)); }
+
+  void broadcast(const std::vector<std::uint8_t> &Bytes) {
     for (const auto &[Name, RemotePeer] : m_Peers)
       send(Bytes, RemotePeer);
   }
 
+  /// Sends \p Parts, the fields of each of which belong together, in one
+  /// message, or in one message each if a peer would not read it as a whole. A
+  /// part that is too large by itself is left out: without any message, the
+  /// peers would take this node for lost.
+  void broadcastParts(const std::vector<Json> &Parts) {
+    Json Whole = newMessage();
+    for (const Json &Part : Parts)
+      Whole.update(Part);
+    const std::vector<std::uint8_t> WholeBytes = Json::to_cbor(Whole);
+    std::size_t LeftOut = 0;
+    if (WholeBytes.size() <= MaxDatagramBytes)
+      broadcast(WholeBytes);
+    else
+      LeftOut = broadcastEach(Parts);
+    const bool HadLeftOut = std::exchange(m_HasLeftOutParts, LeftOut > 0);
+    if (m_HasLeftOutParts && !HadLeftOut)
+      m_Log.write("peer_message_too_large",
+                  {{"parts_left_out", static_cast<std::int64_t>(LeftOut)},
+                   {"bytes", static_cast<std::int64_t>(WholeBytes.size())}});
+  }
+
+  /// Returns the number of parts that were too large.
+  std::size_t broadcastEach(const std::vector<Json> &Parts) {
+    std::size_t LeftOut = 0;
+    for (const Json &Part : Parts) {
+      Json Message = newMessage();
+      Message.update(Part);
+      const std::vector<std::uint8_t> Bytes = Json::to_cbor(Message);
+      if (Bytes.size() <= MaxDatagramBytes)
+        broadcast(Bytes);
+      else
+        ++LeftOut;
+    }
+    if (LeftOut == Parts.size())
+      broadcast(newMessage());
+    return LeftOut;
+  }
+
   bool isLive(const Peer &RemotePeer, MonotonicTime Now) const {
     return RemotePeer.m_IsAlive && Now - RemotePeer.m_LastHeardAt <=
                                        period() * m_Settings.m_MaxSilentPeriods;
@@ -203,6 +246,8 @@
   std::function<TrafficReport()> m_OwnTraffic;
   TrafficHandler m_OnPeerTraffic;
   std::map<std::string, Peer> m_Peers;
+  /// The last load message lacked a part that was too large.
+  bool m_HasLeftOutParts = false;
   asio::ip::udp::endpoint m_SenderEndpoint;
   std::array<std::uint8_t, MaxDatagramBytes> m_Buffer{};
 };
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -108,6 +108,10 @@
     if (!findService())
       return;
     setDeadline();
+    if (!isModelKnown()) {
+      reject("unknown_model");
+      return;
+    }
     recordDemand();
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
@@ -162,6 +166,15 @@
     return true;
   }
 
+  /// Reads the requested model. Returns false if no server can serve it. Such a
+  /// name must not be recorded: clients may send any number of them.
+  bool isModelKnown() {
+    if (!m_Service->hasReplicaGroups())
+      return true;
+    m_Model = header(m_Context.m_HeaderNames.m_Model);
+    return m_Service->m_Engine.findModel(m_Model) != nullptr;
+  }
+
   /// Records the request for the budgets and estimates of the node.
   void recordDemand() {
     m_Contents =
@@ -172,7 +185,6 @@
     m_IsReturning = m_Context.m_ReturningClients.isReturning(
         m_Route->m_Name, m_Deadline - m_ClientRequest.m_ReceivedAt);
     if (m_Service->hasReplicaGroups()) {
-      m_Model = header(m_Context.m_HeaderNames.m_Model);
       const RequestSize Size = requestSize();
       m_PromptTokens = Size.m_PromptTokens;
       m_StatedOutputTokens = Size.m_OutputTokens;
--- a/tests/proxy/test_request_relay.cpp
+++ b/tests/proxy/test_request_relay.cpp
@@ -310,6 +310,15 @@
   void retryAfterAllowsForGroupReplacement() {
     RelayFixture Fixture;
     Fixture.configureGroups();
+    // A model of the configuration without a group.
+    TrafficConfiguration Configuration =
+        Fixture.m_Context.m_RouteTable->configuration();
+    std::vector<ModelSpec> &Models =
+        Configuration.m_Services.front().m_Engine.m_Models;
+    Models.push_back(Models.front());
+    Models.back().m_Name = "other";
+    Fixture.m_Context.m_RouteTable =
+        std::make_shared<RouteTable>(std::move(Configuration));
     std::set<std::string> RetryAfterValues;
     for (int I = 0; I < 5; ++I) {
       const std::string ClientReceived = Fixture.request("X-Model: other\r\n");
