Write nothing behind the head of a response without a body

Cause: respond() looked at the method of the request, beginStream(), sendChunk() and endStream() did not.

Change: ClientConnection decides in one place, when it formats the head, whether anything may follow: nothing after HEAD, 204 and 304. HttpServer of fulmarwinchd wrote the text of every response behind the head of a response to HEAD and does so no longer.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/http_server.h"
 #include "core/error.h"
+#include "drivers/http/status_code.h"
 
 #include "fmt/format.h"
 #include "restinio/all.hpp"
@@ -111,6 +112,10 @@
     if (m_IsResponseStarted)
       return;
     m_IsResponseStarted = true;
+    if (m_Request.m_Method == "HEAD" || !mayHaveBody(Response.m_Status)) {
+      respondWithHead(Response);
+      return;
+    }
     auto Builder = m_Handle->create_response(makeStatusLine(Response.m_Status));
     for (const HttpHeader &Header : Response.m_Headers)
       Builder.append_header(Header.m_Name, Header.m_Value);
@@ -155,6 +160,19 @@
   bool isClientGone() const override { return *m_IsClientGone; }
 
 private:
+  /// Sends a response that ends with its head. The client would read further
+  /// bytes as the next response.
+  void respondWithHead(const HttpResponse &Response) {
+    auto Builder =
+        m_Handle->create_response<restinio::user_controlled_output_t>(
+            makeStatusLine(Response.m_Status));
+    for (const HttpHeader &Header : Response.m_Headers)
+      Builder.append_header(Header.m_Name, Header.m_Value);
+    if (mayHaveBody(Response.m_Status))
+      Builder.set_content_length(Response.m_Body.size());
+    Builder.done();
+  }
+
   restinio::request_handle_t m_Handle;
   HttpRequest m_Request;
   std::mutex m_Mutex;
--- a/drivers/http/status_code.h
+++ b/drivers/http/status_code.h
@@ -12,6 +12,14 @@
   return Status >= FirstStatus && Status <= LastStatus;
 }
 
+/// True if a response with the final status \p Status may have a body. A
+/// response to HEAD has none whatever its status is.
+constexpr bool mayHaveBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_DRIVERS_HTTP_STATUS_CODE_H
--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -1,11 +1,9 @@
 #include "proxy/client_connection.h"
 #include "core/text.h"
+#include "drivers/http/status_code.h"
 #include "proxy/http_fields.h"
 #include "proxy/output_queue.h"
-
-#include "asio.hpp"
-
-#include <sys/socket.h>
+#include "proxy/socket_options.h"
 
 namespace fulmarwinch {
 
@@ -16,15 +14,6 @@
 /// then a new connection does not count as idle.
 constexpr Duration FirstRequestTime = std::chrono::seconds(1);
 
-/// Lets a connection end with a reset, whatever closes it, also the end of the
-/// process. Asio would undo its own option of this kind in the destructor of
-/// the socket.
-void setResetOnClose(asio::ip::tcp::socket &Socket, bool ResetsOnClose) {
-  const ::linger Option{ResetsOnClose ? 1 : 0, 0};
-  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Option,
-               sizeof(Option));
-}
-
 } // namespace
 
 struct ClientConnection::Impl : HttpMessageHandler {
@@ -59,6 +48,7 @@
 
   void awaitRequest() {
     m_IsRequestInProgress = false;
+    m_IsHeadRequest = false;
     m_HeadBytes = 0;
     m_Request = ClientRequest();
     m_Request.m_Body = std::make_shared<RequestBody>(m_Hooks.m_BodyBudget);
@@ -161,7 +151,7 @@
     m_IsRequestInProgress = true;
     m_Timer.cancel();
     m_KeepAlive = m_Request.m_Head.m_KeepAlive;
-    m_OmitsBody = m_Request.m_Head.m_Method == "HEAD";
+    m_IsHeadRequest = m_Request.m_Head.m_Method == "HEAD";
     m_Request.m_ReceivedAt = monotonicNow();
     m_HasReceivedRequest = true;
     m_Hooks.m_OnRequest(owner(), std::move(m_Request));
@@ -177,8 +167,11 @@
     respond(Status, Reason, Headers, "");
   }
 
+  /// Formats the head of a response and decides whether anything may follow it:
+  /// the client would read further bytes as the next response.
   std::string formatHead(int Status, std::string_view Reason,
                          const HttpHeaders &Headers) {
+    m_IsHeadOnly = m_IsHeadRequest || !mayHaveBody(Status);
     if (m_Hooks.m_IsDraining())
       m_KeepAlive = false;
     return formatResponseHead(Status, Reason, Headers, m_KeepAlive);
@@ -200,11 +193,10 @@
       return;
     setFraming(Framing);
     std::string Text = formatHead(Status, Reason, Headers);
-    if (mayHaveBody(Status) && Framing == ResponseFraming::Delimited)
+    if (!m_IsHeadOnly && Framing == ResponseFraming::Delimited)
       append(Text, "Content-Length: ", Body.size(), "\r\n");
-    append(Text, "\r\n");
-    m_Output.append(Text);
-    if (!m_OmitsBody)
+    m_Output.append(concat(Text, "\r\n"));
+    if (!m_IsHeadOnly)
       m_Output.appendBody(std::move(Body));
     send("");
     finishResponse();
@@ -227,6 +219,12 @@
     });
   }
 
+  /// Sends \p Bytes as a part of the body, unless the response has none.
+  void sendBody(std::string_view Bytes) {
+    if (!m_IsHeadOnly)
+      send(Bytes);
+  }
+
   void send(std::string_view Bytes) {
     if (m_IsClosed)
       return;
@@ -385,7 +383,9 @@
   bool m_IsReading = false;
   bool m_IsWriting = false;
   bool m_KeepAlive = true;
-  bool m_OmitsBody = false;
+  bool m_IsHeadRequest = false;
+  /// The current or last response ends with its head.
+  bool m_IsHeadOnly = false;
   bool m_CloseAfterWrite = false;
   /// Framing of the current or last response.
   ResponseFraming m_Framing = ResponseFraming::Delimited;
@@ -431,14 +431,14 @@
   if (Bytes.empty())
     return;
   if (m_Impl->m_Framing == ResponseFraming::Delimited)
-    m_Impl->send(concat(absl::Hex(Bytes.size()), "\r\n", Bytes, "\r\n"));
+    m_Impl->sendBody(concat(absl::Hex(Bytes.size()), "\r\n", Bytes, "\r\n"));
   else
-    m_Impl->send(Bytes);
+    m_Impl->sendBody(Bytes);
 }
 
 void ClientConnection::endStream() {
   if (m_Impl->m_Framing == ResponseFraming::Delimited)
-    m_Impl->send("0\r\n\r\n");
+    m_Impl->sendBody("0\r\n\r\n");
   if (!isClosed())
     m_Impl->finishResponse();
 }
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -75,8 +75,9 @@
   /// before the response is complete.
   void setOnDisconnected(std::function<void()> OnDisconnected);
 
-  /// Sends a complete response. A Delimited one gets a Content-Length, except
-  /// for the status codes 204 and 304.
+  /// Sends a complete response. A Delimited one gets a Content-Length, unless
+  /// it ends with its head: nothing of a body is sent in a response to HEAD or
+  /// with the status 204 or 304, also by the functions below.
   void respond(int Status, std::string_view Reason, const HttpHeaders &Headers,
                std::string Body,
                ResponseFraming Framing = ResponseFraming::Delimited);
--- a/proxy/http_fields.cpp
+++ b/proxy/http_fields.cpp
@@ -59,12 +59,6 @@
   }
 }
 
-bool mayHaveBody(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status != NoContent && Status != NotModified;
-}
-
 bool expectsContinue(const HttpHeaders &Headers) {
   const std::optional<std::string> Expectation = findHeader(Headers, "Expect");
   return Expectation && equalsIgnoreCase(*Expectation, "100-continue");
--- a/proxy/http_fields.h
+++ b/proxy/http_fields.h
@@ -16,9 +16,6 @@
 /// "Error" for any other status.
 std::string_view reasonPhrase(int Status);
 
-/// True if a response with this status has a length.
-bool mayHaveBody(int Status);
-
 /// True if the client waits for an interim response before it sends the body.
 bool expectsContinue(const HttpHeaders &Headers);
 
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -1101,8 +1101,12 @@
   void forwardResponse(const HttpMessageHead &Head, std::string Body) {
     releaseServer();
     end("complete", Head.m_Status);
-    m_Client->respond(Head.m_Status, Head.m_Reason,
-                      endToEndHeaders(Head.m_Headers), std::move(Body),
+    HttpHeaders Fields = endToEndHeaders(Head.m_Headers);
+    // The length of the body that a GET request would have got.
+    const auto Length = findHeader(Head.m_Headers, "Content-Length");
+    if (expectsNoBody() && Length)
+      Fields.push_back({"Content-Length", *Length});
+    m_Client->respond(Head.m_Status, Head.m_Reason, Fields, std::move(Body),
                       framingOf(Head));
   }
 
--- a/tests/drivers/http/test_http.cpp
+++ b/tests/drivers/http/test_http.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(reportsNothingSentIfConnectionIsRefused);
   CPPUNIT_TEST(cancelImmediatelyAfterStartEndsCall);
   CPPUNIT_TEST(neverResendsPostOnClosedConnection);
+  CPPUNIT_TEST(nothingFollowsTheHeadOfAResponseToHead);
   CPPUNIT_TEST(tellsAnEndByCloseFromADelimitedOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -161,6 +162,34 @@
     CPPUNIT_ASSERT(Result.m_Cancelled || Result.m_Complete);
   }
 
+  /// Guards against a body behind the head of a response to HEAD, which runs
+  /// into the next response of the connection.
+  void nothingFollowsTheHeadOfAResponseToHead() {
+    asio::io_context Context;
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect({asio::ip::address_v4::loopback(), m_Port});
+    for (const std::string Path : {"/echo", "/unknown"}) {
+      asio::write(Socket,
+                  asio::buffer("HEAD " + Path +
+                               " HTTP/1.1\r\nHost: h\r\n"
+                               "Content-Length: 4\r\n\r\nbody"
+                               "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n"));
+      std::string Received;
+      const std::size_t FirstHead =
+          asio::read_until(Socket, asio::dynamic_buffer(Received), "\r\n\r\n");
+      const std::string First = Received.substr(0, FirstHead);
+      Received.erase(0, FirstHead);
+      const std::size_t SecondHead =
+          asio::read_until(Socket, asio::dynamic_buffer(Received), "\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(Received, Received.find("HTTP/1.1 200 ") == 0);
+      CPPUNIT_ASSERT_EQUAL(SecondHead, Received.size());
+      // The length that the body of a response to GET would have.
+      CPPUNIT_ASSERT_MESSAGE(First, Path != "/echo" ||
+                                        First.find("Content-Length: 4\r\n") !=
+                                            std::string::npos);
+    }
+  }
+
   /// Guards against a POST that libcurl resends when the server closes a reused
   /// connection without a response: a request that crashes a backend server
   /// would crash it a second time.
