Outwait the promises of a lease holder that is lost with them

What callers saw: a head is cut off, its member is quarantined and leaves, and in the same moment the lease holder is lost for good and the store returns from a copy without the record.

Cause: after a restoration the lease is taken after 4.3 s, which covers the entries of servers and the last lease, but not a quarantine of 6.5 s that only the lost holder remembers.

Change: a process that did not hold the lease when it noticed the restoration waits for the length of a quarantine, which is now defined once. A process that held it waits as before, and takes the lease only after it has written its quarantines again, so that whoever follows finds them in the store.

Tests: promisesOfALostHolderOutlastTheRestoration and quarantineOfALostHolderIsOutwaited fail on the code before.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -47,12 +47,20 @@
 constexpr int Ok = 200;
 constexpr int Accepted = 202;
 
+ReplicaPlannerSettings plannerSettings(const FrontSettings &Node) {
+  ReplicaPlannerSettings Settings;
+  Settings.m_GroupBreakDelay = Node.m_GroupBreakDelay;
+  Settings.m_ConvertsSeveralGroups = Node.isEnabled(OptionalPart::Supply);
+  return Settings;
+}
+
 /// Settings of the lease on group formation. The lease is short, because no
 /// groups are formed until a new holder replaces a failed one. Renewal costs
 /// two store writes a second.
 LeaseSettings leaseSettings(const FrontSettings &Node) {
   LeaseSettings Settings;
   Settings.m_RestorationDelay = restorationTime(Node) + RestorationMargin;
+  Settings.m_LostHolderDelay = plannerSettings(Node).quarantineTime();
   Settings.m_IsFirstStart = Node.m_IsFirstStart;
   Settings.m_LeaseDuration = milliseconds(1600);
   Settings.m_RenewPeriod = milliseconds(500);
@@ -125,6 +133,9 @@
 void GroupCoordinator::advanceLease(MonotonicTime Now) {
   if (!m_HoldsLease && Now < m_NextLeaseCallAt)
     return;
+  // Once somebody has taken the lease, the next holder relies on the store.
+  if (!m_QuarantineToRestore.empty())
+    return;
   const auto Action = m_Lease.nextCall(Now, m_NextCallId);
   if (!Action)
     return;
@@ -167,14 +178,10 @@
        m_Context.m_RouteTable->configuration().m_Services) {
     if (!Service.hasReplicaGroups())
       continue;
-    ReplicaPlannerSettings Settings;
-    Settings.m_GroupBreakDelay = m_Settings.m_GroupBreakDelay;
-    Settings.m_ConvertsSeveralGroups =
-        m_Settings.isEnabled(OptionalPart::Supply);
     ReplicaPlanner &Planner =
         m_Planners
-            .try_emplace(Service.m_Name, Settings, m_GroupKeys,
-                         m_StoredQuarantine, Now)
+            .try_emplace(Service.m_Name, plannerSettings(m_Settings),
+                         m_GroupKeys, m_StoredQuarantine, Now)
             .first->second;
     ReplicaPlannerInput Input;
     Input.m_Fleet = &m_Context.m_Fleet;
--- a/servers/lease/lease_settings.h
+++ b/servers/lease/lease_settings.h
@@ -30,6 +30,11 @@
   /// the copy no longer shows states that others have written since it was
   /// made.
   Duration m_RestorationDelay{0};
+  /// The same for a process that did not hold the lease when it noticed the
+  /// return; the longer delay counts. It covers what the last holder had
+  /// promised in records that the copy lacks: if that holder is lost as well,
+  /// nobody writes them again.
+  Duration m_LostHolderDelay{0};
   /// True if the whole system starts for the first time, so that no lease can
   /// have been lost by a restoration before this process started.
   bool m_IsFirstStart = false;
--- a/servers/lease/shard_lease.cpp
+++ b/servers/lease/shard_lease.cpp
@@ -22,8 +22,10 @@
   m_Era = Era;
   if (!IsFirst || !m_Settings.m_IsFirstStart)
     m_RestorationOverAt =
-        Now + std::max(m_Settings.m_RestorationDelay,
-                       extendByClockDrift(m_Settings.m_LeaseDuration));
+        Now +
+        std::max({m_Settings.m_RestorationDelay,
+                  isHeld(Now) ? Duration::zero() : m_Settings.m_LostHolderDelay,
+                  extendByClockDrift(m_Settings.m_LeaseDuration)});
   if (IsFirst && !m_HasRead)
     return;
   m_Phase = Phase::Idle;
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -19,9 +19,7 @@
                                MonotonicTime StartedAt)
     : m_Settings(Settings), m_GroupKeys(GroupKeys), m_StartedAt(StartedAt) {
   for (const auto &[Server, Head] : Quarantined)
-    m_Quarantines[Server] = {StartedAt + m_Settings.m_GroupBreakDelay +
-                                 m_Settings.m_ReportDelayMargin,
-                             Head};
+    m_Quarantines[Server] = {StartedAt + m_Settings.quarantineTime(), Head};
 }
 
 QuarantineRecord ReplicaPlanner::quarantineRecord(MonotonicTime Now) const {
@@ -354,8 +352,7 @@
                                 const ReplicaGroup &Group,
                                 const std::string &Member) {
   Quarantine &Active = m_Quarantines[Member];
-  Active.m_Until = Input.m_Now + m_Settings.m_GroupBreakDelay +
-                   m_Settings.m_ReportDelayMargin;
+  Active.m_Until = Input.m_Now + m_Settings.quarantineTime();
   const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
   Active.m_Head = LastHead == m_LastKnownHeads.end()
                       ? HeadProcess{}
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -67,6 +67,12 @@
   bool m_ConvertsSeveralGroups = true;
   /// Time between two decisions to convert a domain to another model.
   Duration m_ConversionInterval = std::chrono::seconds(1);
+
+  /// Time for which a server joins no other group after it has left one whose
+  /// head may still serve with it.
+  Duration quarantineTime() const {
+    return m_GroupBreakDelay + m_ReportDelayMargin;
+  }
 };
 
 /// Groups of one model, as the log shows them. Groups in evacuated zones are
--- a/tests/proxy/test_group_coordinator.cpp
+++ b/tests/proxy/test_group_coordinator.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(probeShowsThatAServerLeaves);
   CPPUNIT_TEST(leaseThatReturnsWithItsEpochRepeatsNoGroupKey);
   CPPUNIT_TEST(quarantineThatTheCopyLacksIsWrittenAgain);
+  CPPUNIT_TEST(quarantineOfALostHolderIsOutwaited);
   CPPUNIT_TEST_SUITE_END();
 
   /// Longer than the lease on group formation.
@@ -43,9 +44,11 @@
     /// m_AnswerLeaseWrite is called.
     bool m_DelaysLeaseWrites = false;
     std::function<void()> m_AnswerLeaseWrite;
+    /// Era that the store names; 0 if it names none.
+    StoreEra m_Era = 0;
     std::optional<GroupCoordinator> m_Coordinator;
 
-    World() {
+    explicit World(FrontSettings Settings = {}) {
       m_Fixture.configureGroups();
       TrafficConfiguration Configuration =
           m_Fixture.m_Context.m_RouteTable->configuration();
@@ -63,7 +66,6 @@
                  std::function<void(StoreCompletion)> Done) {
             startStoreCall(Action, std::move(Done));
           };
-      FrontSettings Settings;
       Settings.m_NodeName = "n1";
       m_Coordinator.emplace(m_Fixture.m_Context, m_Platform, Settings, "n1-1");
       setMember("s1", 0, GroupMemberState::Open);
@@ -75,6 +77,7 @@
       if (const auto *Get = std::get_if<GetObject>(&Action)) {
         GetCompleted Result;
         Result.m_Id = Get->m_Id;
+        Result.m_Era = m_Era;
         Result.m_Outcome = StoreOutcome::NotFound;
         if (Get->m_Key.find("quarantine") != std::string::npos &&
             !m_StoredQuarantine.empty()) {
@@ -210,6 +213,25 @@
     CPPUNIT_ASSERT(Test.m_AnswerQuarantineWrite == nullptr);
   }
 
+  /// The store has returned from a copy, and the holder that had quarantined a
+  /// server is lost as well, so nobody writes the quarantine again. Guards
+  /// against a next holder that gives the server to another group while the
+  /// head of its last one may still serve.
+  void quarantineOfALostHolderIsOutwaited() {
+    FrontSettings Settings;
+    Settings.m_ServerReportPeriod = milliseconds(10);
+    Settings.m_GroupBreakDelay = milliseconds(1000);
+    const Duration QuarantineTime = milliseconds(2500);
+    World Test(Settings);
+    Test.m_Era = 2;
+    const MonotonicTime Start = monotonicNow();
+    while (!Test.m_Coordinator->holdsLease() &&
+           monotonicNow() < Start + std::chrono::seconds(20))
+      Test.runFor(milliseconds(20));
+    CPPUNIT_ASSERT(Test.m_Coordinator->holdsLease());
+    CPPUNIT_ASSERT(monotonicNow() >= Start + QuarantineTime);
+  }
+
   /// The member waited for an earlier head when it was taken into this group.
   /// Guards against a record that names the earlier head, which would let the
   /// next lease holder release the member while this head may serve.
--- a/tests/servers/lease/test_shard_lease.cpp
+++ b/tests/servers/lease/test_shard_lease.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(holderOfTheLostSpanActsAlone);
   CPPUNIT_TEST(lateWriteOfTheEraBeforeTakesNoLease);
   CPPUNIT_TEST(newProcessWaitsOnlyWhereTheCopyMayLackALease);
+  CPPUNIT_TEST(promisesOfALostHolderOutlastTheRestoration);
   CPPUNIT_TEST_SUITE_END();
 
   static MonotonicTime at(std::int64_t Milliseconds) {
@@ -230,6 +231,34 @@
     CPPUNIT_ASSERT(OfTheFirstStart.isHeld(at(0)));
   }
 
+  /// The holder is lost together with the last seconds of the store. Guards
+  /// against a next holder that acts before the promises of the lost one have
+  /// ended, and against the same wait for a holder that remembers its promises.
+  void promisesOfALostHolderOutlastTheRestoration() {
+    LeaseSettings Settings;
+    Settings.m_LeaseDuration = std::chrono::milliseconds(1600);
+    Settings.m_RenewPeriod = std::chrono::milliseconds(500);
+    Settings.m_RestorationDelay = std::chrono::milliseconds(4300);
+    Settings.m_LostHolderDelay = std::chrono::milliseconds(6500);
+    const auto HeldAfterReturn = [&](bool IsHolder, MonotonicTime ReturnedAt) {
+      FakeStore Store;
+      ShardLease Holder(Settings, "r.0", "a#1");
+      ShardLease Other(Settings, "r.0", "b#1");
+      executeDueCalls(Holder, Store, at(0));
+      executeDueCalls(Other, Store, at(10));
+      Store.returnFrom(FakeStore(Store));
+      ShardLease &Next = IsHolder ? Holder : Other;
+      Next.onStoreEra(Store.era(), ReturnedAt);
+      return runUntilHeld(Next, Store, ReturnedAt, at(30000));
+    };
+    CPPUNIT_ASSERT(HeldAfterReturn(false, at(1000)) >= at(7500));
+    CPPUNIT_ASSERT(HeldAfterReturn(false, at(1000)) < at(30000));
+    CPPUNIT_ASSERT(HeldAfterReturn(true, at(1000)) >= at(5300));
+    CPPUNIT_ASSERT(HeldAfterReturn(true, at(1000)) < at(7500));
+    // Another process may have held the lease after it had expired.
+    CPPUNIT_ASSERT(HeldAfterReturn(true, at(3000)) >= at(9500));
+  }
+
   /// Guards against two holders after two nodes challenge at the same time.
   void onlyOneOfTwoChallengersAcquiresTheLease() {
     FakeStore Store;
