End an unanswered watch before the node counts as in touch

Cause: a watch that was sent just before the store answers again is given up after 2.3 s and the 0.7 s of the store client, and the backoff comes on top.

Change: the wait is 2.0 s, so that the wait, the margin, the first backoff and the next call end within three seconds; nodes that follow no relay make 15% more watch calls. The backoff counts from the time at which the failed call was sent.

--- a/proxy/object_watcher.cpp
+++ b/proxy/object_watcher.cpp
@@ -40,7 +40,7 @@
 
 void ObjectWatcher::onListed(MonotonicTime SentAt, ObjectsListed Result) {
   if (Result.m_Outcome != StoreOutcome::Succeeded) {
-    scheduleRetry(true);
+    scheduleRetry(true, SentAt);
     return;
   }
   onStoreAnswered(Result.m_Position, true, SentAt);
@@ -119,7 +119,7 @@
     return;
   }
   if (Result.m_Outcome != StoreOutcome::Succeeded) {
-    scheduleRetry(false);
+    scheduleRetry(false, Call.m_SentAt);
     return;
   }
   // Another node may have forwarded later changes while the watch call was in
@@ -187,7 +187,7 @@
     watch();
 }
 
-void ObjectWatcher::scheduleRetry(bool RetriesList) {
+void ObjectWatcher::scheduleRetry(bool RetriesList, MonotonicTime SentAt) {
   if (!m_IsStoreUnreachable && m_ConsecutiveFailures > 0) {
     m_IsStoreUnreachable = true;
     m_Log.write("store_lost", {{"kind", m_Kind}, {"age_ms", inMs(stateAge())}});
@@ -198,7 +198,10 @@
                m_Settings.m_InitialBackoff *
                    (1U << std::min(MaxDoublings, m_ConsecutiveFailures++)));
   std::uniform_real_distribution<double> Jitter(0.5, 1.0);
-  callAfter(std::chrono::duration_cast<Duration>(MaxBackoff * Jitter(m_Random)),
+  const auto Backoff =
+      std::chrono::duration_cast<Duration>(MaxBackoff * Jitter(m_Random));
+  // A call that timed out has already kept the calls apart.
+  callAfter(std::max(Duration::zero(), SentAt + Backoff - monotonicNow()),
             [this, RetriesList] {
               if (RetriesList)
                 list(m_HasListed ? StoreCallReason::HistoryGone
--- a/proxy/object_watcher.h
+++ b/proxy/object_watcher.h
@@ -22,14 +22,17 @@
 /// Timeouts and delays of the watch on one kind of objects.
 struct ObjectWatcherSettings {
   /// Time for which the store holds one watch call open without a change. A
-  /// failed connection is detected after this time plus the margin that the
-  /// store client adds to the timeout.
-  Duration m_WatchTimeout = std::chrono::milliseconds(2300);
+  /// call that the store does not answer is given up after this time plus the
+  /// 700 ms that the store client adds. Both and the next call must end within
+  /// the three seconds after which a node has to know what a store shows that
+  /// answers again.
+  Duration m_WatchTimeout = std::chrono::milliseconds(2000);
   /// Pause after a watch that returned changes. Changes in close succession are
   /// then fetched by one call, and each is delayed by at most this time.
   Duration m_PauseAfterChanges = std::chrono::milliseconds(150);
   /// Initial and maximum backoff after a failed call. The backoff doubles with
-  /// each failure and is scaled by a random factor between one half and one.
+  /// each failure, is scaled by a random factor between one half and one, and
+  /// counts from the time at which the call was sent.
   Duration m_InitialBackoff = std::chrono::milliseconds(60);
   Duration m_MaxBackoff = std::chrono::milliseconds(1000);
   /// Replaces m_WatchTimeout on nodes that forward changes to others.
@@ -131,8 +134,9 @@
   void callAfter(Duration Delay, std::function<void()> Next);
   void onListed(MonotonicTime SentAt, ObjectsListed Result);
   void onWatched(const WatchCall &Call, const ObjectsWatched &Result);
-  /// Schedules another list or watch call with exponential backoff.
-  void scheduleRetry(bool RetriesList);
+  /// Schedules another list or watch call with exponential backoff after one
+  /// that was sent at \p SentAt.
+  void scheduleRetry(bool RetriesList, MonotonicTime SentAt);
   /// Time for which the store may hold the next watch call open.
   Duration nextWatchTimeout(MonotonicTime Now) const;
   /// \p CurrentAt is a time at which the store was at \p Position or later.
