Discard CBOR of peers that cannot be read

Cause: Json::from_cbor throws for a size that no container can have, also where exceptions are switched off.

Change: parseCbor() catches that and is used for peer messages, forwarded changes and the peer channels of fulmarwinchd. The membership messages caught it already.

--- a/core/json.h
+++ b/core/json.h
@@ -27,6 +27,20 @@
 /// value if the structure of \p Text cannot be read.
 Json parseJsonLeniently(std::string_view Text);
 
+/// Parses the CBOR bytes from \p Begin to \p End, which another process wrote.
+/// Returns a discarded value if they cannot be read.
+template <typename IteratorType>
+Json parseCbor(IteratorType Begin, IteratorType End) {
+  // For a size that no container can have, the library throws an exception even
+  // where it is told not to.
+  try {
+    return Json::from_cbor(Begin, End, /*strict=*/true,
+                           /*allow_exceptions=*/false);
+  } catch (const Json::exception &) {
+    return Json(Json::value_t::discarded);
+  }
+}
+
 /// Returns the number \p Value as an integer. Returns nothing if it is no
 /// number or does not fit.
 template <typename IntegerType>
--- a/node/peer_service.cpp
+++ b/node/peer_service.cpp
@@ -122,7 +122,7 @@
     execute(Effects);
     return;
   }
-  const Json Message = Json::from_cbor(Payload, true, false);
+  const Json Message = parseCbor(Payload.begin(), Payload.end());
   const auto Found = m_Handlers.find(*Channel);
   if (!Message.is_object() || !Message.contains("b") ||
       Found == m_Handlers.end())
--- a/proxy/peer_exchange.cpp
+++ b/proxy/peer_exchange.cpp
@@ -179,8 +179,7 @@
   }
 
   void onDatagram(std::size_t Size) {
-    const Json Message =
-        Json::from_cbor(m_Buffer.begin(), m_Buffer.begin() + Size, true, false);
+    const Json Message = parseCbor(m_Buffer.begin(), m_Buffer.begin() + Size);
     const std::string Name = fieldOr(Message, "node", std::string());
     const auto Sender = m_Peers.find(Name);
     if (Sender == m_Peers.end())
--- a/servers/feed/change_batch.cpp
+++ b/servers/feed/change_batch.cpp
@@ -117,8 +117,8 @@
   m_PartialBatches.erase(Known);
   const auto Raw =
       decompressBytes(Compressed, fieldOr(Part, "size", std::size_t{0}));
-  const Json Changes =
-      Raw ? Json::from_cbor(*Raw, true, false) : Json(Json::value_t::discarded);
+  const Json Changes = Raw ? parseCbor(Raw->begin(), Raw->end())
+                           : Json(Json::value_t::discarded);
   if (!Changes.is_array())
     return std::nullopt;
   Batch.m_Changes = decodeChanges(Changes, Era);
