Compare numbers of clients before they become times

In the normal build the longest Deadline-Ms makes a request count as late at once, and the demand of a model overflows.

Cause: the numbers were converted to times before they were compared.

Change: Deadline-Ms is compared in milliseconds with the route's timeout, and the token counts of a request count up to 1,000,000,000.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -66,6 +66,11 @@
 /// then is no sign of a crash. They do so after four seconds or more.
 constexpr Duration LongReadPause = std::chrono::seconds(2);
 
+/// Number of tokens, far more than a server can hold, up to which the numbers
+/// that a request states count. The times calculated from larger ones would not
+/// be representable.
+constexpr std::uint64_t MaxStatedTokens = 1'000'000'000;
+
 /// Time between two ticks from which the process counts as having stood still.
 constexpr Duration LongestTickGap = milliseconds(100);
 /// Time between two decisions about a second attempt that was not sent. Each
@@ -348,6 +353,8 @@
                      Result.m_OutputTokens) &&
         Comma != std::string::npos)
       parseNumber(Counts.substr(Comma + 1), Result.m_OutputTokens);
+    Result.m_PromptTokens = std::min(Result.m_PromptTokens, MaxStatedTokens);
+    Result.m_OutputTokens = std::min(Result.m_OutputTokens, MaxStatedTokens);
     return Result;
   }
 
@@ -359,9 +366,11 @@
   void setDeadline() {
     Duration TimeLeft = m_Route->m_Timeout;
     std::int64_t RequestedMs = 0;
-    if (parseNumber(header(m_Context.m_HeaderNames.m_DeadlineMs), RequestedMs))
-      TimeLeft = std::min<Duration>(
-          TimeLeft, milliseconds(std::max<std::int64_t>(0, RequestedMs)));
+    // A larger number may not be representable as a duration.
+    if (parseNumber(header(m_Context.m_HeaderNames.m_DeadlineMs),
+                    RequestedMs) &&
+        RequestedMs <= inMs(TimeLeft))
+      TimeLeft = milliseconds(std::max<std::int64_t>(0, RequestedMs));
     m_Deadline = m_ClientRequest.m_ReceivedAt + TimeLeft;
   }
 
