--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -29,7 +29,8 @@
 # Runs alone: it measures the memory of a front node, and its clients need
 # processor time.
 step "clients of a front node that do not read"
-python3 soak/slow_clients.py
+python3 soak/slow_clients.py --known-red \
+  "$(sed -n 's/^- slow clients, \([a-z_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd ,)"
 
 step "linter"
 bash scripts/lint.sh
--- a/soak/slow_clients.py
+++ b/soak/slow_clients.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Memory and descriptors of fulmarwinch-front when clients do not read.
 
-Usage: slow_clients.py [--patterns NAME,NAME]
+Usage: slow_clients.py [--patterns NAME,NAME] [--known-red NAME,NAME]
 
 Guards against a front node that exceeds the memory or the descriptors of its
 machine, ends or hangs, because many clients read their answers slowly or not at
@@ -11,6 +11,7 @@
 that an ordinary request is answered while the clients are still connected. The
 clients and limits are fixed; they are not adjusted to the program. Exits with 1
 if a check failed; the folder with the logs of that process is kept and printed.
+Patterns of --known-red are run and printed as well, but do not count.
 """
 
 import argparse
@@ -387,9 +388,21 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--patterns", default=",".join(PATTERNS))
+    parser.add_argument("--known-red", default="")
     options = parser.parse_args()
-    results = [run_pattern(name) for name in options.patterns.split(",")]
-    sys.exit(0 if all(results) else 1)
+    known_red = set(filter(None, options.known_red.split(",")))
+    if not known_red <= set(PATTERNS):
+        parser.error(f"no such pattern: {', '.join(known_red - set(PATTERNS))}")
+    is_sound = True
+    for name in options.patterns.split(","):
+        has_passed = run_pattern(name)
+        if name in known_red:
+            print(f"{name}: in KNOWN-RED.txt, "
+                  f"{'passed' if has_passed else 'failed as listed'}",
+                  flush=True)
+        else:
+            is_sound = is_sound and has_passed
+    sys.exit(0 if is_sound else 1)
 
 
 if __name__ == "__main__":
