Reserve the memory of a response before it is read

What callers saw: a node that ended for lack of memory when many long answers arrived at the same moment.

Cause: a response told the budget afterwards what it held. When the memory was full, one response at a time had precedence and was read whole; its bytes then moved to the output of its client, the next response took the precedence, and so on, so that nothing bounded a burst. The copy that a growing buffer makes, and the capacity beyond the size, were not counted.

Change: ResponseBuffer reserves the stated length, or the next step of a response of unknown length with its copy, before more than one read is held. What finds no memory waits with its server paused and counts in the excess that closes clients that do not read. The last eighth of the memory is left for connections, requests and short responses. Responses of unknown length are read one at a time from half of the memory on, and one that gets no more for two seconds gives up, so that they cannot wait for each other. The reservation moves with the body into the client's output. The separate limit of buffered bytes is gone.

The check oneResponseIsReadAlthoughTheNodeIsFull demanded the fault itself. In its place: short responses are still read, bursts of known and unknown length stay within the budget, and all of them are answered.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -187,14 +187,22 @@
   }
 
   void respond(int Status, std::string_view Reason, const HttpHeaders &Headers,
-               std::string Body,
-               ResponseFraming Framing = ResponseFraming::Delimited) {
+               std::string Body) {
+    ReservedBytes Held{std::move(Body),
+                       MemoryReservation(m_Hooks.m_Memory->budget())};
+    Held.m_Reservation.set(Held.m_Bytes.capacity());
+    forward(Status, Reason, Headers, std::move(Held),
+            ResponseFraming::Delimited);
+  }
+
+  void forward(int Status, std::string_view Reason, const HttpHeaders &Headers,
+               ReservedBytes Body, ResponseFraming Framing) {
     if (m_IsClosed)
       return;
     setFraming(Framing);
     std::string Text = formatHead(Status, Reason, Headers);
     if (!m_IsHeadOnly && Framing == ResponseFraming::Delimited)
-      append(Text, "Content-Length: ", Body.size(), "\r\n");
+      append(Text, "Content-Length: ", Body.m_Bytes.size(), "\r\n");
     m_Output.append(concat(Text, "\r\n"));
     if (!m_IsHeadOnly)
       m_Output.appendBody(std::move(Body));
@@ -235,7 +243,7 @@
 
   void updateHeld() {
     m_Held.set(ClientMemory::ConnectionBytes + m_HeadBytes +
-               m_Output.capacity() + m_ReceivedBytes.capacity());
+               m_Output.unreservedCapacity() + m_ReceivedBytes.capacity());
   }
 
   void flush() {
@@ -412,9 +420,14 @@
 }
 
 void ClientConnection::respond(int Status, std::string_view Reason,
-                               const HttpHeaders &Headers, std::string Body,
+                               const HttpHeaders &Headers, std::string Body) {
+  m_Impl->respond(Status, Reason, Headers, std::move(Body));
+}
+
+void ClientConnection::forward(int Status, std::string_view Reason,
+                               const HttpHeaders &Headers, ReservedBytes Body,
                                ResponseFraming Framing) {
-  m_Impl->respond(Status, Reason, Headers, std::move(Body), Framing);
+  m_Impl->forward(Status, Reason, Headers, std::move(Body), Framing);
 }
 
 void ClientConnection::beginStream(int Status, std::string_view Reason,
@@ -476,7 +489,7 @@
 ConnectionState ClientConnection::sampleState(MonotonicTime Now) {
   using Activity = ConnectionState::Activity;
   Impl &Self = *m_Impl;
-  const std::size_t Held = Self.m_Held.bytes();
+  const std::size_t Held = Self.m_Held.bytes() + Self.m_Output.reservedBytes();
   if (Self.m_Output.size() > 0)
     return {Activity::Sending, Held,
             Self.m_Output.stalledSince(Self.m_Socket.native_handle(), Now)};
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -75,12 +75,14 @@
   /// before the response is complete.
   void setOnDisconnected(std::function<void()> OnDisconnected);
 
-  /// Sends a complete response. A Delimited one gets a Content-Length, unless
-  /// it ends with its head: nothing of a body is sent in a response to HEAD or
-  /// with the status 204 or 304, also by the functions below.
+  /// Sends a complete response whose length states its end, unless it ends
+  /// with its head: nothing of a body is sent in a response to HEAD or with the
+  /// status 204 or 304, also by the functions below.
   void respond(int Status, std::string_view Reason, const HttpHeaders &Headers,
-               std::string Body,
-               ResponseFraming Framing = ResponseFraming::Delimited);
+               std::string Body);
+  /// Sends a complete response whose memory is reserved.
+  void forward(int Status, std::string_view Reason, const HttpHeaders &Headers,
+               ReservedBytes Body, ResponseFraming Framing);
   /// Starts a response of unknown length. A Delimited one is sent in chunks.
   void beginStream(int Status, std::string_view Reason,
                    const HttpHeaders &Headers, ResponseFraming Framing);
--- a/proxy/client_memory.cpp
+++ b/proxy/client_memory.cpp
@@ -18,6 +18,10 @@
 /// its request, if there is memory.
 constexpr std::size_t MaxWaitingOutput = std::size_t{1024} * 1024;
 constexpr std::size_t MaxPipelinedInput = std::size_t{64} * 1024;
+/// Reservations of responses up to this size may use all of the memory.
+constexpr std::size_t ShortResponse = std::size_t{64} * 1024;
+/// Part of the memory that longer responses leave unused.
+constexpr std::size_t SpareDivisor = 8;
 
 } // namespace
 
@@ -32,10 +36,15 @@
   m_BodyBudget->setLimit(BodyLimit);
 }
 
-bool ClientMemory::isScarce() const {
+bool ClientMemory::isHalfUsed() const {
   return m_Budget->used() >= m_Budget->limit() / 2;
 }
 
+bool ClientMemory::isScarce() const {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  return isHalfUsed() || !m_WantedBytes.empty();
+}
+
 std::size_t ClientMemory::fairShare(std::size_t Max) const {
   const std::size_t Unused =
       m_Budget->limit() - std::min(m_Budget->limit(), m_Budget->used());
@@ -54,21 +63,66 @@
   return m_Budget->used() >= m_Budget->limit();
 }
 
+std::size_t ClientMemory::spareFor(std::size_t Bytes) const {
+  return Bytes <= ShortResponse ? 0 : m_Budget->limit() / SpareDivisor;
+}
+
+std::size_t ClientMemory::maxResponse() const {
+  return m_Budget->limit() - m_Budget->limit() / SpareDivisor;
+}
+
+bool ClientMemory::reserveResponse(const void *Reader,
+                                   MemoryReservation &Reservation,
+                                   std::size_t Bytes) {
+  const std::size_t Missing = Bytes - std::min(Bytes, Reservation.bytes());
+  const bool HasSucceeded = Reservation.growTo(Bytes, spareFor(Bytes));
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  if (HasSucceeded)
+    m_WantedBytes.erase(Reader);
+  else
+    m_WantedBytes[Reader] = Missing;
+  return HasSucceeded;
+}
+
+bool ClientMemory::reserveOpenResponse(const void *Reader,
+                                       MemoryReservation &Reservation,
+                                       std::size_t Bytes) {
+  if (Bytes > ShortResponse && isHalfUsed() && !takePrecedence(Reader))
+    return false;
+  return reserveResponse(Reader, Reservation, Bytes);
+}
+
 bool ClientMemory::takePrecedence(const void *Reader) {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
   if (!m_ReaderWithPrecedence)
     m_ReaderWithPrecedence = Reader;
   return m_ReaderWithPrecedence == Reader;
 }
 
-void ClientMemory::endPrecedence(const void *Reader) {
+bool ClientMemory::hasPrecedence(const void *Reader) const {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  return m_ReaderWithPrecedence == Reader;
+}
+
+void ClientMemory::endResponse(const void *Reader) {
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  m_WantedBytes.erase(Reader);
   if (m_ReaderWithPrecedence == Reader)
     m_ReaderWithPrecedence = nullptr;
 }
 
 std::size_t ClientMemory::excess() const {
+  const std::size_t Limit = m_Budget->limit();
   // Connections are closed a little before requests are rejected.
-  const std::size_t Target = m_Budget->limit() - m_Budget->limit() / 10;
-  return m_Budget->used() > Target ? m_Budget->used() - Target : 0;
+  std::size_t Target = Limit - Limit / 10;
+  std::size_t Needed = m_Budget->used();
+  const std::lock_guard<std::mutex> Guard(m_Mutex);
+  if (!m_WantedBytes.empty()) {
+    for (const auto &[Reader, Bytes] : m_WantedBytes)
+      Needed += Bytes;
+    Target = std::min(Target, maxResponse());
+  }
+  return Needed - std::min(Needed, Target);
 }
 
 } // namespace fulmarwinch
--- a/proxy/client_memory.h
+++ b/proxy/client_memory.h
@@ -4,21 +4,27 @@
 #include "proxy/memory_budget.h"
 
 #include <cstddef>
+#include <map>
 #include <memory>
+#include <mutex>
 
 namespace fulmarwinch {
 
 /// Memory that a node holds for its clients and for the responses of servers:
 /// connections, request bodies, buffered responses and unsent output. Decides
-/// how much of it one connection may use now. Used by one thread only.
+/// how much of it one connection may use now. May be used from any thread.
 class ClientMemory {
 public:
   /// Memory of a connection, besides what it holds for the client: its read
   /// buffer, parser and sockets.
   static constexpr std::size_t ConnectionBytes = std::size_t{12} * 1024;
+  /// Bytes read at once from a server.
+  static constexpr std::size_t ServerReadBytes = std::size_t{16} * 1024;
   /// Memory of a request in progress, besides its bodies: its state, header
-  /// fields and the read buffer of its call to a server.
-  static constexpr std::size_t RequestBytes = std::size_t{28} * 1024;
+  /// fields, the read buffer of its call to a server, and what one read puts
+  /// into the response or the client's output before anything is reserved.
+  static constexpr std::size_t RequestBytes =
+      std::size_t{28} * 1024 + 2 * ServerReadBytes;
 
   /// Without a limit until setLimits() is called.
   ClientMemory();
@@ -37,25 +43,46 @@
   std::size_t maxWaitingOutput() const;
   /// Bytes of pipelined requests that may wait on one connection.
   std::size_t maxPipelinedInput() const;
-  /// True if no further request can be accepted, and no further byte of a
-  /// response should be read.
+  /// True if no further request can be accepted.
   bool isFull() const;
-  /// True if the response for \p Reader may be read on although the node holds
-  /// too much. One reader at a time has precedence: responses that are all
-  /// incomplete would wait for each other otherwise.
-  bool takePrecedence(const void *Reader);
+
+  /// Largest reservation of a response that can succeed when nothing else is
+  /// held.
+  std::size_t maxResponse() const;
+  /// Increases the reservation of \p Reader's response to \p Bytes. The last
+  /// part of the memory is left for connections, requests and short responses.
+  /// If it fails, the bytes count in excess() until it succeeds or
+  /// endResponse() is called.
+  bool reserveResponse(const void *Reader, MemoryReservation &Reservation,
+                       std::size_t Bytes);
+  /// The same for a response whose length is not known, and which will need
+  /// more. From half of the memory on, one reader at a time may go on:
+  /// responses that are all incomplete would wait for each other otherwise.
+  bool reserveOpenResponse(const void *Reader, MemoryReservation &Reservation,
+                           std::size_t Bytes);
+  /// True if no other incomplete response has to end before that of \p Reader
+  /// can go on.
+  bool hasPrecedence(const void *Reader) const;
   /// Must be called at the end of each reader's response.
-  void endPrecedence(const void *Reader);
+  void endResponse(const void *Reader);
   /// Number of bytes that must be released by closing connections.
   std::size_t excess() const;
 
 private:
   /// Share of the unused memory that one connection may use for one purpose.
   std::size_t fairShare(std::size_t Max) const;
+  bool isHalfUsed() const;
+  bool takePrecedence(const void *Reader);
+  /// Bytes that responses of \p Bytes leave for other purposes.
+  std::size_t spareFor(std::size_t Bytes) const;
 
   std::shared_ptr<MemoryBudget> m_Budget;
   std::shared_ptr<MemoryBudget> m_BodyBudget;
+  /// Guards the members below.
+  mutable std::mutex m_Mutex;
   const void *m_ReaderWithPrecedence = nullptr;
+  /// Bytes that readers have asked for in vain.
+  std::map<const void *, std::size_t> m_WantedBytes;
 };
 
 } // namespace fulmarwinch
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -36,12 +36,9 @@
 /// Period in which the node reselects the relay of its zone, checks that the
 /// relay's messages are recent and updates its rank for the lease.
 constexpr Duration RelayCheckPeriod = milliseconds(60);
-/// Share of the process's memory that buffered responses may use.
-constexpr double BufferedMemoryShare = 0.25;
 /// Bounds of the Retry-After of a request whose body has no room.
 constexpr double MinBodyRetryAfterSeconds = 0.3;
 constexpr double MaxBodyRetryAfterSeconds = 1.0;
-constexpr double BytesPerMb = 1048576.0;
 /// Period in which a node sends its crash records to a random peer.
 constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watches on the entries of servers and on evacuations.
@@ -119,9 +116,6 @@
     SecondAttemptSettings SecondAttempts;
     SecondAttempts.m_MaxShare = Settings.m_SecondAttemptShare;
     m_Context.m_SecondAttempts = SecondAttemptPolicy(SecondAttempts);
-    if (Settings.m_MemoryMb > 0.0)
-      m_Context.m_MaxBufferedBytes = static_cast<std::size_t>(
-          Settings.m_MemoryMb * BytesPerMb * BufferedMemoryShare);
     for (ObjectWatcher *Watcher : {&m_ServerWatcher, &m_ConfigurationWatcher,
                                    &m_EvacuationWatcher, &m_NodeWatcher})
       m_ChangeRelay.addWatcher(*Watcher);
--- a/proxy/memory_budget.cpp
+++ b/proxy/memory_budget.cpp
@@ -1,13 +1,18 @@
 #include "proxy/memory_budget.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace fulmarwinch {
 
-std::size_t MemoryBudget::left() const {
-  const std::size_t Own = m_Limit > m_Used ? m_Limit - m_Used : 0;
-  return m_Whole ? std::min(Own, m_Whole->left()) : Own;
+bool MemoryBudget::tryAdd(std::size_t Bytes, std::size_t Spare) {
+  const std::size_t Limit = m_Limit;
+  std::size_t Used = m_Used;
+  do {
+    if (Used > Limit || Limit - Used < Bytes || Limit - Used - Bytes < Spare)
+      return false;
+  } while (!m_Used.compare_exchange_weak(Used, Used + Bytes));
+  if (!m_Whole || m_Whole->tryAdd(Bytes, Spare))
+    return true;
+  m_Used -= Bytes;
+  return false;
 }
 
 void MemoryBudget::add(std::size_t Bytes) {
@@ -25,17 +30,27 @@
 MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> Budget)
     : m_Budget(std::move(Budget)) {}
 
-MemoryReservation::~MemoryReservation() {
-  if (m_Budget)
-    m_Budget->subtract(m_Bytes);
+MemoryReservation::~MemoryReservation() { set(0); }
+
+MemoryReservation::MemoryReservation(MemoryReservation &&Other) noexcept
+    : m_Budget(Other.m_Budget), m_Bytes(std::exchange(Other.m_Bytes, 0)) {}
+
+MemoryReservation &
+MemoryReservation::operator=(MemoryReservation &&Other) noexcept {
+  if (this != &Other) {
+    set(0);
+    m_Budget = Other.m_Budget;
+    m_Bytes = std::exchange(Other.m_Bytes, 0);
+  }
+  return *this;
 }
 
-bool MemoryReservation::growTo(std::size_t Bytes) {
+bool MemoryReservation::growTo(std::size_t Bytes, std::size_t Spare) {
   if (!m_Budget || Bytes <= m_Bytes)
     return true;
-  if (Bytes - m_Bytes > m_Budget->left())
+  if (!m_Budget->tryAdd(Bytes - m_Bytes, Spare))
     return false;
-  set(Bytes);
+  m_Bytes = Bytes;
   return true;
 }
 
--- a/proxy/memory_budget.h
+++ b/proxy/memory_budget.h
@@ -1,13 +1,16 @@
 #ifndef FULMARWINCH_PROXY_MEMORY_BUDGET_H
 #define FULMARWINCH_PROXY_MEMORY_BUDGET_H
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace fulmarwinch {
 
-/// Bytes that a node may hold in memory for one purpose. Used by one thread
-/// only.
+/// Bytes that a node may hold in memory for one purpose. May be used from any
+/// thread.
 class MemoryBudget {
 public:
   /// What is reserved also counts in \p Whole, of which this budget is a part;
@@ -23,13 +26,13 @@
 private:
   friend class MemoryReservation;
 
-  /// Bytes that can still be reserved.
-  std::size_t left() const;
+  /// Adds \p Bytes unless less than \p Spare bytes were left then.
+  bool tryAdd(std::size_t Bytes, std::size_t Spare);
   void add(std::size_t Bytes);
   void subtract(std::size_t Bytes);
 
-  std::size_t m_Limit;
-  std::size_t m_Used = 0;
+  std::atomic<std::size_t> m_Limit;
+  std::atomic<std::size_t> m_Used{0};
   std::shared_ptr<MemoryBudget> m_Whole;
 };
 
@@ -41,10 +44,13 @@
   ~MemoryReservation();
   MemoryReservation(const MemoryReservation &) = delete;
   MemoryReservation &operator=(const MemoryReservation &) = delete;
+  MemoryReservation(MemoryReservation &&Other) noexcept;
+  MemoryReservation &operator=(MemoryReservation &&Other) noexcept;
 
   /// Increases the reservation to \p Bytes unless it is larger. Returns false,
-  /// and changes nothing, if the budget does not allow it.
-  bool growTo(std::size_t Bytes);
+  /// and changes nothing, if the budget does not allow it or would then have
+  /// less than \p Spare bytes left.
+  bool growTo(std::size_t Bytes, std::size_t Spare = 0);
   /// Sets the reservation to \p Bytes, which are held already, also beyond the
   /// limit of the budget.
   void set(std::size_t Bytes);
@@ -55,6 +61,12 @@
   std::size_t m_Bytes = 0;
 };
 
+/// Bytes together with the memory that is reserved for them.
+struct ReservedBytes {
+  std::string m_Bytes;
+  MemoryReservation m_Reservation;
+};
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_MEMORY_BUDGET_H
--- a/proxy/output_queue.cpp
+++ b/proxy/output_queue.cpp
@@ -13,11 +13,13 @@
 
 } // namespace
 
-void OutputQueue::appendBody(std::string Body) {
-  if (Body.size() <= KeptBufferBytes)
-    m_Next += Body;
-  else
-    m_Body = std::move(Body);
+void OutputQueue::appendBody(ReservedBytes Body) {
+  if (Body.m_Bytes.size() <= KeptBufferBytes) {
+    m_Next += Body.m_Bytes;
+    return;
+  }
+  m_Body = std::move(Body.m_Bytes);
+  m_BodyReservation = std::move(Body.m_Reservation);
 }
 
 std::string_view OutputQueue::next() {
@@ -36,6 +38,8 @@
   m_SentOfCurrent = 0;
   m_Current.clear();
   shrinkIfEmpty(m_Current);
+  if (m_Body.empty())
+    m_BodyReservation.set(0);
   m_IsProgressKnown = m_IsProgressKnown && size() > 0;
   return true;
 }
--- a/proxy/output_queue.h
+++ b/proxy/output_queue.h
@@ -1,6 +1,7 @@
 #ifndef FULMARWINCH_PROXY_OUTPUT_QUEUE_H
 #define FULMARWINCH_PROXY_OUTPUT_QUEUE_H
 
+#include "proxy/memory_budget.h"
 #include "servers/dispatch/connection_shedding.h"
 
 #include <string>
@@ -16,7 +17,7 @@
   /// Adds the body of a response after all other output. A large one stays
   /// where it is until it is sent, so that it is held only once. Nothing may be
   /// added until everything is sent.
-  void appendBody(std::string Body);
+  void appendBody(ReservedBytes Body);
 
   /// Returns the bytes to send next; empty if there are none. They stay valid
   /// until onSent() has returned true.
@@ -29,10 +30,13 @@
   std::size_t size() const {
     return m_Current.size() - m_SentOfCurrent + m_Next.size() + m_Body.size();
   }
-  /// Memory that the queue holds.
-  std::size_t capacity() const {
-    return m_Current.capacity() + m_Next.capacity() + m_Body.capacity();
+  /// Memory that the queue holds, without what is reserved for a body.
+  std::size_t unreservedCapacity() const {
+    return m_Next.capacity() + (m_BodyReservation.bytes() > 0
+                                    ? 0
+                                    : m_Current.capacity() + m_Body.capacity());
   }
+  std::size_t reservedBytes() const { return m_BodyReservation.bytes(); }
   /// Returns the time since which the client at the other end of \p Socket has
   /// taken almost nothing of the waiting output. Call it several times a second
   /// while it matters: what happened before the first call is not known.
@@ -46,6 +50,8 @@
   std::size_t m_SentOfCurrent = 0;
   std::string m_Next;
   std::string m_Body;
+  /// Memory of a large body until it is sent.
+  MemoryReservation m_BodyReservation;
   std::uint64_t m_SentBytes = 0;
   ReadProgress m_Progress;
   /// True if m_Progress is about the output that waits now.
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -2,6 +2,7 @@
 #include "core/text.h"
 #include "proxy/http_fields.h"
 #include "proxy/request_metrics.h"
+#include "proxy/response_buffer.h"
 #include "proxy/second_attempt.h"
 #include "proxy/second_attempt_choice.h"
 #include "proxy/server_notices.h"
@@ -65,6 +66,10 @@
 /// A server may terminate a response that stayed unread for this long, which
 /// then is no sign of a crash. They do so after four seconds or more.
 constexpr Duration LongReadPause = std::chrono::seconds(2);
+/// A response of unknown length that nothing else keeps from being read on
+/// gives up after this time without memory for more of it. What it holds lets
+/// others go on.
+constexpr Duration MaxMemoryWait = LongReadPause;
 
 /// Number of tokens, far more than a server can hold, up to which the numbers
 /// that a request states count. The times calculated from larger ones would not
@@ -100,7 +105,8 @@
   Impl(RequestRelayContext &Context, std::shared_ptr<ClientConnection> Client,
        ClientRequest Request)
       : m_Context(Context), m_Held(Context.m_Memory->budget()),
-        m_Client(std::move(Client)), m_ClientRequest(std::move(Request)) {
+        m_Client(std::move(Client)), m_ClientRequest(std::move(Request)),
+        m_ResponseBody(Context.m_Memory, this) {
     m_Held.set(ClientMemory::RequestBytes);
   }
 
@@ -769,22 +775,28 @@
     m_Call->fail();
   }
 
-  /// Updates the node's count of buffered bytes to what this request holds.
-  /// Returns false if the limit is exceeded.
-  bool accountBuffer() {
-    const std::size_t Bytes = m_ResponseBody.size() +
-                              m_EventCutter.incompleteEvent().size() +
-                              m_LastServerErrorBody.size();
-    m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
-    m_AccountedBytes = Bytes;
-    m_Held.set(ClientMemory::RequestBytes + Bytes);
-    return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
+  /// Reserves memory for what the next read from the server may add. Returns
+  /// false if there is none now.
+  bool prepareRead() {
+    return m_IsStream ? reserveEvent(m_EventCutter.incompleteEvent().size())
+                      : m_ResponseBody.prepareRead();
+  }
+
+  /// Sets the memory for an incomplete event of \p Bytes, whose buffer may have
+  /// twice the size.
+  bool reserveEvent(std::size_t Bytes) {
+    const std::size_t Needed =
+        ClientMemory::RequestBytes +
+        (Bytes > 0 ? 2 * (Bytes + ClientMemory::ServerReadBytes) : 0);
+    if (Needed < m_Held.bytes())
+      m_Held.set(Needed);
+    return m_Context.m_Memory->reserveResponse(this, m_Held, Needed);
   }
 
   void releaseBuffer() {
-    m_ResponseBody = std::string();
+    m_ResponseBody.clear();
     m_EventCutter = EventSplitter();
-    accountBuffer();
+    reserveEvent(0);
   }
 
   void onHead(HttpMessageHead Head) {
@@ -808,6 +820,19 @@
       rejectResponse("no_digest");
     else if (m_IsStream && m_ResponseStarted && !hasHeadOfStream())
       rejectResponse("no_stream");
+    else if (!m_IsStream && !expectLength())
+      rejectResponse("response_too_large");
+  }
+
+  /// Returns false if the response states a length that cannot be held.
+  bool expectLength() {
+    std::size_t Length = 0;
+    if (!expectsNoBody() &&
+        parseNumber(
+            findHeader(m_ResponseHead.m_Headers, "Content-Length").value_or(""),
+            Length))
+      m_ResponseBody.expect(Length);
+    return Length <= MaxBufferedResponseBytes && !m_ResponseBody.isTooLarge();
   }
 
   /// True if the head of the response agrees with the one that the client has
@@ -844,9 +869,10 @@
     if (!m_RejectedResponse.empty())
       return;
     if (!m_IsStream) {
-      reserveResponseBody();
-      m_ResponseBody.append(Bytes);
-      if (m_ResponseBody.size() > MaxBufferedResponseBytes || !accountBuffer())
+      if (!m_ResponseBody.append(Bytes))
+        rejectResponse("no_memory");
+      else if (m_ResponseBody.bytes().size() > MaxBufferedResponseBytes ||
+               m_ResponseBody.isTooLarge())
         rejectResponse("response_too_large");
       else
         updatePause();
@@ -855,32 +881,18 @@
     for (const RawEvent &Event : m_EventCutter.accept(Bytes))
       if (!forwardEvent(Event))
         return;
-    if (m_EventCutter.hasFailed() || !accountBuffer())
+    if (m_EventCutter.hasFailed())
       rejectResponse("event_too_large");
     else
       updatePause();
   }
 
-  /// Reserves the stated length at once, because a growing buffer would take
-  /// twice as much at times.
-  void reserveResponseBody() {
-    std::size_t Length = 0;
-    if (m_ResponseBody.empty() &&
-        parseNumber(
-            findHeader(m_ResponseHead.m_Headers, "Content-Length").value_or(""),
-            Length))
-      m_ResponseBody.reserve(std::min(Length, MaxBufferedResponseBytes));
-  }
-
   /// True if the response should not be read further for now.
   bool mustWait() {
-    ClientMemory &Memory = *m_Context.m_Memory;
-    if (m_IsStream && m_ResponseStarted)
-      return m_Client->waitingOutput() > Memory.maxWaitingOutput();
-    const bool IsFull = Memory.isFull() || m_Context.m_BufferedBytes >
-                                               m_Context.m_MaxBufferedBytes / 2;
-    // A response that holds nothing yet may be short enough to end at once.
-    return IsFull && m_AccountedBytes > 0 && !Memory.takePrecedence(this);
+    if (m_IsStream && m_ResponseStarted &&
+        m_Client->waitingOutput() > m_Context.m_Memory->maxWaitingOutput())
+      return true;
+    return !prepareRead();
   }
 
   /// Stops reading the response while the client does not take it or the node
@@ -889,9 +901,16 @@
     if (!m_Call || m_Phase == Phase::Ended)
       return;
     const bool MustWait = mustWait();
+    const MonotonicTime Now = monotonicNow();
+    if (MustWait && m_Call->isPaused() && Now - m_PausedAt >= MaxMemoryWait &&
+        m_Context.m_Memory->hasPrecedence(this)) {
+      m_Call->cancel();
+      ++m_ArrivedAttempts;
+      onAttemptFailed("no_memory");
+      return;
+    }
     if (MustWait == m_Call->isPaused())
       return;
-    const MonotonicTime Now = monotonicNow();
     m_Call->setPaused(MustWait);
     if (!MustWait) {
       m_WasPausedForLong =
@@ -1006,7 +1025,7 @@
     return findBodyFlaw(
         m_ResponseHead.m_Status,
         findHeader(m_ResponseHead.m_Headers, "Content-Type").value_or(""),
-        m_ResponseBody, End);
+        m_ResponseBody.bytes(), End);
   }
 
   bool isSuccess() const {
@@ -1060,7 +1079,7 @@
     }
     if (Verdict == ResponseVerdict::ServerError && mayRetry()) {
       m_LastServerError = m_ResponseHead;
-      m_LastServerErrorBody = std::move(m_ResponseBody);
+      m_LastServerErrorBody = m_ResponseBody.take();
       releaseServer();
       retryOrEnd("server_error", true);
       return;
@@ -1079,7 +1098,7 @@
       m_Context.m_FirstEventLatency.record(m_Pool,
                                            Now - m_ClientRequest.m_ReceivedAt,
                                            m_Route->m_FirstByteObjective, Now);
-    forwardResponse(m_ResponseHead, std::move(m_ResponseBody));
+    forwardResponse(m_ResponseHead, m_ResponseBody.take());
   }
 
   void onNotExecuted() {
@@ -1107,7 +1126,7 @@
     m_Client->endStream();
   }
 
-  void forwardResponse(const HttpMessageHead &Head, std::string Body) {
+  void forwardResponse(const HttpMessageHead &Head, ReservedBytes Body) {
     releaseServer();
     end("complete", Head.m_Status);
     HttpHeaders Fields = endToEndHeaders(Head.m_Headers);
@@ -1115,7 +1134,7 @@
     const auto Length = findHeader(Head.m_Headers, "Content-Length");
     if (expectsNoBody() && Length)
       Fields.push_back({"Content-Length", *Length});
-    m_Client->respond(Head.m_Status, Head.m_Reason, Fields, std::move(Body),
+    m_Client->forward(Head.m_Status, Head.m_Reason, Fields, std::move(Body),
                       framingOf(Head));
   }
 
@@ -1271,7 +1290,7 @@
       return;
     m_Phase = Phase::Ended;
     cancelSecondAttempt();
-    m_Context.m_Memory->endPrecedence(this);
+    m_Context.m_Memory->endResponse(this);
     m_ClientRequest.m_Body = std::make_shared<RequestBody>();
     const MonotonicTime Now = monotonicNow();
     m_Context.m_Log.write(
@@ -1306,8 +1325,6 @@
     Summary.m_LongestEventGap = m_LongestEventGap;
     recordRequest(m_Context.m_Metrics, Summary);
     recordCompleted(Cause);
-    m_Context.m_BufferedBytes -= m_AccountedBytes;
-    m_AccountedBytes = 0;
     m_Context.m_ActiveRequests.erase(m_Owner.lock());
   }
 
@@ -1337,6 +1354,9 @@
       return;
     }
     updatePause();
+    // The attempt may have ended for lack of memory.
+    if (!m_Call)
+      return;
     considerSecondAttempt(Now);
     m_Context.m_Selector.speed().onStillWaiting(m_FirstEventWait,
                                                 m_ChosenServer, Now);
@@ -1428,11 +1448,11 @@
   HttpMessageHead m_ResponseHead;
   /// Head of the stream that the client receives.
   HttpMessageHead m_StreamHead;
-  std::string m_ResponseBody;
+  ResponseBuffer m_ResponseBody;
   EventSplitter m_EventCutter;
   EventSequenceFilter m_Sequence{std::nullopt};
   std::optional<HttpMessageHead> m_LastServerError;
-  std::string m_LastServerErrorBody;
+  ReservedBytes m_LastServerErrorBody;
   std::optional<MonotonicTime> m_FirstEventAt;
   std::optional<MonotonicTime> m_LastEventAt;
   Duration m_LongestEventGap{0};
@@ -1452,8 +1472,6 @@
   /// Reason why the response of the current attempt is not read further; empty
   /// if it is.
   std::string_view m_RejectedResponse;
-  /// Bytes of this request in RequestRelayContext::m_BufferedBytes.
-  std::size_t m_AccountedBytes = 0;
   bool m_IsStream = false;
   /// The client seems to have been rejected before.
   bool m_IsReturning = false;
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -67,11 +67,6 @@
   std::function<std::string_view()> m_FindShortage = [] {
     return std::string_view();
   };
-  /// Bytes of responses that requests hold until they can be forwarded, and the
-  /// limit for all requests together. An attempt whose response exceeds it
-  /// fails. From half of it, responses are read one at a time.
-  std::size_t m_BufferedBytes = 0;
-  std::size_t m_MaxBufferedBytes = std::size_t{64} * 1024 * 1024;
   /// Demand of first attempts and of returning clients, on this node and on all
   /// nodes.
   DemandEstimator m_DemandEstimator;
--- /dev/null
+++ b/proxy/response_buffer.h
@@ -0,0 +1,56 @@
+#ifndef FULMARWINCH_PROXY_RESPONSE_BUFFER_H
+#define FULMARWINCH_PROXY_RESPONSE_BUFFER_H
+
+#include "proxy/client_memory.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fulmarwinch {
+
+/// Body of a response while it is received. Its memory is reserved before it is
+/// read, except that of the first read, which ClientMemory::RequestBytes
+/// includes.
+class ResponseBuffer {
+public:
+  /// \p Reader identifies the response for ClientMemory.
+  ResponseBuffer(std::shared_ptr<ClientMemory> Memory, const void *Reader);
+  ~ResponseBuffer();
+  ResponseBuffer(const ResponseBuffer &) = delete;
+  ResponseBuffer &operator=(const ResponseBuffer &) = delete;
+
+  /// Sets the length that the head of the response states.
+  void expect(std::size_t Length) { m_Length = Length; }
+  /// Reserves the memory for the rest of a response of known length, or else
+  /// for the next read. Returns false if there is none now.
+  bool prepareRead();
+  /// True if the response cannot be held, even if nothing else is.
+  bool isTooLarge() const;
+  /// Adds \p Bytes. Returns false without doing so if no memory is reserved for
+  /// them and none can be.
+  bool append(std::string_view Bytes);
+  /// Discards the body and returns its memory.
+  void clear();
+  /// Returns the body with its memory and leaves this buffer empty.
+  ReservedBytes take();
+
+  const std::string &bytes() const { return m_Bytes; }
+
+private:
+  /// Size for which memory is needed before \p Next more bytes are added.
+  std::size_t neededFor(std::size_t Next) const;
+  bool reserve(std::size_t Bytes);
+
+  std::shared_ptr<ClientMemory> m_Memory;
+  const void *m_Reader;
+  std::string m_Bytes;
+  MemoryReservation m_Reservation;
+  /// 0 if it is not known.
+  std::size_t m_Length = 0;
+};
+
+} // namespace fulmarwinch
+
+#endif // FULMARWINCH_PROXY_RESPONSE_BUFFER_H
--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -1,5 +1,6 @@
 #include "proxy/second_attempt.h"
 #include "core/text.h"
+#include "proxy/response_buffer.h"
 #include "proxy/server_notices.h"
 #include "servers/retry/response_flaw.h"
 
@@ -76,10 +77,16 @@
     }
     if (m_HasEnded)
       return;
-    m_Body.append(Bytes);
+    if (!m_Body.append(Bytes)) {
+      fail("no_memory");
+      return;
+    }
+    if (m_Body.bytes().size() > m_Request.m_MaxBodyBytes) {
+      fail("response_too_large");
+      return;
+    }
     if (!m_IsStream) {
-      if (m_Body.size() > m_Request.m_MaxBodyBytes || !accountBuffer())
-        fail("response_too_large");
+      reserveNextRead();
       return;
     }
     for (const RawEvent &Event : m_Splitter.accept(Bytes)) {
@@ -95,8 +102,17 @@
         return;
       }
     }
-    if (m_Splitter.hasFailed() || !accountBuffer())
+    if (m_Splitter.hasFailed())
       fail("event_too_large");
+    else
+      reserveNextRead();
+  }
+
+  /// Ends the attempt if there is no memory for the next read. The first
+  /// attempt goes on, so that the request does not depend on this one.
+  void reserveNextRead() {
+    if (!m_Body.prepareRead())
+      fail("no_memory");
   }
 
   void onEnd(UpstreamOutcome Outcome) {
@@ -162,8 +178,8 @@
                             false);
     return findBodyFlaw(
         m_Head->m_Status,
-        findHeader(m_Head->m_Headers, "Content-Type").value_or(""), m_Body,
-        End);
+        findHeader(m_Head->m_Headers, "Content-Type").value_or(""),
+        m_Body.bytes(), End);
   }
 
   void onConnectionLost() {
@@ -175,21 +191,9 @@
       m_Context.m_OnConnectionLost(m_Request.m_Server);
   }
 
-  /// Updates the node's count of buffered bytes to what is held back here.
-  /// Returns false if the limit is exceeded.
-  bool accountBuffer() {
-    const std::size_t Bytes =
-        m_Body.size() + m_Splitter.incompleteEvent().size();
-    m_Context.m_BufferedBytes += Bytes - m_AccountedBytes;
-    m_AccountedBytes = Bytes;
-    m_Held.set(Bytes);
-    return m_Context.m_BufferedBytes <= m_Context.m_MaxBufferedBytes;
-  }
-
   void releaseBuffer() {
-    m_Body = std::string();
+    m_Body.clear();
     m_Splitter = EventSplitter();
-    accountBuffer();
   }
 
   /// Ends the attempt because of its response, the rest of which is not read.
@@ -223,13 +227,13 @@
   void adopt(UpstreamCallHandlers Receiver, SecondAttemptResult Result) {
     m_HasEnded = true;
     m_Receiver = std::move(Receiver);
-    const std::string Body = std::move(m_Body);
+    const ReservedBytes Body = m_Body.take();
     releaseBuffer();
     logEnd(Result, nameOf(SecondAttemptResultNames, Result));
     if (m_Head)
       m_Receiver->m_OnHead(*m_Head);
-    if (!Body.empty())
-      m_Receiver->m_OnBody(Body);
+    if (!Body.m_Bytes.empty())
+      m_Receiver->m_OnBody(Body.m_Bytes);
     if (m_Outcome)
       onEnd(*m_Outcome);
   }
@@ -255,16 +259,12 @@
   std::shared_ptr<UpstreamCall> m_Call;
   std::optional<HttpMessageHead> m_Head;
   /// Bytes of the body that are held back.
-  std::string m_Body;
+  ResponseBuffer m_Body{m_Context.m_Memory, this};
   EventSplitter m_Splitter;
   /// How the exchange ended, if that is held back.
   std::optional<UpstreamOutcome> m_Outcome;
   /// Receives the response once the relay has adopted this attempt.
   std::optional<UpstreamCallHandlers> m_Receiver;
-  /// Bytes of this attempt in RequestRelayContext::m_BufferedBytes.
-  std::size_t m_AccountedBytes = 0;
-  /// What this attempt holds in RequestRelayContext::m_Memory.
-  MemoryReservation m_Held{m_Context.m_Memory->budget()};
   bool m_IsStream = false;
   bool m_HasEvents = false;
   bool m_HasEnded = false;
--- a/tests/proxy/test_hostile_server.cpp
+++ b/tests/proxy/test_hostile_server.cpp
@@ -102,6 +102,12 @@
            Fixture.m_SecondServer->endlessBytesSent();
   }
 
+  static void assertNothingIsHeld(RelayFixture &Fixture) {
+    Fixture.runFor(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         Fixture.m_Context.m_Memory->budget()->used());
+  }
+
   /// Guards against a process that reads such bytes into memory until the
   /// deadline, and against a success for the client.
   void endlessBytesEndTheAttemptBeforeTheDeadline() {
@@ -109,7 +115,7 @@
       RelayFixture Fixture;
       Fixture.configure(RequestKind::NonIdempotent, 1, false);
       extendTimeout(Fixture);
-      Fixture.m_Context.m_MaxBufferedBytes = 4 * Megabyte;
+      Fixture.m_Context.m_Memory->setLimits(4 * Megabyte, Megabyte);
       scriptBothServers(Fixture,
                         {Place.m_Begin, ConnectionEnd::KeepOpen,
                          repeated(Place.m_Endless, 20000), milliseconds(0)});
@@ -121,7 +127,7 @@
       // What the sockets' buffers hold was also sent, but is never read.
       CPPUNIT_ASSERT_MESSAGE(Place.m_Name,
                              endlessBytes(Fixture) < 12 * Megabyte);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Fixture.m_Context.m_BufferedBytes);
+      assertNothingIsHeld(Fixture);
       CPPUNIT_ASSERT(Fixture.m_Selector.ownInFlightByServer().empty());
     }
   }
@@ -186,7 +192,7 @@
     CPPUNIT_ASSERT(!contains(Received, "xx"));
     CPPUNIT_ASSERT(contains(Received, "\r\n0\r\n\r\n"));
     CPPUNIT_ASSERT(endlessBytes(Fixture) < 8 * Megabyte);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Fixture.m_Context.m_BufferedBytes);
+    assertNothingIsHeld(Fixture);
   }
 
   /// Guards against a limit for each request, which many requests exceed
@@ -194,15 +200,19 @@
   void responsesOfAllRequestsShareOneLimit() {
     RelayFixture Fixture;
     Fixture.configure(RequestKind::Idempotent, 1, false);
-    Fixture.m_Context.m_MaxBufferedBytes = 4 * Megabyte;
-    // Other requests hold all but 100 kB.
-    Fixture.m_Context.m_BufferedBytes = 4 * Megabyte - 100000;
+    ClientMemory &Memory = *Fixture.m_Context.m_Memory;
+    Memory.setLimits(4 * Megabyte, Megabyte);
+    MemoryReservation Others(Memory.budget());
+    Others.set(4 * Megabyte - 100000);
     const std::string Body(200000, 'b');
     scriptBothServers(Fixture, {head("Content-Length: 200000\r\n\r\n") + Body,
                                 ConnectionEnd::Close});
-    CPPUNIT_ASSERT(contains(Fixture.request(), "HTTP/1.1 502 "));
-    CPPUNIT_ASSERT_EQUAL(4 * Megabyte - 100000,
-                         Fixture.m_Context.m_BufferedBytes);
+    asio::ip::tcp::socket Client = Fixture.connectClient();
+    asio::write(Client, asio::buffer(Fixture.formatRequestBytes("", "")));
+    Fixture.runFor(milliseconds(300));
+    CPPUNIT_ASSERT(Memory.budget()->used() <= 4 * Megabyte);
+    CPPUNIT_ASSERT(contains(Fixture.receiveAll(Client), "HTTP/1.1 50"));
+    CPPUNIT_ASSERT_EQUAL(4 * Megabyte - 100000, Memory.budget()->used());
   }
 
   /// A response to another request has no end. Guards against reading it until
--- a/tests/proxy/test_second_attempt.cpp
+++ b/tests/proxy/test_second_attempt.cpp
@@ -80,7 +80,8 @@
     /// Asserts that nothing of the request is left at a server.
     void assertReleased() const {
       CPPUNIT_ASSERT(m_Selector.ownInFlightByServer().empty());
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_Context.m_BufferedBytes);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                           m_Context.m_Memory->budget()->used());
       for (const char *Id : {"s1", "s2", "s3"})
         CPPUNIT_ASSERT(!m_Context.m_PoisonDetector.hasSuspects(
             CrashDetector::processName(Id, 0)));
--- a/tests/proxy/test_slow_client.cpp
+++ b/tests/proxy/test_slow_client.cpp
@@ -14,7 +14,9 @@
   CPPUNIT_TEST_SUITE(SlowClientTest);
   CPPUNIT_TEST(streamIsReadNoFurtherWhileItsClientDoesNotRead);
   CPPUNIT_TEST(responseWaitsUntilTheNodeHoldsLess);
-  CPPUNIT_TEST(oneResponseIsReadAlthoughTheNodeIsFull);
+  CPPUNIT_TEST(shortResponseIsReadAlthoughTheNodeIsFull);
+  CPPUNIT_TEST(responsesThatArriveAtOnceStayWithinTheBudget);
+  CPPUNIT_TEST(responsesOfUnknownLengthDoNotWaitForEachOther);
   CPPUNIT_TEST(pipelinedRequestWaitsForTheLastResponse);
   CPPUNIT_TEST(unreadResponseOutlastsTheIdleTime);
   CPPUNIT_TEST(closedConnectionReturnsItsMemory);
@@ -102,35 +104,75 @@
     ClientMemory &Memory = *Fixture.m_Context.m_Memory;
     Memory.setLimits(2 * Megabyte, Megabyte);
     MemoryReservation Others(Memory.budget());
-    const int Other = 0;
-    CPPUNIT_ASSERT(Memory.takePrecedence(&Other));
     Others.set(2 * Megabyte);
     asio::ip::tcp::socket Client = connectSmallClient(Fixture);
     Fixture.runFor(milliseconds(300));
     CPPUNIT_ASSERT(Memory.budget()->used() < 2 * Megabyte + Megabyte / 4);
+    CPPUNIT_ASSERT(Memory.excess() > Megabyte);
     Others.set(0);
     CPPUNIT_ASSERT(Fixture.receiveAll(Client).size() > Megabyte);
     CPPUNIT_ASSERT(Fixture.isLastResponseComplete());
   }
 
-  /// Guards against answers that all wait for each other until their deadlines,
-  /// and against short answers that wait.
-  void oneResponseIsReadAlthoughTheNodeIsFull() {
-    for (const std::size_t Size : {Megabyte, std::size_t{1000}}) {
-      RelayFixture Fixture;
-      Fixture.configure(RequestKind::NonIdempotent, 1, false);
-      addResponses(Fixture, 1, answer(Size), answer(Size));
-      ClientMemory &Memory = *Fixture.m_Context.m_Memory;
-      Memory.setLimits(Megabyte, Megabyte);
-      MemoryReservation Others(Memory.budget());
-      Others.set(Megabyte);
-      const int Other = 0;
-      if (Size < Megabyte)
-        Memory.takePrecedence(&Other);
-      CPPUNIT_ASSERT(Fixture.request().size() > Size);
+  /// Guards against short answers that wait for the memory of long ones.
+  void shortResponseIsReadAlthoughTheNodeIsFull() {
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    addResponses(Fixture, 1, answer(1000), answer(1000));
+    ClientMemory &Memory = *Fixture.m_Context.m_Memory;
+    Memory.setLimits(Megabyte, Megabyte);
+    MemoryReservation Others(Memory.budget());
+    Others.set(Megabyte);
+    CPPUNIT_ASSERT(Fixture.request().size() > 1000);
+    CPPUNIT_ASSERT(Fixture.isLastResponseComplete());
+  }
+
+  /// Sends requests from clients that read their answers one after the other,
+  /// and returns the most memory held meanwhile.
+  static std::size_t receiveAllAnswers(RelayFixture &Fixture, std::size_t Count,
+                                       std::size_t Size) {
+    const ClientMemory &Memory = *Fixture.m_Context.m_Memory;
+    std::vector<asio::ip::tcp::socket> Clients;
+    for (std::size_t I = 0; I < Count; ++I)
+      Clients.push_back(connectSmallClient(Fixture));
+    std::size_t MostUsed = 0;
+    for (asio::ip::tcp::socket &Client : Clients) {
+      for (int I = 0; I < 20; ++I) {
+        Fixture.runFor(milliseconds(10));
+        MostUsed = std::max(MostUsed, Memory.budget()->used());
+      }
+      CPPUNIT_ASSERT(Fixture.receiveAll(Client).size() > Size);
       CPPUNIT_ASSERT(Fixture.isLastResponseComplete());
-      CPPUNIT_ASSERT(Size < Megabyte || Memory.takePrecedence(&Other));
     }
+    return MostUsed;
+  }
+
+  /// Guards against a burst of answers, each of which is read whole because the
+  /// one before has been.
+  void responsesThatArriveAtOnceStayWithinTheBudget() {
+    constexpr std::size_t Count = 6;
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    extendTimeout(Fixture);
+    addResponses(Fixture, Count, answer(Megabyte), answer(Megabyte));
+    Fixture.m_Context.m_Memory->setLimits(4 * Megabyte, Megabyte);
+    CPPUNIT_ASSERT(receiveAllAnswers(Fixture, Count, Megabyte) <= 4 * Megabyte);
+  }
+
+  /// Guards against answers that all wait for each other until their deadlines.
+  void responsesOfUnknownLengthDoNotWaitForEachOther() {
+    constexpr std::size_t Count = 6;
+    RelayFixture Fixture;
+    Fixture.configure(RequestKind::NonIdempotent, 1, false);
+    extendTimeout(Fixture);
+    std::string Answer = head("Transfer-Encoding: chunked\r\n");
+    for (std::size_t Bytes = 0; Bytes < Megabyte; Bytes += 4096)
+      Answer += chunk(std::string(4096, 'a'));
+    const ScriptedServer::Response Response{Answer + "0\r\n\r\n",
+                                            ConnectionEnd::Close};
+    addResponses(Fixture, Count, Response, Response);
+    Fixture.m_Context.m_Memory->setLimits(4 * Megabyte, Megabyte);
+    CPPUNIT_ASSERT(receiveAllAnswers(Fixture, Count, Megabyte) <= 4 * Megabyte);
   }
 
   /// Guards against a client that lets one answer after the other wait on the
