Reserve the memory of header fields before they are parsed

What callers saw: a node that ended for lack of memory while 200 clients sent heads of many short fields and no end.

Cause: an incomplete head counted with its bytes on the wire, and a complete one with the fixed cost of its request. A field of four bytes takes 64 bytes and more in memory.

Change: the parser tells the memory of a head. The connection reserves the most that the received bytes can add to it before they are parsed, holds what they take until the response has ended, and answers 503 with Retry-After if there is none (head_refused, request_heads_refused_total). The copy of a growing body in chunks is reserved as well.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -49,7 +49,6 @@
   void awaitRequest() {
     m_IsRequestInProgress = false;
     m_IsHeadRequest = false;
-    m_HeadBytes = 0;
     m_Request = ClientRequest();
     m_Request.m_Body = std::make_shared<RequestBody>(m_Hooks.m_BodyBudget);
     m_Parser.reset();
@@ -118,11 +117,15 @@
       m_Parser.setMaxHeaderBytes(m_Limits.m_MaxHeaderBytes);
     }
     const bool HadHead = m_Parser.hasParsedHead();
+    if (!HadHead && !reserveHead()) {
+      reject(503, "Service Unavailable",
+             m_Hooks.m_OnRefused(RequestPart::Head));
+      return;
+    }
     const std::size_t Consumed = m_Parser.parse(m_ReceivedBytes);
     m_ReceivedBytes.erase(0, Consumed);
     shrinkIfEmpty(m_ReceivedBytes);
-    if (!HadHead)
-      m_HeadBytes += Consumed;
+    updateHeld();
     if (m_IsClosed)
       return;
     if (m_Parser.hasFailed()) {
@@ -136,7 +139,8 @@
     }
     if (m_Request.m_Body->m_IsRefused) {
       m_Request = ClientRequest();
-      reject(503, "Service Unavailable", m_Hooks.m_OnBodyRefused());
+      reject(503, "Service Unavailable",
+             m_Hooks.m_OnRefused(RequestPart::Body));
       return;
     }
     if (m_Parser.isComplete()) {
@@ -147,6 +151,14 @@
     }
   }
 
+  /// Reserves memory for what the received bytes can add to the head.
+  bool reserveHead() {
+    const std::size_t Unparsed =
+        std::min(m_ReceivedBytes.size(), m_Limits.m_MaxHeaderBytes);
+    return m_Hooks.m_Memory->reserveInput(m_Held, heldBytes() +
+                                                      maxHeadMemory(Unparsed));
+  }
+
   void dispatch() {
     m_IsRequestInProgress = true;
     m_Timer.cancel();
@@ -241,11 +253,13 @@
     updateHeld();
   }
 
-  void updateHeld() {
-    m_Held.set(ClientMemory::ConnectionBytes + m_HeadBytes +
-               m_Output.unreservedCapacity() + m_ReceivedBytes.capacity());
+  std::size_t heldBytes() const {
+    return ClientMemory::ConnectionBytes + m_Parser.headMemory() +
+           m_Output.unreservedCapacity() + m_ReceivedBytes.capacity();
   }
 
+  void updateHeld() { m_Held.set(heldBytes()); }
+
   void flush() {
     if (m_IsWriting || m_IsClosed)
       return;
@@ -380,8 +394,6 @@
   std::array<char, ReadBufferBytes> m_Buffer{};
   std::string m_ReceivedBytes;
   OutputQueue m_Output;
-  /// Bytes of the head of the current request.
-  std::size_t m_HeadBytes = 0;
   MonotonicTime m_ReceivingSince{};
   const MonotonicTime m_OpenedAt = monotonicNow();
   /// End of the last response, or the beginning of the connection.
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -27,6 +27,9 @@
   ConnectionClose,
 };
 
+/// Part of a request for which memory is needed.
+enum class RequestPart { Head, Body };
+
 /// A completely received HTTP request.
 struct ClientRequest {
   HttpMessageHead m_Head;
@@ -54,9 +57,11 @@
   std::shared_ptr<ClientMemory> m_Memory = std::make_shared<ClientMemory>();
   /// Memory for the bodies of all connections; unlimited if null.
   std::shared_ptr<MemoryBudget> m_BodyBudget;
-  /// Called when a request is rejected because its body exceeds m_BodyBudget.
-  /// Returns header fields of the response.
-  std::function<HttpHeaders()> m_OnBodyRefused = [] { return HttpHeaders(); };
+  /// Called when a request is rejected because there is no memory for a part of
+  /// it. Returns header fields of the response.
+  std::function<HttpHeaders(RequestPart)> m_OnRefused = [](RequestPart) {
+    return HttpHeaders();
+  };
 };
 
 /// Server side of a client's HTTP/1.1 connection: reads requests and writes
--- a/proxy/client_memory.cpp
+++ b/proxy/client_memory.cpp
@@ -18,9 +18,9 @@
 /// its request, if there is memory.
 constexpr std::size_t MaxWaitingOutput = std::size_t{1024} * 1024;
 constexpr std::size_t MaxPipelinedInput = std::size_t{64} * 1024;
-/// Reservations of responses up to this size may use all of the memory.
-constexpr std::size_t ShortResponse = std::size_t{64} * 1024;
-/// Part of the memory that longer responses leave unused.
+/// Reservations up to this size may use all of the memory.
+constexpr std::size_t SmallReservation = std::size_t{64} * 1024;
+/// Part of the memory that larger reservations leave unused.
 constexpr std::size_t SpareDivisor = 8;
 
 } // namespace
@@ -64,7 +64,13 @@
 }
 
 std::size_t ClientMemory::spareFor(std::size_t Bytes) const {
-  return Bytes <= ShortResponse ? 0 : m_Budget->limit() / SpareDivisor;
+  return Bytes <= SmallReservation ? 0 : m_Budget->limit() / SpareDivisor;
+}
+
+bool ClientMemory::reserveInput(MemoryReservation &Reservation,
+                                std::size_t Bytes) {
+  const std::size_t Missing = Bytes - std::min(Bytes, Reservation.bytes());
+  return Reservation.growTo(Bytes, spareFor(Missing));
 }
 
 std::size_t ClientMemory::maxResponse() const {
@@ -87,7 +93,7 @@
 bool ClientMemory::reserveOpenResponse(const void *Reader,
                                        MemoryReservation &Reservation,
                                        std::size_t Bytes) {
-  if (Bytes > ShortResponse && isHalfUsed() && !takePrecedence(Reader))
+  if (Bytes > SmallReservation && isHalfUsed() && !takePrecedence(Reader))
     return false;
   return reserveResponse(Reader, Reservation, Bytes);
 }
--- a/proxy/client_memory.h
+++ b/proxy/client_memory.h
@@ -46,6 +46,10 @@
   /// True if no further request can be accepted.
   bool isFull() const;
 
+  /// Increases the reservation of a connection to \p Bytes, before it holds
+  /// them, unless there is no memory for them.
+  bool reserveInput(MemoryReservation &Reservation, std::size_t Bytes);
+
   /// Largest reservation of a response that can succeed when nothing else is
   /// held.
   std::size_t maxResponse() const;
@@ -73,7 +77,7 @@
   std::size_t fairShare(std::size_t Max) const;
   bool isHalfUsed() const;
   bool takePrecedence(const void *Reader);
-  /// Bytes that responses of \p Bytes leave for other purposes.
+  /// Bytes that a reservation of \p Bytes leaves for other purposes.
   std::size_t spareFor(std::size_t Bytes) const;
 
   std::shared_ptr<MemoryBudget> m_Budget;
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -36,9 +36,9 @@
 /// Period in which the node reselects the relay of its zone, checks that the
 /// relay's messages are recent and updates its rank for the lease.
 constexpr Duration RelayCheckPeriod = milliseconds(60);
-/// Bounds of the Retry-After of a request whose body has no room.
-constexpr double MinBodyRetryAfterSeconds = 0.3;
-constexpr double MaxBodyRetryAfterSeconds = 1.0;
+/// Bounds of the Retry-After of a request that there is no memory for.
+constexpr double MinMemoryRetryAfterSeconds = 0.3;
+constexpr double MaxMemoryRetryAfterSeconds = 1.0;
 /// Period in which a node sends its crash records to a random peer.
 constexpr Duration CrashSharePeriod = milliseconds(500);
 /// Settings of the watches on the entries of servers and on evacuations.
@@ -510,17 +510,20 @@
            m_ServerWatcher.hasListed();
   }
 
-  /// Returns when the client of a request may send it again, whose body this
-  /// node has no memory for. The memory is free again once running requests
+  /// Returns when the client of a request may send it again, of which this node
+  /// has no memory for \p Part. The memory is free again once running requests
   /// have ended; other nodes may have some at once.
-  HttpHeaders onBodyRefused() {
-    const MemoryBudget &Budget = *m_Context.m_Memory->bodyBudget();
-    m_Metrics.increment("request_bodies_refused_total");
-    m_Log.write("body_refused",
+  HttpHeaders onRequestRefused(RequestPart Part) {
+    const bool IsBody = Part == RequestPart::Body;
+    const MemoryBudget &Budget = IsBody ? *m_Context.m_Memory->bodyBudget()
+                                        : *m_Context.m_Memory->budget();
+    m_Metrics.increment(IsBody ? "request_bodies_refused_total"
+                               : "request_heads_refused_total");
+    m_Log.write(IsBody ? "body_refused" : "head_refused",
                 {{"bytes_held", static_cast<std::int64_t>(Budget.used())},
                  {"limit", static_cast<std::int64_t>(Budget.limit())}});
-    std::uniform_real_distribution<double> Seconds(MinBodyRetryAfterSeconds,
-                                                   MaxBodyRetryAfterSeconds);
+    std::uniform_real_distribution<double> Seconds(MinMemoryRetryAfterSeconds,
+                                                   MaxMemoryRetryAfterSeconds);
     return {{"Retry-After", concat(Seconds(m_Context.m_Random))}};
   }
 
@@ -535,7 +538,9 @@
     Hooks.m_Memory = m_Context.m_Memory;
     Hooks.m_BodyBudget = m_Context.m_Memory->bodyBudget();
     Hooks.m_MayAccept = [this] { return m_ClientGuard.mayAccept(); };
-    Hooks.m_OnBodyRefused = [this] { return onBodyRefused(); };
+    Hooks.m_OnRefused = [this](RequestPart Part) {
+      return onRequestRefused(Part);
+    };
     Hooks.m_OnRequest = [this](std::shared_ptr<ClientConnection> Client,
                                ClientRequest Request) {
       std::make_shared<RequestRelay>(m_Context, std::move(Client),
--- a/proxy/http_stream_parser.cpp
+++ b/proxy/http_stream_parser.cpp
@@ -57,6 +57,12 @@
     m_IsComplete = false;
     m_HasBegun = false;
     m_HeaderBytes = 0;
+    m_HeadMemory = 0;
+  }
+
+  void updateHeadMemory() {
+    m_HeadMemory =
+        m_Head.m_Headers.capacity() * sizeof(HttpHeader) + 2 * m_HeaderBytes;
   }
 
   static Impl &implOf(http_parser *Parser) {
@@ -116,6 +122,7 @@
     if (Self.isInterim())
       return 0;
     Self.m_HasHead = true;
+    Self.updateHeadMemory();
     Self.m_Handler.onHead(std::move(Self.m_Head));
     return Self.m_ExpectsNoBody ? SkipBody : 0;
   }
@@ -161,6 +168,7 @@
   http_parser_settings m_Settings{};
   HttpMessageHead m_Head;
   std::size_t m_HeaderBytes = 0;
+  std::size_t m_HeadMemory = 0;
   bool m_LastWasValue = false;
   bool m_HasHead = false;
   bool m_IsComplete = false;
@@ -186,8 +194,10 @@
   const std::size_t Consumed = http_parser_execute(
       &Self.m_Parser, &Self.m_Settings, Bytes.data(), Bytes.size());
   Self.m_HasBegun = Self.m_HasBegun || Consumed > 0;
-  if (!HadHead && !Self.m_HasHead)
+  if (!HadHead && !Self.m_HasHead) {
     Self.m_HeaderBytes += Consumed;
+    Self.updateHeadMemory();
+  }
   if (Self.m_HeaderBytes > Self.m_MaxHeaderBytes) {
     Self.m_IsHeadTooLarge = true;
     Self.m_HasFailed = true;
@@ -227,5 +237,8 @@
 bool HttpStreamParser::isComplete() const { return m_Impl->m_IsComplete; }
 bool HttpStreamParser::hasReceivedBytes() const { return m_Impl->m_HasBegun; }
 bool HttpStreamParser::hasParsedHead() const { return m_Impl->m_HasHead; }
+std::size_t HttpStreamParser::headMemory() const {
+  return m_Impl->m_HeadMemory;
+}
 
 } // namespace fulmarwinch
--- a/proxy/http_stream_parser.h
+++ b/proxy/http_stream_parser.h
@@ -27,6 +27,14 @@
   bool m_IsSelfDelimiting = true;
 };
 
+/// Largest memory of a head whose bytes are \p Bytes: the shortest fields have
+/// four bytes, a list that grows has up to twice the capacity, and its old
+/// elements exist beside the new ones for a moment.
+constexpr std::size_t maxHeadMemory(std::size_t Bytes) {
+  constexpr std::size_t ShortestField = 4;
+  return Bytes / ShortestField * 3 * sizeof(HttpHeader) + 2 * Bytes;
+}
+
 /// Callbacks through which HttpStreamParser delivers the parts of a message.
 class HttpMessageHandler {
 public:
@@ -74,6 +82,8 @@
   bool hasReceivedBytes() const;
   /// True once the start line and all header fields were parsed.
   bool hasParsedHead() const;
+  /// Memory of the head of the current message, also after onHead().
+  std::size_t headMemory() const;
 
 private:
   struct Impl;
--- a/proxy/request_body.cpp
+++ b/proxy/request_body.cpp
@@ -28,9 +28,12 @@
 }
 
 void RequestBody::reserve(std::size_t Bytes) {
-  m_IsRefused = m_IsRefused || !m_Reservation.growTo(Bytes);
-  if (!m_IsRefused)
-    m_Bytes.reserve(Bytes);
+  // Bytes that have arrived are copied, and exist twice for a moment.
+  m_IsRefused = m_IsRefused || !m_Reservation.growTo(Bytes + m_Bytes.size());
+  if (m_IsRefused)
+    return;
+  m_Bytes.reserve(Bytes);
+  m_Reservation.set(std::max(Bytes, m_Bytes.capacity()));
 }
 
 } // namespace fulmarwinch
