Reserve the memory of the parts of prompts

What callers saw: a node beyond its memory while 120 clients waited for answers to prompts of 2,500 parts each.

Cause: each part of a prompt has an entry in the list of its request and in the record of what runs on its server. Neither was counted.

Change: a request reserves 160 bytes for each part before it is admitted, and is answered 503 (no_memory) if there are none.

--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -71,6 +71,10 @@
 /// others go on.
 constexpr Duration MaxMemoryWait = LongReadPause;
 
+/// Memory of one part of a prompt: its hash, and its entry for the server that
+/// the request runs on and for that of a second attempt.
+constexpr std::size_t ContentBytes = 160;
+
 /// Number of tokens, far more than a server can hold, up to which the numbers
 /// that a request states count. The times calculated from larger ones would not
 /// be representable.
@@ -107,7 +111,7 @@
       : m_Context(Context), m_Held(Context.m_Memory->budget()),
         m_Client(std::move(Client)), m_ClientRequest(std::move(Request)),
         m_ResponseBody(Context.m_Memory, this) {
-    m_Held.set(ClientMemory::RequestBytes);
+    m_Held.set(m_FixedBytes);
   }
 
   std::string header(const std::string &Name) const {
@@ -123,6 +127,10 @@
       reject("unknown_model");
       return;
     }
+    if (!hashContents()) {
+      reject("no_memory");
+      return;
+    }
     recordDemand();
     std::optional<std::uint64_t> LastId;
     std::uint64_t ParsedId = 0;
@@ -186,11 +194,18 @@
     return m_Service->m_Engine.findModel(m_Model) != nullptr;
   }
 
-  /// Records the request for the budgets and estimates of the node.
-  void recordDemand() {
+  /// Hashes the request and the parts of its prompt. Returns false if there is
+  /// no memory for as many.
+  bool hashContents() {
     m_Contents =
         sharedPartHashes(header(m_Context.m_HeaderNames.m_PromptParts));
     m_Contents.push_back(contentHash());
+    m_FixedBytes += m_Contents.size() * ContentBytes;
+    return m_Context.m_Memory->reserveInput(m_Held, m_FixedBytes);
+  }
+
+  /// Records the request for the budgets and estimates of the node.
+  void recordDemand() {
     budget().onRequest(monotonicNow());
     m_Context.m_SecondAttempts.onRequest(m_Service->m_Name, monotonicNow());
     m_IsReturning = m_Context.m_ReturningClients.isReturning(
@@ -786,7 +801,7 @@
   /// twice the size.
   bool reserveEvent(std::size_t Bytes) {
     const std::size_t Needed =
-        ClientMemory::RequestBytes +
+        m_FixedBytes +
         (Bytes > 0 ? 2 * (Bytes + ClientMemory::ServerReadBytes) : 0);
     if (Needed < m_Held.bytes())
       m_Held.set(Needed);
@@ -1405,6 +1420,8 @@
   RequestRelayContext &m_Context;
   /// What this request holds in RequestRelayContext::m_Memory.
   MemoryReservation m_Held;
+  /// Memory of the request until it ends.
+  std::size_t m_FixedBytes = ClientMemory::RequestBytes;
   std::weak_ptr<RequestRelay> m_Owner;
   std::shared_ptr<ClientConnection> m_Client;
   ClientRequest m_ClientRequest;
