Bound the bytes that clients and servers leave unread in the kernel

What callers saw: a node beyond its memory, of which bytes that have been received and not read are a part, while many clients sent bodies at once.

Cause: the kernel chose the receive buffers, up to megabytes for each connection, and nothing counted them.

Change: a connection of a client gets a receive buffer of 8 KiB, one to a server 16 KiB, of which the kernel fills three halves at most; the fixed costs of a connection and of a request include that. While a body or a response whose memory is reserved arrives, the buffer is larger, so that none of them needs a round trip for each few KiB; what a client may send behind its body is reserved, and counts until it is read.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -52,6 +52,7 @@
     m_Request = ClientRequest();
     m_Request.m_Body = std::make_shared<RequestBody>(m_Hooks.m_BodyBudget);
     m_Parser.reset();
+    restoreReceiveBuffer();
     m_IdleSince = monotonicNow();
     armTimer(m_Hooks.m_GetLimits().m_IdleTimeout);
     parse();
@@ -100,6 +101,8 @@
             return;
           }
           m_ReceivedBytes.append(m_Buffer.data(), Size);
+          if (!m_HasBodyReceiveBuffer)
+            m_EarlyBytes -= std::min(m_EarlyBytes, Size);
           parse();
           updateHeld();
           read();
@@ -143,6 +146,8 @@
              m_Hooks.m_OnRefused(RequestPart::Body));
       return;
     }
+    if (m_Parser.hasParsedHead())
+      enlargeReceiveBuffer();
     if (m_Parser.isComplete()) {
       dispatch();
     } else if (!HadBegun && m_Parser.hasReceivedBytes()) {
@@ -151,6 +156,33 @@
     }
   }
 
+  /// Lets the kernel receive more of a large body at a time, if there is memory
+  /// for what a client may send behind it.
+  void enlargeReceiveBuffer() {
+    constexpr std::size_t Unread =
+        maxUnreadBytes(ClientMemory::BodyReceiveBuffer);
+    const RequestBody &Body = *m_Request.m_Body;
+    if (m_HasBodyReceiveBuffer || m_Parser.isComplete() ||
+        Body.m_Bytes.capacity() < ClientMemory::BodyReceiveBuffer ||
+        !m_Hooks.m_Memory->reserveInput(m_Held, heldBytes() + Unread))
+      return;
+    m_HasBodyReceiveBuffer = true;
+    m_EarlyBytes = Unread;
+    setReceiveBuffer(m_Socket.native_handle(), ClientMemory::BodyReceiveBuffer);
+  }
+
+  /// Ends what enlargeReceiveBuffer() began. What has arrived meanwhile stays
+  /// in the kernel until it is read.
+  void restoreReceiveBuffer() {
+    if (!m_HasBodyReceiveBuffer)
+      return;
+    m_HasBodyReceiveBuffer = false;
+    setReceiveBuffer(m_Socket.native_handle(),
+                     ClientMemory::ClientReceiveBuffer);
+    asio::error_code Ignored; // the connection may be closed
+    m_EarlyBytes = m_Socket.available(Ignored);
+  }
+
   /// Reserves memory for what the received bytes can add to the head.
   bool reserveHead() {
     const std::size_t Unparsed =
@@ -255,7 +287,8 @@
 
   std::size_t heldBytes() const {
     return ClientMemory::ConnectionBytes + m_Parser.headMemory() +
-           m_Output.unreservedCapacity() + m_ReceivedBytes.capacity();
+           m_Output.unreservedCapacity() + m_ReceivedBytes.capacity() +
+           m_EarlyBytes;
   }
 
   void updateHeld() { m_Held.set(heldBytes()); }
@@ -393,6 +426,8 @@
   std::function<void()> m_OnOutputTaken;
   std::array<char, ReadBufferBytes> m_Buffer{};
   std::string m_ReceivedBytes;
+  /// Unread bytes that the kernel may hold beyond the usual receive buffer.
+  std::size_t m_EarlyBytes = 0;
   OutputQueue m_Output;
   MonotonicTime m_ReceivingSince{};
   const MonotonicTime m_OpenedAt = monotonicNow();
@@ -400,6 +435,7 @@
   MonotonicTime m_IdleSince = m_OpenedAt;
   bool m_HasReceivedRequest = false;
   bool m_IsRequestInProgress = false;
+  bool m_HasBodyReceiveBuffer = false;
   bool m_IsReading = false;
   bool m_IsWriting = false;
   bool m_KeepAlive = true;
--- a/proxy/client_memory.h
+++ b/proxy/client_memory.h
@@ -10,21 +10,41 @@
 
 namespace fulmarwinch {
 
+/// Returns the largest number of unread bytes that the kernel keeps with a
+/// receive buffer of this size.
+constexpr std::size_t maxUnreadBytes(std::size_t ReceiveBuffer) {
+  return ReceiveBuffer / 2 * 3;
+}
+
 /// Memory that a node holds for its clients and for the responses of servers:
 /// connections, request bodies, buffered responses and unsent output. Decides
 /// how much of it one connection may use now. May be used from any thread.
 class ClientMemory {
 public:
-  /// Memory of a connection, besides what it holds for the client: its read
-  /// buffer, parser and sockets.
-  static constexpr std::size_t ConnectionBytes = std::size_t{12} * 1024;
+  /// Receive buffer of a client's connection, and that while a large body
+  /// arrives. With the smaller one, a body would take a round trip for each
+  /// 12 KiB.
+  static constexpr std::size_t ClientReceiveBuffer = std::size_t{8} * 1024;
+  static constexpr std::size_t BodyReceiveBuffer = std::size_t{64} * 1024;
+  /// Receive buffer of a connection to a server, and that for a response whose
+  /// memory is reserved.
+  static constexpr std::size_t ServerReceiveBuffer = std::size_t{16} * 1024;
+  static constexpr std::size_t ReservedReceiveBuffer = std::size_t{128} * 1024;
   /// Bytes read at once from a server.
   static constexpr std::size_t ServerReadBytes = std::size_t{16} * 1024;
-  /// Memory of a request in progress, besides its bodies: its state, header
-  /// fields, the read buffer of its call to a server, and what one read puts
-  /// into the response or the client's output before anything is reserved.
+
+  /// Memory of a connection, besides what it holds for the client: its read
+  /// buffer, parser, sockets, and unread bytes.
+  static constexpr std::size_t ConnectionBytes =
+      std::size_t{12} * 1024 + maxUnreadBytes(ClientReceiveBuffer);
+  /// Memory of a call to a server: its read buffer, unread bytes, and what one
+  /// read puts into the response before anything is reserved.
+  static constexpr std::size_t CallBytes =
+      2 * ServerReadBytes + maxUnreadBytes(ServerReceiveBuffer);
+  /// Memory of a request in progress, besides its head and bodies: its state,
+  /// its call, and what one read puts into the client's output.
   static constexpr std::size_t RequestBytes =
-      std::size_t{28} * 1024 + 2 * ServerReadBytes;
+      std::size_t{12} * 1024 + ServerReadBytes + CallBytes;
 
   /// Without a limit until setLimits() is called.
   ClientMemory();
--- a/proxy/http_listener.cpp
+++ b/proxy/http_listener.cpp
@@ -1,4 +1,5 @@
 #include "proxy/http_listener.h"
+#include "proxy/socket_options.h"
 
 namespace fulmarwinch {
 
@@ -19,6 +20,9 @@
   m_Acceptor.open(Local.protocol());
   m_Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
   m_Acceptor.bind(Local);
+  // Accepted connections inherit it.
+  setReceiveBuffer(m_Acceptor.native_handle(),
+                   ClientMemory::ClientReceiveBuffer);
   m_Acceptor.listen(ListenBacklog);
   m_Hooks.m_OnClosed = [this](const ClientConnection *Connection) {
     m_Connections.erase(Connection);
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -793,8 +793,14 @@
   /// Reserves memory for what the next read from the server may add. Returns
   /// false if there is none now.
   bool prepareRead() {
-    return m_IsStream ? reserveEvent(m_EventCutter.incompleteEvent().size())
-                      : m_ResponseBody.prepareRead();
+    if (m_IsStream)
+      return reserveEvent(m_EventCutter.incompleteEvent().size());
+    const bool WasReserved = m_ResponseBody.isWholeReserved();
+    if (!m_ResponseBody.prepareRead())
+      return false;
+    if (!WasReserved && m_ResponseBody.isWholeReserved())
+      m_Call->enlargeReceiveBuffer();
+    return true;
   }
 
   /// Sets the memory for an incomplete event of \p Bytes, whose buffer may have
--- a/proxy/response_buffer.h
+++ b/proxy/response_buffer.h
@@ -37,6 +37,12 @@
   ReservedBytes take();
 
   const std::string &bytes() const { return m_Bytes; }
+  /// True if the memory of the whole response is reserved and there is more of
+  /// it than one read.
+  bool isWholeReserved() const {
+    return m_Length > ClientMemory::ServerReadBytes &&
+           m_Reservation.bytes() >= m_Length;
+  }
 
 private:
   /// Size for which memory is needed before \p Next more bytes are added.
--- a/proxy/socket_options.h
+++ b/proxy/socket_options.h
@@ -3,6 +3,7 @@
 
 #include "asio.hpp"
 
+#include <cstddef>
 #include <sys/socket.h>
 
 namespace fulmarwinch {
@@ -16,6 +17,13 @@
                sizeof(Option));
 }
 
+/// Limits the bytes that the kernel receives on a socket before they are read.
+/// It accepts up to three halves of \p Bytes.
+inline void setReceiveBuffer(int Socket, std::size_t Bytes) {
+  const int Option = static_cast<int>(Bytes);
+  ::setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &Option, sizeof(Option));
+}
+
 } // namespace fulmarwinch
 
 #endif // FULMARWINCH_PROXY_SOCKET_OPTIONS_H
--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -1,5 +1,7 @@
 #include "proxy/upstream_call.h"
 #include "core/text.h"
+#include "proxy/client_memory.h"
+#include "proxy/socket_options.h"
 
 #include "asio.hpp"
 
@@ -13,7 +15,6 @@
 /// Maximum size of the start line and header fields of a response. Backend
 /// servers send smaller ones.
 constexpr std::size_t MaxResponseHeadBytes = std::size_t{64} * 1024;
-constexpr std::size_t ReadBufferBytes = std::size_t{16} * 1024;
 /// Maximum size of the body of a buffered call. A page of the store's objects
 /// has about 1 MB.
 constexpr std::size_t MaxBufferedBodyBytes = std::size_t{8} * 1024 * 1024;
@@ -84,6 +85,10 @@
       return;
     }
     armTimer(Owner, std::min(m_Deadline, monotonicNow() + ConnectTimeout));
+    asio::error_code Ignored; // async_connect() reports it
+    m_Socket.open(asio::ip::tcp::v4(), Ignored);
+    setReceiveBuffer(m_Socket.native_handle(),
+                     ClientMemory::ServerReceiveBuffer);
     m_Socket.async_connect(
         asio::ip::tcp::endpoint(Address, m_Peer.m_Port),
         [this, Owner](const asio::error_code &ConnectError) {
@@ -181,7 +186,7 @@
   HttpStreamParser m_Parser;
   UpstreamCallHandlers m_Handlers;
   MonotonicTime m_Deadline{};
-  std::array<char, ReadBufferBytes> m_Buffer{};
+  std::array<char, ClientMemory::ServerReadBytes> m_Buffer{};
   bool m_IsConnected = false;
   bool m_HasReadAfterPause = false;
   bool m_Sent = false;
@@ -229,6 +234,11 @@
     Self.read(shared_from_this());
 }
 
+void UpstreamCall::enlargeReceiveBuffer() {
+  setReceiveBuffer(m_Impl->m_Socket.native_handle(),
+                   ClientMemory::ReservedReceiveBuffer);
+}
+
 bool UpstreamCall::isPaused() const { return m_Impl->m_IsPaused; }
 
 void UpstreamCall::fail() { m_Impl->m_MustFail = true; }
--- a/proxy/upstream_call.h
+++ b/proxy/upstream_call.h
@@ -93,6 +93,9 @@
   /// of the call still applies.
   void setPaused(bool IsPaused);
   bool isPaused() const;
+  /// Lets the kernel receive more of the response at a time. Its memory must be
+  /// reserved.
+  void enlargeReceiveBuffer();
   /// Ends the call as malformed once the handler that calls this has returned.
   void fail();
   /// True once the peer may have received a part of the request.
