Bound the connections to the ports for readiness and metrics

What callers saw: a node that had no descriptors left for them while 400 clients were connected to its readiness port.

Cause: only the port for clients had a limit of connections.

Change: ManagementPort, with 16 connections and 2 MiB for each of the two ports. At the limit, connections without a request are closed for new ones after 50 ms, so that probes still get through; bodies get 413. ClientGuard no longer knows the settings of a front node, so that both kinds of port use it. The clients of a node have 32 descriptors less.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = std::size_t{8} * 1024;
-/// Time in which a client sends its first request after it connected. Until
-/// then a new connection does not count as idle.
-constexpr Duration FirstRequestTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -354,7 +351,7 @@
         m_Output.size() > 0 || m_IsWriting)
       return false;
     // A client connects in order to send a request, which may be on its way.
-    if (!m_HasReceivedRequest && Now - m_OpenedAt < FirstRequestTime)
+    if (!m_HasReceivedRequest && Now - m_OpenedAt < m_Hooks.m_FirstRequestTime)
       return false;
     asio::error_code Error;
     return m_Socket.available(Error) == 0;
--- a/proxy/client_connection.h
+++ b/proxy/client_connection.h
@@ -51,6 +51,9 @@
   std::function<bool()> m_IsDraining;
   /// Returns false while no further connection may be accepted.
   std::function<bool()> m_MayAccept = [] { return true; };
+  /// Time in which a client sends its first request after it connected. Until
+  /// then a new connection does not count as idle.
+  Duration m_FirstRequestTime = std::chrono::seconds(1);
   /// Called once when the connection is closed.
   std::function<void(const ClientConnection *)> m_OnClosed;
   /// Memory that the connections hold; without a limit by default.
--- a/proxy/client_guard.cpp
+++ b/proxy/client_guard.cpp
@@ -2,7 +2,6 @@
 #include "core/text.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace fulmarwinch {
 
@@ -15,10 +14,6 @@
 /// Share of the process's memory that request bodies may use.
 constexpr double BodyMemoryShare = 0.5;
 constexpr double BytesPerMb = 1048576.0;
-/// Descriptors for files, and for the connections to the store, peers, probes
-/// and metrics.
-constexpr std::size_t FileDescriptors = 200;
-constexpr std::size_t OwnDescriptors = 48;
 /// Period in which it is checked whether the clients read while memory is
 /// scarce.
 constexpr Duration SamplePeriod = std::chrono::milliseconds(200);
@@ -29,35 +24,28 @@
 /// connections needs few searches.
 constexpr std::size_t EvictionDivisor = 32;
 
-std::size_t descriptorLimit(const FrontSettings &Settings) {
-  if (Settings.m_MaxFds == 0)
-    return std::numeric_limits<std::size_t>::max();
-  return Settings.m_MaxFds - FileDescriptors - OwnDescriptors;
-}
-
 } // namespace
 
-ClientGuard::ClientGuard(const FrontSettings &Settings, EventLog &Log,
-                         Metrics &Registry,
-                         std::shared_ptr<ClientMemory> Memory,
-                         std::function<std::size_t()> RequestsInProgress)
-    : m_Log(Log), m_Metrics(Registry), m_Memory(std::move(Memory)),
-      m_RequestsInProgress(std::move(RequestsInProgress)),
-      m_MaxDescriptors(descriptorLimit(Settings)) {
-  if (Settings.m_MemoryMb <= 0.0)
-    return;
-  const double Bytes = Settings.m_MemoryMb * BytesPerMb;
-  m_Memory->setLimits(static_cast<std::size_t>(Bytes * ClientMemoryShare),
-                      static_cast<std::size_t>(Bytes * BodyMemoryShare));
+void setMemoryLimits(ClientMemory &Memory, double ProcessMb) {
+  const double Bytes = ProcessMb * BytesPerMb;
+  Memory.setLimits(static_cast<std::size_t>(Bytes * ClientMemoryShare),
+                   static_cast<std::size_t>(Bytes * BodyMemoryShare));
 }
 
+ClientGuard::ClientGuard(ClientGuardOptions Options, Metrics &Registry)
+    : m_Options(std::move(Options)), m_Metrics(Registry) {}
+
 std::size_t ClientGuard::descriptorsInUse() const {
   return (m_Listener ? m_Listener->connectionCount() : 0) +
-         m_RequestsInProgress();
+         m_Options.m_CountCalls();
+}
+
+bool ClientGuard::hasSpareDescriptor() const {
+  return descriptorsInUse() < m_Options.m_MaxDescriptors;
 }
 
 void ClientGuard::tick(MonotonicTime Now) {
-  if (!m_Listener || Now < m_NextSampleAt || !m_Memory->isScarce())
+  if (!m_Listener || Now < m_NextSampleAt || !m_Options.m_Memory->isScarce())
     return;
   m_NextSampleAt = Now + SamplePeriod;
   const auto Connections = m_Listener->openConnections();
@@ -65,21 +53,21 @@
   States.reserve(Connections.size());
   for (const auto &Connection : Connections)
     States.push_back(Connection->sampleState(Now));
-  const std::size_t Excess = m_Memory->excess();
+  const std::size_t Excess = m_Options.m_Memory->excess();
   if (Excess > 0)
     closeConnections(Connections, States, chooseByMemory(States, Excess, Now),
                      "memory", Now);
 }
 
 bool ClientGuard::mayAccept() {
-  return descriptorsInUse() < m_MaxDescriptors || freeDescriptors(1);
+  return hasSpareDescriptor() || freeDescriptors(1);
 }
 
 std::string_view ClientGuard::findShortage() {
-  if (m_Memory->isFull())
+  if (m_Options.m_Memory->isFull())
     return "no_memory";
   // The connection to the server needs a descriptor as well.
-  if (descriptorsInUse() > m_MaxDescriptors && !freeDescriptors(0))
+  if (descriptorsInUse() > m_Options.m_MaxDescriptors && !freeDescriptors(0))
     return "no_descriptors";
   return {};
 }
@@ -96,13 +84,13 @@
     States.push_back(Connection->sampleState(Now));
   const std::size_t Excess =
       descriptorsInUse() + Count -
-      std::min(descriptorsInUse() + Count, m_MaxDescriptors);
-  closeConnections(Connections, States,
-                   chooseByIdleness(States,
-                                    Excess + m_MaxDescriptors / EvictionDivisor,
-                                    Now),
-                   "descriptors", Now);
-  return descriptorsInUse() + Count <= m_MaxDescriptors;
+      std::min(descriptorsInUse() + Count, m_Options.m_MaxDescriptors);
+  closeConnections(
+      Connections, States,
+      chooseByIdleness(
+          States, Excess + m_Options.m_MaxDescriptors / EvictionDivisor, Now),
+      "descriptors", Now);
+  return descriptorsInUse() + Count <= m_Options.m_MaxDescriptors;
 }
 
 void ClientGuard::closeConnections(
@@ -121,27 +109,25 @@
   m_Metrics.increment(
       concat("client_connections_closed_total{cause=\"", Cause, "\"}"),
       Chosen.size());
-  m_Log.write(
-      "clients_closed",
-      {{"cause", Cause},
-       {"count", static_cast<std::int64_t>(Chosen.size())},
-       {"released", static_cast<std::int64_t>(Released)},
-       {"held", static_cast<std::int64_t>(m_Memory->budget()->used())},
-       {"limit", static_cast<std::int64_t>(m_Memory->budget()->limit())},
-       {"descriptors", static_cast<std::int64_t>(descriptorsInUse())},
-       {"first_since_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              Now - First.m_Since)
-                              .count()}});
+  ClosedClients Closed;
+  Closed.m_Cause = Cause;
+  Closed.m_Count = Chosen.size();
+  Closed.m_ReleasedBytes = Released;
+  Closed.m_HeldBytes = m_Options.m_Memory->budget()->used();
+  Closed.m_ByteLimit = m_Options.m_Memory->budget()->limit();
+  Closed.m_Descriptors = descriptorsInUse();
+  Closed.m_FirstSince = Now - First.m_Since;
+  m_Options.m_OnClosed(Closed);
 }
 
 void ClientGuard::setGauges() {
   const auto Set = [this](const char *Name, std::size_t Value) {
     m_Metrics.setGauge(Name, static_cast<double>(Value));
   };
-  Set("client_memory_bytes", m_Memory->budget()->used());
-  Set("client_memory_bytes_limit", m_Memory->budget()->limit());
+  Set("client_memory_bytes", m_Options.m_Memory->budget()->used());
+  Set("client_memory_bytes_limit", m_Options.m_Memory->budget()->limit());
   Set("client_descriptors", descriptorsInUse());
-  Set("client_descriptors_limit", m_MaxDescriptors);
+  Set("client_descriptors_limit", m_Options.m_MaxDescriptors);
 }
 
 } // namespace fulmarwinch
--- a/proxy/client_guard.h
+++ b/proxy/client_guard.h
@@ -1,27 +1,49 @@
 #ifndef FULMARWINCH_PROXY_CLIENT_GUARD_H
 #define FULMARWINCH_PROXY_CLIENT_GUARD_H
 
-#include "core/event_log.h"
 #include "core/metrics.h"
-#include "proxy/front_settings.h"
 #include "proxy/http_listener.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string_view>
 
 namespace fulmarwinch {
 
+/// Connections that were closed to free memory or descriptors.
+struct ClosedClients {
+  /// "memory" or "descriptors".
+  std::string_view m_Cause;
+  std::size_t m_Count = 0;
+  std::size_t m_ReleasedBytes = 0;
+  std::size_t m_HeldBytes = 0;
+  std::size_t m_ByteLimit = 0;
+  std::size_t m_Descriptors = 0;
+  /// Time since which the first of them has been idle or has not read.
+  Duration m_FirstSince{0};
+};
+
+struct ClientGuardOptions {
+  /// Limit of the descriptors for clients and servers together.
+  std::size_t m_MaxDescriptors = std::numeric_limits<std::size_t>::max();
+  std::shared_ptr<ClientMemory> m_Memory;
+  /// Returns the number of connections to servers that requests may have.
+  std::function<std::size_t()> m_CountCalls = [] { return 0; };
+  std::function<void(const ClosedClients &)> m_OnClosed =
+      [](const ClosedClients &) {};
+};
+
+/// Sets the limits of what a process holds for its clients from the memory that
+/// it may use in all.
+void setMemoryLimits(ClientMemory &Memory, double ProcessMb);
+
 /// Keeps the memory and the descriptors that clients use within the limits of
 /// the machine: closes connections, and states when requests must be rejected.
 /// Used by one thread only.
 class ClientGuard {
 public:
-  /// \p RequestsInProgress returns the number of requests, each of which may
-  /// have a connection to a server.
-  ClientGuard(const FrontSettings &Settings, EventLog &Log, Metrics &Registry,
-              std::shared_ptr<ClientMemory> Memory,
-              std::function<std::size_t()> RequestsInProgress);
+  ClientGuard(ClientGuardOptions Options, Metrics &Registry);
 
   /// \p Listener must outlive its use here.
   void setListener(HttpListener &Listener) { m_Listener = &Listener; }
@@ -35,6 +57,8 @@
   /// Returns what is missing for a request that has just begun, as the cause of
   /// its rejection; empty if nothing.
   std::string_view findShortage();
+  /// True if a descriptor is left without closing a connection.
+  bool hasSpareDescriptor() const;
   /// Sets the metrics of this object.
   void setGauges();
 
@@ -48,12 +72,8 @@
       const std::vector<std::size_t> &Chosen, std::string_view Cause,
       MonotonicTime Now);
 
-  EventLog &m_Log;
+  ClientGuardOptions m_Options;
   Metrics &m_Metrics;
-  std::shared_ptr<ClientMemory> m_Memory;
-  std::function<std::size_t()> m_RequestsInProgress;
-  /// Limit of the descriptors for clients and servers together.
-  std::size_t m_MaxDescriptors;
   HttpListener *m_Listener = nullptr;
   MonotonicTime m_NextSampleAt{};
   MonotonicTime m_NextEvictionAt{};
--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -4,6 +4,7 @@
 #include "proxy/client_guard.h"
 #include "proxy/group_coordinator.h"
 #include "proxy/http_listener.h"
+#include "proxy/management_port.h"
 #include "proxy/object_watcher.h"
 #include "proxy/peer_exchange.h"
 #include "proxy/placement_notices.h"
@@ -64,6 +65,10 @@
   return Settings;
 }
 constexpr const char *MetricsPath = "/metrics";
+/// Descriptors for files, and for the connections to the store, peers, probes
+/// and the ports for readiness and metrics.
+constexpr std::size_t FileDescriptors = 200;
+constexpr std::size_t OwnDescriptors = 48 + 2 * ManagementPort::MaxConnections;
 /// Kind of the store's objects under which the nodes register themselves.
 constexpr const char *NodeObjectKind = "fulmarwinch-nodes";
 constexpr Duration RegistrationRetryDelay = milliseconds(700);
@@ -109,9 +114,10 @@
                             entryWatchSettings(Settings)),
         m_NodeWatcher(Loop, m_StoreSession, Log, m_Metrics, NodeObjectKind,
                       nodeHandlers(), nodeWatchSettings(Settings)),
-        m_ClientGuard(Settings, Log, m_Metrics, m_Context.m_Memory,
-                      [this] { return m_Context.m_ActiveRequests.size(); }) {
+        m_ClientGuard(clientGuardOptions(), m_Metrics) {
     m_Context.m_FindShortage = [this] { return m_ClientGuard.findShortage(); };
+    if (Settings.m_MemoryMb > 0.0)
+      setMemoryLimits(*m_Context.m_Memory, Settings.m_MemoryMb);
     setRetryBudgets(1);
     SecondAttemptSettings SecondAttempts;
     SecondAttempts.m_MaxShare = Settings.m_SecondAttemptShare;
@@ -527,6 +533,29 @@
     return {{"Retry-After", concat(Seconds(m_Context.m_Random))}};
   }
 
+  ClientGuardOptions clientGuardOptions() {
+    ClientGuardOptions Options;
+    if (m_Settings.m_MaxFds > 0)
+      Options.m_MaxDescriptors =
+          m_Settings.m_MaxFds - FileDescriptors - OwnDescriptors;
+    Options.m_Memory = m_Context.m_Memory;
+    Options.m_CountCalls = [this] {
+      return m_Context.m_ActiveRequests.size();
+    };
+    Options.m_OnClosed = [this](const ClosedClients &Closed) {
+      m_Log.write(
+          "clients_closed",
+          {{"cause", Closed.m_Cause},
+           {"count", static_cast<std::int64_t>(Closed.m_Count)},
+           {"released", static_cast<std::int64_t>(Closed.m_ReleasedBytes)},
+           {"held", static_cast<std::int64_t>(Closed.m_HeldBytes)},
+           {"limit", static_cast<std::int64_t>(Closed.m_ByteLimit)},
+           {"descriptors", static_cast<std::int64_t>(Closed.m_Descriptors)},
+           {"first_since_ms", inMs(Closed.m_FirstSince)}});
+    };
+    return Options;
+  }
+
   ConnectionHooks clientHooks() {
     ConnectionHooks Hooks;
     Hooks.m_GetLimits = [this] {
@@ -550,37 +579,25 @@
     return Hooks;
   }
 
-  ConnectionHooks readinessHooks() {
-    ConnectionHooks Hooks;
-    Hooks.m_GetLimits = [] { return ClientLimits(); };
-    Hooks.m_IsDraining = [] { return false; };
-    Hooks.m_OnRequest = [this](const std::shared_ptr<ClientConnection> &Client,
-                               const ClientRequest &Request) {
-      if (Request.m_Head.m_Target != m_Platform.m_ReadinessPath)
-        Client->respond(404, "Not Found", {}, "");
-      else if (isReady())
-        Client->respond(200, "OK", {}, "");
-      else
-        Client->respond(503, "Service Unavailable", {}, "");
-    };
-    return Hooks;
+  void respondWithReadiness(ClientConnection &Client,
+                            const ClientRequest &Request) {
+    if (Request.m_Head.m_Target != m_Platform.m_ReadinessPath)
+      Client.respond(404, "Not Found", {}, "");
+    else if (isReady())
+      Client.respond(200, "OK", {}, "");
+    else
+      Client.respond(503, "Service Unavailable", {}, "");
   }
 
-  ConnectionHooks metricsHooks() {
-    ConnectionHooks Hooks;
-    Hooks.m_GetLimits = [] { return ClientLimits(); };
-    Hooks.m_IsDraining = [] { return false; };
-    Hooks.m_OnRequest = [this](const std::shared_ptr<ClientConnection> &Client,
-                               const ClientRequest &Request) {
-      if (Request.m_Head.m_Target != MetricsPath) {
-        Client->respond(404, "Not Found", {}, "");
-        return;
-      }
-      setGauges();
-      Client->respond(200, "OK", {{"Content-Type", "text/plain"}},
-                      m_Metrics.prometheusText());
-    };
-    return Hooks;
+  void respondWithMetrics(ClientConnection &Client,
+                          const ClientRequest &Request) {
+    if (Request.m_Head.m_Target != MetricsPath) {
+      Client.respond(404, "Not Found", {}, "");
+      return;
+    }
+    setGauges();
+    Client.respond(200, "OK", {{"Content-Type", "text/plain"}},
+                   m_Metrics.prometheusText());
   }
 
   void setGauges() {
@@ -633,6 +650,8 @@
   void tick(MonotonicTime Now) {
     tickActiveRequests(m_Context, Now);
     m_ClientGuard.tick(Now);
+    m_ReadinessPort->tick(Now);
+    m_MetricsPort->tick(Now);
     m_GroupCoordinator.tick(Now);
     m_ServerWatcher.setPauseAfterChanges(
         m_GroupCoordinator.holdsLease() ? LeaseHolderWatchPause : WatchPause);
@@ -726,8 +745,8 @@
   ObjectWatcher m_NodeWatcher;
   ClientGuard m_ClientGuard;
   std::unique_ptr<HttpListener> m_ClientListener;
-  std::unique_ptr<HttpListener> m_ReadinessListener;
-  std::unique_ptr<HttpListener> m_MetricsListener;
+  std::unique_ptr<ManagementPort> m_ReadinessPort;
+  std::unique_ptr<ManagementPort> m_MetricsPort;
   /// An evacuation has no content; its name is the zone.
   struct Evacuation {};
   KnownObjects<Evacuation> m_Evacuations;
@@ -755,12 +774,18 @@
   Self.m_ClientListener = std::make_unique<HttpListener>(
       Self.m_Loop, Self.m_Settings.m_ClientEndpoint, Self.clientHooks());
   Self.m_ClientGuard.setListener(*Self.m_ClientListener);
-  Self.m_ReadinessListener = std::make_unique<HttpListener>(
-      Self.m_Loop, Self.m_Settings.m_ReadinessEndpoint, Self.readinessHooks());
-  Self.m_MetricsListener = std::make_unique<HttpListener>(
+  Self.m_ReadinessPort = std::make_unique<ManagementPort>(
+      Self.m_Loop, Self.m_Settings.m_ReadinessEndpoint, Self.m_Metrics,
+      [&Self](ClientConnection &Client, const ClientRequest &Request) {
+        Self.respondWithReadiness(Client, Request);
+      });
+  Self.m_MetricsPort = std::make_unique<ManagementPort>(
       Self.m_Loop,
       Endpoint{Self.m_Settings.m_Ip, Self.m_Settings.m_MetricsPort},
-      Self.metricsHooks());
+      Self.m_Metrics,
+      [&Self](ClientConnection &Client, const ClientRequest &Request) {
+        Self.respondWithMetrics(Client, Request);
+      });
   Self.m_PeerExchange.start(
       [&Self](const StallReport &Report) { Self.onStallReport(Report); },
       [&Self](const std::vector<PoisonRecord> &Records) {
