Count the connections and the memory of second attempts

What callers could see: a node without descriptors, as a second attempt needs one, and all of them are sent when servers are slow and connections many.

Cause: neither their connections nor their read buffers were counted.

Change: a second attempt reserves the memory of its call and counts as a connection; without a spare descriptor or memory none is sent (no_resources).

Evidence: the new case of conditionsOfTheNodeForbidSecondAttempts.

--- a/proxy/front_node.cpp
+++ b/proxy/front_node.cpp
@@ -116,6 +116,9 @@
                       nodeHandlers(), nodeWatchSettings(Settings)),
         m_ClientGuard(clientGuardOptions(), m_Metrics) {
     m_Context.m_FindShortage = [this] { return m_ClientGuard.findShortage(); };
+    m_Context.m_HasSpareDescriptor = [this] {
+      return m_ClientGuard.hasSpareDescriptor();
+    };
     if (Settings.m_MemoryMb > 0.0)
       setMemoryLimits(*m_Context.m_Memory, Settings.m_MemoryMb);
     setRetryBudgets(1);
@@ -540,7 +543,7 @@
           m_Settings.m_MaxFds - FileDescriptors - OwnDescriptors;
     Options.m_Memory = m_Context.m_Memory;
     Options.m_CountCalls = [this] {
-      return m_Context.m_ActiveRequests.size();
+      return m_Context.m_ActiveRequests.size() + m_Context.m_SecondAttemptCount;
     };
     Options.m_OnClosed = [this](const ClosedClients &Closed) {
       m_Log.write(
--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -598,16 +598,21 @@
         mayHaveExecuted() || isSuspected(m_Context, m_Contents, Now);
     Attempt.m_ReachedServers = m_ArrivedAttempts + 1;
     Attempt.m_MaxAttempts = m_Route->m_MaxAttempts;
+    MemoryReservation Memory(m_Context.m_Memory->budget());
+    Attempt.m_LacksResources = !m_Context.m_HasSpareDescriptor() ||
+                               !Memory.growTo(ClientMemory::CallBytes);
     if (const auto Chosen = chooseSecondServer(m_Context, budget(), Late))
-      sendSecondAttempt(*Chosen, Now);
+      sendSecondAttempt(*Chosen, std::move(Memory), Now);
   }
 
-  void sendSecondAttempt(const ChosenServer &Chosen, MonotonicTime Now) {
+  void sendSecondAttempt(const ChosenServer &Chosen, MemoryReservation Memory,
+                         MonotonicTime Now) {
     m_HasSecondAttempt = true;
     m_TriedServers.insert(Chosen.m_Id);
     if (m_Service->hasReplicaGroups())
       recordPrompt(Chosen, Now);
     SecondAttemptRequest Request;
+    Request.m_Memory = std::move(Memory);
     Request.m_Id = m_Id;
     Request.m_Server = Chosen;
     Request.m_Head = requestHead(Chosen, Now);
--- a/proxy/request_relay.h
+++ b/proxy/request_relay.h
@@ -67,6 +67,10 @@
   std::function<std::string_view()> m_FindShortage = [] {
     return std::string_view();
   };
+  /// Returns true if the node can open a connection that it could do without.
+  std::function<bool()> m_HasSpareDescriptor = [] { return true; };
+  /// Number of second attempts in progress.
+  std::size_t m_SecondAttemptCount = 0;
   /// Demand of first attempts and of returning clients, on this node and on all
   /// nodes.
   DemandEstimator m_DemandEstimator;
--- a/proxy/second_attempt.cpp
+++ b/proxy/second_attempt.cpp
@@ -21,7 +21,12 @@
         m_Call(std::make_shared<UpstreamCall>(
             Context.m_Loop, m_Request.m_Server.m_Endpoint,
             std::move(m_Request.m_Head), std::move(m_Request.m_Body),
-            m_Request.m_ExpectsNoBody)) {}
+            m_Request.m_ExpectsNoBody)) {
+    ++m_Context.m_SecondAttemptCount;
+  }
+  ~Impl() { --m_Context.m_SecondAttemptCount; }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
 
   void start(const std::shared_ptr<SecondAttempt> &Owner,
              SecondAttemptHandlers Handlers) {
--- a/proxy/second_attempt.h
+++ b/proxy/second_attempt.h
@@ -2,6 +2,7 @@
 #define FULMARWINCH_PROXY_SECOND_ATTEMPT_H
 
 #include "core/enum_names.h"
+#include "proxy/memory_budget.h"
 #include "proxy/request_relay.h"
 #include "proxy/upstream_call.h"
 #include "servers/retry/event_splitter.h"
@@ -18,6 +19,8 @@
 /// Request of a second attempt, which is sent while the first one still waits
 /// for its server.
 struct SecondAttemptRequest {
+  /// Memory for its call.
+  MemoryReservation m_Memory;
   std::string m_Id;
   ChosenServer m_Server;
   /// Head with its last empty line, and body.
--- a/servers/retry/second_attempt_policy.cpp
+++ b/servers/retry/second_attempt_policy.cpp
@@ -164,6 +164,8 @@
     return SecondAttemptVerdict::NotDue;
   if (Attempt.m_IsStopping)
     return SecondAttemptVerdict::Stopping;
+  if (Attempt.m_LacksResources)
+    return SecondAttemptVerdict::NoResources;
   if (Attempt.m_IsContentSuspected)
     return SecondAttemptVerdict::SuspectedContent;
   if (Attempt.m_ReachedServers >= Attempt.m_MaxAttempts)
--- a/servers/retry/second_attempt_policy.h
+++ b/servers/retry/second_attempt_policy.h
@@ -75,9 +75,11 @@
   NoRetryBudget,
   /// No other server is estimated to have free slots.
   NoFreeServer,
+  /// The node has no memory or descriptor to spare.
+  NoResources,
 };
 
-inline constexpr std::array<EnumName<SecondAttemptVerdict>, 14>
+inline constexpr std::array<EnumName<SecondAttemptVerdict>, 15>
     SecondAttemptVerdictNames{{
         {SecondAttemptVerdict::Send, "send"},
         {SecondAttemptVerdict::Off, "off"},
@@ -93,6 +95,7 @@
         {SecondAttemptVerdict::ShareUsed, "share_used"},
         {SecondAttemptVerdict::NoRetryBudget, "no_retry_budget"},
         {SecondAttemptVerdict::NoFreeServer, "no_free_server"},
+        {SecondAttemptVerdict::NoResources, "no_resources"},
     }};
 
 /// Service and model whose servers take each other's requests; the model is
@@ -114,6 +117,8 @@
   bool m_IsStopping = false;
   bool m_IsContentSuspected = false;
   bool m_IsOverloaded = false;
+  /// The node has no memory or descriptor for a further call.
+  bool m_LacksResources = false;
   /// Servers that the request has reached, including the one that it waits for.
   unsigned m_ReachedServers = 1;
   unsigned m_MaxAttempts = 1;
--- a/tests/proxy/test_second_attempt.cpp
+++ b/tests/proxy/test_second_attempt.cpp
@@ -412,6 +412,10 @@
                Path.m_Context.m_PlannedStop.begin(monotonicNow(),
                                                   milliseconds(8000));
              }},
+            {"no_resources",
+             [](Scenario &Path) {
+               Path.m_Context.m_HasSpareDescriptor = [] { return false; };
+             }},
             {"no_free_server",
              [](Scenario &Path) {
                for (const char *Id : {"s1", "s2", "s3"})
