Reserve the memory of parsed JSON before it is parsed

What callers could see: fulmarwinchd beyond its memory after ten requests for a completion, each with a list of 3.6 million numbers within the limit of the body.

Cause: a value of two bytes takes up to 48 bytes once it is parsed, and nothing counted that.

Change: the gateway reserves an upper limit that it takes from the number of values and the size of the text. If there is no memory now, it refuses with 503 (not run); a body that could never be parsed is an invalid request.

--- a/core/json.cpp
+++ b/core/json.cpp
@@ -16,8 +16,10 @@
 /// per level, so a deeply nested text could exhaust the stack.
 constexpr std::size_t MaxDepth = 128;
 
-bool isTooDeep(std::string_view Text) {
-  std::size_t Depth = 0;
+/// Calls \p OnByte with each byte outside of strings until it returns false.
+/// Returns false if it did.
+template <typename Function>
+bool forEachOutsideStrings(std::string_view Text, Function OnByte) {
   bool IsInString = false;
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
     const char Byte = Text[Index];
@@ -25,12 +27,21 @@
       ++Index;
     else if (Byte == '"')
       IsInString = !IsInString;
-    else if (!IsInString && (Byte == '[' || Byte == '{') && ++Depth > MaxDepth)
-      return true;
-    else if (!IsInString && (Byte == ']' || Byte == '}') && Depth > 0)
-      --Depth;
+    else if (!IsInString && !OnByte(Byte))
+      return false;
   }
-  return false;
+  return true;
+}
+
+bool isTooDeep(std::string_view Text) {
+  std::size_t Depth = 0;
+  return !forEachOutsideStrings(Text, [&Depth](char Byte) {
+    if (Byte == '[' || Byte == '{')
+      return ++Depth <= MaxDepth;
+    if ((Byte == ']' || Byte == '}') && Depth > 0)
+      --Depth;
+    return true;
+  });
 }
 
 /// Rewrites a JSON text so that it can be parsed whatever single values in it
@@ -126,6 +137,19 @@
                      /*allow_exceptions=*/false);
 }
 
+std::size_t maxParsedBytes(std::string_view Text) {
+  // An element of an array takes 16 bytes, three times while the array grows,
+  // and 48 for a string or an array. A member of an object takes about as much,
+  // and its name 64.
+  constexpr std::size_t BytesPerValue = 112;
+  std::size_t Values = 1;
+  forEachOutsideStrings(Text, [&Values](char Byte) {
+    Values += Byte == ',' || Byte == '[' || Byte == '{' ? 1 : 0;
+    return true;
+  });
+  return Values * BytesPerValue + 2 * Text.size();
+}
+
 absl::StatusOr<Json> parseJson(std::string_view Text,
                                std::string_view TextName) {
   if (isTooDeep(Text))
--- a/core/json.h
+++ b/core/json.h
@@ -73,6 +73,10 @@
              : std::nullopt;
 }
 
+/// Returns an upper limit of the memory that parsing \p Text takes. Short
+/// values take many times the size of their text.
+std::size_t maxParsedBytes(std::string_view Text);
+
 /// Returns the field \p Key of \p Object, or \p Default if \p Object is no
 /// JSON object, has no such field or the field cannot be converted to
 /// ValueType.
--- a/node/gateway.cpp
+++ b/node/gateway.cpp
@@ -284,8 +284,22 @@
 }
 
 absl::Status Gateway::handleCompletion(RequestContext &Request) {
-  absl::StatusOr<CompletionRequest> Parsed = parseCompletion(
-      Request.m_Exchange->request().m_Body, *Request.m_Configuration->m_View);
+  const std::string &Body = Request.m_Exchange->request().m_Body;
+  const std::size_t ParsedBytes = maxParsedBytes(Body);
+  if (ParsedBytes > m_Memory->maxReservation())
+    return makeError(ErrorKind::InvalidArgument,
+                     "the request body contains too many values",
+                     "send prompts as texts");
+  MemoryReservation ParsedMemory(m_Memory->budget());
+  if (!m_Memory->reserveInput(ParsedMemory, ParsedBytes)) {
+    Request.m_RetryAfter = UnavailableRetryAfter;
+    return makeError(ErrorKind::NoCapacity,
+                     "this node has no memory to read the request",
+                     "the request was not run, send it again");
+  }
+  absl::StatusOr<CompletionRequest> Parsed =
+      parseCompletion(Body, *Request.m_Configuration->m_View);
+  ParsedMemory.set(0);
   if (!Parsed.ok())
     return Parsed.status();
   if (absl::Status Refusal = limitTokenRate(Request, Parsed->m_CostTokens);
--- a/proxy/client_memory.cpp
+++ b/proxy/client_memory.cpp
@@ -86,7 +86,7 @@
   return Reservation.growTo(Bytes, spareFor(Missing));
 }
 
-std::size_t ClientMemory::maxResponse() const {
+std::size_t ClientMemory::maxReservation() const {
   return m_Budget->limit() - m_Budget->limit() / SpareDivisor;
 }
 
@@ -139,7 +139,7 @@
   if (!m_WantedBytes.empty()) {
     for (const auto &[Reader, Bytes] : m_WantedBytes)
       Needed += Bytes;
-    Target = std::min(Target, maxResponse());
+    Target = std::min(Target, maxReservation());
   }
   return Needed - std::min(Needed, Target);
 }
--- a/proxy/client_memory.h
+++ b/proxy/client_memory.h
@@ -73,9 +73,8 @@
   /// them, unless there is no memory for them.
   bool reserveInput(MemoryReservation &Reservation, std::size_t Bytes);
 
-  /// Largest reservation of a response that can succeed when nothing else is
-  /// held.
-  std::size_t maxResponse() const;
+  /// Largest reservation that can succeed when nothing else is held.
+  std::size_t maxReservation() const;
   /// Increases the reservation of \p Reader's response to \p Bytes. The last
   /// part of the memory is left for connections, requests and short responses.
   /// If it fails, the bytes count in excess() until it succeeds or
--- a/proxy/response_buffer.cpp
+++ b/proxy/response_buffer.cpp
@@ -28,7 +28,7 @@
   const std::size_t Needed =
       m_Length > 0 ? m_Length
                    : 2 * m_Bytes.size() + ClientMemory::ServerReadBytes;
-  return Needed > m_Memory->maxResponse();
+  return Needed > m_Memory->maxReservation();
 }
 
 bool ResponseBuffer::prepareRead() {
