Close clients that would hold needed memory for minutes

What callers saw: a long answer was not served while 20 clients read answers of 4 MB at 8 KB/s.

Cause: a client that takes 1 KiB a second counted as reading, however much it held, and was never closed.

Change: while memory is needed, clients that would need more than two minutes at their speed so far are closed after those that do not read. The speed counts after three seconds.

--- a/proxy/client_connection.cpp
+++ b/proxy/client_connection.cpp
@@ -542,9 +542,11 @@
   using Activity = ConnectionState::Activity;
   Impl &Self = *m_Impl;
   const std::size_t Held = Self.m_Held.bytes() + Self.m_Output.reservedBytes();
-  if (Self.m_Output.size() > 0)
-    return {Activity::Sending, Held,
-            Self.m_Output.stalledSince(Self.m_Socket.native_handle(), Now)};
+  if (Self.m_Output.size() > 0) {
+    const MonotonicTime Since =
+        Self.m_Output.stalledSince(Self.m_Socket.native_handle(), Now);
+    return {Activity::Sending, Held, Since, Self.m_Output.timeToRead(Now)};
+  }
   // After its last response, a connection is closed within half a second.
   if (Self.m_IsClosed || Self.m_CloseAfterWrite)
     return {};
--- a/proxy/output_queue.h
+++ b/proxy/output_queue.h
@@ -41,6 +41,11 @@
   /// taken almost nothing of the waiting output. Call it several times a second
   /// while it matters: what happened before the first call is not known.
   MonotonicTime stalledSince(int Socket, MonotonicTime Now);
+  /// Time that the client will need to read what waits, as of the last call of
+  /// stalledSince(); 0 if not known.
+  Duration timeToRead(MonotonicTime Now) const {
+    return m_Progress.timeToRead(size(), Now);
+  }
 
 private:
   /// Number of bytes that the client's host has acknowledged.
--- a/servers/dispatch/connection_shedding.h
+++ b/servers/dispatch/connection_shedding.h
@@ -20,8 +20,14 @@
   void update(std::uint64_t Taken, MonotonicTime Now);
   /// Time since which the client has taken almost nothing.
   MonotonicTime stalledSince() const { return m_StalledSince; }
+  /// Time that the client needs for \p Waiting bytes as fast as it has read so
+  /// far; 0 until it has been seen for a few seconds.
+  Duration timeToRead(std::size_t Waiting, MonotonicTime Now) const;
 
 private:
+  std::uint64_t m_FirstTaken = 0;
+  std::uint64_t m_LastTaken = 0;
+  MonotonicTime m_FirstSeenAt{};
   std::uint64_t m_CountedBytes = 0;
   MonotonicTime m_StalledSince{};
 };
@@ -45,13 +51,16 @@
   /// Time at which the connection became idle, the request began to arrive or
   /// the client stopped reading.
   MonotonicTime m_Since{};
+  /// Time that the client will need to read what waits; 0 if not known.
+  Duration m_TimeToRead{0};
 };
 
 /// Returns the indices of the connections to close so that at least \p Excess
 /// bytes are released, if the clients that do not read hold as many. Load
 /// condition: clients that do not read hold more memory than the node has.
 /// Those with the largest product of held bytes and time without reading come
-/// first; a client that has read within the last second is never chosen.
+/// first. Then follow clients that read, but would hold what waits for minutes,
+/// the slowest first. A client that reads faster is never chosen.
 std::vector<std::size_t>
 chooseByMemory(const std::vector<ConnectionState> &Connections,
                std::size_t Excess, MonotonicTime Now);
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -46,9 +46,13 @@
 
     async def burst_client(self, port, request, reads):
         """Leaves an answer unread, or reads 2 KB of it per second."""
+        await self.drip_client(port, request, 1024 if reads else 0)
+
+    async def drip_client(self, port, request, size):
+        """Reads `size` bytes of an answer at a time, twice a second."""
         client = await self.connect(port)
         await self.send(client, request)
-        while reads and client and await self.receive(client, 1024):
+        while size and client and await self.receive(client, size):
             await asyncio.sleep(0.5)
 
     def close(self):
--- a/soak/slow_clients.py
+++ b/soak/slow_clients.py
@@ -287,11 +287,12 @@
                 reader, writer = await asyncio.wait_for(
                     asyncio.open_connection(self.node.ip, CLIENT_PORT),
                     ORDINARY_TIMEOUT_S)
-                writer.write(self.request("whole/1000"))
+                size = self.pattern.ordinary_bytes
+                writer.write(self.request(f"whole/{size}"))
                 message = await asyncio.wait_for(read_message(reader),
                                                  ORDINARY_TIMEOUT_S)
                 if message and message[3] and " 200 " in message[0] and (
-                        message[2] == b"y" * 1000):
+                        message[2] == b"y" * size):
                     return True
             except (OSError, asyncio.TimeoutError):
                 pass
@@ -354,6 +355,8 @@
     # Returns the coroutines of the clients in a world.
     clients: Callable
     memory_mb: int = MEMORY_MB
+    # Size of the answer to the ordinary request.
+    ordinary_bytes: int = 1000
 
 
 PATTERNS = {
@@ -387,6 +390,11 @@
                           LARGE_MEMORY_MB),
     # Their length is not known before they end.
     "burst_chunked": Pattern(lambda world: world.burst(20, "chunked/4000000")),
+    # Clients that read, but would hold the memory for minutes.
+    "drip": Pattern(lambda world: [
+        world.clients.drip_client(CLIENT_PORT, world.request("whole/4000000"),
+                                  4096)
+        for _ in range(20)], ordinary_bytes=4000000),
     "many_fields": Pattern(lambda world: [
         world.many_fields_client() for _ in range(200)]),
     "waiting_fields": Pattern(lambda world: [
--- a/tests/servers/dispatch/test_connection_shedding.cpp
+++ b/tests/servers/dispatch/test_connection_shedding.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST_SUITE(ConnectionSheddingTest);
   CPPUNIT_TEST(largestAndLongestStalledIsClosedFirst);
   CPPUNIT_TEST(readingClientIsNeverClosed);
+  CPPUNIT_TEST(clientThatWouldReadForMinutesIsClosedLast);
+  CPPUNIT_TEST(timeToReadFollowsTheSpeedSoFar);
   CPPUNIT_TEST(clientThatReadsSingleBytesCountsAsStalled);
   CPPUNIT_TEST(longestIdleIsClosedFirst);
   CPPUNIT_TEST_SUITE_END();
@@ -56,6 +58,38 @@
     CPPUNIT_ASSERT(chooseByIdleness(Connections, 4, m_Now) == (Indices{3, 2}));
   }
 
+  /// Guards against clients that keep the whole memory from others by reading
+  /// slowly, and against closing them while clients that do not read hold it.
+  void clientThatWouldReadForMinutesIsClosedLast() {
+    std::vector<ConnectionState> Connections{
+        state(Activity::Sending, 1000, Duration::zero()),
+        state(Activity::Sending, 1000, Duration::zero()),
+        state(Activity::Sending, 1000, Duration::zero()),
+        state(Activity::Sending, 10, seconds(2)),
+    };
+    Connections[0].m_TimeToRead = seconds(300);
+    Connections[1].m_TimeToRead = seconds(2000);
+    Connections[2].m_TimeToRead = seconds(60);
+    CPPUNIT_ASSERT(chooseByMemory(Connections, 1, m_Now) == Indices{3});
+    CPPUNIT_ASSERT(chooseByMemory(Connections, 100000, m_Now) ==
+                   (Indices{3, 1, 0}));
+  }
+
+  void timeToReadFollowsTheSpeedSoFar() {
+    ReadProgress Progress;
+    Progress.restart(5000, m_Now);
+    Progress.update(7000, m_Now + seconds(1));
+    CPPUNIT_ASSERT(Progress.timeToRead(100000, m_Now + seconds(1)) ==
+                   Duration::zero());
+    Progress.update(15000, m_Now + seconds(5));
+    CPPUNIT_ASSERT(Progress.timeToRead(100000, m_Now + seconds(5)) ==
+                   seconds(50));
+    ReadProgress Unread;
+    Unread.restart(5000, m_Now);
+    CPPUNIT_ASSERT(Unread.timeToRead(100000, m_Now + seconds(5)) >
+                   std::chrono::hours(1));
+  }
+
   /// Guards against clients that keep their memory by reading a byte now and
   /// then, and against taking a slow but steady client for one of them.
   void clientThatReadsSingleBytesCountsAsStalled() {
