--- a/proxy/request_relay.cpp
+++ b/proxy/request_relay.cpp
@@ -812,7 +812,8 @@
         (Bytes > 0 ? 2 * (Bytes + ClientMemory::ServerReadBytes) : 0);
     if (Needed < m_Held.bytes())
       m_Held.set(Needed);
-    return m_Context.m_Memory->reserveResponse(this, m_Held, Needed);
+    return Needed == m_Held.bytes() ||
+           m_Context.m_Memory->reserveResponse(this, m_Held, Needed);
   }
 
   void releaseBuffer() {
