Test paused calls and unread streams of the HTTP server

Cause: the crowds of soak/slow_clients_daemon.py bring about no unread stream, and nothing tested a call that is paused.

--- a/soak/slow_clients.py
+++ b/soak/slow_clients.py
@@ -17,16 +17,14 @@
 
 import argparse
 import asyncio
-import os
 import random
 import shutil
 import socket
-import sys
 import tempfile
 from dataclasses import dataclass
 from typing import Callable
 
-from clients import Clients
+from clients import Clients, is_answered, run_patterns
 from process_usage import UsageWatch
 from world import (CLIENT_PORT, READY_PORT, Node, Server, Store, http_response,
                    now, read_message)
@@ -44,7 +42,6 @@
 PARTS_PER_PROMPT = 2500
 # Time after which the server of waiting requests answers.
 LATE_S = 7
-ORDINARY_ATTEMPTS, ORDINARY_TIMEOUT_S = 20, 3.0
 
 
 def make_chunk(first):
@@ -279,28 +276,11 @@
     # Checks
 
     async def ordinary_request(self):
-        """Sends a request, as a client that tries again, until it is served;
-        returns whether it was."""
-        for _ in range(ORDINARY_ATTEMPTS):
-            writer = None
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(self.node.ip, CLIENT_PORT),
-                    ORDINARY_TIMEOUT_S)
-                size = self.pattern.ordinary_bytes
-                writer.write(self.request(f"whole/{size}"))
-                message = await asyncio.wait_for(read_message(reader),
-                                                 ORDINARY_TIMEOUT_S)
-                if message and message[3] and " 200 " in message[0] and (
-                        message[2] == b"y" * size):
-                    return True
-            except (OSError, asyncio.TimeoutError):
-                pass
-            finally:
-                if writer:
-                    writer.close()
-            await asyncio.sleep(0.5)
-        return False
+        """Returns whether the node answers a request in the end."""
+        size = self.pattern.ordinary_bytes
+        return await is_answered(
+            lambda: asyncio.open_connection(self.node.ip, CLIENT_PORT),
+            lambda: self.request(f"whole/{size}"), b"y" * size)
 
     async def wait_until_served(self):
         for _ in range(600):
@@ -432,23 +412,8 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--patterns", default=",".join(PATTERNS))
-    parser.add_argument("--known-red", default="")
-    options = parser.parse_args()
-    known_red = set(filter(None, options.known_red.split(",")))
-    if not known_red <= set(PATTERNS):
-        parser.error(f"no such pattern: {', '.join(known_red - set(PATTERNS))}")
-    is_sound = True
-    for name in options.patterns.split(","):
-        has_passed = run_pattern(name)
-        if name in known_red:
-            print(f"{name}: in KNOWN-RED.txt, "
-                  f"{'passed' if has_passed else 'failed as listed'}",
-                  flush=True)
-        else:
-            is_sound = is_sound and has_passed
-    sys.exit(0 if is_sound else 1)
+    run_patterns(argparse.ArgumentParser(description=__doc__), PATTERNS,
+                 lambda name, _: run_pattern(name))
 
 
 if __name__ == "__main__":
--- a/soak/slow_clients_daemon.py
+++ b/soak/slow_clients_daemon.py
@@ -27,7 +27,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))), "scripts"))
 
-from clients import Clients
+from clients import Clients, is_answered, run_patterns
 from loopback import Deployment
 from process_usage import UsageWatch
 from world import http_response, read_message
@@ -40,7 +40,6 @@
 BODY_BYTES, SENT_BYTES = 8 << 20, 7 << 20
 LONG_ANSWER_BYTES = 7_000_000
 PATTERN_S, UNREAD_S = 8.0, 4.0
-ORDINARY_ATTEMPTS, ORDINARY_TIMEOUT_S = 20, 3.0
 
 
 class LargeService:
@@ -112,28 +111,10 @@
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
 
     async def ordinary_request(self):
-        """Sends a request, as a client that tries again, until it is served;
-        returns whether it was."""
-        for _ in range(ORDINARY_ATTEMPTS):
-            writer = None
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection("127.0.0.1",
-                                            self.node.client_port),
-                    ORDINARY_TIMEOUT_S)
-                writer.write(self.request("whole/1000"))
-                message = await asyncio.wait_for(read_message(reader),
-                                                 ORDINARY_TIMEOUT_S)
-                if message and message[3] and " 200 " in message[0] and (
-                        message[2] == b"y" * 1000):
-                    return True
-            except (OSError, asyncio.TimeoutError):
-                pass
-            finally:
-                if writer:
-                    writer.close()
-            await asyncio.sleep(0.5)
-        return False
+        """Returns whether the node answers a request in the end."""
+        return await is_answered(
+            lambda: asyncio.open_connection("127.0.0.1", self.node.client_port),
+            lambda: self.request("whole/1000"), b"y" * 1000)
 
     async def run(self):
         service = LargeService()
@@ -211,23 +192,9 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--patterns", default=",".join(PATTERNS))
-    parser.add_argument("--known-red", default="")
     parser.add_argument("--without-limits", action="store_true")
-    options = parser.parse_args()
-    known_red = set(filter(None, options.known_red.split(",")))
-    if not known_red <= set(PATTERNS):
-        parser.error(f"no such pattern: {', '.join(known_red - set(PATTERNS))}")
-    is_sound = True
-    for name in options.patterns.split(","):
-        has_passed = run_pattern(name, not options.without_limits)
-        if name in known_red:
-            print(f"{name}: in KNOWN-RED.txt, "
-                  f"{'passed' if has_passed else 'failed as listed'}",
-                  flush=True)
-        else:
-            is_sound = is_sound and has_passed
-    sys.exit(0 if is_sound else 1)
+    run_patterns(parser, PATTERNS, lambda name, options: run_pattern(
+        name, not options.without_limits))
 
 
 if __name__ == "__main__":
--- a/tests/drivers/http/test_http.cpp
+++ b/tests/drivers/http/test_http.cpp
@@ -94,6 +94,9 @@
   CPPUNIT_TEST(neverResendsPostOnClosedConnection);
   CPPUNIT_TEST(nothingFollowsTheHeadOfAResponseToHead);
   CPPUNIT_TEST(tellsAnEndByCloseFromADelimitedOne);
+  CPPUNIT_TEST(pausedCallReceivesTheWholeBody);
+  CPPUNIT_TEST(streamOfAClientThatDoesNotReadIsNotWritable);
+  CPPUNIT_TEST(requestWithoutMemoryIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,7 +209,94 @@
     CPPUNIT_ASSERT_EQUAL(2U, Server.requestCount());
   }
 
+  /// Guards against bytes that are lost or repeated where a call was paused.
+  void pausedCallReceivesTheWholeBody() {
+    std::string Body;
+    for (int Index = 0; Index < 100000; ++Index)
+      Body += fmt::format("{},", Index);
+    std::promise<void> Done;
+    std::string Received;
+    int Asked = 0;
+    HttpCall Call;
+    Call.m_Method = "POST";
+    Call.m_Url = urlOf("/echo");
+    Call.m_Body = Body;
+    Call.m_MayRead = [&Asked] { return ++Asked % 3 != 1; };
+    Call.m_OnData = [&Received](std::string_view Data) { Received += Data; };
+    Call.m_OnDone = [&Done](const HttpCallResult &) { Done.set_value(); };
+    m_Client.start(std::move(Call));
+    Done.get_future().wait();
+    CPPUNIT_ASSERT(Asked > 3);
+    CPPUNIT_ASSERT(Received == Body);
+  }
+
+  /// Guards against a server that queues a stream without a limit while its
+  /// client does not read.
+  void streamOfAClientThatDoesNotReadIsNotWritable() {
+    constexpr std::size_t Limit = std::size_t{8} << 20U;
+    HttpServerOptions Options;
+    Options.m_Port = findFreePort();
+    Options.m_Memory->setLimits(Limit, Limit / 2);
+    HttpServer Server;
+    std::promise<std::size_t> Written;
+    CPPUNIT_ASSERT(Server
+                       .start(Options,
+                              [&Written](const HttpExchangePtr &Exchange) {
+                                Written.set_value(
+                                    writeWhilePossible(*Exchange));
+                              })
+                       .ok());
+    asio::io_context Context;
+    asio::ip::tcp::socket Client(Context);
+    Client.open(asio::ip::tcp::v4());
+    Client.set_option(asio::socket_base::receive_buffer_size(4096));
+    Client.connect({asio::ip::address_v4::loopback(), Options.m_Port});
+    asio::write(Client,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    // The kernel holds what it has been given to send.
+    CPPUNIT_ASSERT(Written.get_future().get() < 2 * Limit);
+    CPPUNIT_ASSERT(Options.m_Memory->budget()->used() < Limit / 8);
+    Server.stop();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Options.m_Memory->budget()->used());
+  }
+
+  /// Guards against a request that is accepted although its memory cannot be
+  /// held, and against a refusal without Retry-After.
+  void requestWithoutMemoryIsRefused() {
+    HttpServerOptions Options;
+    Options.m_Port = findFreePort();
+    Options.m_Memory->setLimits(std::size_t{1} << 20U, std::size_t{1} << 19U);
+    MemoryReservation Others(Options.m_Memory->budget());
+    Others.set((std::size_t{1} << 20U) - ClientMemory::RequestBytes);
+    HttpServer Server;
+    CPPUNIT_ASSERT(Server.start(Options, handleRequest).ok());
+    HttpCall Call;
+    Call.m_Url = fmt::format("http://127.0.0.1:{}/echo", Options.m_Port);
+    const HttpClient::Response Refused = m_Client.fetch(Call);
+    CPPUNIT_ASSERT_EQUAL(503, Refused.m_Result.m_Status);
+    CPPUNIT_ASSERT(findHeader(Refused.m_Headers, "Retry-After").has_value());
+    Others.set(0);
+    CPPUNIT_ASSERT_EQUAL(200, m_Client.fetch(Call).m_Result.m_Status);
+  }
+
 private:
+  /// Writes a stream until its client has taken too little for a while; returns
+  /// the number of bytes.
+  static std::size_t writeWhilePossible(HttpExchange &Exchange) {
+    constexpr int MaxAttempts = 100;
+    const std::string Chunk(16384, 'x');
+    std::size_t Written = 0;
+    Exchange.startStream(200, {});
+    for (int Attempts = 0; Attempts < MaxAttempts; ++Attempts) {
+      if (Exchange.isWritable() && Exchange.write(Chunk)) {
+        Written += Chunk.size();
+        Attempts = 0;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return Written;
+  }
+
   std::string urlOf(const std::string &Path) const {
     return fmt::format("http://127.0.0.1:{}{}", m_Port, Path);
   }
