Send what has been responded before an HTTP server stops

What clients could see: a response that is cut since the node stops in the moment in which it was passed to the event loop.

Change: stop() waits up to a second for output that waits.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -9,6 +9,7 @@
 #include "fmt/format.h"
 
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -18,6 +19,9 @@
 
 constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
 constexpr Duration TickPeriod = std::chrono::milliseconds(50);
+/// Longest time that stop() waits for clients to read their responses.
+constexpr Duration MaxSendTimeAtStop = std::chrono::seconds(1);
+constexpr Duration SendPollInterval = std::chrono::milliseconds(5);
 constexpr int FirstErrorStatus = 400;
 
 std::string_view reasonOf(int Status) {
@@ -255,7 +259,26 @@
     });
   }
 
+  /// Waits until what has been responded is sent, if the clients read it.
+  void sendWaitingOutput() {
+    const MonotonicTime Deadline = monotonicNow() + MaxSendTimeAtStop;
+    bool IsWaiting = true;
+    while (IsWaiting && monotonicNow() < Deadline) {
+      std::promise<bool> Answer;
+      asio::post(m_Loop, [this, &Answer] {
+        bool IsAnyWaiting = false;
+        for (const auto &Connection : m_Listener.openConnections())
+          IsAnyWaiting = IsAnyWaiting || Connection->waitingOutput() > 0;
+        Answer.set_value(IsAnyWaiting);
+      });
+      IsWaiting = Answer.get_future().get();
+      if (IsWaiting)
+        std::this_thread::sleep_for(SendPollInterval);
+    }
+  }
+
   void stop(const std::function<void()> &ReleaseExchanges) {
+    sendWaitingOutput();
     m_Loop.stop();
     m_LoopThread.join();
     m_HandlerThreads.join();
