Test fulmarwinchd with many requests in progress

Cause: what libcurl and the relays take for a request is not counted by size, but included in the fixed cost of a request.

Change: waiting_requests, 1,500 requests to a service that answers after 7 s, with 4,000 descriptors, so that memory is the bound.

Measured: 45 MB of 160, 2,142 descriptors; passed. The code before was not measured with it.

--- a/soak/slow_clients_daemon.py
+++ b/soak/slow_clients_daemon.py
@@ -32,19 +32,20 @@
 from process_usage import UsageWatch
 from world import http_response, read_message
 
-MEMORY_MB, MAX_DESCRIPTORS = 160, 400
+MEMORY_MB, MAX_DESCRIPTORS, MANY_DESCRIPTORS = 160, 400, 4000
 BASE_PORT = 24100
 SERVICE_PORT = BASE_PORT + 60
 # The largest body that the default settings allow, and what a client sends of
 # it before it stops.
 BODY_BYTES, SENT_BYTES = 8 << 20, 7 << 20
 LONG_ANSWER_BYTES = 7_000_000
-PATTERN_S, UNREAD_S = 8.0, 4.0
+PATTERN_S, UNREAD_S, LATE_S = 8.0, 4.0, 7
 
 
 class LargeService:
-    """Service that answers /whole/BYTES with that many bytes. It terminates a
-    response that remains unread."""
+    """Service that answers /whole/BYTES with that many bytes, and
+    /whole/BYTES/SECONDS after that time. It terminates a response that remains
+    unread."""
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -55,7 +56,10 @@
             message = await read_message(reader)
             if not message or not message[3]:
                 return
-            size = int(message[0].split(" ")[1].split("/")[2])
+            path = message[0].split(" ")[1].split("/")
+            size = int(path[2])
+            if len(path) > 3:
+                await asyncio.sleep(int(path[3]))
             writer.write(http_response(200, {"Connection": "close"}).replace(
                 b"Content-Length: 0", b"Content-Length: %d" % size))
             for begin in range(0, size, 65536):
@@ -70,7 +74,7 @@
 class World:
     def __init__(self, pattern, has_limits):
         self.pattern, self.violations = pattern, []
-        settings = {"memoryMb": MEMORY_MB, "maxDescriptors": MAX_DESCRIPTORS}
+        settings = {"memoryMb": MEMORY_MB, "maxDescriptors": pattern.max_descriptors}
         self.deployment = Deployment(
             BASE_PORT, node_settings=settings if has_limits else {})
         self.clients = Clients("127.0.0.1")
@@ -101,6 +105,10 @@
         await self.clients.send(client, self.request("whole/1000", BODY_BYTES)
                                 + b"b" * SENT_BYTES)
 
+    async def waiting_client(self):
+        client = await self.clients.connect(self.node.client_port)
+        await self.clients.send(client, self.request(f"whole/1000/{LATE_S}"))
+
     async def json_client(self, body):
         """Sends a request for a completion whose body takes many times its
         size once it is parsed."""
@@ -139,9 +147,9 @@
         self.most_descriptors = usage.most_descriptors
         if self.most_mb > MEMORY_MB:
             self.violations.append(f"{self.most_mb:.0f} MB of {MEMORY_MB}")
-        if self.most_descriptors > MAX_DESCRIPTORS:
+        if self.most_descriptors > self.pattern.max_descriptors:
             self.violations.append(f"{self.most_descriptors} descriptors of "
-                                   f"{MAX_DESCRIPTORS}")
+                                   f"{self.pattern.max_descriptors}")
         for task in tasks + [watch]:
             task.cancel()
         await asyncio.gather(*tasks, watch, return_exceptions=True)
@@ -153,6 +161,7 @@
 class Pattern:
     # Returns the coroutines of the clients in a world.
     clients: Callable
+    max_descriptors: int = MAX_DESCRIPTORS
 
 
 PATTERNS = {
@@ -164,6 +173,8 @@
     "operator_connections": Pattern(lambda world: [
         world.clients.silent_client(world.node.operator_port)
         for _ in range(900)]),
+    "waiting_requests": Pattern(lambda world: [
+        world.waiting_client() for _ in range(1500)], MANY_DESCRIPTORS),
     "nested_bodies": Pattern(lambda world: [
         world.json_client(b"[" * SENT_BYTES) for _ in range(10)]),
     "listed_bodies": Pattern(lambda world: [
@@ -181,7 +192,8 @@
         world.deployment.close()
     print(f"{name}: {world.most_mb:.0f} MB of {MEMORY_MB}, of these "
           f"{world.most_unread_mb:.1f} MB unread at most, "
-          f"{world.most_descriptors} descriptors of {MAX_DESCRIPTORS}: "
+          f"{world.most_descriptors} descriptors of "
+          f"{world.pattern.max_descriptors}: "
           + ("; ".join(world.violations) or "passed"), flush=True)
     if not world.violations:
         shutil.rmtree(world.deployment.directory)
