--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -316,7 +316,7 @@
 
     count = 0
 
-    def __init__(self, world, name, memory_mb=260):
+    def __init__(self, world, name, zone="a", memory_mb=260):
         self.world, self.name, self.memory_mb = world, name, memory_mb
         Front.count += 1
         self.ip = f"{NETWORK}.{10 + Front.count}"
@@ -329,9 +329,11 @@
 machine_class=front
 serves=front
 ip={self.ip}
-zone=a
+zone={zone}
 region=r
 zones.a=r
+zones.b=r
+zones.c=r
 listen.front={self.ip}:{self.port}
 listen.ready_address={self.ip}:{self.ready_port}
 port_range={self.peer_port},{self.peer_port}
@@ -490,12 +492,15 @@
             if answer else "nothing"))
         return request_id, answer
 
-    def stop(self):
+    def stop_processes(self):
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+
+    def stop(self):
+        self.stop_processes()
         shutil.rmtree(self.folder, ignore_errors=True)
         self.record.close()
 
@@ -511,10 +516,13 @@
         try:
             return await asyncio.wait_for(case(world), 110)
         finally:
-            others = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in others:
-                task.cancel()
-            await asyncio.gather(*others, return_exceptions=True)
+            world.stop_processes()
+            for _ in range(5):
+                others = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in others:
+                    task.cancel()
+                await asyncio.gather(*others, return_exceptions=True)
+                await asyncio.sleep(0.02)
 
     result = NOT_RUN
     try:
