Carry the state that an order was decided on, and repeat unanswered joins

Cause: a join without an answer counted as harmless after 400 ms, the same servers were ordered into another group, a group that had been given up was opened once it became ready all the same, and no order carried the state that it was decided on, so that late orders of one lease holder also changed the groups of the next.

Change: orders carry the precondition that the protocol has a field for. The number is that of the server's load report; the seq_no of a store entry counts entries. A join without an answer is repeated for the same group. A group is not opened if it was disbanded, or while a member may still carry out a join of a later group. The head of a group that a late order may open leaves before the other members.

--- a/proxy/group_coordinator.cpp
+++ b/proxy/group_coordinator.cpp
@@ -12,7 +12,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration OrderTimeout = milliseconds(800);
 /// Timeout of a liveness probe. A live server answers within a few
 /// milliseconds. TCP retransmits a lost packet only after about 200 ms, so a
 /// second probe is sent instead.
@@ -45,7 +44,6 @@
 /// Key of the store's object that lists the quarantined servers.
 constexpr const char *QuarantineKey = "fulmarwinch-groups/quarantine";
 constexpr int Ok = 200;
-constexpr int Accepted = 202;
 
 ReplicaPlannerSettings plannerSettings(const FrontSettings &Node) {
   ReplicaPlannerSettings Settings;
@@ -200,6 +198,8 @@
       Input.m_TolerableZoneLosses = m_Settings.m_TolerableZoneLosses;
     }
     std::vector<MemberOrder> Orders = Planner.plan(Input);
+    for (const BackendServer &Server : Planner.takeStateRequests())
+      requestState(Server);
     if (Now >= m_NextSupplyLogAt)
       logSupply(Planner.modelSupplies(Input));
     for (MemberOrder &Order : Orders) {
@@ -342,69 +342,6 @@
       });
 }
 
-void GroupCoordinator::sendOrder(const MemberOrder &Order) {
-  if (!mayOrder(Order, m_Epoch))
-    return;
-  const BackendServer *Server = m_Context.m_Fleet.find(Order.m_Server);
-  if (!Server && !Order.m_LastEndpoint)
-    return;
-  const std::int64_t StartedAtMs = Server ? Server->m_StartedAtMs : 0;
-  const Endpoint Peer = Server ? Server->m_Endpoint : *Order.m_LastEndpoint;
-  const HttpHeaders Headers{
-      {"Content-Type", "application/json"},
-      {m_Platform.m_HeaderNames.m_ExpectedServer, Order.m_Server}};
-  startBufferedCall(
-      m_Context.m_Loop, Peer,
-      formatRequest("POST", m_Platform.m_OrderPath, Peer, Headers,
-                    m_Platform.m_EncodeOrder(Order)),
-      OrderTimeout,
-      [this, Order, StartedAtMs](const BufferedResponse &Response) {
-        recordNotices(Order.m_Server, StartedAtMs, Response);
-        onOrderCompleted(Order, StartedAtMs, Response.m_Outcome,
-                         Response.m_Status);
-      },
-      [this, Order, StartedAtMs, Epoch = m_Epoch] {
-        if (!mayOrder(Order, Epoch))
-          return false;
-        countCall(Order.m_Server, StartedAtMs);
-        return true;
-      });
-}
-
-bool GroupCoordinator::mayOrder(const MemberOrder &Order, std::uint64_t Epoch) {
-  // The process may have been paused since tick() found the lease valid.
-  if (m_Lease.isHeld(monotonicNow()) && m_Lease.epoch() == Epoch)
-    return true;
-  m_Context.m_Log.write("order_dropped",
-                        {{"kind", nameOf(MemberOrderKindNames, Order.m_Kind)},
-                         {"server", Order.m_Server},
-                         {"group", Order.m_Group.m_Name},
-                         {"lease_epoch", static_cast<std::int64_t>(Epoch)}});
-  return false;
-}
-
-void GroupCoordinator::onOrderCompleted(const MemberOrder &Order,
-                                        std::int64_t StartedAtMs,
-                                        UpstreamOutcome Outcome, int Status) {
-  m_Context.m_Log.write(
-      "order", {{"kind", nameOf(MemberOrderKindNames, Order.m_Kind)},
-                {"server", Order.m_Server},
-                {"born", StartedAtMs},
-                {"group", Order.m_Group.m_Name},
-                {"epoch", static_cast<std::int64_t>(Order.m_Group.m_Epoch)},
-                {"model", Order.m_Model},
-                {"end", nameOf(UpstreamOutcomeNames, Outcome)},
-                {"status", std::int64_t{Status}}});
-  const bool IsAccepted =
-      hasResponse(Outcome) && (Status == Ok || Status == Accepted);
-  for (auto &[Service, Planner] : m_Planners) {
-    if (IsAccepted && Order.m_Kind == MemberOrderKind::Leave)
-      Planner.onLeaveConfirmed(Order);
-    if (!IsAccepted && Order.m_Kind == MemberOrderKind::Join)
-      Planner.onJoinFailed(Order, monotonicNow());
-  }
-}
-
 std::set<std::string>
 GroupCoordinator::probeUnlistedMembers(MonotonicTime Now) {
   std::set<std::string> Unlisted;
--- a/proxy/group_coordinator.h
+++ b/proxy/group_coordinator.h
@@ -18,9 +18,9 @@
 
 /// Competes for the lease on group formation. While this node is the lease
 /// holder, it runs the replica planners and sends their orders to the backend
-/// servers. A node that still sends orders after it lost the lease does no
-/// harm: group names and epochs distinguish its orders from those of the new
-/// holder.
+/// servers. Orders that a node sent before it lost the lease, and that servers
+/// carry out later, do no harm: a server refuses them if it has begun another
+/// order meanwhile.
 class GroupCoordinator {
 public:
   GroupCoordinator(RequestRelayContext &Context,
@@ -77,8 +77,15 @@
   /// True if this node still holds the lease of \p Epoch, under which \p Order
   /// was planned.
   bool mayOrder(const MemberOrder &Order, std::uint64_t Epoch);
-  void onOrderCompleted(const MemberOrder &Order, std::int64_t StartedAtMs,
-                        UpstreamOutcome Outcome, int Status);
+  void onOrderCompleted(const MemberOrder &Order,
+                        const BufferedResponse &Response);
+  void reportOrderEnd(const MemberOrder &Order, OrderResult Result);
+  /// Asks \p Server for the state that orders to it are decided on, up to
+  /// StateRequestAttempts times.
+  void requestState(const BackendServer &Server, unsigned Attempt = 1);
+  /// Passes the answer on to the planners. Returns false if it is not usable.
+  bool onStateAnswered(const BackendServer &Server,
+                       const BufferedResponse &Answer);
   /// Requests the load report of \p Server as a liveness probe.
   void probeLiveness(const BackendServer &Server, LivenessHandler Done);
   std::set<std::string> rateLimitedServers(MonotonicTime Now) const;
--- a/proxy/platform_binding.h
+++ b/proxy/platform_binding.h
@@ -42,6 +42,10 @@
   std::function<absl::StatusOr<TrafficConfiguration>(const StoredObject &)>
       m_DecodeConfiguration;
   std::function<std::string(const MemberOrder &)> m_EncodeOrder;
+  /// Reads the state of a server that orders are decided on from its load
+  /// report; nothing if the report is malformed.
+  std::function<std::optional<OrderState>(const std::string &)>
+      m_DecodeOrderState;
 };
 
 } // namespace fulmarwinch
--- a/servers/replicas/group_key_sequence.cpp
+++ b/servers/replicas/group_key_sequence.cpp
@@ -25,4 +25,9 @@
           m_LeaseEpoch * EpochsPerLeaseEpoch + Number};
 }
 
+bool GroupKeySequence::isOfThisLease(const GroupKey &Key) const {
+  return Key.m_Epoch > m_LeaseEpoch * EpochsPerLeaseEpoch &&
+         Key.m_Epoch <= m_LeaseEpoch * EpochsPerLeaseEpoch + m_LastNumber;
+}
+
 } // namespace fulmarwinch
--- a/servers/replicas/group_key_sequence.h
+++ b/servers/replicas/group_key_sequence.h
@@ -19,6 +19,8 @@
   /// Returns the key of a new group of \p Model, which is unique and has a
   /// higher epoch than all keys before.
   GroupKey next(const std::string &Model);
+  /// True if \p Key belongs to the lease epoch that the process held last.
+  bool isOfThisLease(const GroupKey &Key) const;
 
 private:
   std::uint64_t m_LeaseEpoch = 0;
--- a/servers/replicas/replica_planner.cpp
+++ b/servers/replicas/replica_planner.cpp
@@ -2,22 +2,16 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace fulmarwinch {
 
-namespace {
-
-HeadProcess processOf(const BackendServer &Head) {
-  return {Head.m_Id, Head.m_Endpoint, Head.m_StartedAtMs};
-}
-
-} // namespace
-
 ReplicaPlanner::ReplicaPlanner(const ReplicaPlannerSettings &Settings,
                                GroupKeySequence &GroupKeys,
                                const QuarantineRecord &Quarantined,
                                MonotonicTime StartedAt)
-    : m_Settings(Settings), m_GroupKeys(GroupKeys), m_StartedAt(StartedAt) {
+    : m_Settings(Settings), m_GroupKeys(GroupKeys), m_StartedAt(StartedAt),
+      m_Ledger(Settings.m_MaxOrderDelay) {
   for (const auto &[Server, Head] : Quarantined)
     m_Quarantines[Server] = {StartedAt + m_Settings.quarantineTime(), Head};
 }
@@ -36,12 +30,15 @@
   m_Groups = Input.m_Fleet->groups();
   indexAddresses(Input);
   removeEndedMembers(Input);
+  m_Ledger.update(*Input.m_Fleet, Input.m_Now);
   removeOutdatedState(Input);
   for (const auto &[Id, Server] : Input.m_Fleet->servers())
     if (Server.m_Membership)
       m_LastGroupByServer[Id] = Server.m_Membership->m_Group;
   for (const auto &[Key, Group] : m_Groups)
     reviewGroup(Input, Group);
+  for (auto &[Key, Formation] : m_Formations)
+    sendJoins(Input, Key, Formation);
   updateDomainModels(Input);
   formGroups(Input);
   stageSpares(Input);
@@ -85,10 +82,10 @@
   EraseEndedGroups(m_FirstSeenAt);
   EraseEndedGroups(m_LastKnownHeads);
   EraseEndedGroups(m_HeadMissingSince);
-  for (auto Entry = m_GroupsLeftByHead.begin();
-       Entry != m_GroupsLeftByHead.end();)
-    Entry = m_Groups.count(*Entry) == 0 ? m_GroupsLeftByHead.erase(Entry)
-                                        : std::next(Entry);
+  for (std::set<GroupKey> *Groups : {&m_GroupsLeftByHead, &m_GroupsSeenOpen})
+    for (auto Entry = Groups->begin(); Entry != Groups->end();)
+      Entry =
+          m_Groups.count(*Entry) == 0 ? Groups->erase(Entry) : std::next(Entry);
   for (auto Entry = m_Formations.begin(); Entry != m_Formations.end();) {
     GroupFormation &PlannedFormation = Entry->second;
     const bool IsListed = m_Groups.count(Entry->first) != 0;
@@ -100,10 +97,31 @@
                       PlannedFormation.m_GiveUpTime <= Input.m_Now);
     Entry = IsOver ? m_Formations.erase(Entry) : std::next(Entry);
   }
+  removeOutdatedOrderState(Input);
+}
+
+void ReplicaPlanner::removeOutdatedOrderState(
+    const ReplicaPlannerInput &Input) {
   for (auto Entry = m_PendingOrders.begin(); Entry != m_PendingOrders.end();)
     Entry = Entry->second.m_RepeatAt <= Input.m_Now
                 ? m_PendingOrders.erase(Entry)
                 : std::next(Entry);
+  for (auto Entry = m_DisbandedGroups.begin();
+       Entry != m_DisbandedGroups.end();) {
+    if (m_Groups.count(Entry->first) != 0)
+      Entry->second = Input.m_Now;
+    Entry = Input.m_Now - Entry->second > m_Settings.m_MaxOrderDelay
+                ? m_DisbandedGroups.erase(Entry)
+                : std::next(Entry);
+  }
+  for (auto Entry = m_ConflictCounts.begin(); Entry != m_ConflictCounts.end();)
+    Entry = Input.m_Fleet->find(Entry->first) ? std::next(Entry)
+                                              : m_ConflictCounts.erase(Entry);
+  for (auto Entry = m_LastStateRequests.begin();
+       Entry != m_LastStateRequests.end();)
+    Entry = Entry->second.m_RepeatAt > Input.m_Now
+                ? std::next(Entry)
+                : m_LastStateRequests.erase(Entry);
 }
 
 bool ReplicaPlanner::isComplete(const ReplicaPlannerInput &Input,
@@ -171,9 +189,10 @@
     if (Model)
       reviewFormingGroup(Input, Group, *Model);
     else
-      disband(Input, Group, false);
+      disbandUnopened(Input, Group);
     return;
   case GroupMemberState::Open:
+    m_GroupsSeenOpen.insert(Group.m_Key);
     if (!Model || m_RetiredGroups.count(Group.m_Key) != 0 ||
         !isCompleteWithUnlisted(Input, Group, *Model)) {
       MemberOrder Close;
@@ -191,55 +210,14 @@
   }
 }
 
-void ReplicaPlanner::reviewGroupWithoutHead(const ReplicaPlannerInput &Input,
-                                            const ReplicaGroup &Group) {
-  // The entry of the head may have gone before this node held the lease.
-  for (const BackendServer *Unlisted :
-       Input.m_Fleet->membersWithoutEntry(Group.m_Key))
-    if (Unlisted->m_Membership->m_Rank == 0)
-      m_LastKnownHeads.emplace(Group.m_Key, *Unlisted);
-  const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
-  if (LastHead != m_LastKnownHeads.end()) {
-    // A head that is listed without this group, or confirmed that it left, no
-    // longer serves requests for it.
-    const bool HasLeft = Input.m_Fleet->find(LastHead->second.m_Id) ||
-                         m_GroupsLeftByHead.count(Group.m_Key) != 0 ||
-                         hasSuccessor(processOf(LastHead->second));
-    if (HasLeft) {
-      disband(Input, Group, false);
-      return;
-    }
-    MemberOrder Leave;
-    Leave.m_Kind = MemberOrderKind::Leave;
-    Leave.m_Server = LastHead->second.m_Id;
-    Leave.m_Group = Group.m_Key;
-    Leave.m_LastEndpoint = LastHead->second.m_Endpoint;
-    issueOrder(Input, std::move(Leave));
-  }
-  // The members' entries may arrive before the entry of the head, and a head
-  // that is only partitioned from the store may still respond to the leave
-  // order. So the group is disbanded only after a delay.
-  const MonotonicTime MissingSince =
-      m_HeadMissingSince.emplace(Group.m_Key, Input.m_Now).first->second;
-  if (Input.m_Now - MissingSince > m_Settings.m_JoinResponseTimeout)
-    disband(Input, Group, true);
-}
-
-void ReplicaPlanner::onLeaveConfirmed(const MemberOrder &Order) {
-  const auto Head = m_LastKnownHeads.find(Order.m_Group);
-  if (Head == m_LastKnownHeads.end() || Head->second.m_Id != Order.m_Server)
-    return;
-  m_GroupsLeftByHead.insert(Order.m_Group);
-  for (const auto &[Server, LastGroup] : m_LastGroupByServer)
-    if (LastGroup == Order.m_Group)
-      m_Quarantines.erase(Server);
-}
-
 void ReplicaPlanner::reviewFormingGroup(const ReplicaPlannerInput &Input,
                                         const ReplicaGroup &Group,
                                         const ModelSpec &Model) {
-  if (m_RetiredGroups.count(Group.m_Key) != 0) {
-    disband(Input, Group, false);
+  // A member may have received or carried out a leave order, or may still carry
+  // out a join of another group. The head checks none of its members.
+  if (m_RetiredGroups.count(Group.m_Key) != 0 ||
+      m_DisbandedGroups.count(Group.m_Key) != 0 || mayJoinLaterGroup(Group)) {
+    disbandUnopened(Input, Group);
     return;
   }
   const auto PlannedFormation = m_Formations.find(Group.m_Key);
@@ -260,7 +238,7 @@
   // servers form a group with another head sooner than one is replaced that
   // takes too few requests.
   if (AllReady && hasBetterHead(Input, Group)) {
-    disband(Input, Group, false);
+    disbandUnopened(Input, Group);
     return;
   }
   if (AllReady) {
@@ -273,13 +251,14 @@
   }
   // Members report one after the other, so an incomplete group may still become
   // complete.
-  const bool StillJoining = !AllMembersUsable &&
-                            Input.m_Now - m_FirstSeenAt[Group.m_Key] <=
-                                m_Settings.m_ReportDelayMargin &&
-                            !isReducedOnlyByDraining(Input, Group, Model);
+  const bool StillJoining = isAwaitingMembers(Input, Group.m_Key) ||
+                            (!AllMembersUsable &&
+                             Input.m_Now - m_FirstSeenAt[Group.m_Key] <=
+                                 m_Settings.m_ReportDelayMargin &&
+                             !isReducedOnlyByDraining(Input, Group, Model));
   if ((StillJoining || AllMembersUsable) && Input.m_Now < GiveUpTime)
     return;
-  disband(Input, Group, false);
+  disbandUnopened(Input, Group);
 }
 
 bool ReplicaPlanner::hasBetterHead(const ReplicaPlannerInput &Input,
@@ -292,22 +271,6 @@
                       IsLimited);
 }
 
-void ReplicaPlanner::disband(const ReplicaPlannerInput &Input,
-                             const ReplicaGroup &Group, bool HeadMayServe) {
-  for (const std::string &Id : Group.m_Members) {
-    if (Id.empty() || Input.m_UnreachableServers.count(Id) != 0)
-      continue;
-    if (HeadMayServe)
-      quarantine(Input, Group, Id);
-    MemberOrder Leave;
-    Leave.m_HeadMayServe = HeadMayServe;
-    Leave.m_Kind = MemberOrderKind::Leave;
-    Leave.m_Server = Id;
-    Leave.m_Group = Group.m_Key;
-    issueOrder(Input, std::move(Leave));
-  }
-}
-
 void ReplicaPlanner::indexAddresses(const ReplicaPlannerInput &Input) {
   m_LatestByAddress.clear();
   for (const auto &[Id, Server] : Input.m_Fleet->servers()) {
@@ -348,26 +311,55 @@
   }
 }
 
-void ReplicaPlanner::quarantine(const ReplicaPlannerInput &Input,
-                                const ReplicaGroup &Group,
-                                const std::string &Member) {
-  Quarantine &Active = m_Quarantines[Member];
-  Active.m_Until = Input.m_Now + m_Settings.quarantineTime();
-  const auto LastHead = m_LastKnownHeads.find(Group.m_Key);
-  Active.m_Head = LastHead == m_LastKnownHeads.end()
-                      ? HeadProcess{}
-                      : processOf(LastHead->second);
+bool ReplicaPlanner::issueOrder(const ReplicaPlannerInput &Input,
+                                MemberOrder Order) {
+  const auto Pending = m_PendingOrders.find(Order.m_Server);
+  if (Pending != m_PendingOrders.end() &&
+      Pending->second.m_RepeatAt > Input.m_Now &&
+      Pending->second.m_Kind == Order.m_Kind &&
+      Pending->second.m_Group == Order.m_Group)
+    return false;
+  const BackendServer *Server = Input.m_Fleet->find(Order.m_Server);
+  const auto LastHead = m_LastKnownHeads.find(Order.m_Group);
+  if (!Server && LastHead != m_LastKnownHeads.end() &&
+      LastHead->second.m_Id == Order.m_Server)
+    Server = &LastHead->second;
+  if (!Server)
+    return false;
+  const OrderState *State = m_Ledger.stateFor(*Server, Order.m_Kind);
+  if (!State) {
+    requestState(Input, *Server);
+    return false;
+  }
+  Order.m_StartedAtMs = Server->m_StartedAtMs;
+  Order.m_Precondition = State->m_OrderCount;
+  m_PendingOrders[Order.m_Server] = {Order.m_Kind, Order.m_Group,
+                                     Input.m_Now +
+                                         m_Settings.m_OrderRepeatInterval};
+  m_Ledger.onSent(Order, Input.m_Now);
+  m_Orders.push_back(std::move(Order));
+  return true;
 }
 
-void ReplicaPlanner::issueOrder(const ReplicaPlannerInput &Input,
-                                MemberOrder Order) {
-  PendingOrder &LastOrder = m_PendingOrders[Order.m_Server];
-  if (LastOrder.m_RepeatAt > Input.m_Now && LastOrder.m_Kind == Order.m_Kind &&
-      LastOrder.m_Group == Order.m_Group)
+void ReplicaPlanner::requestState(const ReplicaPlannerInput &Input,
+                                  const BackendServer &Server) {
+  StateRequest &Last = m_LastStateRequests[Server.m_Id];
+  const bool HasChanged = Last.m_Position != Server.m_Position;
+  if (!HasChanged && Last.m_RepeatAt > Input.m_Now)
     return;
-  LastOrder = {Order.m_Kind, Order.m_Group,
-               Input.m_Now + m_Settings.m_OrderRepeatInterval};
-  m_Orders.push_back(std::move(Order));
+  Last = {Server.m_Position, Input.m_Now + m_Settings.m_StateRequestInterval};
+  m_StateRequests.push_back(Server);
+}
+
+std::vector<BackendServer> ReplicaPlanner::takeStateRequests() {
+  return std::exchange(m_StateRequests, {});
+}
+
+bool ReplicaPlanner::hasPendingOrder(const ReplicaPlannerInput &Input,
+                                     const std::string &Server) const {
+  const auto Pending = m_PendingOrders.find(Server);
+  return Pending != m_PendingOrders.end() &&
+         Pending->second.m_RepeatAt > Input.m_Now;
 }
 
 bool ReplicaPlanner::isFree(const ReplicaPlannerInput &Input,
@@ -377,10 +369,9 @@
       Server.m_FabricDomain.empty() || !Input.m_Fleet->acceptsNewWork(Server) ||
       Input.m_UnreachableServers.count(Id) != 0 || m_Quarantines.count(Id) != 0)
     return false;
-  const auto LastOrder = m_PendingOrders.find(Id);
-  if (LastOrder != m_PendingOrders.end() &&
-      LastOrder->second.m_RepeatAt > Input.m_Now &&
-      LastOrder->second.m_Kind == MemberOrderKind::Join)
+  if (isReservedForFormation(Input, Id) ||
+      (hasPendingOrder(Input, Id) &&
+       m_PendingOrders.at(Id).m_Kind == MemberOrderKind::Join))
     return false;
   const auto LastGroup = m_LastGroupByServer.find(Id);
   if (LastGroup == m_LastGroupByServer.end())
@@ -403,135 +394,4 @@
   return FreeServers;
 }
 
-ReplicaPlanner::GroupCandidate ReplicaPlanner::findCandidate(
-    const ReplicaPlannerInput &Input, const ModelSpec &Model,
-    const std::vector<const BackendServer *> &FreeServers) {
-  GroupCandidate Result;
-  if (FreeServers.size() < Model.m_GroupSize)
-    return Result;
-  Result.m_Model = &Model;
-  Result.m_Members = FreeServers;
-  std::stable_sort(Result.m_Members.begin(), Result.m_Members.end(),
-                   [&](const BackendServer *Left, const BackendServer *Right) {
-                     return Left->hasStagedWeights(Model.m_Name) >
-                            Right->hasStagedWeights(Model.m_Name);
-                   });
-  // The first member is the head.
-  const auto Head = std::find_if(
-      Result.m_Members.begin(), Result.m_Members.end(),
-      [&](const BackendServer *Server) {
-        return Input.m_RateLimitedServers.count(Server->m_Id) == 0 &&
-               Server->hasStagedWeights(Model.m_Name) ==
-                   Result.m_Members.front()->hasStagedWeights(Model.m_Name);
-      });
-  if (Head != Result.m_Members.end())
-    std::rotate(Result.m_Members.begin(), Head, std::next(Head));
-  Result.m_Members.resize(Model.m_GroupSize);
-  for (const BackendServer *Member : Result.m_Members)
-    Result.m_LoadsNeeded += Member->hasStagedWeights(Model.m_Name) ? 0 : 1;
-  return Result;
-}
-
-std::size_t
-ReplicaPlanner::loadsInProgress(const ReplicaPlannerInput &Input) const {
-  std::size_t Count = m_ActiveStagings.size();
-  for (const auto &[Id, Server] : Input.m_Fleet->servers())
-    if (Server.m_Membership &&
-        Server.m_Membership->m_State == GroupMemberState::Joining &&
-        !Server.hasStagedWeights(
-            modelOfGroup(Server.m_Membership->m_Group.m_Name)))
-      ++Count;
-  for (const auto &[Key, PlannedFormation] : m_Formations)
-    if (m_Groups.count(Key) == 0)
-      Count += PlannedFormation.m_Members.size();
-  return Count;
-}
-
-bool ReplicaPlanner::mayStartLoad(const ReplicaPlannerInput &Input) const {
-  if (!Input.m_TrafficSeen &&
-      m_ShareWithWeights >= m_Settings.m_ThrottledLoadShare)
-    return true;
-  return loadsInProgress(Input) <
-         Input.m_Service->m_Engine.m_MaxConcurrentLoads;
-}
-
-void ReplicaPlanner::formGroups(const ReplicaPlannerInput &Input) {
-  while (formNextGroup(Input)) {
-  }
-}
-
-bool ReplicaPlanner::formNextGroup(const ReplicaPlannerInput &Input) {
-  const auto FreeServers = freeServersByDomain(Input);
-  for (const ModelSpec *Model : modelsByRisingSupply(Input)) {
-    GroupCandidate BestCandidate;
-    std::size_t BestSameModelGroups = 0;
-    for (const auto &[Domain, Servers] : FreeServers) {
-      const GroupCandidate DomainCandidate =
-          findCandidate(Input, *Model, Servers);
-      if (!DomainCandidate.m_Model)
-        continue;
-      // After the first request a load from the weight store takes longer than
-      // any other way to replace a group, so only servers with staged weights
-      // join a group.
-      if (Input.m_TrafficSeen && DomainCandidate.m_LoadsNeeded > 0)
-        continue;
-      if (DomainCandidate.m_LoadsNeeded > 0 &&
-          (!mayStartLoad(Input) || !isAllowedInDomain(*Model, Domain)))
-        continue;
-      std::size_t SameModelGroups = 0;
-      for (const auto &[Key, Group] : m_Groups)
-        SameModelGroups +=
-            Group.m_FabricDomain == Domain && Group.m_Model == Model->m_Name;
-      for (const auto &[Key, PlannedFormation] : m_Formations)
-        if (m_Groups.count(Key) == 0 &&
-            PlannedFormation.m_Model == Model->m_Name)
-          SameModelGroups +=
-              Input.m_Fleet->find(PlannedFormation.m_Members.front()) &&
-              Input.m_Fleet->find(PlannedFormation.m_Members.front())
-                      ->m_FabricDomain == Domain;
-      // Spread the groups of one model over the fabric domains.
-      if (!BestCandidate.m_Model || SameModelGroups < BestSameModelGroups ||
-          (SameModelGroups == BestSameModelGroups &&
-           DomainCandidate.m_LoadsNeeded < BestCandidate.m_LoadsNeeded)) {
-        BestCandidate = DomainCandidate;
-        BestSameModelGroups = SameModelGroups;
-      }
-    }
-    if (BestCandidate.m_Model) {
-      startFormation(Input, BestCandidate);
-      return true;
-    }
-  }
-  return false;
-}
-
-void ReplicaPlanner::startFormation(const ReplicaPlannerInput &Input,
-                                    const GroupCandidate &SelectedCandidate) {
-  MemberOrder Join;
-  Join.m_Kind = MemberOrderKind::Join;
-  Join.m_Model = SelectedCandidate.m_Model->m_Name;
-  Join.m_Group = m_GroupKeys.next(Join.m_Model);
-  for (const BackendServer *Member : SelectedCandidate.m_Members)
-    Join.m_Members.push_back(Member->m_Id);
-  const Duration ExpectedLoadTime =
-      SelectedCandidate.m_LoadsNeeded > 0
-          ? SelectedCandidate.m_Model->m_WeightStoreLoadTime
-          : SelectedCandidate.m_Model->m_StagedLoadTime;
-  m_Formations[Join.m_Group] = {Join.m_Model, Join.m_Members,
-                                Input.m_Now + ExpectedLoadTime * 2 +
-                                    m_Settings.m_ReportDelayMargin};
-  for (const BackendServer *Member : SelectedCandidate.m_Members) {
-    Join.m_Server = Member->m_Id;
-    issueOrder(Input, Join);
-  }
-}
-
-void ReplicaPlanner::onJoinFailed(const MemberOrder &Order, MonotonicTime Now) {
-  const auto PlannedFormation = m_Formations.find(Order.m_Group);
-  if (PlannedFormation != m_Formations.end())
-    PlannedFormation->second.m_GiveUpTime = Now;
-  m_PendingOrders[Order.m_Server] = {MemberOrderKind::Join, Order.m_Group,
-                                     Now + m_Settings.m_JoinResponseTimeout};
-}
-
 } // namespace fulmarwinch
--- a/servers/replicas/replica_planner.h
+++ b/servers/replicas/replica_planner.h
@@ -5,6 +5,7 @@
 #include "servers/replicas/group_key_sequence.h"
 #include "servers/replicas/member_order.h"
 #include "servers/replicas/model_rebalancer.h"
+#include "servers/replicas/order_ledger.h"
 #include "servers/replicas/quarantine_record.h"
 #include "servers/routes/traffic_configuration.h"
 
@@ -28,10 +29,15 @@
   /// Interval after which an order is sent again if the server's entry does not
   /// show its effect. Normally the entry changes within some ten milliseconds.
   Duration m_OrderRepeatInterval = std::chrono::milliseconds(1200);
-  /// A server that did not respond to a join order receives no other join for
-  /// this time, since it may still execute the first. After this time a late
-  /// join does no harm: its group epoch is outdated.
+  /// A server that refused a join order or seems dead receives no other join
+  /// for this time.
   Duration m_JoinResponseTimeout = std::chrono::milliseconds(400);
+  /// Interval after which the state of a server is requested again if its entry
+  /// has not changed.
+  Duration m_StateRequestInterval = std::chrono::milliseconds(600);
+  /// Longest time after which a server carries out an order that it has not
+  /// answered. The platform gives 12 s.
+  Duration m_MaxOrderDelay = std::chrono::seconds(15);
   /// Share of the servers, from 0 to 1, that must have weights or be loading
   /// them before all others start to load without a limit on concurrent loads.
   /// Until then groups load one after the other, since concurrent loads share
@@ -120,8 +126,10 @@
 /// Plans the orders that form, open, repair and close the replica groups of one
 /// service. State that must survive a change of the lease holder is read from
 /// the store entries of the backend servers, except for the quarantine, which
-/// the caller records. The other state of this class only limits how often
-/// orders are sent.
+/// the caller records. The other state of this class limits how often orders
+/// are sent, and keeps groups from being opened that an unanswered order of
+/// this holder may still take apart. Those of the previous holder are refused
+/// by the servers, which compare the preconditions of orders.
 class ReplicaPlanner {
 public:
   /// \p GroupKeys must outlive the planner; it is shared by the planners of all
@@ -145,7 +153,21 @@
   QuarantineRecord
   quarantineRecord(MonotonicTime Now = MonotonicTime::min()) const;
 
-  /// Reports that a server refused a join order or did not respond to it.
+  /// Servers whose state plan() needs before it can decide an order to them.
+  /// The caller asks each for its load report.
+  std::vector<BackendServer> takeStateRequests();
+  /// Reports what the server \p Id said of its state. It may be one of another
+  /// planner.
+  void onServerState(const std::string &Id, const OrderState &State) {
+    m_Ledger.setState(Id, State);
+  }
+  /// Reports that the server \p Id did not answer a request for its state.
+  void onStateUnavailable(const std::string &Id, MonotonicTime Now);
+  /// Reports how an order of plan() ended. It may be one of another planner.
+  void onOrderEnded(const MemberOrder &Order, OrderResult Result,
+                    MonotonicTime Now);
+  /// Gives up the formation of a group since a server refused its join order or
+  /// is dead.
   void onJoinFailed(const MemberOrder &Order, MonotonicTime Now);
   /// Reports that a server confirmed that it is not in the group that it was
   /// ordered to leave.
@@ -161,7 +183,12 @@
   struct GroupFormation {
     std::string m_Model;
     std::vector<std::string> m_Members;
+    /// Time that a member gets from its order to its report that it is ready.
+    Duration m_JoinAllowance{};
     MonotonicTime m_GiveUpTime{};
+    /// Members that are still to receive their join: their state is not known,
+    /// or they have not answered the last one.
+    std::set<std::string> m_JoinsToSend;
     /// At least one member has reported the group in its store entry.
     bool m_WasReported = false;
   };
@@ -189,6 +216,7 @@
                   const std::string &Member);
   /// Removes the state of ended groups, expired quarantines and finished loads.
   void removeOutdatedState(const ReplicaPlannerInput &Input);
+  void removeOutdatedOrderState(const ReplicaPlannerInput &Input);
   void reviewGroup(const ReplicaPlannerInput &Input, const ReplicaGroup &Group);
   void reviewGroupWithoutHead(const ReplicaPlannerInput &Input,
                               const ReplicaGroup &Group);
@@ -215,8 +243,33 @@
   /// members are quarantined, since the unreachable head may still serve.
   void disband(const ReplicaPlannerInput &Input, const ReplicaGroup &Group,
                bool HeadMayServe);
-  /// Adds \p Order to m_Orders, unless the same order was sent recently.
-  void issueOrder(const ReplicaPlannerInput &Input, MemberOrder Order);
+  /// Like disband(), for a group that is not open. If its head may still carry
+  /// out an open order, the head leaves first.
+  void disbandUnopened(const ReplicaPlannerInput &Input,
+                       const ReplicaGroup &Group);
+  bool mayStillOpen(const ReplicaPlannerInput &Input,
+                    const ReplicaGroup &Group) const;
+  static bool hasJoiningMember(const ReplicaPlannerInput &Input,
+                               const ReplicaGroup &Group);
+  void giveUpFormation(const ReplicaPlannerInput &Input, const GroupKey &Key);
+  /// True if a member of \p Group may still carry out a join of a later group.
+  bool mayJoinLaterGroup(const ReplicaGroup &Group) const;
+  /// Adds \p Order to m_Orders with the state that it was decided on, unless
+  /// the same order was sent recently. Returns false if the order was not
+  /// added. If the state is not known, it is requested.
+  bool issueOrder(const ReplicaPlannerInput &Input, MemberOrder Order);
+  void requestState(const ReplicaPlannerInput &Input,
+                    const BackendServer &Server);
+  /// True if the last order to \p Server is not to be repeated yet.
+  bool hasPendingOrder(const ReplicaPlannerInput &Input,
+                       const std::string &Server) const;
+  void onJoinFailed(const GroupKey &Group, const std::string &Server,
+                    MonotonicTime Now);
+  void onJoinEnded(const MemberOrder &Order, OrderResult Result,
+                   MonotonicTime Now);
+  /// Time for which \p Server receives no order after its last conflict. Zero
+  /// for the first of a row, after which its order count is known.
+  Duration conflictDelay(const std::string &Server) const;
 
   std::map<std::string, std::vector<const BackendServer *>>
   freeServersByDomain(const ReplicaPlannerInput &Input) const;
@@ -248,15 +301,30 @@
   /// Orders one more group to form, for the model with the lowest supply that
   /// allows it. Returns false if no group can form.
   bool formNextGroup(const ReplicaPlannerInput &Input);
-  static GroupCandidate
+  GroupCandidate
   findCandidate(const ReplicaPlannerInput &Input, const ModelSpec &Model,
-                const std::vector<const BackendServer *> &FreeServers);
+                const std::vector<const BackendServer *> &FreeServers) const;
   /// True if the head of \p Group names a rate limit and another member does
   /// not. The limit of a head is the limit of its group.
   static bool hasBetterHead(const ReplicaPlannerInput &Input,
                             const ReplicaGroup &Group);
   void startFormation(const ReplicaPlannerInput &Input,
                       const GroupCandidate &SelectedCandidate);
+  /// Orders the members in m_JoinsToSend to join, as far as their states are
+  /// known.
+  void sendJoins(const ReplicaPlannerInput &Input, const GroupKey &Key,
+                 GroupFormation &Formation);
+  /// True if each member of the group that is being formed has joined it or may
+  /// still do so.
+  bool isAwaitingMembers(const ReplicaPlannerInput &Input,
+                         const GroupKey &Key) const;
+  /// True if the server \p Id has not been ready in its group and may leave it
+  /// by joining the group of a formation that waits for it.
+  bool isJoiningAnother(const ReplicaPlannerInput &Input,
+                        const std::string &Id) const;
+  /// True if a formation that has not been given up waits for \p Server.
+  bool isReservedForFormation(const ReplicaPlannerInput &Input,
+                              const std::string &Server) const;
   void stageSpares(const ReplicaPlannerInput &Input);
   /// Forms groups of a model that is short of them in place of groups of
   /// another: their servers load the weights while their groups serve, then the
@@ -322,14 +390,29 @@
   ReplicaPlannerSettings m_Settings;
   GroupKeySequence &m_GroupKeys;
   MonotonicTime m_StartedAt;
+  OrderLedger m_Ledger;
   std::map<GroupKey, GroupFormation> m_Formations;
+  /// Groups whose members were ordered to leave, with the time at which they
+  /// were last listed.
+  std::map<GroupKey, MonotonicTime> m_DisbandedGroups;
+  /// Number of orders in a row that conflicted with the state of their server.
+  std::map<std::string, unsigned> m_ConflictCounts;
   std::map<GroupKey, MonotonicTime> m_FirstSeenAt;
   /// Last store entry of the head of each group.
   std::map<GroupKey, BackendServer> m_LastKnownHeads;
   std::map<GroupKey, MonotonicTime> m_HeadMissingSince;
   /// Groups whose head is no longer listed and confirmed that it has left.
   std::set<GroupKey> m_GroupsLeftByHead;
+  std::set<GroupKey> m_GroupsSeenOpen;
   std::map<std::string, PendingOrder> m_PendingOrders;
+  struct StateRequest {
+    /// Position of the server's entry when its state was requested.
+    StorePosition m_Position;
+    MonotonicTime m_RepeatAt{};
+  };
+  /// Last request for the state of each server, by server ID.
+  std::map<std::string, StateRequest> m_LastStateRequests;
+  std::vector<BackendServer> m_StateRequests;
   std::map<std::string, Quarantine> m_Quarantines;
   /// Model that each server is staging and the time limit for it, by server ID.
   std::map<std::string, std::pair<std::string, MonotonicTime>> m_ActiveStagings;
--- a/servers/replicas/replica_staging.cpp
+++ b/servers/replicas/replica_staging.cpp
@@ -141,9 +141,9 @@
   StageOrder.m_Kind = MemberOrderKind::Stage;
   StageOrder.m_Server = Server.m_Id;
   StageOrder.m_Model = Model.m_Name;
-  m_ActiveStagings[Server.m_Id] = {
-      Model.m_Name, Input.m_Now + Model.m_WeightStoreLoadTime * 2};
-  issueOrder(Input, std::move(StageOrder));
+  if (issueOrder(Input, std::move(StageOrder)))
+    m_ActiveStagings[Server.m_Id] = {
+        Model.m_Name, Input.m_Now + Model.m_WeightStoreLoadTime * 2};
 }
 
 } // namespace fulmarwinch
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(damagedFieldOfAConfigurationIsNoDefault);
   CPPUNIT_TEST(emptyListOfOrganisationsAdmitsNobody);
   CPPUNIT_TEST(ordersAreEncoded);
+  CPPUNIT_TEST(orderStateIsDecoded);
   CPPUNIT_TEST(settingsAreParsed);
   CPPUNIT_TEST(incompleteSettingsAreRejected);
   CPPUNIT_TEST(secondAttemptShareIsValidated);
@@ -240,16 +241,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("join"), Join["op"].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(100002, Join["epoch"].get<int>());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Join["members"].size());
+    CPPUNIT_ASSERT(!Join.contains("precondition"));
+    Order.m_Precondition = 7;
     Order.m_Kind = MemberOrderKind::Close;
     Order.m_CloseMode = CloseMode::PreemptRequests;
     const Json Close = Json::parse(platform::encodeOrder(Order));
     CPPUNIT_ASSERT_EQUAL(std::string("preempt"),
                          Close["close_mode"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(7, Close["precondition"].get<int>());
     Order.m_Kind = MemberOrderKind::Stage;
     const Json Stage = Json::parse(platform::encodeOrder(Order));
     CPPUNIT_ASSERT(!Stage.contains("group"));
   }
 
+  /// Guards against an order without a precondition to a server whose report
+  /// was garbled.
+  void orderStateIsDecoded() {
+    const auto State = platform::decodeOrderState(
+        R"({"seq_no":3,"born":17,"group":{"name":"m0.1.2","epoch":100002,)"
+        R"("rank":0,"state":"ready"}})");
+    CPPUNIT_ASSERT(State.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, *State->m_OrderCount);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, State->m_StartedAtMs);
+    CPPUNIT_ASSERT(State->m_Group == GroupKey({"m0.1.2", 100002}));
+    const auto WithoutCount = platform::decodeOrderState("{}");
+    CPPUNIT_ASSERT(WithoutCount && !WithoutCount->m_OrderCount);
+    for (const char *Malformed :
+         {"", "[]", R"({"seq_no":-1})", R"({"seq_no":"3"})",
+          R"({"seq_no":3,"group":{"name":"m0.1.2"}})", R"({"seq_no":3)"})
+      CPPUNIT_ASSERT(!platform::decodeOrderState(Malformed));
+  }
+
   static constexpr const char *SettingsText =
       "node=n1\nzone=a\nip=10.1.0.40\nlisten.front=10.1.0.40:8227\n"
       "listen.ready_address=10.1.0.40:8220\nport_range=7340,7355\n"
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -44,6 +44,14 @@
 
   void respond() {
     m_HasResponded = true;
+    const std::size_t Path = m_ReceivedText.find(' ') + 1;
+    const auto Fixed = m_Owner.m_FixedResponses.find(
+        m_ReceivedText.substr(Path, m_ReceivedText.find(' ', Path) - Path));
+    if (Fixed != m_Owner.m_FixedResponses.end()) {
+      m_Response = Fixed->second;
+      send();
+      return;
+    }
     m_Owner.m_Requests.push_back(m_ReceivedText);
     m_Owner.m_OnRequest();
     if (m_Owner.m_Responses.empty())
@@ -51,6 +59,10 @@
     m_Response = m_Owner.m_Responses.front();
     m_Owner.m_Responses.pop_front();
     m_Owner.m_OnResponseChosen();
+    send();
+  }
+
+  void send() {
     asio::async_write(m_Socket, asio::buffer(m_Response.m_Bytes),
                       [this, Self = shared_from_this()](
                           const asio::error_code &, std::size_t) {
--- a/tests/proxy/relay_fixture.h
+++ b/tests/proxy/relay_fixture.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,6 +40,11 @@
   /// Adds a response. Each request consumes one; without one, the server does
   /// not respond.
   void addResponse(Response Next) { m_Responses.push_back(std::move(Next)); }
+  /// Makes \p Fixed the response to each request for \p Path, which neither
+  /// consumes one nor counts among requests().
+  void setFixedResponse(const std::string &Path, Response Fixed) {
+    m_FixedResponses[Path] = std::move(Fixed);
+  }
   /// Discards the remaining responses and adds \p Next unless it is empty.
   void replaceResponses(const Response &Next) {
     m_Responses.clear();
@@ -65,6 +71,7 @@
 
   asio::ip::tcp::acceptor m_Acceptor;
   std::deque<Response> m_Responses;
+  std::map<std::string, Response> m_FixedResponses;
   std::function<void()> m_OnRequest = [] {};
   std::function<void()> m_OnResponseChosen = [] {};
   std::vector<std::string> m_Requests;
