Count a reset that only the write of a request sees

A server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the kernel reports a reset to the first call on a socket only. That is the write, whose error was dropped; the reads after it return the bytes that had arrived and an end of file as after an orderly close.

Change: the call keeps the error of the write, and an end of file after it counts as a reset. A broken pipe does not count: the server had closed its side before. A response that states its end is whole as before.

--- a/proxy/upstream_call.cpp
+++ b/proxy/upstream_call.cpp
@@ -114,14 +114,16 @@
   void write(const std::shared_ptr<UpstreamCall> &Owner) {
     m_Sent = true;
     // A server may respond and close the connection before it has read the
-    // whole body, so write errors are ignored and the read decides the outcome.
+    // whole body, so a write error does not end the call.
     const std::array<asio::const_buffer, 2> Parts{
         asio::buffer(m_Request),
         m_Body ? asio::buffer(*m_Body) : asio::const_buffer()};
-    asio::async_write(m_Socket, Parts,
-                      [this, Owner](const asio::error_code &, std::size_t) {
-                        m_Body.reset();
-                      });
+    asio::async_write(
+        m_Socket, Parts,
+        [this, Owner](const asio::error_code &Error, std::size_t) {
+          m_Body.reset();
+          m_WriteError = Error;
+        });
   }
 
   void read(const std::shared_ptr<UpstreamCall> &Owner) {
@@ -139,7 +141,7 @@
   void onRead(const std::shared_ptr<UpstreamCall> &Owner,
               const asio::error_code &Error, std::size_t Size) {
     if (Error) {
-      if (Error != asio::error::eof) {
+      if (Error != asio::error::eof || hasWriteSeenReset()) {
         end(UpstreamOutcome::Reset);
         return;
       }
@@ -160,6 +162,15 @@
       read(Owner);
   }
 
+  /// The kernel reports a reset to the first call on the socket only. If that
+  /// is a write, reads return what had arrived and then an end of file as after
+  /// an orderly close. A broken pipe says that the peer had closed its side
+  /// before, so that its end of file is true.
+  bool hasWriteSeenReset() const {
+    return m_WriteError && m_WriteError != asio::error::broken_pipe &&
+           m_WriteError != asio::error::operation_aborted;
+  }
+
   void close() {
     m_HasEnded = true;
     m_Timer.cancel();
@@ -187,6 +198,8 @@
   UpstreamCallHandlers m_Handlers;
   MonotonicTime m_Deadline{};
   std::array<char, ClientMemory::ServerReadBytes> m_Buffer{};
+  /// Error of the write of the request; none while it is in progress.
+  asio::error_code m_WriteError;
   bool m_IsConnected = false;
   bool m_HasReadAfterPause = false;
   bool m_Sent = false;
--- a/tests/proxy/test_upstream_call.cpp
+++ b/tests/proxy/test_upstream_call.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST_SUITE(UpstreamCallTest);
   CPPUNIT_TEST(responseIsReadBeforeATimerThatIsHardlyLate);
   CPPUNIT_TEST(closeIsToldFromADelimitedEnd);
+  CPPUNIT_TEST(resetThatTheWriteSeesEndsTheResponse);
+  CPPUNIT_TEST(endBeforeTheResetIsTrue);
   CPPUNIT_TEST_SUITE_END();
 
   /// A call that has been started, and its accepted connection at the server.
@@ -97,6 +99,61 @@
                              "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"})
       CPPUNIT_ASSERT_EQUAL(std::string("truncated"), outcomeOf(Status + Rest));
   }
+
+  /// How a server ends the connection of an upload that it has not read.
+  enum class UploadEnd { Reset, ResetAfterPause, Close, ShutdownThenReset };
+
+  /// Returns the outcome of a call with a long body, to which the server sends
+  /// \p Response before it has read the body.
+  static std::string outcomeOfUpload(const std::string &Response,
+                                     UploadEnd End) {
+    constexpr std::size_t BodyBytes = std::size_t{16} << 20U;
+    CallToServer Call(
+        formatRequest("POST", "/", Endpoint(), {}, std::string(BodyBytes, 'x')),
+        milliseconds(5000));
+    asio::ip::tcp::socket &Server = Call.m_Server;
+    // Until the buffers of the connection are full.
+    Call.m_Loop.run_for(milliseconds(50));
+    asio::write(Server, asio::buffer(Response));
+    if (End == UploadEnd::ResetAfterPause)
+      Call.m_Loop.run_for(milliseconds(30));
+    if (End == UploadEnd::ShutdownThenReset) {
+      Server.shutdown(asio::ip::tcp::socket::shutdown_send);
+      // The end arrives while the process stands still, so the call reads it
+      // only after the reset.
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    if (End != UploadEnd::Close)
+      Server.set_option(asio::socket_base::linger(true, 0));
+    Server.close();
+    while (!Call.m_Result)
+      Call.m_Loop.run_one();
+    return std::string(nameOf(UpstreamOutcomeNames, *Call.m_Result));
+  }
+
+  /// The first call that sees the reset of a connection is a write. Guards
+  /// against a part of a response that counts as the whole one since the reads
+  /// after it return an end of file.
+  void resetThatTheWriteSeesEndsTheResponse() {
+    const std::string Status = "HTTP/1.1 200 OK\r\n";
+    for (const UploadEnd End :
+         {UploadEnd::Reset, UploadEnd::ResetAfterPause, UploadEnd::Close}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("reset"),
+                           outcomeOfUpload(Status + "\r\nab", End));
+      // A response that states its end is whole all the same.
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("complete"),
+          outcomeOfUpload(Status + "Content-Length: 2\r\n\r\nab", End));
+    }
+  }
+
+  /// Guards against discarding a whole response because the server closes the
+  /// connection without reading the rest of the upload.
+  void endBeforeTheResetIsTrue() {
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"),
+                         outcomeOfUpload("HTTP/1.1 200 OK\r\n\r\nab",
+                                         UploadEnd::ShutdownThenReset));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamCallTest);
