Accept a server's report with the order count that is known

A server may lose its group without an order. Its report then has the count that is known and another group; it was ignored as outdated, and the server received no order again while the lease was held.

A report with the same count is as new as the last order, so it replaces what is known. serverThatLostItsGroupWithoutAnOrderIsUsed failed before (0 of 3 groups open) and passes.

--- a/servers/replicas/order_ledger.cpp
+++ b/servers/replicas/order_ledger.cpp
@@ -32,10 +32,11 @@
 void OrderLedger::setState(const std::string &Id, const OrderState &State) {
   const auto [Entry, IsNew] = m_States.try_emplace(Id);
   OrderState &Known = Entry->second.m_State;
-  // A load report may be older than the last answer to an order.
+  // A load report may be older than the last answer to an order. With the same
+  // count it is not, and the server may have lost its group without an order.
   if (IsNew || Known.m_StartedAtMs < State.m_StartedAtMs ||
       (Known.m_StartedAtMs == State.m_StartedAtMs &&
-       Known.m_OrderCount < State.m_OrderCount))
+       Known.m_OrderCount <= State.m_OrderCount))
     Known = State;
 }
 
--- a/tests/servers/replicas/test_late_orders.cpp
+++ b/tests/servers/replicas/test_late_orders.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(lateOpenKeepsMembersUntilTheHeadHasLeft);
   CPPUNIT_TEST(lateLeaveKeepsTheGroupClosed);
   CPPUNIT_TEST(stateIsRequestedOncePerHolder);
+  CPPUNIT_TEST(serverThatLostItsGroupWithoutAnOrderIsUsed);
   CPPUNIT_TEST(serverThatAlwaysConflictsStandsAside);
   CPPUNIT_TEST(silentServerIsReplacedAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -411,6 +412,19 @@
     }
   }
 
+  /// Guards against a server that receives no order again since its group is
+  /// not the one of its last order.
+  void serverThatLostItsGroupWithoutAnOrderIsUsed() {
+    World Test;
+    Test.runFor(seconds(3));
+    for (auto &[Id, Server] : Test.m_Servers) {
+      Server.m_Entry.m_Membership.reset();
+      Test.report(Server);
+    }
+    Test.runFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Test.openGroups());
+  }
+
   /// Guards against a domain that forms no groups because of one server, and
   /// against many orders to it.
   void serverThatAlwaysConflictsStandsAside() {
